Agree on the shared types

Cause: the request path and the shared state are built side by side and need one vocabulary. Conclusion: types only; nothing is measured yet.

--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,30 @@
+// Package invariant counts and reports violations of what must always hold.
+//
+// The checks are always on: a violation means that a caller was or would be told
+// something untrue, which no later error would show. A violation is counted,
+// kept for the dump and handed to the registry's handler, which logs it in
+// production and panics under test.
+package invariant
+
+// Name identifies an invariant.
+type Name string
+
+// The invariants that the program asserts.
+const (
+	OneOutcome           Name = "one-outcome-per-request"
+	OneDispatch          Name = "one-dispatch-of-non-idempotent"
+	NoDispatchAfterEnd   Name = "no-dispatch-after-outcome"
+	LayersOnceInOrder    Name = "layers-once-and-in-order"
+	NoTokenGapOrRepeat   Name = "no-token-gap-or-repeat"
+	VersionNeverFalls    Name = "config-version-never-falls"
+	NoDispatchAfterDrain Name = "no-dispatch-after-drain-bound"
+	NoOrderWithoutLease  Name = "no-order-without-lease"
+	AnswerToAsker        Name = "answer-to-its-own-request"
+	SlotsNotNegative     Name = "slots-never-negative"
+)
+
+// All lists every invariant, for the dump and the metrics.
+var All = []Name{
+	OneOutcome, OneDispatch, NoDispatchAfterEnd, LayersOnceInOrder, NoTokenGapOrRepeat,
+	VersionNeverFalls, NoDispatchAfterDrain, NoOrderWithoutLease, AnswerToAsker, SlotsNotNegative,
+}
--- /dev/null
+++ b/internal/outcome/reason.go
@@ -0,0 +1,55 @@
+package outcome
+
+// Reason says why a request was not completed. Each has one HTTP status.
+type Reason string
+
+// The reasons for refusing or giving up a request.
+const (
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonUnauthorized     Reason = "unauthorized"
+	ReasonForbidden        Reason = "forbidden"
+	ReasonUnknownProfile   Reason = "unknown-profile"
+	ReasonTooLarge         Reason = "too-large"
+	ReasonKeyReused        Reason = "key-reused"
+	ReasonKeyInProgress    Reason = "key-in-progress"
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonWorkspaceLimit   Reason = "workspace-limit"
+	ReasonDeadline         Reason = "deadline"
+	ReasonNoTarget         Reason = "no-target"
+	ReasonStoreUnavailable Reason = "store-unavailable"
+	ReasonIsolated         Reason = "isolated"
+	ReasonStopping         Reason = "stopping"
+	ReasonTargetFailed     Reason = "target-failed"
+	ReasonTargetSilent     Reason = "target-silent"
+	ReasonCallerGone       Reason = "caller-gone"
+	ReasonInternal         Reason = "internal"
+)
+
+var statusOf = map[Reason]int{
+	ReasonBadRequest:       400,
+	ReasonUnauthorized:     401,
+	ReasonForbidden:        403,
+	ReasonUnknownProfile:   404,
+	ReasonTooLarge:         413,
+	ReasonKeyReused:        422,
+	ReasonKeyInProgress:    409,
+	ReasonOverloaded:       503,
+	ReasonWorkspaceLimit:   429,
+	ReasonDeadline:         504,
+	ReasonNoTarget:         503,
+	ReasonStoreUnavailable: 503,
+	ReasonIsolated:         503,
+	ReasonStopping:         503,
+	ReasonTargetFailed:     502,
+	ReasonTargetSilent:     504,
+	ReasonCallerGone:       499,
+	ReasonInternal:         500,
+}
+
+// Status returns the reason's HTTP status, 500 for a reason that is not listed.
+func (r Reason) Status() int {
+	if status, ok := statusOf[r]; ok {
+		return status
+	}
+	return 500
+}
