--- /dev/null
+++ b/internal/engine/httpengine/settings.go
@@ -0,0 +1,40 @@
+package httpengine
+
+import "time"
+
+// Settings bound the waits. A zero field takes its default.
+type Settings struct {
+	// OpenTimeout bounds the time from Open to the ready event.
+	OpenTimeout time.Duration
+	// Idle is how long a stream may bring nothing, not even a heartbeat.
+	Idle time.Duration
+	// ControlTimeout bounds every call that is not a stream.
+	ControlTimeout time.Duration
+	// MaxEventBytes bounds one event.
+	MaxEventBytes int
+}
+
+// The defaults of Settings.
+const (
+	DefaultOpenTimeout    = 2 * time.Second
+	DefaultIdle           = 750 * time.Millisecond
+	DefaultControlTimeout = 2 * time.Second
+	DefaultMaxEventBytes  = 256 << 10
+)
+
+// WithDefaults returns s with its zero fields filled in.
+func (s Settings) WithDefaults() Settings {
+	if s.OpenTimeout == 0 {
+		s.OpenTimeout = DefaultOpenTimeout
+	}
+	if s.Idle == 0 {
+		s.Idle = DefaultIdle
+	}
+	if s.ControlTimeout == 0 {
+		s.ControlTimeout = DefaultControlTimeout
+	}
+	if s.MaxEventBytes == 0 {
+		s.MaxEventBytes = DefaultMaxEventBytes
+	}
+	return s
+}
--- /dev/null
+++ b/internal/service/httpservice/client.go
@@ -0,0 +1,83 @@
+package httpservice
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/service"
+	"geraniumcroft/internal/transport"
+)
+
+const loadPath = "/v1/load"
+
+// Client implements service.Client.
+type Client struct {
+	pool     *transport.Pool
+	settings Settings
+	kept     *keptConns
+}
+
+var _ service.Client = (*Client)(nil)
+
+// New returns a client that makes its connections by pool.
+func New(pool *transport.Pool, s Settings) *Client {
+	s = s.WithDefaults()
+	return &Client{pool: pool, settings: s, kept: newKeptConns(s)}
+}
+
+// Connect implements service.Client.
+func (c *Client) Connect(ctx context.Context, address string, fresh bool) (service.Conn, error) {
+	if !fresh {
+		if kept := c.kept.take(address); kept != nil {
+			return kept, nil
+		}
+	}
+	raw, err := c.pool.Dial()(ctx, "tcp", address)
+	if err != nil {
+		return nil, &service.CallError{Address: address, Cause: err}
+	}
+	return newConn(c, address, raw), nil
+}
+
+// Load implements service.Client. The report goes on a connection of its own
+// class, so it neither waits behind calls nor holds one up.
+func (c *Client) Load(ctx context.Context, address string) (engine.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.LoadTimeout)
+	defer cancel()
+	var report engine.LoadReport
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+loadPath, nil)
+	if err != nil {
+		return report, err
+	}
+	resp, err := c.pool.Kept(transport.ClassControl, address).RoundTrip(req)
+	if err != nil {
+		c.suspectIfSilent(ctx, address)
+		return report, errors.Wrap(err, "load report")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return report, errors.Newf("load report: status %d", resp.StatusCode)
+	}
+	body, err := readBounded(resp.Body, c.settings.MaxBody)
+	if err != nil {
+		c.suspectIfSilent(ctx, address)
+		return report, errors.Wrap(err, "load report")
+	}
+	return report, errors.Wrap(json.Unmarshal(body, &report), "load report")
+}
+
+func (c *Client) suspectIfSilent(ctx context.Context, address string) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.suspect(address)
+	}
+}
+
+// suspect drops every unused connection to a peer of which one was found silent.
+func (c *Client) suspect(address string) {
+	c.kept.drop(address)
+	c.pool.Suspect(address)
+}
--- /dev/null
+++ b/internal/transport/pool.go
@@ -0,0 +1,92 @@
+package transport
+
+import (
+	"net/http"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+type peerKey struct {
+	class   Class
+	address string
+}
+
+// Pool hands out HTTP transports: one for each class and peer, so that the idle
+// connections to one peer can be dropped alone, and one that never reuses a
+// connection. It is safe for concurrent use.
+type Pool struct {
+	settings Settings
+	dial     DialFunc
+	fresh    *http.Transport
+	peers    *lru.Cache[peerKey, *http.Transport]
+}
+
+// NewPool returns a pool; a nil dial takes NewDialer's.
+func NewPool(s Settings, dial DialFunc) *Pool {
+	p := &Pool{settings: s.WithDefaults(), dial: dial}
+	if p.dial == nil {
+		p.dial = NewDialer(p.settings)
+	}
+	p.fresh = p.newTransport()
+	p.fresh.DisableKeepAlives = true
+	p.peers, _ = lru.NewWithEvict(p.settings.MaxPeers, closeIdle) // fails only for a size below 1
+	return p
+}
+
+// Settings returns the pool's settings with the defaults filled in.
+func (p *Pool) Settings() Settings { return p.settings }
+
+// Dial returns the function that makes the pool's connections.
+func (p *Pool) Dial() DialFunc { return p.dial }
+
+// Fresh returns a transport that uses each connection for one request. A stream
+// lives for seconds, so a handshake saved is worth less than the certainty that
+// the connection was alive when the request left.
+func (p *Pool) Fresh() http.RoundTripper { return p.fresh }
+
+// Kept returns the transport that keeps connections to a peer for requests of a class.
+func (p *Pool) Kept(class Class, address string) http.RoundTripper {
+	key := peerKey{class: class, address: address}
+	if t, ok := p.peers.Get(key); ok {
+		return t
+	}
+	t := p.newTransport()
+	if earlier, ok, _ := p.peers.PeekOrAdd(key, t); ok {
+		return earlier
+	}
+	return t
+}
+
+// Suspect drops the idle connections to a peer, because one connection to it was
+// found silent. The others may have gone silent with it, and a request sent on one
+// would wait its whole bound for nothing. Connections in use stay, as each has a
+// bound of its own.
+func (p *Pool) Suspect(address string) {
+	for _, class := range []Class{ClassBulk, ClassUrgent, ClassControl} {
+		if t, ok := p.peers.Peek(peerKey{class: class, address: address}); ok {
+			t.CloseIdleConnections()
+		}
+	}
+}
+
+// Close drops all idle connections.
+func (p *Pool) Close() {
+	p.fresh.CloseIdleConnections()
+	p.peers.Purge()
+}
+
+func (p *Pool) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            p.dial,
+		IdleConnTimeout:        p.settings.IdleLifetime,
+		MaxIdleConnsPerHost:    p.settings.MaxIdlePerPeer,
+		ReadBufferSize:         p.settings.ReadBuffer,
+		WriteBufferSize:        p.settings.WriteBuffer,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+const maxHeaderBytes = 64 << 10
+
+func closeIdle(_ peerKey, t *http.Transport) { t.CloseIdleConnections() }
