--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -21,10 +21,12 @@
 	NoOrderWithoutLease  Name = "no-order-without-lease"
 	AnswerToAsker        Name = "answer-to-its-own-request"
 	SlotsNotNegative     Name = "slots-never-negative"
+	FencingNeverFalls    Name = "fencing-number-never-falls"
 )
 
 // All lists every invariant, for the dump and the metrics.
 var All = []Name{
 	OneOutcome, OneDispatch, NoDispatchAfterEnd, LayersOnceInOrder, NoTokenGapOrRepeat,
 	VersionNeverFalls, NoDispatchAfterDrain, NoOrderWithoutLease, AnswerToAsker, SlotsNotNegative,
+	FencingNeverFalls,
 }
--- /dev/null
+++ b/internal/lease/record.go
@@ -0,0 +1,49 @@
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/platform"
+)
+
+const keyPrefix = "lease/"
+
+func keyOf(duty string) string { return keyPrefix + duty }
+
+// record is the value of a lease's row.
+type record struct {
+	// Holder is empty once the lease was released.
+	Holder string `json:"holder"`
+	// Nonce tells two tenures of one holder apart, such as before and after a restart.
+	Nonce string `json:"nonce"`
+	// Fencing rises with each change of holder and stays on release.
+	Fencing  uint64          `json:"fencing"`
+	Duration config.Duration `json:"duration"`
+}
+
+func (r record) free() bool { return r.Holder == "" }
+
+func (r record) ttl() time.Duration { return time.Duration(r.Duration) }
+
+func decode(row platform.Row) (record, error) {
+	var r record
+	if row.Revision == 0 {
+		return r, nil
+	}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, errors.Wrapf(err, "row %s", row.Key)
+	}
+	return r, nil
+}
+
+func (r record) encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // strings, a number and a duration always encode
+	}
+	return value
+}
