plan: lay out pipelines over layer ranges

The request path needs a plan whose stages cover the layers once and in order over engines whose ranges do not line up.

--- /dev/null
+++ b/internal/plan/graph.go
@@ -0,0 +1,195 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"geraniumcroft/internal/config"
+)
+
+const (
+	// defaultLayerRate stands for a target whose rate is not configured, in layers
+	// times tokens a second.
+	defaultLayerRate = 10_000.0
+	// localLatency and remoteLatency stand for links that are not configured,
+	// within a data centre and between two.
+	localLatency  = 50 * time.Microsecond
+	remoteLatency = 250 * time.Microsecond
+)
+
+// graph is the engines that hold a model, cut at the ends of their ranges.
+// Between two neighbouring cuts every engine holds either all layers or none, so
+// stages that begin and end at cuts lose no throughput.
+type graph struct {
+	model  *config.Model
+	cuts   []int
+	zones  map[string]int
+	groups []*group
+	// groupOf gives a target's index in groups.
+	groupOf map[string]int
+	// targetLinks says that some link names a target rather than a data centre.
+	targetLinks bool
+}
+
+// group is engines that are alike in range, rate, data centre and links, so
+// that one plan for the group stands for a plan for each of its members.
+type group struct {
+	members []*config.Target
+	// from and to index the graph's cuts.
+	from, to int
+	rate     float64
+	zone     int
+	// named says that links name the group's only member.
+	named bool
+	// toZone is indexed by zone; toGroup holds links to named targets.
+	toZone  []edge
+	toGroup map[int]edge
+}
+
+// edge is the way from one engine to another.
+type edge struct {
+	latency float64 // seconds
+	// capacity is in tokens a second, +Inf when unbounded.
+	capacity float64
+	// exists says that the edge is configured rather than assumed.
+	exists bool
+}
+
+func rateOf(target *config.Target) float64 {
+	if target.LayerTokensPerSecond > 0 {
+		return target.LayerTokensPerSecond
+	}
+	return defaultLayerRate
+}
+
+func newGraph(in Input) (*graph, error) {
+	targets := in.eligible()
+	g := &graph{model: in.Model, zones: map[string]int{}, groupOf: map[string]int{}}
+	g.cuts = cutsOf(in.Model.Layers, targets)
+	for _, target := range targets {
+		if _, ok := g.zones[target.DataCentre]; !ok {
+			g.zones[target.DataCentre] = len(g.zones)
+		}
+	}
+	g.addGroups(targets)
+	g.addEdges()
+	return g, g.checkCover(in)
+}
+
+func cutsOf(layers int, targets []*config.Target) []int {
+	cuts := []int{0, layers}
+	for _, target := range targets {
+		cuts = append(cuts, target.Layers.From, target.Layers.To)
+	}
+	slices.Sort(cuts)
+	return slices.Compact(cuts)
+}
+
+func (g *graph) addGroups(targets []*config.Target) {
+	named := namedTargets(targets)
+	byKey := map[string]int{}
+	for _, target := range targets {
+		key := groupKey(target, named[target.Name])
+		index, ok := byKey[key]
+		if !ok {
+			index = len(g.groups)
+			byKey[key] = index
+			g.groups = append(g.groups, g.newGroup(target, named[target.Name]))
+		}
+		g.groups[index].members = append(g.groups[index].members, target)
+		g.groupOf[target.Name] = index
+	}
+}
+
+func (g *graph) newGroup(target *config.Target, named bool) *group {
+	from, _ := slices.BinarySearch(g.cuts, target.Layers.From)
+	to, _ := slices.BinarySearch(g.cuts, target.Layers.To)
+	return &group{from: from, to: to, rate: rateOf(target), zone: g.zones[target.DataCentre], named: named}
+}
+
+func namedTargets(targets []*config.Target) map[string]bool {
+	named := map[string]bool{}
+	for _, target := range targets {
+		for _, link := range target.Links {
+			named[link.To] = true
+		}
+	}
+	return named
+}
+
+func groupKey(target *config.Target, named bool) string {
+	if named {
+		return "target " + target.Name
+	}
+	var key strings.Builder
+	fmt.Fprintf(&key, "%d-%d %g %s %s", target.Layers.From, target.Layers.To, rateOf(target), target.DataCentre, target.Accelerator)
+	for _, link := range target.Links {
+		fmt.Fprintf(&key, " %s %d %g", link.To, link.Latency, link.BytesPerSecond)
+	}
+	return key.String()
+}
+
+func (g *graph) addEdges() {
+	for _, grp := range g.groups {
+		g.addDefaultEdges(grp)
+		for _, link := range grp.members[0].Links {
+			g.addLink(grp, link)
+		}
+	}
+}
+
+func (g *graph) addDefaultEdges(grp *group) {
+	grp.toZone = make([]edge, len(g.zones))
+	for zone := range grp.toZone {
+		latency := remoteLatency
+		if zone == grp.zone {
+			latency = localLatency
+		}
+		grp.toZone[zone] = edge{latency: latency.Seconds(), capacity: math.Inf(1)}
+	}
+}
+
+func (g *graph) addLink(grp *group, link config.Link) {
+	found := edge{latency: time.Duration(link.Latency).Seconds(), capacity: g.tokensOver(link), exists: true}
+	if index, ok := g.groupOf[link.To]; ok {
+		if grp.toGroup == nil {
+			grp.toGroup = map[int]edge{}
+		}
+		grp.toGroup[index] = found
+		g.targetLinks = true
+		return
+	}
+	if zone, ok := g.zones[link.To]; ok {
+		grp.toZone[zone] = found
+	}
+}
+
+func (g *graph) tokensOver(link config.Link) float64 {
+	if link.BytesPerSecond <= 0 || g.model.ActivationBytes <= 0 {
+		return math.Inf(1)
+	}
+	return link.BytesPerSecond / float64(g.model.ActivationBytes)
+}
+
+// edge returns the way from one group to another.
+func (g *graph) edge(from, to int) edge {
+	if found, ok := g.groups[from].toGroup[to]; ok {
+		return found
+	}
+	return g.groups[from].toZone[g.groups[to].zone]
+}
+
+// segmentLayers returns the layers between a cut and the next one.
+func (g *graph) segmentLayers(cut int) int { return g.cuts[cut+1] - g.cuts[cut] }
+
+func (g *graph) checkCover(in Input) error {
+	for cut := 0; cut+1 < len(g.cuts); cut++ {
+		if !slices.ContainsFunc(g.groups, func(grp *group) bool { return grp.from <= cut && cut < grp.to }) {
+			return &GapError{Model: in.Model.Name, Version: in.Version, Adapter: in.Adapter, Layer: g.cuts[cut]}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/plan/set.go
@@ -0,0 +1,25 @@
+package plan
+
+// Set is the weighted plans of one model, version and adapter.
+type Set struct {
+	Plans []Plan
+	// Bound is the most tokens a second that any weighting of plans can reach.
+	Bound float64
+
+	graph *graph
+	paths []weightedPath
+}
+
+type weightedPath struct {
+	legs   path
+	weight float64
+}
+
+// Throughput returns the sum of the plans' weights in tokens a second.
+func (s *Set) Throughput() float64 {
+	total := 0.0
+	for _, plan := range s.Plans {
+		total += plan.Weight
+	}
+	return total
+}
