--- /dev/null
+++ b/internal/dispatch/boundary.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"sync"
+
+	"geraniumcroft/internal/invariant"
+)
+
+// Boundary is the dispatch boundary of one request. A request that is not
+// idempotent crosses it at most once, unless the service itself declared that
+// the call before did not run.
+type Boundary struct {
+	requestID  string
+	idempotent bool
+	invariants *invariant.Registry
+
+	mu      sync.Mutex // guards the fields below
+	crossed int
+	closed  bool
+}
+
+// NewBoundary returns the boundary of a request that has not been sent.
+func NewBoundary(requestID string, idempotent bool, invariants *invariant.Registry) *Boundary {
+	return &Boundary{requestID: requestID, idempotent: idempotent, invariants: invariants}
+}
+
+// Cross records that the call is about to be sent and reports whether it may be.
+//
+// A second crossing of a request that is not idempotent would run it twice; the
+// caller of the service would see two holds for one request. The check and the
+// record are one step under the lock, so of two racing attempts only one passes.
+func (b *Boundary) Cross() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return false
+	}
+	first := b.idempotent || b.crossed == 0
+	if !b.invariants.Check(first, invariant.OneDispatch, "request %s", b.requestID) {
+		return false
+	}
+	b.crossed++
+	return true
+}
+
+// DeclaredNotRun takes one crossing back: the service answered that it did not
+// run the call.
+func (b *Boundary) DeclaredNotRun() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crossed--
+}
+
+// MayHaveRun reports whether a call was sent and not declared as not run.
+func (b *Boundary) MayHaveRun() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crossed > 0
+}
+
+// Close refuses crossings from now on. An attempt that was still connecting
+// finds the boundary closed and gives up, so "not run", said after Close, stays
+// true.
+func (b *Boundary) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+}
--- /dev/null
+++ b/internal/router/call.go
@@ -0,0 +1,130 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumcroft/internal/admission"
+	"geraniumcroft/internal/balance"
+	"geraniumcroft/internal/claim"
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/dispatch"
+	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/service"
+)
+
+// Call serves a call of a plain service. The error is an *outcome.Failure.
+func (r *Router) Call(ctx context.Context, request CallRequest) (CallResult, error) {
+	e, failure := r.begin(request.Identity, config.ClassCall)
+	if failure != nil {
+		return CallResult{}, failure
+	}
+	e.pool = e.profile.Service
+	ctx, cancel := withDeadline(ctx, e)
+	defer cancel()
+	result, failure := r.call(ctx, e, request)
+	r.finish(e, failure, 0)
+	if failure != nil {
+		return CallResult{}, failure
+	}
+	return result, nil
+}
+
+func (r *Router) call(ctx context.Context, e *entry, request CallRequest) (CallResult, *outcome.Failure) {
+	kept, failure := r.takeClaim(ctx, e)
+	if failure != nil {
+		return CallResult{}, failure
+	}
+	if kept != nil {
+		return CallResult{Status: kept.Status, ContentType: kept.ContentType, Body: kept.Body, Replayed: true}, nil
+	}
+	result, failure := r.runCall(ctx, e, request)
+	var answer *claim.Answer
+	if failure == nil {
+		answer = &claim.Answer{Status: result.Status, ContentType: result.ContentType, Body: result.Body}
+	}
+	return result, r.settleClaim(ctx, e, failure, answer)
+}
+
+func (r *Router) runCall(ctx context.Context, e *entry, request CallRequest) (CallResult, *outcome.Failure) {
+	slot, err := r.admitCall(ctx, e)
+	if err != nil {
+		return CallResult{}, asFailure(err)
+	}
+	e.enter(StageRunning)
+	started := time.Now()
+	response, err := r.Dispatcher.Call(ctx, r.job(e, request, slot))
+	if err != nil {
+		return CallResult{}, asFailure(err)
+	}
+	r.learn(e, time.Since(started))
+	return CallResult{Status: response.Status, ContentType: response.Header.Get("Content-Type"), Body: response.Body}, nil
+}
+
+func (r *Router) job(e *entry, request CallRequest, slot *balance.Slot) dispatch.Job {
+	return dispatch.Job{
+		Call: service.Call{
+			RequestID: e.id.RequestID, Path: e.profile.Path, Body: request.Body, ContentType: request.ContentType,
+			Idempotent: e.profile.Idempotent, IdempotencyKey: e.id.IdempotencyKey,
+		},
+		Urgency:  e.profile.Urgency,
+		Boundary: e.boundary,
+		First:    slot,
+		Next: func(exclude []string) (*balance.Slot, error) {
+			return r.Balancer.Pick(r.query(e, exclude))
+		},
+	}
+}
+
+func (r *Router) query(e *entry, exclude []string) balance.Query {
+	return balance.Query{Pool: e.pool, Urgency: e.profile.Urgency, Exclude: exclude, DataCentre: r.DataCentre}
+}
+
+// admitCall waits for a slot on a target of the entry's pool.
+func (r *Router) admitCall(ctx context.Context, e *entry) (*balance.Slot, error) {
+	var slot *balance.Slot
+	var noTarget error
+	err := r.admit(ctx, e, admissionCost{tokens: 1}, func() bool {
+		picked, err := r.Balancer.Pick(r.query(e, nil))
+		if errors.Is(err, balance.ErrNoTarget) {
+			noTarget = err
+			return true
+		}
+		slot = picked
+		return err == nil
+	})
+	if err == nil && noTarget != nil {
+		err = outcome.Refuse(outcome.ReasonNoTarget, "no target of the profile can take work now").WithRetryAfter(time.Second).WithCause(noTarget)
+	}
+	return slot, err
+}
+
+// admissionCost is what admission needs to know of a request besides its profile.
+type admissionCost struct {
+	tokens int
+	resume bool
+}
+
+func (r *Router) admit(ctx context.Context, e *entry, cost admissionCost, try func() bool) error {
+	e.enter(StageQueued)
+	queued := time.Now()
+	err := r.Admission.Admit(ctx, r.admissionRequest(e, cost), try)
+	r.Observer.Queued(e.profile.Urgency, time.Since(queued))
+	return err
+}
+
+func (r *Router) admissionRequest(e *entry, cost admissionCost) *admission.Request {
+	return &admission.Request{
+		ID: e.id.RequestID, Workspace: e.profile.Workspace, Profile: e.profile.Name, Pool: e.pool,
+		Urgency: e.profile.Urgency, Weight: r.workspaceWeight(e.profile.Workspace), Cost: max(1, cost.tokens),
+		Arrival: e.id.Arrival, Deadline: e.deadline, Expected: r.estimates.of(e.profile.Name),
+		MaxQueueWait: time.Duration(e.profile.Limits.MaxQueueWait), Resume: cost.resume,
+	}
+}
+
+func (r *Router) learn(e *entry, took time.Duration) {
+	r.estimates.learn(e.profile.Name, took)
+	r.Admission.Finished(e.pool, took)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,150 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/dispatch"
+	"geraniumcroft/internal/outcome"
+)
+
+// Router serves callers' requests. It is safe for concurrent use.
+type Router struct {
+	Options
+	inHand    *inHand
+	estimates *estimates
+}
+
+// New returns a router and registers it as the one that preempts bulk
+// generations when urgent requests wait.
+func New(o Options) *Router {
+	r := &Router{Options: o, inHand: newInHand(), estimates: newEstimates()}
+	o.Admission.OnStarved(r.onStarved)
+	o.Balancer.OnFree(o.Admission.Wake)
+	return r
+}
+
+// Ready reports whether the balancer should send new requests to this VM.
+func (r *Router) Ready() bool { return r.Gate.Ready() }
+
+// InHand returns how many requests have arrived and not ended.
+func (r *Router) InHand() int { return r.inHand.count() }
+
+// begin looks the request up and takes it in hand. The failure is always NotRun:
+// nothing has been spent on the request yet.
+func (r *Router) begin(id Identity, class config.RequestClass) (*entry, *outcome.Failure) {
+	if failure := r.Gate.Check(); failure != nil {
+		return nil, failure
+	}
+	snapshot := r.Source.Current()
+	profile, ok := snapshot.Profiles[id.Profile]
+	if !ok || profile.Class != class {
+		return nil, outcome.Refuse(outcome.ReasonUnknownProfile, "there is no such profile of this class")
+	}
+	workspace := snapshot.Workspaces[profile.Workspace]
+	if failure := r.checkCaller(id, profile, workspace); failure != nil {
+		return nil, failure
+	}
+	e := r.newEntry(id, profile)
+	if limit := r.inHand.add(e, maxInFlight(workspace)); limit != "" {
+		failure := outcome.Refuse(outcome.ReasonWorkspaceLimit, "too many requests of this "+limit+" are in hand")
+		return nil, failure.WithRetryAfter(time.Second)
+	}
+	return e, nil
+}
+
+func (r *Router) checkCaller(id Identity, profile *config.Profile, workspace *config.Workspace) *outcome.Failure {
+	if workspace != nil && len(workspace.KeyDigests) > 0 && !r.Authorize(id.BearerKey, workspace.KeyDigests) {
+		if id.BearerKey == "" {
+			return outcome.Refuse(outcome.ReasonUnauthorized, "the profile's workspace asks for a bearer key")
+		}
+		return outcome.Refuse(outcome.ReasonForbidden, "the key is not one of the profile's workspace")
+	}
+	if id.BodyBytes > lowest(profile.Limits.MaxBodyBytes, r.Limits.MaxBodyBytes) {
+		return outcome.Refuse(outcome.ReasonTooLarge, "the body is larger than the profile allows")
+	}
+	return nil
+}
+
+func (r *Router) newEntry(id Identity, profile *config.Profile) *entry {
+	deadline := time.Duration(profile.Deadline)
+	if deadline <= 0 {
+		deadline = r.Limits.Deadline
+	}
+	if id.Deadline > 0 {
+		deadline = min(deadline, id.Deadline)
+	}
+	return &entry{
+		id:       id,
+		profile:  profile,
+		deadline: id.Arrival.Add(deadline),
+		boundary: dispatch.NewBoundary(id.RequestID, profile.Idempotent, r.Invariants),
+		stage:    StageArrived,
+		since:    id.Arrival,
+	}
+}
+
+// finish gives the request its one outcome and lets it go.
+func (r *Router) finish(e *entry, failure *outcome.Failure, epochs int) {
+	record := Record{
+		RequestID: e.id.RequestID, Profile: e.profile.Name, Workspace: e.profile.Workspace,
+		Urgency: e.profile.Urgency, Outcome: outcome.Complete, Arrival: e.id.Arrival,
+		Took: time.Since(e.id.Arrival), Tokens: int(e.tokens.Load()), Epochs: epochs,
+	}
+	if failure != nil {
+		record.Outcome, record.Reason, record.Detail = failure.Outcome, failure.Reason, failure.Detail
+		r.inHand.keepFailure(record)
+		r.Logger.Info("request not completed", zap.String("request", e.id.RequestID), zap.String("profile", e.profile.Name),
+			zap.Stringer("outcome", failure.Outcome), zap.String("reason", string(failure.Reason)), zap.NamedError("cause", failure.Cause))
+	}
+	e.end(record.Outcome, r.Invariants)
+	r.inHand.remove(e)
+	r.Observer.Ended(record)
+}
+
+// asFailure turns any error into a failure; one that nobody typed is Unknown,
+// which claims least.
+func asFailure(err error) *outcome.Failure {
+	if err == nil {
+		return nil
+	}
+	var failure *outcome.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return outcome.Uncertain(outcome.ReasonInternal, "the request failed in a way that nobody foresaw").WithCause(err)
+}
+
+// withDeadline bounds the context by the request's deadline.
+func withDeadline(ctx context.Context, e *entry) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(ctx, e.deadline)
+}
+
+func maxInFlight(w *config.Workspace) int {
+	if w == nil {
+		return 0
+	}
+	return w.MaxInFlight
+}
+
+// lowest returns the lower of the bounds, of which 0 means none.
+func lowest[T int | int64](bounds ...T) T {
+	var low T
+	for _, bound := range bounds {
+		if bound > 0 && (low == 0 || bound < low) {
+			low = bound
+		}
+	}
+	return low
+}
+
+func (r *Router) workspaceWeight(name string) int {
+	if w := r.Source.Current().Workspaces[name]; w != nil && w.Weight > 0 {
+		return w.Weight
+	}
+	return 1
+}
