Admit requests by urgency, fair share and deadline

Each pool has bounded queues by urgency, start-time fair queueing among workspaces, early refusal from the rate at which its queue moves, and displacement of bulk by urgent requests.

--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,126 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/outcome"
+)
+
+// Controller admits requests to pools. It is safe for concurrent use.
+type Controller struct {
+	settings   Settings
+	invariants *invariant.Registry
+	workspaces *inHand
+	profiles   *inHand
+	starved    atomic.Pointer[func(pool string, r *Request)]
+
+	pools sync.Map // string to *pool
+}
+
+// New returns a controller without pools; they come with their first request.
+func New(s Settings, inv *invariant.Registry) *Controller {
+	return &Controller{
+		settings:   s.withDefaults(),
+		invariants: inv,
+		workspaces: newInHand(),
+		profiles:   newInHand(),
+	}
+}
+
+// OnStarved sets the function that is called, outside of any lock, when an
+// urgent request has to wait, and again at an interval while it still does.
+func (c *Controller) OnStarved(f func(pool string, r *Request)) { c.starved.Store(&f) }
+
+// Admit calls try when it is the request's turn. try must not block: it runs
+// under the pool's lock and reports whether it took capacity. Admit returns nil
+// when try returned true, else an *outcome.Failure: NotRun, and try is not
+// called again.
+//
+// A request with an in-flight limit that was admitted is counted until Leave.
+func (c *Controller) Admit(ctx context.Context, r *Request, try func() bool) error {
+	if failure := c.enterLimits(r); failure != nil {
+		return failure
+	}
+	if failure := c.admit(ctx, r, try); failure != nil {
+		c.Leave(r)
+		return failure
+	}
+	return nil
+}
+
+func (c *Controller) admit(ctx context.Context, r *Request, try func() bool) *outcome.Failure {
+	if ctx.Err() != nil {
+		return refuseEnded(ctx)
+	}
+	p := c.pool(r.Pool)
+	w, failure := p.enter(r, try)
+	if w == nil {
+		return failure
+	}
+	return p.await(ctx, w, c.starvedBy(r))
+}
+
+func (c *Controller) starvedBy(r *Request) func() {
+	f := c.starved.Load()
+	if f == nil || r.Urgency != config.Urgent {
+		return nil
+	}
+	return func() { (*f)(r.Pool, r) }
+}
+
+func (c *Controller) enterLimits(r *Request) *outcome.Failure {
+	if r.Resume {
+		return nil
+	}
+	if !c.workspaces.enter(r.Workspace, r.MaxInFlight) {
+		return refuseLimit("workspace")
+	}
+	if !c.profiles.enter(r.Profile, r.ProfileMaxInFlight) {
+		c.workspaces.leave(r.Workspace, r.MaxInFlight)
+		return refuseLimit("profile")
+	}
+	return nil
+}
+
+// Leave takes an admitted request out of its workspace's and profile's in-flight
+// counts. It is called once for each request that Admit returned nil for, when
+// the request has ended; a resumed one stays counted from its first Admit.
+func (c *Controller) Leave(r *Request) {
+	if r.Resume {
+		return
+	}
+	c.workspaces.leave(r.Workspace, r.MaxInFlight)
+	c.profiles.leave(r.Profile, r.ProfileMaxInFlight)
+}
+
+// Wake starts queued requests of the pool after capacity may have come free.
+func (c *Controller) Wake(name string) {
+	found, ok := c.pools.Load(name)
+	if !ok {
+		return
+	}
+	p := found.(*pool)
+	for p.interested.Load() > 0 && p.woken.CompareAndSwap(false, true) {
+		if !p.wake() {
+			return
+		}
+	}
+}
+
+// Finished records that a request of the pool ended after that time of service.
+func (c *Controller) Finished(name string, took time.Duration) {
+	c.pool(name).noteFinished(took)
+}
+
+func (c *Controller) pool(name string) *pool {
+	if found, ok := c.pools.Load(name); ok {
+		return found.(*pool)
+	}
+	found, _ := c.pools.LoadOrStore(name, newPool(name, c.settings))
+	return found.(*pool)
+}
--- /dev/null
+++ b/internal/admission/counts.go
@@ -0,0 +1,16 @@
+package admission
+
+// counts says how requests left a pool's queue.
+type counts struct {
+	// Direct requests started without waiting, Queued ones after a wait.
+	Direct uint64 `json:"direct"`
+	Queued uint64 `json:"queued"`
+	// Full, WorkspaceFull and Deadline requests were refused on arrival.
+	Full          uint64 `json:"full"`
+	WorkspaceFull uint64 `json:"workspaceFull"`
+	Deadline      uint64 `json:"deadline"`
+	// Displaced, Expired and Abandoned requests were refused while queued.
+	Displaced uint64 `json:"displaced"`
+	Expired   uint64 `json:"expired"`
+	Abandoned uint64 `json:"abandoned"`
+}
--- /dev/null
+++ b/internal/admission/waiter.go
@@ -0,0 +1,38 @@
+package admission
+
+import (
+	"time"
+
+	"geraniumcroft/internal/outcome"
+)
+
+// waiter is one queued request. All fields but done and failure are guarded by
+// the pool's lock; failure is written before done is closed.
+type waiter struct {
+	request   *Request
+	try       func() bool
+	queuedAt  time.Time
+	lastStart time.Time
+	class     int
+	flow      *flow
+
+	settled bool
+	done    chan struct{}
+	failure *outcome.Failure
+
+	// links of the list that the waiter stands in (a class of a flow, or the
+	// resumed ones of a level) and of the level's list by arrival
+	prev, next   *waiter
+	older, newer *waiter
+}
+
+func (w *waiter) settle(failure *outcome.Failure) {
+	w.settled = true
+	w.failure = failure
+	close(w.done)
+}
+
+// tooLate reports whether the request can no longer start in time.
+func (w *waiter) tooLate(now time.Time) bool {
+	return !w.lastStart.IsZero() && now.After(w.lastStart)
+}
