Read static settings strictly, and serve the callers' API

Cause: a mistyped key or address must stop the process at its start, and callers need answers that say how a request ended. Change: settings parse an INI file over one table of keys and collect all findings with file, line, section and key.

--- /dev/null
+++ b/internal/api/server.go
@@ -0,0 +1,72 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// headLimitFactor is how far the server's own bound on a head lies above the one
+// that is answered with a problem body.
+const headLimitFactor = 4
+
+// Server is the callers' listener.
+type Server struct {
+	address string
+	options Options
+	http    *http.Server
+}
+
+// NewServer returns a server for the callers' API that is not yet listening.
+func NewServer(address string, r Router, o Options) *Server {
+	o = o.withDefaults()
+	return &Server{
+		address: address,
+		options: o,
+		http: &http.Server{
+			Handler:           NewHandler(r, o),
+			ReadHeaderTimeout: o.ReadTimeout,
+			IdleTimeout:       o.IdleTimeout,
+			MaxHeaderBytes:    headLimitFactor * o.MaxHeaderBytes,
+			TLSConfig:         o.TLS,
+		},
+	}
+}
+
+// Start listens and serves in the background. It returns the address in use.
+func (s *Server) Start() (net.Addr, error) {
+	listener, err := s.listen()
+	if err != nil {
+		return nil, err
+	}
+	go s.serve(listener)
+	return listener.Addr(), nil
+}
+
+func (s *Server) listen() (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3,
+	}}
+	return config.Listen(context.Background(), "tcp", s.address)
+}
+
+func (s *Server) serve(listener net.Listener) {
+	var err error
+	if s.options.TLS != nil {
+		err = s.http.ServeTLS(listener, "", "")
+	} else {
+		err = s.http.Serve(listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		s.options.Logger.Error("the callers' listener ended: " + err.Error())
+	}
+}
+
+// Shutdown stops listening and waits until the requests in hand have their
+// answers, or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Close breaks off what is in hand.
+func (s *Server) Close() error { return s.http.Close() }
--- a/internal/outcome/reason.go
+++ b/internal/outcome/reason.go
@@ -10,8 +10,13 @@
 	ReasonForbidden        Reason = "forbidden"
 	ReasonUnknownProfile   Reason = "unknown-profile"
 	ReasonTooLarge         Reason = "too-large"
+	ReasonHeadersTooLarge  Reason = "headers-too-large"
+	ReasonNotFound         Reason = "not-found"
+	ReasonMethodNotAllowed Reason = "method-not-allowed"
 	ReasonKeyReused        Reason = "key-reused"
 	ReasonKeyInProgress    Reason = "key-in-progress"
+	// ReasonKeySpent: the key's request has ended and its answer is not kept.
+	ReasonKeySpent         Reason = "key-spent"
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonWorkspaceLimit   Reason = "workspace-limit"
 	ReasonDeadline         Reason = "deadline"
@@ -31,8 +36,12 @@
 	ReasonForbidden:        403,
 	ReasonUnknownProfile:   404,
 	ReasonTooLarge:         413,
+	ReasonHeadersTooLarge:  431,
+	ReasonNotFound:         404,
+	ReasonMethodNotAllowed: 405,
 	ReasonKeyReused:        422,
 	ReasonKeyInProgress:    409,
+	ReasonKeySpent:         409,
 	ReasonOverloaded:       503,
 	ReasonWorkspaceLimit:   429,
 	ReasonDeadline:         504,
--- /dev/null
+++ b/internal/settings/reader.go
@@ -0,0 +1,133 @@
+package settings
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// reader reads one file and collects what is wrong in it.
+type reader struct {
+	path     string
+	index    *lineIndex
+	file     *ini.File
+	settings *Settings
+	findings []Finding
+}
+
+func (r *reader) read() {
+	file, err := ini.LoadSources(iniOptions, r.index.cleaned)
+	if err != nil {
+		r.addAt(1, "file", "", "is not INI: "+err.Error(), "sections of key = value")
+		return
+	}
+	r.file = file
+	r.checkMalformed()
+	r.checkSections()
+	r.checkKnown()
+	r.checkTwice()
+	r.setAll()
+	r.crossCheck()
+}
+
+func (r *reader) addAt(line int, section, key, problem, allowed string) {
+	r.findings = append(r.findings, Finding{
+		File: r.path, Line: line, Section: section, Key: key, Problem: problem, Allowed: allowed,
+	})
+}
+
+func (r *reader) add(section, key, problem, allowed string) {
+	r.addAt(r.index.lineFor(section, key), section, key, problem, allowed)
+}
+
+func (r *reader) checkMalformed() {
+	for _, at := range r.index.malformed {
+		r.addAt(at.line, cmp.Or(at.section, "file"), "", "the line is not read", "key = value without quotes, below a [section]")
+	}
+}
+
+func (r *reader) checkSections() {
+	for section, line := range r.index.sections {
+		if !slices.ContainsFunc(Keys, func(k Key) bool { return k.Section == section }) {
+			r.addAt(line, section, "", "unknown section", strings.Join(sectionNames(), ", "))
+		}
+	}
+}
+
+func (r *reader) checkKnown() {
+	for _, at := range r.index.keys {
+		allowed := keyNames(at.section)
+		if len(allowed) > 0 && !slices.Contains(allowed, at.key) {
+			r.addAt(at.line, at.section, at.key, "unknown key", strings.Join(allowed, ", "))
+		}
+	}
+}
+
+func (r *reader) checkTwice() {
+	seen := map[place]bool{}
+	for _, at := range r.index.keys {
+		id := place{section: at.section, key: at.key}
+		if seen[id] {
+			r.addAt(at.line, at.section, at.key, "is given twice", "once")
+		}
+		seen[id] = true
+	}
+}
+
+func (r *reader) setAll() {
+	for _, key := range Keys {
+		r.set(key)
+	}
+}
+
+func (r *reader) set(key Key) {
+	text, given := r.value(key)
+	switch {
+	case !given && key.Required:
+		r.add(key.Section, key.Name, "is missing", key.Allowed())
+		return
+	case !given && key.Default == "":
+		return
+	case !given:
+		text = key.Default
+	}
+	if problem := key.setValue(r.settings, text); problem != "" {
+		r.add(key.Section, key.Name, problem, key.Allowed())
+	}
+}
+
+// value returns the raw text: the library's own String would replace %(name)s.
+func (r *reader) value(key Key) (text string, given bool) {
+	if r.index.lineOf(key.Section, key.Name) == 0 {
+		return "", false
+	}
+	return r.file.Section(key.Section).Key(key.Name).Value(), true
+}
+
+func (r *reader) sortFindings() {
+	slices.SortStableFunc(r.findings, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Section, b.Section), cmp.Compare(a.Key, b.Key))
+	})
+}
+
+func sectionNames() []string {
+	var names []string
+	for _, key := range Keys {
+		if !slices.Contains(names, key.Section) {
+			names = append(names, key.Section)
+		}
+	}
+	return names
+}
+
+func keyNames(section string) []string {
+	var names []string
+	for _, key := range Keys {
+		if key.Section == section {
+			names = append(names, key.Name)
+		}
+	}
+	return names
+}
