--- /dev/null
+++ b/internal/engine/order_gate.go
@@ -0,0 +1,20 @@
+package engine
+
+import "context"
+
+type gateKey struct{}
+
+// WithGate returns a context that carries a last check of an order. A client calls
+// it at the latest moment that it can still hold the order back: the nearer the
+// check is to the write, the less a pause between the two can do.
+func WithGate(ctx context.Context, gate func() error) context.Context {
+	return context.WithValue(ctx, gateKey{}, gate)
+}
+
+// Gate returns the check that ctx carries; it allows all when there is none.
+func Gate(ctx context.Context) func() error {
+	if gate, ok := ctx.Value(gateKey{}).(func() error); ok {
+		return gate
+	}
+	return func() error { return nil }
+}
--- /dev/null
+++ b/internal/orders/options.go
@@ -0,0 +1,50 @@
+package orders
+
+import (
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/invariant"
+)
+
+// Options configure a Controller.
+type Options struct {
+	Source   config.Source
+	Leases   Leases
+	Engines  Engines
+	Drainer  Drainer
+	Settings Settings
+	// Leaving tells which targets are about to go and are not worth a load; it may
+	// be nil.
+	Leaving func(target string) bool
+	// Invariants is nil in strict tests only.
+	Invariants *invariant.Registry
+	// Logger may be nil.
+	Logger *zap.Logger
+
+	// hooks are faults that tests plant to show that their checks notice.
+	hooks hooks
+}
+
+type hooks struct {
+	// skipCheck sends orders without Lease.Check.
+	skipCheck bool
+	// skipWait lets a new holder order at once on engines that ignore fencing numbers.
+	skipWait bool
+	// skipStamp does not tell engines that agree the new fencing number.
+	skipStamp bool
+	// skipFinalRead orders on the strength of an earlier reading.
+	skipFinalRead bool
+	// repeatBlind sends an order anew while an earlier one is unresolved.
+	repeatBlind bool
+}
+
+func (o *Options) setDefaults() {
+	o.Settings.setDefaults()
+	if o.Leaving == nil {
+		o.Leaving = func(string) bool { return false }
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+}
