Choose targets from reports, own sends and peers' counts

Estimated load per slot, power of three choices with a scan behind it, headroom by urgency, bounded local ejection with half-open probes, busy correction, deterministic subsets.

--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,135 @@
+package balance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/invariant"
+)
+
+// Balancer holds the targets' state on this VM. It is safe for concurrent use.
+type Balancer struct {
+	settings   Settings
+	invariants *invariant.Registry
+	view       atomic.Pointer[view]
+	onFree     atomic.Pointer[func(pool string)]
+	// peerCount is the number of VMs that share the targets, this one included.
+	peerCount atomic.Int32
+
+	mu       sync.Mutex // guards the fields below and serialises changes of view
+	snapshot *config.Snapshot
+	states   map[string]*target
+	index    int
+	leaving  map[string]bool
+	peerLoad map[string]peerLoad
+}
+
+// New returns a balancer without targets.
+func New(s Settings, inv *invariant.Registry) *Balancer {
+	b := &Balancer{
+		settings:   s.withDefaults(),
+		invariants: inv,
+		snapshot:   config.NewSnapshot(),
+		states:     map[string]*target{},
+		peerLoad:   map[string]peerLoad{},
+	}
+	b.peerCount.Store(1)
+	b.view.Store(&view{})
+	return b
+}
+
+func (b *Balancer) peers() int { return int(b.peerCount.Load()) }
+
+// OnFree sets the function that is called, outside of any lock, when a slot may
+// have come free.
+func (b *Balancer) OnFree(f func(pool string)) { b.onFree.Store(&f) }
+
+func (b *Balancer) freed(t *target) { b.freedPool(PoolOf(t.config.Load())) }
+
+func (b *Balancer) freedPool(pool string) {
+	if f := b.onFree.Load(); f != nil {
+		(*f)(pool)
+	}
+}
+
+// Update takes over a snapshot's targets. Targets that drain or are gone take no
+// new work when it returns.
+func (b *Balancer) Update(s *config.Snapshot) {
+	b.mu.Lock()
+	b.snapshot = s
+	b.rebuild()
+	b.mu.Unlock()
+	b.freedAll()
+}
+
+// SetSubset says how many VMs share the targets and which of them this one is.
+func (b *Balancer) SetSubset(peers, index int) {
+	b.mu.Lock()
+	b.peerCount.Store(int32(max(peers, 1)))
+	b.index = index
+	b.rebuild()
+	b.mu.Unlock()
+	b.freedAll()
+}
+
+// SetLeaving says which targets the VM list shows as leaving.
+func (b *Balancer) SetLeaving(targets map[string]bool) {
+	b.mu.Lock()
+	b.leaving = targets
+	b.rebuild()
+	b.mu.Unlock()
+	b.freedAll()
+}
+
+func (b *Balancer) freedAll() {
+	for name := range b.view.Load().pools {
+		b.freedPool(name)
+	}
+}
+
+// Report takes a target's load report.
+func (b *Balancer) Report(name string, r engine.LoadReport) {
+	if t := b.view.Load().targets[name]; t != nil {
+		t.report(r)
+	}
+}
+
+// Busy says that the target answered that it has no free slot, which shows that
+// the estimate was too low: until BusyHold is over or a newer report comes, the
+// target gets no more than it has. Call it after the slot's Release.
+func (b *Balancer) Busy(name string) {
+	t := b.view.Load().targets[name]
+	if t == nil {
+		return
+	}
+	t.change(func(now time.Time) {
+		t.busyUntil = now.Add(b.settings.BusyHold)
+		t.busyCap = int(t.inFlight.Load())
+	})
+}
+
+// InFlight returns what this VM has in flight at each target that has any.
+func (b *Balancer) InFlight() map[string]int {
+	inFlight := map[string]int{}
+	for name, t := range b.view.Load().targets {
+		if n := t.inFlight.Load(); n > 0 {
+			inFlight[name] = int(n)
+		}
+	}
+	return inFlight
+}
+
+// Usable reports whether the target takes new work from this VM, and why not.
+func (b *Balancer) Usable(name string) (bool, string) {
+	t := b.view.Load().targets[name]
+	if t == nil {
+		return false, "not configured"
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reason := t.closed(time.Now())
+	return reason == "", reason
+}
--- /dev/null
+++ b/internal/balance/pick.go
@@ -0,0 +1,125 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/invariant"
+)
+
+const (
+	// pickAttempts bounds how often Pick chooses anew after losing a race for the
+	// last slot of a target.
+	pickAttempts = 3
+	// scanCandidates is how many targets with room a scan compares.
+	scanCandidates = 2
+	// probePenalty keeps urgent requests from probing while another target has room.
+	probePenalty = 100.0
+)
+
+// Pick chooses a target of the pool and reserves a slot on it. It returns
+// ErrNoCapacity when waiting can help and ErrNoTarget when it cannot.
+func (b *Balancer) Pick(q Query) (*Slot, error) {
+	p := b.view.Load().pools[q.Pool]
+	if p == nil || len(p.members) == 0 {
+		return nil, ErrNoTarget
+	}
+	now := time.Now()
+	for range pickAttempts {
+		t := b.choose(p, &q)
+		if t == nil {
+			break
+		}
+		if s := b.reserve(t, q.Urgency, now); s != nil {
+			return s, nil
+		}
+	}
+	return nil, p.noRoom(&q)
+}
+
+// Reserve takes a slot on a given target.
+func (b *Balancer) Reserve(name string, u config.Urgency) (*Slot, error) {
+	t := b.view.Load().targets[name]
+	if t == nil {
+		return nil, ErrNoTarget
+	}
+	if s := b.reserve(t, u, time.Now()); s != nil {
+		return s, nil
+	}
+	if t.isClosed() {
+		return nil, ErrNoTarget
+	}
+	return nil, ErrNoCapacity
+}
+
+// choose returns the best of a few targets that have room, nil if none has.
+func (b *Balancer) choose(p *pool, q *Query) *target {
+	c := candidate{query: q, settings: &b.settings}
+	for range b.settings.Choices {
+		c.offer(p.members[rand.IntN(len(p.members))])
+	}
+	if c.best == nil {
+		b.scan(p, &c)
+	}
+	return c.best
+}
+
+// scan looks through the whole pool from a random place, so that a request does
+// not wait while a target that was not sampled has room.
+func (b *Balancer) scan(p *pool, c *candidate) {
+	offset := rand.IntN(len(p.members))
+	for i := range p.members {
+		at := offset + i
+		if at >= len(p.members) {
+			at -= len(p.members)
+		}
+		c.offer(p.members[at])
+		if c.offered == scanCandidates {
+			return
+		}
+	}
+}
+
+// reserve takes a slot on t, nil when t has none left.
+func (b *Balancer) reserve(t *target, u config.Urgency, now time.Time) *Slot {
+	if !t.take(u) {
+		return nil
+	}
+	// The target may have been closed between the look at its limit and the taking
+	// of the slot. The request would then reach a target that is about to stop and
+	// be cut off; a second look after the taking sees every closing before it.
+	if at := t.blockedAt.Load(); at != 0 {
+		t.inFlight.Add(-1)
+		closed := now.Sub(time.Unix(0, at))
+		b.invariants.Check(closed <= b.settings.DrainBound, invariant.NoDispatchAfterDrain,
+			"target %s was chosen %s after it was closed", t.name, closed)
+		return nil
+	}
+	t.sent.add(now, 1)
+	return &Slot{balancer: b, target: t, config: t.config.Load(), started: now}
+}
+
+// noRoom tells whether a slot may come free at a target that q accepts.
+func (p *pool) noRoom(q *Query) error {
+	for _, t := range p.members {
+		if t.blockedAt.Load() == 0 && !q.excludes(t.name) {
+			return ErrNoCapacity
+		}
+	}
+	return ErrNoTarget
+}
+
+func (t *target) isClosed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.blocked() != "" || t.outside
+}
+
+func (b *Balancer) release(t *target, r Result, took time.Duration) {
+	left := t.inFlight.Add(-1)
+	b.invariants.Check(left >= 0, invariant.SlotsNotNegative, "target %s has %d in flight", t.name, left)
+	t.sent.add(time.Now(), -1)
+	t.settle(r, took)
+	b.freed(t)
+}
--- /dev/null
+++ b/internal/balance/settings.go
@@ -0,0 +1,100 @@
+package balance
+
+import "time"
+
+// The values that a zero field of Settings takes.
+const (
+	DefaultChoices          = 3
+	DefaultUrgentShare      = 0.1
+	DefaultNormalShare      = 0.1
+	DefaultMinSlotsPerVM    = 2
+	DefaultMinSubset        = 12
+	DefaultReportFresh      = time.Second
+	DefaultReportExpiry     = 10 * time.Second
+	DefaultPeerExpiry       = 10 * time.Second
+	DefaultBusyHold         = 250 * time.Millisecond
+	DefaultEjectAfter       = 3
+	DefaultEjectFor         = time.Second
+	DefaultMaxEjectFor      = 30 * time.Second
+	DefaultMaxEjectedShare  = 0.34
+	DefaultSlowFactor       = 4.0
+	DefaultDrainBound       = 2 * time.Second
+	DefaultPrefixesPerPool  = 8192
+	DefaultPrefixBonus      = 0.5
+	DefaultRemotePenalty    = 0.02
+	DefaultPrefixTrustDecay = time.Minute
+)
+
+// Settings tune the choice. A zero field takes its default.
+type Settings struct {
+	// Choices is how many random targets Pick compares.
+	Choices int
+	// UrgentShare of a target's slots, at least one, is for urgent requests only.
+	UrgentShare float64
+	// NormalShare of a target's slots is closed to bulk beyond UrgentShare.
+	NormalShare float64
+	// MinSlotsPerVM is the floor of a VM's share of each target's slots; it sizes
+	// the subset of targets that a VM uses. MinSubset is the subset's least size.
+	MinSlotsPerVM int
+	MinSubset     int
+	// ReportFresh is the age up to which a report is trusted in full, and
+	// ReportExpiry the age from which it is not trusted at all.
+	ReportFresh  time.Duration
+	ReportExpiry time.Duration
+	// PeerExpiry is the age from which what a peer said is dropped.
+	PeerExpiry time.Duration
+	// BusyHold is how long a target that answered busy gets no more than it has.
+	BusyHold time.Duration
+	// EjectAfter failures in a row eject a target for EjectFor, doubled with each
+	// ejection in a row up to MaxEjectFor.
+	EjectAfter  int
+	EjectFor    time.Duration
+	MaxEjectFor time.Duration
+	// MaxEjectedShare bounds the ejected share of the targets of a pool that can
+	// stand in for each other.
+	MaxEjectedShare float64
+	// SlowFactor is how many times the usual time of a plain service's calls makes
+	// a call count as slow.
+	SlowFactor float64
+	// DrainBound is how long after learning of a drain a dispatch is a violation.
+	DrainBound time.Duration
+	// PrefixesPerPool bounds the cached prefixes that are remembered for a pool.
+	PrefixesPerPool int
+	// PrefixBonus is what a fully trusted hit on the longest prefix takes off a
+	// target's score, in units of its load.
+	PrefixBonus float64
+	// PrefixTrustDecay is the time without events after which hints count nothing.
+	PrefixTrustDecay time.Duration
+	// RemotePenalty is added to the score of a target in another data centre.
+	RemotePenalty float64
+}
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.Choices, DefaultChoices)
+	setDefault(&s.UrgentShare, DefaultUrgentShare)
+	setDefault(&s.NormalShare, DefaultNormalShare)
+	setDefault(&s.MinSlotsPerVM, DefaultMinSlotsPerVM)
+	setDefault(&s.MinSubset, DefaultMinSubset)
+	setDefault(&s.ReportFresh, DefaultReportFresh)
+	setDefault(&s.ReportExpiry, DefaultReportExpiry)
+	setDefault(&s.PeerExpiry, DefaultPeerExpiry)
+	setDefault(&s.BusyHold, DefaultBusyHold)
+	setDefault(&s.EjectAfter, DefaultEjectAfter)
+	setDefault(&s.EjectFor, DefaultEjectFor)
+	setDefault(&s.MaxEjectFor, DefaultMaxEjectFor)
+	setDefault(&s.MaxEjectedShare, DefaultMaxEjectedShare)
+	setDefault(&s.SlowFactor, DefaultSlowFactor)
+	setDefault(&s.DrainBound, DefaultDrainBound)
+	setDefault(&s.PrefixesPerPool, DefaultPrefixesPerPool)
+	setDefault(&s.PrefixBonus, DefaultPrefixBonus)
+	setDefault(&s.PrefixTrustDecay, DefaultPrefixTrustDecay)
+	setDefault(&s.RemotePenalty, DefaultRemotePenalty)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
