config, confstore: validate changes and keep their history in the table

Operators change profiles and targets from several VMs at once, over a table whose answers can be lost after the write.

Validation collects every finding with its path, unknown fields included. A proposal commits its row and the head in one transaction on the head's revision; a lost answer is settled by reading the row back, and what can't be settled is pending, never failed.

Tests with the race detector pass: lost answers, delayed copies, outage, conflict, idempotent ids, a table that lost history.

--- /dev/null
+++ b/internal/config/address.go
@@ -0,0 +1,18 @@
+package config
+
+import "net/netip"
+
+const allowedAddresses = "IP:port with a port from 1 to 65535; names are not resolved"
+
+// ParseAddress parses IP:port and returns its one canonical form.
+func ParseAddress(address string) (string, bool) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 {
+		return "", false
+	}
+	ip := parsed.Addr().Unmap()
+	if ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "" {
+		return "", false
+	}
+	return netip.AddrPortFrom(ip, parsed.Port()).String(), true
+}
--- /dev/null
+++ b/internal/config/canonical.go
@@ -0,0 +1,76 @@
+package config
+
+import (
+	"encoding/json"
+	"reflect"
+)
+
+// Canonical returns the change with its value decoded strictly, defaults filled
+// in and encoded again, so that every VM applies the same bytes.
+func Canonical(change Change) (Change, []Finding) {
+	if change.IsDelete() {
+		change.Value = nil
+		return change, nil
+	}
+	found := &findings{}
+	entity := decodeEntity(change, found)
+	if len(found.list) > 0 {
+		return change, found.sorted()
+	}
+	encoded, err := json.Marshal(entity)
+	if err != nil {
+		found.add(entityPath(change), "does not encode: "+err.Error(), "")
+		return change, found.sorted()
+	}
+	change.Value = encoded
+	return change, nil
+}
+
+func entityPath(change Change) string {
+	return string(change.Kind) + "." + change.Name
+}
+
+// decodeEntity returns the typed entity, or nil for an unknown kind.
+func decodeEntity(change Change, found *findings) any {
+	path := entityPath(change)
+	switch change.Kind {
+	case EntityWorkspace:
+		w := &Workspace{}
+		decodeInto(change, w, &w.Name, &w.Revision, found)
+		return w
+	case EntityProfile:
+		p := &Profile{}
+		decodeInto(change, p, &p.Name, &p.Revision, found)
+		return p
+	case EntityModel:
+		m := &Model{}
+		decodeInto(change, m, &m.Name, &m.Revision, found)
+		return m
+	case EntityTarget:
+		t := &Target{}
+		decodeInto(change, t, &t.Name, &t.Revision, found)
+		t.fillDefaults()
+		return t
+	}
+	found.add(path, "unknown kind", "workspace, profile, model, target")
+	return nil
+}
+
+func decodeInto(change Change, entity any, name *string, revision *uint64, found *findings) {
+	path := entityPath(change)
+	strictDecoder{findings: found}.decode(change.Value, reflect.ValueOf(entity).Elem(), path)
+	if *name != "" && *name != change.Name {
+		found.add(path+".name", "differs from the name that is changed", change.Name)
+	}
+	*name = change.Name
+	*revision = 0
+}
+
+func (t *Target) fillDefaults() {
+	if t.State == "" {
+		t.State = StateActive
+	}
+	if address, ok := ParseAddress(t.Address); ok {
+		t.Address = address
+	}
+}
--- /dev/null
+++ b/internal/config/validate_model.go
@@ -0,0 +1,50 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+)
+
+// MaxLayers bounds a model's layers.
+const MaxLayers = 10_000
+
+func (v *validator) model(m *Model) {
+	path := "model." + m.Name
+	v.require(m.Layers >= 1 && m.Layers <= MaxLayers, path+".layers",
+		fmt.Sprintf("%d is out of range", m.Layers), fmt.Sprintf("1 to %d", MaxLayers))
+	v.require(len(m.Versions) > 0, path+".versions", "is empty", "one version or more")
+	v.namedList(m.Versions, path+".versions")
+	v.namedList(m.Adapters, path+".adapters")
+	v.notNegative(int64(m.ActivationBytes), path+".activationBytes")
+}
+
+func (v *validator) namedList(names []string, path string) {
+	for i, name := range names {
+		v.name(name, fmt.Sprintf("%s[%d]", path, i))
+	}
+	v.unique(names, path)
+}
+
+// dependants checks what refers to a model that is changed: a version, an adapter
+// or layers may have gone that a profile or a target still names.
+func (v *validator) dependants(m *Model) {
+	for _, profile := range v.snapshot.Profiles {
+		for i, ref := range profile.Models {
+			if ref.Model == m.Name {
+				v.modelRef(ref, m, fmt.Sprintf("profile.%s.models[%d]", profile.Name, i))
+			}
+		}
+	}
+	for _, target := range v.snapshot.Targets {
+		if target.Kind == KindEngine && target.Model == m.Name {
+			v.holding(target, m)
+		}
+	}
+}
+
+func (v *validator) modelRef(ref ModelRef, m *Model, path string) {
+	v.require(slices.Contains(m.Versions, ref.Version), path+".version",
+		fmt.Sprintf("model %s has no version %q", m.Name, ref.Version), fmt.Sprint(m.Versions))
+	v.require(ref.Adapter == "" || slices.Contains(m.Adapters, ref.Adapter), path+".adapter",
+		fmt.Sprintf("model %s has no adapter %q", m.Name, ref.Adapter), fmt.Sprint(m.Adapters))
+}
--- /dev/null
+++ b/internal/config/validator.go
@@ -0,0 +1,69 @@
+package config
+
+import "fmt"
+
+// validator checks entities against the snapshot that they are part of.
+type validator struct {
+	findings
+	snapshot *Snapshot
+}
+
+func (v *validator) entity(entity any) {
+	switch e := entity.(type) {
+	case *Workspace:
+		v.workspace(e)
+	case *Profile:
+		v.profile(e)
+	case *Model:
+		v.model(e)
+	case *Target:
+		v.target(e)
+	}
+}
+
+// deletion refuses to remove what other entities still refer to: they would fail
+// at the next request, far from the change that broke them.
+func (v *validator) deletion(change Change) {
+	path := entityPath(change)
+	if !v.exists(change.Kind, change.Name) {
+		v.add(path, "does not exist", "")
+		return
+	}
+	for _, profile := range v.snapshot.Profiles {
+		if change.Kind == EntityWorkspace && profile.Workspace == change.Name {
+			v.add(path, fmt.Sprintf("is the workspace of profile %s", profile.Name), "delete or change the profile first")
+		}
+		if change.Kind == EntityModel && profile.uses(change.Name) {
+			v.add(path, fmt.Sprintf("serves profile %s", profile.Name), "delete or change the profile first")
+		}
+	}
+	for _, target := range v.snapshot.Targets {
+		if change.Kind == EntityModel && target.Model == change.Name {
+			v.add(path, fmt.Sprintf("is held by target %s", target.Name), "delete or change the target first")
+		}
+	}
+}
+
+func (v *validator) exists(kind EntityKind, name string) bool {
+	var ok bool
+	switch kind {
+	case EntityWorkspace:
+		_, ok = v.snapshot.Workspaces[name]
+	case EntityProfile:
+		_, ok = v.snapshot.Profiles[name]
+	case EntityModel:
+		_, ok = v.snapshot.Models[name]
+	case EntityTarget:
+		_, ok = v.snapshot.Targets[name]
+	}
+	return ok
+}
+
+func (p *Profile) uses(model string) bool {
+	for _, ref := range p.Models {
+		if ref.Model == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/confstore/catch_up.go
@@ -0,0 +1,79 @@
+package confstore
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/platform"
+)
+
+const (
+	scanPage = 256
+	// maxCatchUpRounds bounds the reads of one catch-up: pages of the tail, and
+	// snapshots when compaction has overtaken the reader.
+	maxCatchUpRounds = 64
+)
+
+// catchUp reads changes from the table until the version is in force.
+func (s *Store) catchUp(ctx context.Context, version uint64) error {
+	for range maxCatchUpRounds {
+		before := s.Current().Version
+		if before >= version {
+			return nil
+		}
+		if err := s.readTail(ctx); err != nil {
+			return err
+		}
+		if s.Current().Version > before {
+			continue
+		}
+		if err := s.readSnapshot(ctx); err != nil {
+			return err
+		}
+		// Neither the tail nor the snapshot joins on: rows are missing.
+		if s.Current().Version == before {
+			return errors.Newf("the table holds neither change %d nor a newer snapshot", before+1)
+		}
+	}
+	return errors.Newf("version %d was not reached in %d reads", version, maxCatchUpRounds)
+}
+
+func (s *Store) readTail(ctx context.Context) error {
+	from := changeKey(s.Current().Version + 1)
+	rows, err := s.options.Table.Scan(ctx, from, changesEnd, scanPage)
+	if err != nil {
+		return errors.Wrap(err, "read the tail of the configuration")
+	}
+	changes, err := decodeChanges(rows)
+	if err != nil {
+		return err
+	}
+	_, err = s.ApplyChanges(changes)
+	return err
+}
+
+func decodeChanges(rows []platform.Row) ([]config.Change, error) {
+	changes := make([]config.Change, 0, len(rows))
+	for _, row := range rows {
+		change, err := decodeChange(row)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+func decodeChange(row platform.Row) (config.Change, error) {
+	var change config.Change
+	if err := json.Unmarshal(row.Value, &change); err != nil {
+		return change, errors.Wrapf(err, "row %s", row.Key)
+	}
+	if row.Key != changeKey(change.Version) {
+		return change, errors.Newf("row %s holds change %d", row.Key, change.Version)
+	}
+	return change, nil
+}
--- /dev/null
+++ b/internal/confstore/fork_error.go
@@ -0,0 +1,17 @@
+package confstore
+
+import "fmt"
+
+// ForkError reports two different changes with the same version: the table lost
+// a part of its history, or a peer belongs to another system. Neither is applied
+// over the other; operators have to look.
+type ForkError struct {
+	Version uint64
+	HaveID  string
+	GotID   string
+}
+
+// Error implements error.
+func (e *ForkError) Error() string {
+	return fmt.Sprintf("version %d is change %s here and change %s there", e.Version, e.HaveID, e.GotID)
+}
--- /dev/null
+++ b/internal/confstore/not_written_error.go
@@ -0,0 +1,17 @@
+package confstore
+
+import "fmt"
+
+// NotWrittenError reports a change that certainly was not written and never will be.
+type NotWrittenError struct {
+	ID    string
+	Cause error
+}
+
+// Error implements error.
+func (e *NotWrittenError) Error() string {
+	return fmt.Sprintf("change %s was not written: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotWrittenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/confstore/options.go
@@ -0,0 +1,66 @@
+package confstore
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/platform"
+)
+
+// The defaults of Options.
+const (
+	// DefaultProposeTimeout bounds a proposal with all its attempts.
+	DefaultProposeTimeout = 5 * time.Second
+	// DefaultSettleTimeout bounds the reading back after the caller has gone.
+	DefaultSettleTimeout = 2 * time.Second
+	// DefaultRecentChanges is how many changes are kept in memory for peers.
+	DefaultRecentChanges = 1024
+	// DefaultRecentBytes bounds the memory of those changes.
+	DefaultRecentBytes = 2 << 20
+	// DefaultRetainChanges is how many rows before the snapshot stay in the table.
+	DefaultRetainChanges = 512
+	// DefaultCompactAfter is how many changes make a new snapshot worth its write.
+	DefaultCompactAfter = 256
+)
+
+// MaxValueBytes bounds one entity as JSON.
+const MaxValueBytes = 64 << 10
+
+// Options set up a Store. Zero durations and counts take the defaults.
+type Options struct {
+	Table   platform.Table
+	Objects platform.Objects
+	// VM is this VM's name.
+	VM         string
+	Invariants *invariant.Registry
+	Logger     *zap.Logger
+
+	ProposeTimeout time.Duration
+	SettleTimeout  time.Duration
+	RecentChanges  int
+	RecentBytes    int
+	RetainChanges  uint64
+	CompactAfter   uint64
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ProposeTimeout, DefaultProposeTimeout)
+	setDefault(&o.SettleTimeout, DefaultSettleTimeout)
+	setDefault(&o.RecentChanges, DefaultRecentChanges)
+	setDefault(&o.RecentBytes, DefaultRecentBytes)
+	setDefault(&o.RetainChanges, DefaultRetainChanges)
+	setDefault(&o.CompactAfter, DefaultCompactAfter)
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/confstore/propose.go
@@ -0,0 +1,92 @@
+package confstore
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/platform"
+)
+
+const (
+	firstRetryWait = 5 * time.Millisecond
+	longestWait    = 250 * time.Millisecond
+)
+
+// errRaced marks an attempt that lost against another writer and wrote nothing.
+var errRaced = errors.New("another change came first")
+
+// Propose validates and commits one change and puts it in force on this VM.
+//
+// It returns a *config.ValidationError, a *ConflictError, an *IDReusedError or a
+// *NotWrittenError when nothing was written, and a *PendingError when that could
+// not be found out.
+func (s *Store) Propose(ctx context.Context, p Proposal) (config.Change, error) {
+	if p.ID == "" {
+		p.ID = uuid.NewString()
+	}
+	if len(p.Value) > MaxValueBytes {
+		return config.Change{}, tooLarge(p)
+	}
+	change, findings := config.Canonical(p.change())
+	if len(findings) > 0 {
+		return config.Change{}, &config.ValidationError{Findings: findings}
+	}
+	w := &writer{store: s, proposal: p, change: change}
+	return w.run(ctx)
+}
+
+func tooLarge(p Proposal) error {
+	return &config.ValidationError{Findings: []config.Finding{{
+		Path:    string(p.Kind) + "." + p.Name,
+		Problem: "is too large",
+		Allowed: "64 KiB as JSON",
+	}}}
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstRetryWait
+	b.MaxInterval = longestWait
+	return b
+}
+
+func retry(ctx context.Context, operation func() (config.Change, error)) (config.Change, error) {
+	return backoff.Retry(ctx, operation, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
+}
+
+// transaction returns the attempt that writes the change as the next version.
+func (s *Store) transaction(change config.Change, newest head) (attempt, error) {
+	row, err := json.Marshal(change)
+	if err != nil {
+		return attempt{}, errors.Wrap(err, "encode the change")
+	}
+	newHead, err := json.Marshal(head{Version: change.Version, ChangeID: change.ID})
+	if err != nil {
+		return attempt{}, errors.Wrap(err, "encode the head")
+	}
+	conditions := []platform.Condition{
+		// Without it a transaction that was delayed would take the head back.
+		{Key: headKey, Revision: newest.rowRevision},
+		// Without it a head that was restored from an older copy would let a new
+		// change overwrite one that VMs have in force.
+		{Key: changeKey(change.Version)},
+	}
+	if s.hooks.conditions != nil {
+		conditions = s.hooks.conditions(conditions)
+	}
+	return attempt{
+		version:      change.Version,
+		headRevision: newest.rowRevision,
+		txn: platform.Txn{
+			ID:         changeKey(change.Version) + "/" + change.ID,
+			Conditions: conditions,
+			Writes:     []platform.Write{{Key: changeKey(change.Version), Value: row}, {Key: headKey, Value: newHead}},
+		},
+	}, nil
+}
--- /dev/null
+++ b/internal/confstore/propose_test.go
@@ -0,0 +1,214 @@
+package confstore
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/platform"
+)
+
+// The operator's change is written, but the table's answer is lost.
+// The store reads the change's row back, finds the operator's id and answers with
+// the version. Reported as failed, the operator would make the change again, or
+// think that an old profile is still in force.
+func TestAnswerLostAfterTheWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		s := f.store("vm-1")
+		revision := f.withProfile(s)
+		f.table.setFault(once(loseAnswer))
+		change := f.mustPropose(s, permits("shorten", revision, 2*time.Second))
+		if change.Version != revision+1 || deadlineOf(s) != 2*time.Second {
+			t.Fatalf("version %d, deadline %s", change.Version, deadlineOf(s))
+		}
+		if rows, _ := f.table.Scan(context.Background(), changeKey(0), changesEnd, 100); len(rows) != 3 {
+			t.Fatalf("%d changes in the table, want 3", len(rows))
+		}
+	})
+}
+
+// The operator's transaction is under way for long and its answer is lost. The
+// store sees no row and sends the same transaction again; then the delayed copy
+// arrives. Both demand the same head, so one change stands in the history.
+func TestDelayedCopyAppliesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		s := f.store("vm-1")
+		revision := f.withProfile(s)
+		f.table.setFault(once(delayRequest))
+		change := f.mustPropose(s, permits("shorten", revision, 2*time.Second))
+		for _, answer := range f.table.release() {
+			if !errors.Is(answer, platform.ErrRefused) {
+				t.Fatalf("the delayed copy was applied: %v", answer)
+			}
+		}
+		if change.Version != revision+1 {
+			t.Fatalf("version %d", change.Version)
+		}
+	})
+}
+
+// The table goes out for good while a change is under way, so nobody can say
+// whether it was written. The operator is told so, with the id; once the table is
+// back, a lookup finds the change, or the certainty that it will never be written.
+func TestOutageLeavesTheChangePending(t *testing.T) {
+	for name, arrives := range map[string]bool{"written": true, "overtaken": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { pendingThenSettled(t, arrives) })
+		})
+	}
+}
+
+func pendingThenSettled(t *testing.T, arrives bool) {
+	f := newFixture(t)
+	s := f.store("vm-1")
+	revision := f.withProfile(s)
+	f.table.setFault(func(platform.Txn) fault {
+		f.table.out = true
+		return delayRequest
+	})
+	_, err := s.Propose(context.Background(), permits("shorten", revision, 2*time.Second))
+	var pending *PendingError
+	if !errors.As(err, &pending) || pending.ID != "shorten" || pending.Version != revision+1 {
+		t.Fatalf("got %v, want pending", err)
+	}
+	f.table.setFault(nil)
+	f.table.setOut(false)
+	if _, err := s.Lookup(context.Background(), "shorten"); !errors.As(err, &pending) {
+		t.Fatalf("lookup while undecided: %v", err)
+	}
+	if arrives {
+		f.table.release()
+		found, err := s.Lookup(context.Background(), "shorten")
+		if err != nil || found.Version != revision+1 {
+			t.Fatalf("lookup of the written change: %d, %v", found.Version, err)
+		}
+		return
+	}
+	f.mustPropose(f.store("vm-2"), workspace("desk", 0, 1))
+	var notWritten *NotWrittenError
+	if _, err := s.Lookup(context.Background(), "shorten"); !errors.As(err, &notWritten) {
+		t.Fatalf("lookup of the overtaken change: %v", err)
+	}
+}
+
+// Two operators change the profile that both have read. The first one's change
+// stands; the second is told of the conflict and gets the present profile.
+// Without the check the first one's change would be silently lost.
+func TestTwoOperatorsOnOneProfile(t *testing.T) {
+	f := newFixture(t)
+	first, second := f.store("vm-1"), f.store("vm-2")
+	revision := f.withProfile(first)
+	f.mustPropose(first, permits("first", revision, 2*time.Second))
+	_, err := second.Propose(context.Background(), permits("second", revision, 3*time.Second))
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v, want a conflict", err)
+	}
+	var current config.Profile
+	if err := json.Unmarshal(conflict.Current, &current); err != nil {
+		t.Fatal(err)
+	}
+	if conflict.Revision != revision+1 || time.Duration(current.Deadline) != 2*time.Second {
+		t.Fatalf("conflict shows revision %d, deadline %s", conflict.Revision, time.Duration(current.Deadline))
+	}
+	if deadlineOf(second) != 2*time.Second {
+		t.Fatalf("the loser's VM serves %s", deadlineOf(second))
+	}
+}
+
+// Operators change different entities at the same moment through two VMs. The
+// second transaction loses on the head, reads the newer change, validates again
+// and retries: both changes stand and nobody sees a conflict.
+func TestChangesOfDifferentEntitiesBothStand(t *testing.T) {
+	f := newFixture(t)
+	first, second := f.store("vm-1"), f.store("vm-2")
+	f.withProfile(first)
+	raced := false
+	f.table.setFault(func(txn platform.Txn) fault {
+		if raced {
+			return noFault
+		}
+		raced = true
+		// The other operator's change comes first, between the read and the write.
+		other := config.Change{ID: "other", Author: "eva", Kind: config.EntityWorkspace, Name: "desk", Value: []byte(`{}`)}
+		newest, _ := decodeHead(f.table.rows[headKey])
+		other.Version = newest.Version + 1
+		a, _ := first.transaction(other, newest)
+		_ = f.table.apply(a.txn)
+		return noFault
+	})
+	change := f.mustPropose(second, workspace("yard", 0, 1))
+	snapshot := second.Current()
+	if change.Version != 4 || snapshot.Workspaces["desk"] == nil || snapshot.Workspaces["yard"] == nil {
+		t.Fatalf("version %d, workspaces %v", change.Version, snapshot.Workspaces)
+	}
+}
+
+// The operator's client repeats a request whose answer it never saw, through
+// another VM. The same id answers the same change; another value with that id is
+// refused, as the operator would take the old change for the new one.
+func TestSameIDIsIdempotent(t *testing.T) {
+	f := newFixture(t)
+	first := f.store("vm-1")
+	revision := f.withProfile(first)
+	change := f.mustPropose(first, permits("shorten", revision, 2*time.Second))
+	for _, s := range []*Store{first, f.store("vm-2")} {
+		again := f.mustPropose(s, permits("shorten", revision, 2*time.Second))
+		if again.Version != change.Version {
+			t.Fatalf("version %d, then %d", change.Version, again.Version)
+		}
+	}
+	_, err := first.Propose(context.Background(), permits("shorten", revision, 3*time.Second))
+	var reused *IDReusedError
+	if !errors.As(err, &reused) {
+		t.Fatalf("got %v, want the id refused", err)
+	}
+}
+
+// The store is out before the change: the operator is told at once that nothing
+// was written, and what was in force stays in force.
+func TestStoreOutBeforeTheChange(t *testing.T) {
+	f := newFixture(t)
+	s := f.store("vm-1")
+	revision := f.withProfile(s)
+	f.table.setOut(true)
+	commits := f.table.commits
+	_, err := s.Propose(context.Background(), permits("shorten", revision, 2*time.Second))
+	var notWritten *NotWrittenError
+	if !errors.As(err, &notWritten) || !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("got %v, want not written", err)
+	}
+	if f.table.commits != commits || deadlineOf(s) != time.Second {
+		t.Fatalf("%d commits, deadline %s", f.table.commits-commits, deadlineOf(s))
+	}
+}
+
+// The table was restored from an older copy. This VM has newer versions in force,
+// so a new change would take a version that means something else here; it is
+// refused, and the snapshot stays.
+func TestTableThatLostHistoryIsNotWritten(t *testing.T) {
+	f := newFixture(t)
+	s := f.store("vm-1")
+	revision := f.withProfile(s)
+	old := f.table.rows[headKey]
+	f.mustPropose(s, permits("shorten", revision, 2*time.Second))
+	f.table.set(func() { f.table.rows[headKey] = old })
+	_, err := s.Propose(context.Background(), workspace("desk", 0, 1))
+	var lost *HistoryLostError
+	if !errors.As(err, &lost) || deadlineOf(s) != 2*time.Second {
+		t.Fatalf("got %v, deadline %s", err, deadlineOf(s))
+	}
+	// A VM without memory of the newer version is stopped by the change's own row.
+	_, err = f.storeWith("vm-2", Options{ProposeTimeout: 50 * time.Millisecond}).
+		Propose(context.Background(), workspace("desk", 0, 1))
+	if err == nil {
+		t.Fatal("the change that VMs have in force was written over")
+	}
+}
