--- /dev/null
+++ b/internal/standin/enginesim/engine.go
@@ -0,0 +1,142 @@
+package enginesim
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/standin/faultnet"
+)
+
+const maxKnownEpochs = 1 << 16
+
+// Engine is a stand-in engine. It is safe for concurrent use.
+type Engine struct {
+	options Options
+	fabric  *Fabric
+	wake    chan struct{}
+	stop    chan struct{}
+	stopped sync.Once
+
+	mu       sync.Mutex // guards the fields below
+	address  string
+	listener *faultnet.Listener
+	server   *http.Server
+	dead     bool
+	held     engine.State
+	loadedAt time.Time
+	orderID  string
+	fencing  uint64
+	stages   map[string]*stage
+	active   int
+	// floors holds the lowest epoch that is still accepted of each request.
+	floors *lru.Cache[string, uint32]
+	early  *lru.Cache[string, []*activation]
+	kv     *lru.Cache[string, keptKV]
+	cache  *prefixCache
+	loads  *loadLog
+	sched  scheduler
+	faults Faults
+	counts Counts
+
+	executed []*Executed
+}
+
+// New returns an engine that is not yet reachable; Start or Attach makes it so.
+func New(o Options) *Engine {
+	o = o.withDefaults()
+	e := &Engine{
+		options: o,
+		fabric:  o.Fabric,
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		held: engine.State{
+			Model:    o.Model.Name,
+			Version:  o.Version,
+			Adapters: o.Adapters,
+			Layers:   o.Layers,
+			Role:     o.Role,
+		},
+		faults: Faults{Slowdown: 1, LoadLag: config.Duration(o.LoadLag), IgnoresFencing: o.IgnoresFencing},
+		loads:  &loadLog{},
+	}
+	e.forgetAll()
+	go e.run()
+	return e
+}
+
+// forgetAll drops all that a process keeps in memory; the caller holds the lock
+// or is New.
+func (e *Engine) forgetAll() {
+	e.stages = map[string]*stage{}
+	e.active = 0
+	e.floors, _ = lru.New[string, uint32](maxKnownEpochs)
+	e.early, _ = lru.New[string, []*activation](maxEarly)
+	e.kv, _ = lru.New[string, keptKV](maxKeptKV)
+	e.cache = newPrefixCache(e.options.CacheBlocks)
+	e.sched = scheduler{}
+}
+
+// Name returns the target's name.
+func (e *Engine) Name() string { return e.options.Name }
+
+// Addr returns the address that the engine listens on, IP:port.
+func (e *Engine) Addr() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.address
+}
+
+// Target returns a configuration entry that describes the engine.
+func (e *Engine) Target() *config.Target {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &config.Target{
+		Name:                 e.options.Name,
+		Address:              e.address,
+		Kind:                 config.KindEngine,
+		Model:                e.held.Model,
+		Version:              e.held.Version,
+		Adapters:             e.held.Adapters,
+		Layers:               e.held.Layers,
+		Slots:                e.options.Slots,
+		LayerTokensPerSecond: e.options.LayerTokensPerSecond,
+		RefusesOldFencing:    !e.faults.IgnoresFencing,
+	}
+}
+
+// Executed returns what the engine worked on, oldest first, within a bound.
+func (e *Engine) Executed() []Executed {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]Executed, len(e.executed))
+	for i, x := range e.executed {
+		list[i] = *x
+	}
+	return list
+}
+
+// Counts returns the engine's counters.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts
+}
+
+// Active returns the number of slots in use.
+func (e *Engine) Active() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active
+}
+
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/standin/enginesim/fabric.go
@@ -0,0 +1,69 @@
+package enginesim
+
+import (
+	"sync"
+	"time"
+)
+
+// LinkFunc gives the one-way latency and the bandwidth in bytes a second of the
+// link between two targets; a bandwidth of 0 is unlimited.
+type LinkFunc func(from, to string) (latency time.Duration, bytesPerSecond float64)
+
+// Fabric carries messages between engines in this process. It is safe for
+// concurrent use.
+type Fabric struct {
+	link LinkFunc
+
+	mu      sync.RWMutex // guards the fields below
+	engines map[string]*Engine
+	busy    map[linkKey]time.Time
+}
+
+type linkKey struct{ from, to string }
+
+// NewFabric returns a fabric; without a link function messages arrive at once.
+func NewFabric(link LinkFunc) *Fabric {
+	return &Fabric{link: link, engines: map[string]*Engine{}, busy: map[linkKey]time.Time{}}
+}
+
+// Register makes an engine reachable at an address.
+func (f *Fabric) Register(address string, e *Engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[address] = e
+}
+
+// Unregister makes the address unreachable.
+func (f *Fabric) Unregister(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.engines, address)
+}
+
+// Engine returns the engine at an address, nil when none is reachable.
+func (f *Fabric) Engine(address string) *Engine {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.engines[address]
+}
+
+// arrival returns when a message of a size that leaves now has arrived. Messages
+// on one link follow each other.
+func (f *Fabric) arrival(from, to string, leaves time.Time, bytes int) time.Time {
+	if f.link == nil || from == to {
+		return leaves
+	}
+	latency, bandwidth := f.link(from, to)
+	if bandwidth <= 0 {
+		return leaves.Add(latency)
+	}
+	transfer := time.Duration(float64(bytes) / bandwidth * float64(time.Second))
+	key := linkKey{from: from, to: to}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.busy[key].After(leaves) {
+		leaves = f.busy[key]
+	}
+	f.busy[key] = leaves.Add(transfer)
+	return f.busy[key].Add(latency)
+}
--- /dev/null
+++ b/internal/standin/enginesim/open.go
@@ -0,0 +1,225 @@
+package enginesim
+
+import (
+	"net/http"
+	"time"
+
+	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/engine/httpengine"
+)
+
+// take opens a stage or refuses it.
+func (e *Engine) take(open engine.StageOpen) (*stage, *refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if no := e.refuse(open); no != nil {
+		e.counts.Refused++
+		return nil, no
+	}
+	if old := e.stages[open.RequestID]; old != nil {
+		old.fail(old.open.Index, messageSuperseded)
+		e.end(old)
+	}
+	st := newStage(open)
+	e.floors.Add(open.RequestID, open.Epoch)
+	e.stages[open.RequestID] = st
+	e.active++
+	e.counts.Opens++
+	e.addRecord(st)
+	starts := e.reuse(st)
+	e.loads.note(time.Now(), e.report())
+	ready := st.event(engine.EventReady)
+	ready.ReusedKV = st.kv
+	st.out.push(ready)
+	if open.Index == 0 {
+		first := &activation{requestID: open.RequestID, epoch: open.Epoch, position: len(open.Committed), at: starts}
+		first.priority = open.Priority
+		first.trace = make([]engine.Execution, 0, len(open.Hops))
+		e.sched.add(first)
+	}
+	e.takeEarly(st, starts)
+	e.signal()
+	return st, nil
+}
+
+func (e *Engine) refuse(open engine.StageOpen) *refusal {
+	if open.Index < 0 || open.Index >= len(open.Hops) || open.MaxTokens <= len(open.Committed) {
+		return &refusal{http.StatusBadRequest, "bad-request", "no such stage or nothing to generate"}
+	}
+	if e.faults.Leaving {
+		return &refusal{http.StatusGone, httpengine.CodeLeaving, "the engine is leaving"}
+	}
+	if !e.holds(open) {
+		return &refusal{http.StatusNotFound, httpengine.CodeNotHeld, "the engine does not hold these layers"}
+	}
+	floor, known := e.floors.Get(open.RequestID)
+	if known && open.Epoch < floor {
+		return &refusal{http.StatusConflict, httpengine.CodeOldEpoch, "a newer epoch was opened or this one was cancelled"}
+	}
+	old := e.stages[open.RequestID]
+	if old != nil && old.open.Epoch == open.Epoch {
+		return &refusal{http.StatusConflict, httpengine.CodeOldEpoch, "this epoch is open already"}
+	}
+	if e.active >= e.options.Slots && (old == nil || old.over) {
+		return &refusal{http.StatusConflict, httpengine.CodeBusy, "no slot is free"}
+	}
+	return nil
+}
+
+func (e *Engine) holds(open engine.StageOpen) bool {
+	if time.Now().Before(e.loadedAt) {
+		return false
+	}
+	if open.Model != e.held.Model || open.Version != e.held.Version {
+		return false
+	}
+	if open.Adapter != "" && !contains(e.held.Adapters, open.Adapter) {
+		return false
+	}
+	return e.held.Layers.Contains(open.Hops[open.Index].Layers)
+}
+
+func contains(list []string, name string) bool {
+	for _, each := range list {
+		if each == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) addRecord(st *stage) {
+	st.record = &Executed{RequestID: st.open.RequestID, Target: e.options.Name, Epoch: st.open.Epoch, Layers: st.hop.Layers}
+	if len(e.executed) == maxExecuted {
+		e.executed = e.executed[1:]
+	}
+	e.executed = append(e.executed, st.record)
+}
+
+// reuse finds how much of the context needs no replay, and when work can start.
+func (e *Engine) reuse(st *stage) time.Time {
+	now := time.Now()
+	whole := st.context(len(st.open.Committed))
+	hashes := engine.PrefixHashes(st.open.Model, st.open.Version, st.open.Adapter, st.open.Prompt)
+	st.kv = e.cache.use(hashes) * engine.PrefixBlockTokens
+	if kept, ok := e.kv.Peek(st.open.RequestID); ok {
+		e.kv.Remove(st.open.RequestID)
+		if now.Before(kept.until) && kept.layers.Contains(st.hop.Layers) {
+			st.kv = max(st.kv, kept.positions)
+		}
+	}
+	starts := now
+	if imported, arrives := e.importKV(st, now); imported > st.kv {
+		st.kv = imported
+		starts = arrives
+	}
+	st.kv = min(st.kv, whole)
+	e.counts.ReusedKV += uint64(st.kv)
+	return starts
+}
+
+// importKV asks another engine of this process for the request's KV cache.
+//
+// It takes the other engine's lock while holding this one's; TryLock keeps two
+// engines that import from each other from waiting for each other for good.
+func (e *Engine) importKV(st *stage, now time.Time) (int, time.Time) {
+	from := e.fabric.Engine(st.open.ImportKVFrom)
+	if from == nil || from == e {
+		return 0, now
+	}
+	positions := from.exportKV(st.open.RequestID, st)
+	size := positions * st.hop.Layers.Len() * e.options.KVBytesPerToken
+	return positions, e.fabric.arrival(from.options.Name, e.options.Name, now, size)
+}
+
+const exportTries = 1000
+
+func (e *Engine) exportKV(requestID string, st *stage) int {
+	for range exportTries {
+		if e.mu.TryLock() {
+			defer e.mu.Unlock()
+			return e.exportLocked(requestID, st)
+		}
+		time.Sleep(time.Microsecond)
+	}
+	return 0
+}
+
+func (e *Engine) exportLocked(requestID string, st *stage) int {
+	if e.dead {
+		return 0
+	}
+	if own := e.stages[requestID]; own != nil && own.hop.Layers.Contains(st.hop.Layers) {
+		return own.kv
+	}
+	kept, ok := e.kv.Peek(requestID)
+	if !ok || time.Now().After(kept.until) || !kept.layers.Contains(st.hop.Layers) {
+		return 0
+	}
+	return kept.positions
+}
+
+// takeEarly moves activations that came before the stage was opened to its queue.
+func (e *Engine) takeEarly(st *stage, starts time.Time) {
+	list, ok := e.early.Peek(st.open.RequestID)
+	if !ok {
+		return
+	}
+	e.early.Remove(st.open.RequestID)
+	for _, a := range list {
+		if a.epoch != st.open.Epoch || a.index != st.open.Index {
+			e.counts.OldEpochs++
+			continue
+		}
+		if a.finished {
+			e.free(st)
+			continue
+		}
+		if starts.After(a.at) {
+			a.at = starts
+		}
+		a.priority = st.open.Priority
+		e.sched.add(a)
+	}
+}
+
+// cancel ends a stage of an epoch up to the given one. Later opens of these
+// epochs are refused: they were under way when the cancel overtook them.
+func (e *Engine) cancel(requestID string, epoch uint32) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if floor, _ := e.floors.Get(requestID); floor <= epoch {
+		e.floors.Add(requestID, epoch+1)
+	}
+	st := e.stages[requestID]
+	if st == nil || st.open.Epoch > epoch {
+		return
+	}
+	st.out.close()
+	e.end(st)
+}
+
+// leave ends the stage whose stream's connection has gone.
+func (e *Engine) leave(st *stage) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.end(st)
+}
+
+// end takes a stage off the engine, keeping its KV cache where the request asked.
+func (e *Engine) end(st *stage) {
+	if e.stages[st.open.RequestID] == st {
+		delete(e.stages, st.open.RequestID)
+	} else if st.over {
+		return
+	}
+	if !st.over {
+		e.counts.Cancelled++
+	}
+	hashes := engine.PrefixHashes(st.open.Model, st.open.Version, st.open.Adapter, st.open.Prompt)
+	e.cache.put(hashes[:min(len(hashes), st.kv/engine.PrefixBlockTokens)], time.Now())
+	if st.open.KeepKV && !st.over && st.kv > 0 {
+		e.kv.Add(st.open.RequestID, keptKV{positions: st.kv, layers: st.hop.Layers, until: time.Now().Add(e.options.KeepKVFor)})
+	}
+	e.free(st)
+}
--- /dev/null
+++ b/internal/standin/enginesim/start.go
@@ -0,0 +1,119 @@
+package enginesim
+
+import (
+	"io"
+	"log"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumcroft/internal/standin/faultnet"
+)
+
+var errRunning = errors.New("the engine is running")
+
+// Start listens on address, IP:port, and serves; port 0 takes a free one.
+func (e *Engine) Start(address string) error {
+	listener, err := faultnet.Listen(address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: e, ErrorLog: log.New(io.Discard, "", 0)}
+	e.mu.Lock()
+	if e.listener != nil && !e.dead {
+		e.mu.Unlock()
+		_ = listener.Close()
+		return errRunning
+	}
+	e.listener = listener
+	e.server = server
+	e.address = listener.Addr().String()
+	e.dead = false
+	e.mu.Unlock()
+	e.fabric.Register(listener.Addr().String(), e)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// Attach makes the engine reachable in its fabric without a listener, for tests
+// that use a DirectClient.
+func (e *Engine) Attach(address string) {
+	e.mu.Lock()
+	e.address = address
+	e.dead = false
+	e.mu.Unlock()
+	e.fabric.Register(address, e)
+}
+
+// Close ends the engine.
+func (e *Engine) Close() {
+	e.Die()
+	e.stopped.Do(func() { close(e.stop) })
+}
+
+// Die makes the engine fail as a process does: its listener closes, its
+// connections are reset, and all that it held in memory is gone.
+func (e *Engine) Die() {
+	e.mu.Lock()
+	if e.dead {
+		e.mu.Unlock()
+		return
+	}
+	e.dead = true
+	listener, server, address := e.listener, e.server, e.address
+	for _, st := range e.stages {
+		st.out.close()
+		st.over = true
+	}
+	e.forgetAll()
+	e.mu.Unlock()
+	e.fabric.Unregister(address)
+	if listener == nil {
+		return
+	}
+	_ = listener.Close()
+	listener.ResetAll()
+	_ = server.Close()
+}
+
+// Revive starts a dead engine again at its address.
+func (e *Engine) Revive() error {
+	e.mu.Lock()
+	address, listened := e.address, e.listener != nil
+	e.mu.Unlock()
+	if !listened {
+		e.Attach(address)
+		return nil
+	}
+	return e.Start(address)
+}
+
+// GoSilent makes the connections that are open now silent for good; new ones work.
+func (e *Engine) GoSilent() {
+	e.mu.Lock()
+	listener := e.listener
+	e.mu.Unlock()
+	if listener != nil {
+		listener.SilenceAll()
+	}
+}
+
+// SetFaults changes the standing faults.
+func (e *Engine) SetFaults(change func(*Faults)) {
+	e.mu.Lock()
+	change(&e.faults)
+	if e.faults.Slowdown <= 0 {
+		e.faults.Slowdown = 1
+	}
+	e.loads.note(time.Now(), e.report())
+	e.mu.Unlock()
+	e.signal()
+}
+
+// DropCacheEvents takes the newest events out of the log, so that readers see a gap.
+func (e *Engine) DropCacheEvents(count int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.drop(count)
+}
--- /dev/null
+++ b/internal/standin/faultnet/listener.go
@@ -0,0 +1,73 @@
+package faultnet
+
+import (
+	"net"
+	"sync"
+)
+
+// Listener wraps a TCP listener and knows its open connections.
+type Listener struct {
+	net.Listener
+
+	mu   sync.Mutex // guards the field below
+	open map[*Conn]struct{}
+}
+
+// Listen listens on address, IP:port.
+func Listen(address string) (*Listener, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{Listener: inner, open: map[*Conn]struct{}{}}, nil
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: raw, listener: l, closed: make(chan struct{})}
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// ResetAll resets every open connection; the peers see ECONNRESET.
+func (l *Listener) ResetAll() {
+	for _, c := range l.connections() {
+		c.Reset()
+	}
+}
+
+// SilenceAll makes the connections that are open now silent for good. New ones work.
+func (l *Listener) SilenceAll() {
+	for _, c := range l.connections() {
+		c.silent.Store(true)
+	}
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+func (l *Listener) connections() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]*Conn, 0, len(l.open))
+	for c := range l.open {
+		list = append(list, c)
+	}
+	return list
+}
+
+func (l *Listener) forget(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
--- /dev/null
+++ b/internal/standin/servicesim/handler.go
@@ -0,0 +1,198 @@
+package servicesim
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"geraniumcroft/internal/standin/faultnet"
+)
+
+const (
+	headerRequestID      = "Request-Id"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerNotRun         = "Geraniumcroft-Not-Run"
+	maxBody              = 16 << 20
+)
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/v1/load":
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Load())
+	case r.Method == http.MethodPost && r.URL.Path == "/faults":
+		s.serveFaults(w, r)
+	case r.Method == http.MethodPost:
+		s.serveCall(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// plan is what happens to one call.
+type plan struct {
+	dieBefore, dieAfter, lose, truncate, notRun, fail, wrongID, silence bool
+	takes                                                               time.Duration
+}
+
+func (s *Service) plan() plan {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received++
+	f := &s.faults
+	p := plan{takes: s.options.ServiceTime}
+	if f.Slowdown > 0 {
+		p.takes = time.Duration(float64(p.takes) * f.Slowdown)
+	}
+	p.notRun = f.Leaving || spend(&f.DeclareNotRun)
+	if p.notRun {
+		return p
+	}
+	p.dieBefore, f.DieBefore = f.DieBefore, false
+	p.dieAfter, f.DieAfter = f.DieAfter, false
+	p.lose = spend(&f.LoseResponses)
+	p.truncate = spend(&f.TruncateResponses)
+	p.fail = spend(&f.Fail)
+	p.wrongID = spend(&f.WrongIDs)
+	p.silence = spend(&f.SilenceOnCall)
+	return p
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, "the body cannot be read", http.StatusBadRequest)
+		return
+	}
+	p := s.plan()
+	id := r.Header.Get(headerRequestID)
+	w.Header().Set(headerRequestID, id)
+	if p.notRun {
+		w.Header().Set(headerNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if p.dieBefore {
+		s.Die()
+		return
+	}
+	execution := Execution{RequestID: id, IdempotencyKey: r.Header.Get(headerIdempotencyKey), Path: r.URL.Path, Body: string(body)}
+	if !s.execute(r.Context(), p.takes, execution) {
+		return
+	}
+	s.respond(w, r, p, body)
+}
+
+// execute waits for a slot and the service time, and then records the execution.
+// A call whose connection ends before it started is not executed; one that has
+// started is executed whether or not its caller still waits.
+func (s *Service) execute(ctx context.Context, takes time.Duration, execution Execution) bool {
+	s.count(0, 1)
+	select {
+	case s.slots <- struct{}{}:
+		s.count(1, -1)
+	case <-ctx.Done():
+		s.count(0, -1)
+		return false
+	}
+	defer func() {
+		<-s.slots
+		s.count(-1, 0)
+	}()
+	if takes > 0 {
+		timer := time.NewTimer(takes)
+		defer timer.Stop()
+		<-timer.C
+	}
+	return s.record(execution)
+}
+
+func (s *Service) count(active, queued int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active += active
+	s.queued += queued
+	s.note()
+}
+
+func (s *Service) record(execution Execution) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead {
+		return false
+	}
+	if len(s.executions) == maxExecutions {
+		s.executions = s.executions[1:]
+	}
+	s.executions = append(s.executions, execution)
+	s.total++
+	return true
+}
+
+func (s *Service) respond(w http.ResponseWriter, r *http.Request, p plan, body []byte) {
+	conn, _ := r.Context().Value(connKey{}).(*faultnet.Conn)
+	switch {
+	case p.dieAfter:
+		s.Die()
+		return
+	case p.lose:
+		conn.Reset()
+		return
+	case p.silence:
+		conn.GoSilent()
+	}
+	if p.wrongID {
+		w.Header().Set(headerRequestID, "another-request")
+	}
+	answer, _ := json.Marshal(map[string]string{"executed": r.Header.Get(headerRequestID), "echo": string(body)}) // strings always marshal
+	w.Header().Set("Content-Type", "application/json")
+	if p.truncate {
+		truncate(w, conn, answer)
+		return
+	}
+	if p.fail {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	_, _ = w.Write(answer)
+}
+
+// truncate sends half of an answer and closes the connection.
+func truncate(w http.ResponseWriter, conn *faultnet.Conn, answer []byte) {
+	w.Header().Set("Content-Length", "1000000")
+	_, _ = w.Write(answer[:len(answer)/2])
+	_ = http.NewResponseController(w).Flush()
+	_ = conn.Close()
+}
+
+// faultOrder is the body of POST /faults.
+type faultOrder struct {
+	Die     bool            `json:"die"`
+	Silence bool            `json:"silence"`
+	Set     json.RawMessage `json:"set"`
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var order faultOrder
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err == nil {
+		err = json.Unmarshal(body, &order)
+	}
+	if err == nil && len(order.Set) > 0 {
+		s.SetFaults(func(f *Faults) { err = json.Unmarshal(order.Set, f) })
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+	_ = http.NewResponseController(w).Flush()
+	if order.Silence {
+		s.GoSilent()
+	}
+	if order.Die {
+		go s.Die()
+	}
+}
