Add the platform client, its stand-in and keyed claims

A thin version for the other packages to build on: HTTP client with typed failures, resolution of lost answers, rate budget in two lanes, circuit breaker with its own prober, an in-memory platform with faults to order, and claims written once per key, one by one or grouped.

--- /dev/null
+++ b/internal/claim/key.go
@@ -0,0 +1,38 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+const (
+	rowPrefix = "claims/"
+	// rowPrefixEnd is the first key after all that start with rowPrefix.
+	rowPrefixEnd = "claims0"
+	claimSuffix  = "/claim"
+	endSuffix    = "/end"
+)
+
+// Key names a caller's request within its workspace and profile.
+type Key struct {
+	Workspace string
+	Profile   string
+	// Key is the caller's idempotency key. It is neither stored nor logged.
+	Key string
+}
+
+// hash is unambiguous: each part is preceded by its length, so that no two keys
+// share a hash by moving characters between the parts.
+func (k Key) hash() string {
+	digest := sha256.New()
+	for _, part := range []string{k.Workspace, k.Profile, k.Key} {
+		digest.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		digest.Write([]byte(part))
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+func (k Key) claimRow() string { return rowPrefix + k.hash() + claimSuffix }
+
+func (k Key) endRow() string { return rowPrefix + k.hash() + endSuffix }
--- /dev/null
+++ b/internal/platform/httpplatform/client.go
@@ -0,0 +1,56 @@
+package httpplatform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"geraniumcroft/internal/platform"
+)
+
+var (
+	_ platform.Table   = (*Client)(nil)
+	_ platform.Objects = (*Client)(nil)
+	_ platform.VMList  = (*Client)(nil)
+)
+
+// Client implements platform.Table, platform.Objects and platform.VMList. It is
+// safe for concurrent use.
+type Client struct {
+	settings  Settings
+	transport *http.Transport
+	silences  atomic.Uint64
+}
+
+// New returns a client; it opens no connection before the first operation.
+func New(settings Settings) *Client {
+	settings = settings.withDefaults()
+	dialer := &net.Dialer{Timeout: settings.ConnectTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		IdleConnTimeout:     settings.IdleTimeout,
+		MaxIdleConns:        settings.MaxIdle,
+		MaxIdleConnsPerHost: settings.MaxIdle,
+		DisableCompression:  true,
+	}
+	return &Client{settings: settings, transport: transport}
+}
+
+// Close closes unused connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Silences returns how many times an open connection was found silent.
+func (c *Client) Silences() uint64 { return c.silences.Load() }
+
+// suspectIdle closes the idle connections after one was found silent: what lost
+// track of that one may have lost the others, and each would cost a whole bound
+// to find out.
+func (c *Client) suspectIdle() {
+	c.silences.Add(1)
+	c.transport.CloseIdleConnections()
+}
+
+func (c *Client) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.settings.AttemptTimeout)
+}
--- /dev/null
+++ b/internal/platform/httpplatform/settings.go
@@ -0,0 +1,48 @@
+package httpplatform
+
+import "time"
+
+// The defaults of Settings.
+const (
+	DefaultConnectTimeout   = time.Second
+	DefaultAttemptTimeout   = 1 * time.Second
+	DefaultIdleTimeout      = 5 * time.Second
+	DefaultMaxResponseBytes = 64 << 20
+	DefaultMaxIdle          = 16
+)
+
+// Settings of a Client. A zero field takes its default.
+type Settings struct {
+	// BaseURL is the service's, such as "http://10.0.0.1:7000".
+	BaseURL string
+	// ConnectTimeout bounds opening a connection.
+	ConnectTimeout time.Duration
+	// AttemptTimeout bounds one request from taking its connection to its last byte.
+	AttemptTimeout time.Duration
+	// IdleTimeout closes unused connections, so that few are old enough for
+	// something between the two ends to have lost track of them.
+	IdleTimeout time.Duration
+	// MaxIdle bounds the unused connections kept.
+	MaxIdle int
+	// MaxResponseBytes bounds a response's body.
+	MaxResponseBytes int64
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.ConnectTimeout <= 0 {
+		s.ConnectTimeout = DefaultConnectTimeout
+	}
+	if s.AttemptTimeout <= 0 {
+		s.AttemptTimeout = DefaultAttemptTimeout
+	}
+	if s.IdleTimeout <= 0 {
+		s.IdleTimeout = DefaultIdleTimeout
+	}
+	if s.MaxIdle <= 0 {
+		s.MaxIdle = DefaultMaxIdle
+	}
+	if s.MaxResponseBytes <= 0 {
+		s.MaxResponseBytes = DefaultMaxResponseBytes
+	}
+	return s
+}
--- /dev/null
+++ b/internal/platform/resilient/client.go
@@ -0,0 +1,97 @@
+package resilient
+
+import (
+	"context"
+
+	"geraniumcroft/internal/platform"
+)
+
+var (
+	_ platform.Table   = (*Client)(nil)
+	_ platform.Objects = (*Client)(nil)
+	_ platform.VMList  = (*Client)(nil)
+)
+
+// Names that the probes ask for; neither need exist.
+const (
+	probeKey    = "probe"
+	probeObject = "probe"
+)
+
+// Client is the platform as the rest of the system uses it. It is safe for
+// concurrent use.
+type Client struct {
+	settings Settings
+	writes   *budget
+	reads    *budget
+	counters counters
+
+	rawTable   platform.Table
+	rawObjects platform.Objects
+	rawVMList  platform.VMList
+	table      *circuit
+	objects    *circuit
+	vmList     *circuit
+}
+
+// New wraps the three services. Close stops its probes.
+func New(table platform.Table, objects platform.Objects, vmList platform.VMList, settings Settings) *Client {
+	settings = settings.withDefaults()
+	c := &Client{settings: settings, rawTable: table, rawObjects: objects, rawVMList: vmList}
+	share := float64(settings.VMs)
+	c.writes = newBudget(settings.WritesPerSecond/share, settings.UrgentWriteShare, settings.Burst)
+	c.reads = newBudget(settings.ReadsPerSecond/share, settings.UrgentReadShare, settings.Burst)
+	c.table = newCircuit("table", settings, &c.counters, c.probeTable)
+	c.objects = newCircuit("objects", settings, &c.counters, c.probeObjects)
+	c.vmList = newCircuit("vm list", settings, &c.counters, c.probeVMList)
+	return c
+}
+
+// SetVMs sets how many VMs share the fleet's budget, as the membership learns it.
+func (c *Client) SetVMs(vms int) {
+	share := float64(max(vms, 1))
+	c.writes.setRate(c.settings.WritesPerSecond/share, c.settings.UrgentWriteShare)
+	c.reads.setRate(c.settings.ReadsPerSecond/share, c.settings.UrgentReadShare)
+}
+
+// Healthy reports whether the table is taken for up.
+func (c *Client) Healthy() bool { return c.table.healthy() }
+
+// Close stops the probes; operations still work.
+func (c *Client) Close() {
+	c.table.close()
+	c.objects.close()
+	c.vmList.close()
+}
+
+func (c *Client) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.settings.Timeout)
+}
+
+// spend takes one operation from the budget, unless the service is down: then the
+// operation will not be sent, and its refusal must not wait for a turn.
+func (c *Client) spend(ctx context.Context, from *budget, service *circuit, operation string) error {
+	if !service.healthy() {
+		return service.refuse(operation, errDown)
+	}
+	if err := from.wait(ctx); err != nil {
+		c.counters.throttled.Add(1)
+		return &platform.UnavailableError{Operation: operation, Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) probeTable(ctx context.Context) error {
+	_, err := c.rawTable.Get(ctx, probeKey)
+	return err
+}
+
+func (c *Client) probeObjects(ctx context.Context) error {
+	_, err := c.rawObjects.Fetch(ctx, probeObject)
+	return err
+}
+
+func (c *Client) probeVMList(ctx context.Context) error {
+	_, err := c.rawVMList.VMs(ctx)
+	return err
+}
--- /dev/null
+++ b/internal/platform/resilient/settings.go
@@ -0,0 +1,73 @@
+package resilient
+
+import "time"
+
+// What the whole fleet may ask of the table: a third of the 300 writes and 2,000
+// reads a second that it takes.
+const (
+	FleetWritesPerSecond = 100.0
+	FleetReadsPerSecond  = 666.0
+)
+
+// The defaults of Settings.
+const (
+	DefaultVMs              = 6
+	DefaultUrgentWriteShare = 0.75
+	DefaultUrgentReadShare  = 0.5
+	DefaultBurst            = 16
+	DefaultTimeout          = 5 * time.Second
+	DefaultFailuresToOpen   = 3
+	DefaultProbeInterval    = 500 * time.Millisecond
+	DefaultProbeTimeout     = time.Second
+	DefaultRetryPause       = 10 * time.Millisecond
+	DefaultMaxRetryPause    = 500 * time.Millisecond
+)
+
+// Settings of a Client. A zero field takes its default.
+type Settings struct {
+	// VMs is how many VMs share the fleet's budget.
+	VMs int
+	// WritesPerSecond and ReadsPerSecond are the fleet's budget.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// UrgentWriteShare and UrgentReadShare are the parts, between 0 and 1, that only
+	// platform.LaneUrgent draws on; the rest is the background's.
+	UrgentWriteShare float64
+	UrgentReadShare  float64
+	// Burst is how many operations a lane may carry out at once after a quiet time.
+	Burst int
+	// Timeout bounds an operation whose context has no earlier deadline.
+	Timeout time.Duration
+	// FailuresToOpen is how many failures in a row take a service for down.
+	FailuresToOpen int
+	// ProbeInterval is the time between probes of a service that is down, and
+	// ProbeTimeout bounds each.
+	ProbeInterval time.Duration
+	ProbeTimeout  time.Duration
+	// RetryPause is the first pause while a lost answer is resolved; it doubles up to
+	// MaxRetryPause.
+	RetryPause    time.Duration
+	MaxRetryPause time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	defaultTo(&s.VMs, DefaultVMs)
+	defaultTo(&s.WritesPerSecond, FleetWritesPerSecond)
+	defaultTo(&s.ReadsPerSecond, FleetReadsPerSecond)
+	defaultTo(&s.UrgentWriteShare, DefaultUrgentWriteShare)
+	defaultTo(&s.UrgentReadShare, DefaultUrgentReadShare)
+	defaultTo(&s.Burst, DefaultBurst)
+	defaultTo(&s.Timeout, DefaultTimeout)
+	defaultTo(&s.FailuresToOpen, DefaultFailuresToOpen)
+	defaultTo(&s.ProbeInterval, DefaultProbeInterval)
+	defaultTo(&s.ProbeTimeout, DefaultProbeTimeout)
+	defaultTo(&s.RetryPause, DefaultRetryPause)
+	defaultTo(&s.MaxRetryPause, DefaultMaxRetryPause)
+	return s
+}
+
+func defaultTo[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/platform/validate.go
@@ -0,0 +1,38 @@
+package platform
+
+// Validate returns an *InvalidTxnError unless a lost answer to the transaction can
+// be resolved: it needs an ID, and a condition on the row that it writes first, so
+// that it takes effect at most once however often it is sent.
+func (t Txn) Validate() error {
+	if t.ID == "" {
+		return &InvalidTxnError{Fault: "it has no ID"}
+	}
+	if len(t.Writes) == 0 {
+		return &InvalidTxnError{TxnID: t.ID, Fault: "it writes nothing"}
+	}
+	for _, condition := range t.Conditions {
+		if condition.Key == t.Writes[0].Key {
+			return nil
+		}
+	}
+	return &InvalidTxnError{TxnID: t.ID, Fault: "it has no condition on the row that it writes first"}
+}
+
+// Keys returns the keys of all rows that the transaction reads or writes, each once.
+func (t Txn) Keys() []string {
+	seen := make(map[string]bool, len(t.Conditions)+len(t.Writes))
+	var keys []string
+	add := func(key string) {
+		if !seen[key] {
+			seen[key] = true
+			keys = append(keys, key)
+		}
+	}
+	for _, condition := range t.Conditions {
+		add(condition.Key)
+	}
+	for _, write := range t.Writes {
+		add(write.Key)
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/standin/platformsim/store.go
@@ -0,0 +1,143 @@
+package platformsim
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"geraniumcroft/internal/platform"
+)
+
+// Store is the platform's state. It is safe for concurrent use, and implements
+// platform.Table, platform.Objects and platform.VMList within the process, under
+// the same faults as the Server.
+type Store struct {
+	// Faults orders failures.
+	Faults *Faults
+
+	mu       sync.Mutex // guards the fields below
+	revision uint64
+	rows     map[string]platform.Row
+	keys     []string // sorted
+	objects  map[string][]byte
+	vms      vmHistory
+	commits  uint64
+	reads    uint64
+}
+
+// NewStore returns an empty platform without faults.
+func NewStore() *Store {
+	return &Store{
+		Faults:  NewFaults(),
+		rows:    map[string]platform.Row{},
+		objects: map[string][]byte{},
+	}
+}
+
+// Counts returns how many transactions and reads the table has carried out; a
+// refused transaction counts.
+func (s *Store) Counts() (commits, reads uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commits, s.reads
+}
+
+// SetVMs replaces the list of VMs; it shows after the ordered lag.
+func (s *Store) SetVMs(vms ...platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms.set(time.Now(), vms)
+}
+
+func (s *Store) apply(txn platform.Txn) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	var failed []platform.Row
+	for _, condition := range txn.Conditions {
+		row := s.row(condition.Key)
+		if row.Revision != condition.Revision {
+			failed = append(failed, row)
+		}
+	}
+	if len(failed) > 0 {
+		return &platform.RefusedError{Rows: failed}
+	}
+	for _, write := range txn.Writes {
+		s.write(txn.ID, write)
+	}
+	return nil
+}
+
+func (s *Store) row(key string) platform.Row {
+	row, ok := s.rows[key]
+	if !ok {
+		return platform.Row{Key: key}
+	}
+	row.Value = slices.Clone(row.Value)
+	return row
+}
+
+func (s *Store) write(txnID string, write platform.Write) {
+	at, found := slices.BinarySearch(s.keys, write.Key)
+	if write.Delete {
+		if found {
+			s.keys = slices.Delete(s.keys, at, at+1)
+		}
+		delete(s.rows, write.Key)
+		return
+	}
+	if !found {
+		s.keys = slices.Insert(s.keys, at, write.Key)
+	}
+	s.revision++
+	s.rows[write.Key] = platform.Row{
+		Key:      write.Key,
+		Value:    slices.Clone(write.Value),
+		Revision: s.revision,
+		TxnID:    txnID,
+	}
+}
+
+func (s *Store) get(keys []string) []platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	rows := make([]platform.Row, 0, len(keys))
+	for _, key := range keys {
+		rows = append(rows, s.row(key))
+	}
+	return rows
+}
+
+func (s *Store) scan(from, to string, limit int) []platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	rows := []platform.Row{}
+	at, _ := slices.BinarySearch(s.keys, from)
+	for ; at < len(s.keys) && s.keys[at] < to && len(rows) < limit; at++ {
+		rows = append(rows, s.row(s.keys[at]))
+	}
+	return rows
+}
+
+func (s *Store) putObject(name string, body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[name] = slices.Clone(body)
+}
+
+func (s *Store) object(name string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body, ok := s.objects[name]
+	return slices.Clone(body), ok
+}
+
+func (s *Store) listVMs() []platform.VM {
+	lag, frozen := s.Faults.vmLag()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.vms.at(time.Now().Add(-lag), frozen)
+}
