Prove the callers' API by tests, and measure a token's cost

Cause: the paths that take any method hid the real handlers, since iris keeps the later of two routes; a stream's timer could fire before it was stored. Both were found by the tests that land here. Change: the order of routes; the timer is set under the stream's lock.

--- /dev/null
+++ b/internal/api/bench_test.go
@@ -0,0 +1,95 @@
+package api
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+
+	"geraniumcroft/internal/router"
+)
+
+// BenchmarkStreamToken relays tokens over loopback connections to callers that
+// read them, and reports tokens a second of the process's processor time, callers
+// included.
+func BenchmarkStreamToken(b *testing.B) {
+	for _, streams := range []int{1, 64} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) { benchmarkStreams(b, streams) })
+	}
+}
+
+func benchmarkStreams(b *testing.B, streams int) {
+	each := b.N/streams + 1
+	f := &fakeRouter{generate: func(_ context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		for i := range each {
+			if err := sink.Token(i, "transformer "); err != nil {
+				return router.GenerateResult{}, err
+			}
+		}
+		return router.GenerateResult{Tokens: each, Finish: "stop"}, nil
+	}}
+	server := httptest.NewServer(NewHandler(f, Options{}))
+	defer server.Close()
+	b.ReportAllocs()
+	b.ResetTimer()
+	before := processorSeconds()
+	done := make(chan error, streams)
+	for range streams {
+		go func() { done <- drain(server.URL + pathChat) }()
+	}
+	for range streams {
+		if err := <-done; err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(streams*each)/(processorSeconds()-before), "tokens/core-s")
+}
+
+func drain(url string) error {
+	body := strings.NewReader(`{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`)
+	response, err := http.Post(url, "application/json", body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+func processorSeconds() float64 {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e9
+}
+
+// discardWriter is a caller that costs nothing, so that what remains is the
+// program's own work on a token.
+type discardWriter struct{ header http.Header }
+
+func (w *discardWriter) Header() http.Header         { return w.header }
+func (w *discardWriter) Write(b []byte) (int, error) { return len(b), nil }
+func (w *discardWriter) WriteHeader(int)             {}
+func (w *discardWriter) Flush()                      {}
+
+// BenchmarkTokenWithoutNetwork measures the path from the sink to the writer.
+func BenchmarkTokenWithoutNetwork(b *testing.B) {
+	for name, text := range map[string]string{"plain": "transformer ", "escaped": "a \"b\"\n"} {
+		b.Run(name, func(b *testing.B) {
+			f := &fakeRouter{generate: func(_ context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+				for i := range b.N {
+					_ = sink.Token(i, text)
+				}
+				return router.GenerateResult{Finish: "stop"}, nil
+			}}
+			handler := NewHandler(f, Options{})
+			r := httptest.NewRequest(http.MethodPost, pathChat, strings.NewReader(`{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`))
+			b.ReportAllocs()
+			b.ResetTimer()
+			handler.ServeHTTP(&discardWriter{header: http.Header{}}, r)
+		})
+	}
+}
--- /dev/null
+++ b/internal/api/generation_test.go
@@ -0,0 +1,282 @@
+package api
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/router"
+)
+
+func post(t *testing.T, url, body string, header map[string]string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+func readAll(t *testing.T, response *http.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+func newTestServer(t *testing.T, f *fakeRouter, o Options) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(NewHandler(f, o))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func TestChatWhole(t *testing.T) {
+	var got router.GenerateRequest
+	f := &fakeRouter{generate: func(ctx context.Context, r router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		got = r
+		return tokens("Bay ", "\"3\"\n", "é")(ctx, r, sink)
+	}}
+	server := newTestServer(t, f, Options{})
+	response := post(t, server.URL+pathChat, `{"model":"drafts","max_tokens":7,"temperature":0.2,"user":"u",
+		"messages":[{"role":"system","content":"be brief"},{"role":"user","content":[{"type":"text","text":"what  now "}]}]}`,
+		map[string]string{"Idempotency-Key": "k-1", HeaderDeadline: "1500ms", "Authorization": "Bearer secret"})
+	var answer wholeAnswer
+	if err := json.Unmarshal([]byte(readAll(t, response)), &answer); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"be ", "brief", "what ", " ", "now "}; !reflect.DeepEqual(got.Prompt, want) {
+		t.Errorf("prompt %q, want %q", got.Prompt, want)
+	}
+	if got.Profile != "drafts" || got.MaxTokens != 7 || got.IdempotencyKey != "k-1" || got.Deadline != 1500*time.Millisecond || got.BearerKey != "secret" {
+		t.Errorf("request %+v", got)
+	}
+	if answer.Choices[0].Message.Content != "Bay \"3\"\né" || answer.Choices[0].FinishReason != "stop" {
+		t.Errorf("answer %+v", answer)
+	}
+	if answer.Usage != (usage{PromptTokens: 5, CompletionTokens: 3, TotalTokens: 8}) {
+		t.Errorf("usage %+v", answer.Usage)
+	}
+	if answer.ID != "chatcmpl-"+response.Header.Get(HeaderRequestID) || answer.Object != "chat.completion" {
+		t.Errorf("id %q object %q", answer.ID, answer.Object)
+	}
+	if response.Header.Get(HeaderOutcome) != "complete" {
+		t.Errorf("outcome %q", response.Header.Get(HeaderOutcome))
+	}
+}
+
+// sseEvent is one event of a stream.
+type sseEvent struct{ name, data string }
+
+func readEvents(t *testing.T, body io.Reader) (events []sseEvent, comments int) {
+	t.Helper()
+	scanner := bufio.NewScanner(body)
+	var event sseEvent
+	for scanner.Scan() {
+		switch line := scanner.Text(); {
+		case line == "" && event.data != "":
+			events = append(events, event)
+			event = sseEvent{}
+		case strings.HasPrefix(line, ":"):
+			comments++
+		case strings.HasPrefix(line, "event: "):
+			event.name = line[len("event: "):]
+		case strings.HasPrefix(line, "data: "):
+			event.data = line[len("data: "):]
+		}
+	}
+	return events, comments
+}
+
+type chunk struct {
+	ID      string
+	Object  string
+	Choices []struct {
+		Delta        wholeMessage
+		Text         string
+		FinishReason *string `json:"finish_reason"`
+	}
+	Usage     *usage
+	Error     *streamErrorBody
+	Outcome   string
+	Reason    string
+	Tokens    int
+	RequestID string
+}
+
+func parseChunk(t *testing.T, data string) chunk {
+	t.Helper()
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		t.Fatalf("%v in %s", err, data)
+	}
+	return c
+}
+
+func TestStreamEndsWithItsOutcome(t *testing.T) {
+	texts := []string{"a ", "\"quoted\"\\\n", "\x01", "é", "\xff", "</script>", "z"}
+	f := &fakeRouter{generate: tokens(texts...)}
+	server := newTestServer(t, f, Options{})
+	for _, test := range []struct{ path, body string }{
+		{pathChat, `{"model":"d","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"x y"}]}`},
+		{pathCompletions, `{"model":"d","stream":true,"stream_options":{"include_usage":true},"prompt":"x y"}`},
+	} {
+		response := post(t, server.URL+test.path, test.body, nil)
+		events, _ := readEvents(t, response.Body)
+		if len(events) != len(texts)+4 {
+			t.Fatalf("%s: %d events: %q", test.path, len(events), events)
+		}
+		text := ""
+		for _, event := range events[:len(texts)] {
+			c := parseChunk(t, event.data)
+			text += c.Choices[0].Delta.Content + c.Choices[0].Text
+		}
+		if want := strings.ToValidUTF8(strings.Join(texts, ""), "\ufffd"); text != want {
+			t.Errorf("text %q, want %q", text, want)
+		}
+		end := events[len(texts):]
+		if c := parseChunk(t, end[0].data); *c.Choices[0].FinishReason != "stop" {
+			t.Errorf("finish %+v", c)
+		}
+		if c := parseChunk(t, end[1].data); len(c.Choices) != 0 || c.Usage.TotalTokens != 2+len(texts) {
+			t.Errorf("usage %+v", c)
+		}
+		c := parseChunk(t, end[2].data)
+		if end[2].name != "outcome" || c.Outcome != "complete" || c.Tokens != len(texts) || c.RequestID != response.Header.Get(HeaderRequestID) {
+			t.Errorf("outcome event %+v %+v", end[2], c)
+		}
+		if len(c.Choices) != 1 || c.Choices[0].FinishReason != nil {
+			t.Errorf("the outcome event is not a chunk without text: %+v", c)
+		}
+		if end[3].data != "[DONE]" {
+			t.Errorf("last event %+v", end[3])
+		}
+		if response.Trailer.Get(HeaderOutcome) != "complete" {
+			t.Errorf("trailer %v", response.Trailer)
+		}
+	}
+}
+
+// The caller of a stream that is refused before its first token gets a status
+// and a problem body of their own, not a 200 and a broken stream: the status is
+// held back until the first token is there.
+func TestStreamRefusedBeforeFirstToken(t *testing.T) {
+	f := &fakeRouter{generate: func(context.Context, router.GenerateRequest, router.TokenSink) (router.GenerateResult, error) {
+		return router.GenerateResult{}, outcome.Refuse(outcome.ReasonOverloaded, "Full.").WithRetryAfter(1200 * time.Millisecond)
+	}}
+	server := newTestServer(t, f, Options{})
+	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
+	expectProblem(t, response, http.StatusServiceUnavailable, outcome.NotRun, outcome.ReasonOverloaded)
+	if got := response.Header.Get("Retry-After"); got != "2" {
+		t.Errorf("Retry-After %q, want 2", got)
+	}
+}
+
+// The caller of a stream that fails after some tokens sees an error chunk and the
+// outcome, and no [DONE], which clients take for a whole answer.
+func TestStreamFailsAfterTokens(t *testing.T) {
+	f := &fakeRouter{generate: func(_ context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		_ = sink.Token(0, "a")
+		return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonTargetFailed, "Died.")
+	}}
+	server := newTestServer(t, f, Options{})
+	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
+	events, _ := readEvents(t, response.Body)
+	if len(events) != 3 {
+		t.Fatalf("events %q", events)
+	}
+	if c := parseChunk(t, events[1].data); c.Error == nil || c.Error.Code != "target-failed" || c.Error.Status != 502 {
+		t.Errorf("error chunk %q", events[1].data)
+	}
+	if c := parseChunk(t, events[2].data); c.Outcome != "unknown" || c.Tokens != 1 || c.Reason != "target-failed" {
+		t.Errorf("outcome event %q", events[2].data)
+	}
+	if response.Trailer.Get(HeaderOutcome) != "unknown" {
+		t.Errorf("trailer %v", response.Trailer)
+	}
+}
+
+// The first token is slow. After the bound the caller gets the status and
+// comments, so that it can tell slow from silent, and then the tokens.
+func TestStreamOpensWithCommentsWhenSlow(t *testing.T) {
+	f := &fakeRouter{}
+	server := newTestServer(t, f, Options{StreamHeadWait: time.Millisecond, CommentInterval: time.Millisecond})
+	seen := make(chan struct{})
+	f.generate = func(ctx context.Context, r router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		<-seen
+		return tokens("late")(ctx, r, sink)
+	}
+	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
+	reader := bufio.NewReader(response.Body)
+	for range 4 { // two comments, each with its blank line
+		line, err := reader.ReadString('\n')
+		if err != nil || line != "\n" && line != ": waiting\n" {
+			t.Fatalf("line %q, %v", line, err)
+		}
+	}
+	close(seen)
+	events, _ := readEvents(t, reader)
+	if len(events) != 4 || parseChunk(t, events[2].data).Outcome != "complete" {
+		t.Fatalf("events %q", events)
+	}
+}
+
+// A caller closes its stream. The request's context ends, so the engines' streams
+// are cancelled, though no token is due that would fail to be written.
+func TestCallerGoneCancels(t *testing.T) {
+	gone := make(chan struct{})
+	f := &fakeRouter{generate: func(ctx context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		_ = sink.Token(0, "a")
+		<-ctx.Done()
+		close(gone)
+		return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonCallerGone, "Gone.")
+	}}
+	server := newTestServer(t, f, Options{ReadTimeout: time.Hour})
+	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
+	if _, err := bufio.NewReader(response.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	<-gone
+}
+
+// A caller stops reading while its connection stands. The write deadline makes
+// the token's write fail, the sink reports the caller as gone and the request's
+// context ends; without it the stream would hold its engines' slots for good.
+func TestSlowCallerIsBounded(t *testing.T) {
+	refused := make(chan error, 1)
+	f := &fakeRouter{generate: func(ctx context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		text := strings.Repeat("x", 1<<20)
+		var err error
+		for i := 0; err == nil && i < 1000; i++ {
+			err = sink.Token(i, text)
+		}
+		<-ctx.Done()
+		refused <- err
+		return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonCallerGone, "Gone.")
+	}}
+	server := newTestServer(t, f, Options{WriteTimeout: 50 * time.Millisecond})
+	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
+	if err := <-refused; err == nil {
+		t.Error("a thousand megabytes were written to a caller that reads nothing")
+	}
+	response.Body.Close()
+}
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -43,14 +43,15 @@
 }
 
 func (h *handler) route(app *iris.Application) {
+	// Of two routes for one method and path iris keeps the later.
+	for _, path := range []string{pathChat, pathCompletions, pathCalls, pathHealth, pathReady} {
+		app.Any(path, h.exchange((*exchange).methodNotAllowed))
+	}
 	app.Post(pathChat, h.exchange((*exchange).chat))
 	app.Post(pathCompletions, h.exchange((*exchange).completions))
 	app.Post(pathCalls, h.exchange((*exchange).call))
 	app.Get(pathHealth, h.health)
 	app.Get(pathReady, h.ready)
-	for _, path := range []string{pathChat, pathCompletions, pathCalls, pathHealth, pathReady} {
-		app.Any(path, h.exchange((*exchange).methodNotAllowed))
-	}
 	app.Any("/{path:path}", h.exchange((*exchange).notFound))
 }
 
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -26,7 +26,7 @@
 
 func (x *exchange) stream(g *generation) {
 	s := &stream{x: x, encoder: newEncoder(g)}
-	s.ticker = time.AfterFunc(x.options.StreamHeadWait, s.tick)
+	s.start()
 	defer s.stop()
 	result, err := x.router.Generate(x.ctx, g.GenerateRequest, s)
 	if err != nil {
@@ -36,6 +36,12 @@
 	s.complete(result.Finish)
 }
 
+func (s *stream) start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ticker = time.AfterFunc(s.x.options.StreamHeadWait, s.tick)
+}
+
 // Token implements router.TokenSink. Its error says that the caller has gone.
 func (s *stream) Token(_ int, text string) error {
 	s.mu.Lock()
