generation: run one generation over stages, epochs and replacements

A stage may die, go silent or be preempted in the middle of an answer.

Not tested yet beyond compiling; tests follow.

--- /dev/null
+++ b/internal/generation/fault.go
@@ -0,0 +1,90 @@
+package generation
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"geraniumcroft/internal/balance"
+	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/outcome"
+)
+
+// faultKind says how a stage failed.
+type faultKind uint8
+
+const (
+	// faultRefused: the engine answered that it does not take the stage.
+	faultRefused faultKind = iota
+	// faultOpen: the stage could not be opened, or nobody knows whether it was.
+	faultOpen
+	// faultBroken: the stream ended too early.
+	faultBroken
+	// faultSilent: the stream brought nothing, not even a heartbeat.
+	faultSilent
+	// faultReported: an engine reported the failure of a stage.
+	faultReported
+	// faultSlow: no token came in time although the streams live.
+	faultSlow
+	// faultProtocol: an engine sent what it must not.
+	faultProtocol
+)
+
+// fault is the failure of one stage in one epoch.
+type fault struct {
+	stage int
+	kind  faultKind
+	cause error
+}
+
+// Error implements error.
+func (f *fault) Error() string { return fmt.Sprintf("stage %d: %v", f.stage, f.cause) }
+
+// Unwrap returns the cause.
+func (f *fault) Unwrap() error { return f.cause }
+
+// balanceResult is what the fault says of its target.
+func (f *fault) balanceResult() balance.Result {
+	switch f.kind {
+	case faultRefused:
+		return balance.ResultNeutral
+	case faultSlow:
+		return balance.ResultSlow
+	default:
+		return balance.ResultFailed
+	}
+}
+
+func (f *fault) reason() outcome.Reason {
+	if f.kind == faultSilent || f.kind == faultSlow {
+		return outcome.ReasonTargetSilent
+	}
+	return outcome.ReasonTargetFailed
+}
+
+// openFault says what a failed open means; started reports whether the engine may
+// have begun.
+func openFault(stage int, err error) (f *fault, started bool) {
+	var open *engine.OpenError
+	if !errors.As(err, &open) {
+		return &fault{stage: stage, kind: faultOpen, cause: err}, true
+	}
+	if isRefusal(open.Status) {
+		return &fault{stage: stage, kind: faultRefused, cause: err}, false
+	}
+	return &fault{stage: stage, kind: faultOpen, cause: err}, open.Sent
+}
+
+// isRefusal reports whether the status says that the engine did not begin.
+func isRefusal(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError ||
+		status == http.StatusServiceUnavailable
+}
+
+func streamFault(stage int, err error) *fault {
+	var broken *engine.StreamError
+	if errors.As(err, &broken) && broken.Silent {
+		return &fault{stage: stage, kind: faultSilent, cause: err}
+	}
+	return &fault{stage: stage, kind: faultBroken, cause: err}
+}
--- /dev/null
+++ b/internal/generation/settings.go
@@ -0,0 +1,66 @@
+package generation
+
+import "time"
+
+// The defaults of Settings.
+const (
+	DefaultOpenTimeout    = 2 * time.Second
+	DefaultReproveTimeout = 300 * time.Millisecond
+	DefaultFirstToken     = 10 * time.Second
+	DefaultBetweenTokens  = 2 * time.Second
+	DefaultCancelTimeout  = time.Second
+	DefaultRetryPause     = 50 * time.Millisecond
+	DefaultMaxRetryPause  = time.Second
+	DefaultMaxRecoveries  = 8
+	DefaultMaxEpochs      = 64
+	DefaultMaxCancels     = 256
+)
+
+// Settings bound what a run may take. A zero field takes its default.
+type Settings struct {
+	// OpenTimeout bounds the opening of one stage.
+	OpenTimeout time.Duration
+	// ReproveTimeout bounds the opening of a stage whose last stream went silent.
+	ReproveTimeout time.Duration
+	// FirstToken bounds the wait for an epoch's first token, replay included.
+	FirstToken time.Duration
+	// BetweenTokens bounds the wait for each token after it.
+	BetweenTokens time.Duration
+	// CancelTimeout bounds the cancel of an old epoch.
+	CancelTimeout time.Duration
+	// RetryPause is waited before excluded targets are tried again; it doubles up to
+	// MaxRetryPause.
+	RetryPause    time.Duration
+	MaxRetryPause time.Duration
+	// MaxRecoveries bounds the failures that one run gets over.
+	MaxRecoveries int
+	// MaxEpochs bounds failures and preemptions together.
+	MaxEpochs int
+	// MaxCancels bounds the cancels of old epochs under way on this VM.
+	MaxCancels int
+	// OnRecovered, when not nil, is told how long each recovery took, from the moment
+	// that a stage failed to the next token.
+	OnRecovered func(took time.Duration)
+}
+
+// WithDefaults returns s with its zero fields filled in.
+func (s Settings) WithDefaults() Settings {
+	orDefault(&s.OpenTimeout, DefaultOpenTimeout)
+	orDefault(&s.ReproveTimeout, DefaultReproveTimeout)
+	orDefault(&s.FirstToken, DefaultFirstToken)
+	orDefault(&s.BetweenTokens, DefaultBetweenTokens)
+	orDefault(&s.CancelTimeout, DefaultCancelTimeout)
+	orDefault(&s.RetryPause, DefaultRetryPause)
+	orDefault(&s.MaxRetryPause, DefaultMaxRetryPause)
+	orDefault(&s.MaxRecoveries, DefaultMaxRecoveries)
+	orDefault(&s.MaxEpochs, DefaultMaxEpochs)
+	orDefault(&s.MaxCancels, DefaultMaxCancels)
+	return s
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/generation/stats.go
@@ -0,0 +1,46 @@
+package generation
+
+import "sync/atomic"
+
+// Stats counts what a Runner met, for the dump and the metrics.
+type Stats struct {
+	// Running is the runs in hand.
+	Running int64 `json:"running"`
+	// Committed counts tokens given to sinks.
+	Committed uint64 `json:"committed"`
+	// Recoveries counts failures that a run went on after.
+	Recoveries uint64 `json:"recoveries"`
+	// Preemptions counts preempted epochs.
+	Preemptions uint64 `json:"preemptions"`
+	// Reproved counts stages that were opened again because their stream went silent.
+	Reproved uint64 `json:"reproved"`
+	// StaleEvents counts events of an older epoch, Duplicates repeated positions of
+	// the present one; both were dropped.
+	StaleEvents uint64 `json:"staleEvents"`
+	Duplicates  uint64 `json:"duplicates"`
+	// CancelsFailed counts cancels of old epochs that got no answer in time, and
+	// CancelsSkipped those that were not sent because too many were under way.
+	CancelsFailed  uint64 `json:"cancelsFailed"`
+	CancelsSkipped uint64 `json:"cancelsSkipped"`
+}
+
+type counters struct {
+	running                            atomic.Int64
+	committed, recoveries, preemptions atomic.Uint64
+	reproved, staleEvents, duplicates  atomic.Uint64
+	cancelsFailed, cancelsSkipped      atomic.Uint64
+}
+
+func (c *counters) stats() Stats {
+	return Stats{
+		Running:        c.running.Load(),
+		Committed:      c.committed.Load(),
+		Recoveries:     c.recoveries.Load(),
+		Preemptions:    c.preemptions.Load(),
+		Reproved:       c.reproved.Load(),
+		StaleEvents:    c.staleEvents.Load(),
+		Duplicates:     c.duplicates.Load(),
+		CancelsFailed:  c.cancelsFailed.Load(),
+		CancelsSkipped: c.cancelsSkipped.Load(),
+	}
+}
