Add membership and peer, thin

Whole nodes run over in-memory connections in virtual time; a change on six of them is in force on all and the origin knows it.

--- /dev/null
+++ b/internal/membership/listing.go
@@ -0,0 +1,36 @@
+package membership
+
+import (
+	"time"
+
+	"geraniumcroft/internal/platform"
+)
+
+// RoleEntry is the role of the system's own VMs in the platform's list.
+const RoleEntry = "entry"
+
+// UpdateListed takes the platform's list. It lags, so it can only add: VMs to
+// probe, and VMs that were dead and forgotten and come back under a new address.
+func (t *Table) UpdateListed(vms []platform.VM, now time.Time) {
+	for _, m := range t.members {
+		m.Listed, m.ListedLeaving = false, false
+	}
+	for _, vm := range vms {
+		t.listOne(vm, now)
+	}
+}
+
+func (t *Table) listOne(vm platform.VM, now time.Time) {
+	if vm.Role != RoleEntry || vm.Name == t.self.Name || vm.PeerAddress == "" {
+		return
+	}
+	m := t.members[vm.Name]
+	if m == nil {
+		m = &Member{Name: vm.Name, Address: vm.PeerAddress, DataCentre: vm.DataCentre, Since: now}
+		t.members[vm.Name] = m
+	}
+	m.Listed, m.ListedLeaving = true, vm.Leaving
+	if m.Heard.IsZero() || !m.MayServe() {
+		m.Address, m.DataCentre = vm.PeerAddress, vm.DataCentre
+	}
+}
--- /dev/null
+++ b/internal/peer/fleet_test.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/membership"
+)
+
+// fleet is a number of whole nodes in one process, in virtual time.
+type fleet struct {
+	t       testing.TB
+	network *network
+	vms     map[string]*testVM
+	order   []string
+}
+
+type testVM struct {
+	name  string
+	store *memoryStore
+	node  *Node
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+func newFleet(t testing.TB, size int, s Settings) *fleet {
+	f := &fleet{t: t, network: newNetwork(), vms: map[string]*testVM{}}
+	for i := range size {
+		f.start(vmName(i), newMemoryStore(), s)
+	}
+	return f
+}
+
+func vmName(i int) string { return fmt.Sprintf("vm-%03d", i) }
+
+func (f *fleet) start(name string, store *memoryStore, s Settings) *testVM {
+	vm := &testVM{name: name, store: store, done: make(chan struct{})}
+	vm.node = New(Options{
+		VM: name, DataCentre: "hall-a", Address: name, Seeds: []string{vmName(0), vmName(1)},
+		Store: store, Invariants: invariant.Strict(), Settings: s, Dial: f.network.dialFrom(name),
+	})
+	lis := f.network.listen(name)
+	var ctx context.Context
+	ctx, vm.stop = context.WithCancel(context.Background())
+	go func() { _ = vm.node.Serve(lis) }()
+	go func() {
+		defer close(vm.done)
+		vm.node.Run(ctx)
+	}()
+	f.vms[name] = vm
+	f.order = append(f.order, name)
+	return vm
+}
+
+// kill ends a VM without a word.
+func (f *fleet) kill(name string) {
+	f.network.setCut(func(from, to string) bool { return from == name || to == name })
+	vm := f.vms[name]
+	vm.stop()
+	<-vm.done
+	vm.node.Stop()
+	delete(f.vms, name)
+}
+
+func (f *fleet) stop() {
+	for _, vm := range f.vms {
+		vm.stop()
+	}
+	for _, vm := range f.vms {
+		<-vm.done
+		vm.node.Stop()
+	}
+}
+
+func (f *fleet) vm(i int) *testVM { return f.vms[vmName(i)] }
+
+// within polls in virtual time until the condition holds.
+func (f *fleet) within(bound time.Duration, what string, holds func() bool) {
+	f.t.Helper()
+	const step = 10 * time.Millisecond
+	for range bound / step {
+		if holds() {
+			return
+		}
+		time.Sleep(step)
+	}
+	f.t.Fatalf("not within %v of virtual time: %s", bound, what)
+}
+
+func (f *fleet) joined(size int) func() bool {
+	return func() bool {
+		for _, vm := range f.vms {
+			if vm.node.PeerCount() != size-1 {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (f *fleet) allAt(version uint64) func() bool {
+	return func() bool {
+		for _, vm := range f.vms {
+			if vm.store.Current().Version < version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (f *fleet) state(on, of string) membership.State {
+	for _, m := range f.vms[on].node.Members() {
+		if m.Name == of {
+			return m.State
+		}
+	}
+	return membership.Left
+}
+
+func (vm *testVM) change(name string) uint64 {
+	changes := vm.store.commit(name)
+	vm.node.Announce(changes)
+	return changes[0].Version
+}
+
+var _ ConfigStore = (*memoryStore)(nil)
