Prove keyed claims and the platform client against faults

Failure tests for lost answers, late writes, outages and silent connections, and history checks with porcupine over 40 fixed seeds, grouped and not. Two planted faults, unconditional rows and a write in doubt taken for written, are caught by the checker.

Each request to a service is now bounded by itself, so that a silent one leaves time to read back.

--- /dev/null
+++ b/internal/claim/history_test.go
@@ -0,0 +1,234 @@
+package claim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/standin/platformsim"
+)
+
+const (
+	historyVMs      = 3
+	historyClients  = 6
+	historyAttempts = 12
+	historyKeys     = 4
+	historySeeds    = 40
+)
+
+// attemptInput is one arrival of a keyed request at some VM.
+type attemptInput struct {
+	key int
+}
+
+// attemptOutput is what became of it.
+type attemptOutput struct {
+	// executed says that the target ran it.
+	executed bool
+	// told is what its caller was told.
+	told outcome.Outcome
+}
+
+// keyState is the specification's state of one key.
+type keyState struct {
+	executed bool
+	notRun   bool
+}
+
+// claimModel says what callers may see: a key is executed at most once, complete is
+// only said of a key that was executed, and not-run is final.
+var claimModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := make([][]porcupine.Operation, historyKeys)
+		for _, op := range history {
+			key := op.Input.(attemptInput).key
+			parts[key] = append(parts[key], op)
+		}
+		return parts
+	},
+	Init: func() any { return keyState{} },
+	Step: func(state, _, output any) (bool, any) { return stepClaim(state.(keyState), output.(attemptOutput)) },
+}
+
+func stepClaim(state keyState, output attemptOutput) (bool, any) {
+	if output.executed {
+		if state.executed || state.notRun {
+			return false, state
+		}
+		state.executed = true
+	}
+	switch output.told {
+	case outcome.Complete:
+		return state.executed, state
+	case outcome.NotRun:
+		state.notRun = true
+		return !state.executed, state
+	default:
+		return true, state
+	}
+}
+
+// history collects what concurrent callers saw.
+type history struct {
+	mu  sync.Mutex // guards ops
+	ops []porcupine.Operation
+}
+
+func (h *history) add(client int, key int, call time.Time, output attemptOutput) {
+	op := porcupine.Operation{
+		ClientId: client,
+		Input:    attemptInput{key: key},
+		Call:     call.UnixNano(),
+		Output:   output,
+		Return:   time.Now().UnixNano(),
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, op)
+}
+
+// runHistory lets clients send keyed requests to random VMs over a table with random
+// faults, in virtual time, and returns what they saw.
+func runHistory(t *testing.T, seed uint64, settings Settings, plant func(*Claims)) []porcupine.Operation {
+	t.Helper()
+	var collected history
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		store.Faults.Choose(randomFaults(seed))
+		var vms []*Claims
+		for n := range historyVMs {
+			limits := resilient.Settings{VMs: 1, WritesPerSecond: 1e4, ReadsPerSecond: 1e4, FailuresToOpen: 5}
+			client := resilient.New(store, store, store, limits)
+			defer client.Close()
+			v := New(client, fmt.Sprint("vm-", n), settings, invariant.Strict())
+			if plant != nil {
+				plant(v)
+			}
+			vms = append(vms, v)
+		}
+		var clients sync.WaitGroup
+		for client := range historyClients {
+			clients.Go(func() { runClient(t, seed, client, vms, &collected) })
+		}
+		clients.Wait()
+		time.Sleep(time.Hour) // late writes land before the bubble ends
+	})
+	return collected.ops
+}
+
+// randomFaults loses, delays, refuses or slows about a third of the operations.
+func randomFaults(seed uint64) platformsim.Chooser {
+	random := rand.New(rand.NewPCG(seed, 0))
+	return func(platformsim.Operation) platformsim.Action {
+		wait := time.Duration(random.IntN(8000)) * time.Millisecond
+		switch random.IntN(16) {
+		case 0, 1:
+			return platformsim.Action{Kind: platformsim.ActLoseAnswer}
+		case 2:
+			return platformsim.Action{Kind: platformsim.ActDelay, Wait: wait}
+		case 3:
+			return platformsim.Action{Kind: platformsim.ActUnavailable}
+		case 4:
+			return platformsim.Action{Kind: platformsim.ActSlow, Wait: wait / 4}
+		default:
+			return platformsim.Action{Wait: time.Millisecond}
+		}
+	}
+}
+
+func runClient(t *testing.T, seed uint64, client int, vms []*Claims, into *history) {
+	random := rand.New(rand.NewPCG(seed, uint64(client+1)))
+	for attempt := range historyAttempts {
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		key := random.IntN(historyKeys)
+		id := fmt.Sprintf("c%d-%d", client, attempt)
+		call := time.Now()
+		output := runAttempt(t, random, vms[random.IntN(len(vms))], key, id)
+		into.add(client, key, call, output)
+	}
+}
+
+// runAttempt does what the router does with a keyed request. Of those that it may
+// run it refuses some, and dies before the end of some.
+func runAttempt(t *testing.T, random *rand.Rand, v *Claims, key int, id string) attemptOutput {
+	k := Key{Workspace: "w", Profile: "p", Key: fmt.Sprint(key)}
+	decision := v.Claim(t.Context(), k, id, testDigest, time.Now().Add(testDeadline))
+	switch {
+	case decision.Replay != nil:
+		return attemptOutput{told: outcome.Complete}
+	case decision.Failure != nil:
+		return attemptOutput{told: decision.Failure.Outcome}
+	}
+	switch random.IntN(4) {
+	case 0:
+		if v.Finish(t.Context(), k, id, outcome.NotRun, nil) != nil {
+			return attemptOutput{told: outcome.Unknown}
+		}
+		return attemptOutput{told: outcome.NotRun}
+	case 1:
+		return attemptOutput{executed: true, told: outcome.Unknown} // the VM dies
+	default:
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		// The caller has its answer whether or not the end can be written.
+		_ = v.Finish(t.Context(), k, id, outcome.Complete, &Answer{Status: 200})
+		return attemptOutput{executed: true, told: outcome.Complete}
+	}
+}
+
+// Callers send copies of keyed requests to several VMs while the table loses answers,
+// applies writes late, refuses and slows. Whatever order of events explains what they
+// saw, each key was executed at most once and not-run was final.
+func TestHistoryOfConcurrentClaims(t *testing.T) {
+	for _, ungrouped := range []bool{false, true} {
+		executions, refusals := 0, 0
+		for seed := range uint64(historySeeds) {
+			ops := runHistory(t, seed, Settings{Ungrouped: ungrouped}, nil)
+			if !porcupine.CheckOperations(claimModel, ops) {
+				t.Fatalf("ungrouped=%t seed %d: the history breaks the specification", ungrouped, seed)
+			}
+			for _, op := range ops {
+				output := op.Output.(attemptOutput)
+				executions += toInt(output.executed)
+				refusals += toInt(output.told == outcome.NotRun)
+			}
+		}
+		t.Logf("ungrouped=%t: %d executions, %d not-run in %d histories", ungrouped, executions, refusals, historySeeds)
+		if executions < historySeeds || refusals < historySeeds {
+			t.Fatal("the runs are too poor to show anything")
+		}
+	}
+}
+
+func toInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// The checker must object once a safeguard is gone: the condition on the rows, or the
+// rule that a write in doubt is not taken for written, for claims and tombstones.
+func TestHistoryCheckerCatchesPlantedFaults(t *testing.T) {
+	plants := map[string]func(*Claims){
+		"unconditional claims":             func(c *Claims) { c.writer = &unconditionalWriter{table: c.table} },
+		"write in doubt taken for written": func(c *Claims) { c.writer = &optimisticWriter{inner: c.writer} },
+	}
+	for name, plant := range plants {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(historySeeds) {
+				if !porcupine.CheckOperations(claimModel, runHistory(t, seed, Settings{}, plant)) {
+					return
+				}
+			}
+			t.Fatal("no history objects to the planted fault")
+		})
+	}
+}
--- a/internal/platform/resilient/circuit.go
+++ b/internal/platform/resilient/circuit.go
@@ -22,6 +22,7 @@
 	probe    func(ctx context.Context) error
 	interval time.Duration
 	timeout  time.Duration
+	attempt  time.Duration
 	counters *counters
 
 	mu      sync.Mutex // guards the fields below
@@ -32,7 +33,13 @@
 }
 
 func newCircuit(name string, s Settings, counters *counters, probe func(context.Context) error) *circuit {
-	c := &circuit{probe: probe, interval: s.ProbeInterval, timeout: s.ProbeTimeout, counters: counters}
+	c := &circuit{
+		probe:    probe,
+		interval: s.ProbeInterval,
+		timeout:  s.ProbeTimeout,
+		attempt:  s.AttemptTimeout,
+		counters: counters,
+	}
 	c.stopCtx, c.stop = context.WithCancel(context.Background())
 	c.breaker = gobreaker.NewCircuitBreaker[struct{}](gobreaker.Settings{
 		Name:    name,
@@ -48,24 +55,30 @@
 }
 
 // do runs one request to the service, or fails at once while it is down.
-func (c *circuit) do(ctx context.Context, operation string, request func() error) error {
-	if c.breaker.State() != gobreaker.StateClosed {
+func (c *circuit) do(ctx context.Context, operation string, request func(context.Context) error) error {
+	if !c.healthy() {
 		return c.refuse(operation, errDown)
 	}
-	start := time.Now()
 	_, err := c.breaker.Execute(func() (struct{}, error) {
-		err := request()
-		if err != nil && ctx.Err() != nil && time.Since(start) < fairChance {
-			err = &impatientError{cause: err}
-		}
-		return struct{}{}, err
+		return struct{}{}, c.ask(ctx, request)
 	})
+	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
+		return c.refuse(operation, err)
+	}
 	var impatient *impatientError
 	if errors.As(err, &impatient) {
 		return impatient.cause
 	}
-	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
-		return c.refuse(operation, err)
+	return err
+}
+
+func (c *circuit) ask(ctx context.Context, request func(context.Context) error) error {
+	start := time.Now()
+	attempt, cancel := context.WithTimeout(ctx, c.attempt)
+	defer cancel()
+	err := request(attempt)
+	if err != nil && ctx.Err() != nil && time.Since(start) < fairChance {
+		return &impatientError{cause: err}
 	}
 	return err
 }
--- /dev/null
+++ b/internal/platform/resilient/client_test.go
@@ -0,0 +1,237 @@
+package resilient_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/standin/platformsim"
+)
+
+func wrap(t *testing.T, store *platformsim.Store, settings resilient.Settings) *resilient.Client {
+	t.Helper()
+	client := resilient.New(store, store, store, settings)
+	t.Cleanup(client.Close)
+	return client
+}
+
+func create(id, key string) platform.Txn {
+	return platform.Txn{
+		ID:         id,
+		Conditions: []platform.Condition{{Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: []byte(id)}},
+	}
+}
+
+// The writer is told that its commit took effect although the answer was lost: the
+// row that is read back carries the transaction's ID, so nothing is sent again.
+func TestLostAnswerIsResolvedByReadingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		client := wrap(t, store, resilient.Settings{})
+		store.Faults.Set(platformsim.Order{LoseAnswers: 1})
+		if err := client.Commit(t.Context(), create("t", "a")); err != nil {
+			t.Fatal(err)
+		}
+		if commits, _ := store.Counts(); commits != 1 {
+			t.Fatalf("the service saw %d commits, want 1", commits)
+		}
+	})
+}
+
+// The writer's commit is late: it takes effect long after the attempt ran out. The
+// row read back still holds the condition, so the same transaction is sent again and
+// takes effect; the late copy is refused by the condition. The row is written once.
+func TestLateCommitTakesEffectOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		client := wrap(t, store, resilient.Settings{})
+		late := 20 * time.Second
+		store.Faults.Set(platformsim.Order{DelayCommits: 1, DelayBy: durationOf(late)})
+		if err := client.Commit(t.Context(), create("t", "a")); err != nil {
+			t.Fatal(err)
+		}
+		before, err := client.Get(t.Context(), "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * late)
+		after, err := client.Get(t.Context(), "a")
+		if err != nil || after[0].Revision != before[0].Revision {
+			t.Fatalf("row went from revision %d to %d, %v", before[0].Revision, after[0].Revision, err)
+		}
+		if commits, _ := store.Counts(); commits != 2 {
+			t.Fatalf("the service saw %d commits, want both copies", commits)
+		}
+	})
+}
+
+// The writer's answer is lost, and before it reads back another writer changes the
+// row. Whether the first write took effect cannot be seen from the rows: without a
+// witness the writer is told ambiguous, and with one it is told what the witness says.
+func TestOverwrittenCommitNeedsAWitness(t *testing.T) {
+	witness := func(verdict platform.Verdict) platform.Witness {
+		return func([]platform.Row) platform.Verdict { return verdict }
+	}
+	cases := []struct {
+		name    string
+		witness platform.Witness
+		want    error
+	}{
+		{"none", nil, platform.ErrAmbiguous},
+		{"unknown", witness(platform.VerdictUnknown), platform.ErrAmbiguous},
+		{"committed", witness(platform.VerdictCommitted), nil},
+		{"refused", witness(platform.VerdictRefused), platform.ErrRefused},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformsim.NewStore()
+				raced := &overwriter{Store: store}
+				client := resilient.New(raced, store, store, resilient.Settings{})
+				defer client.Close()
+				store.Faults.Set(platformsim.Order{LoseAnswers: 1})
+				txn := create("t", "a")
+				txn.Witness = c.witness
+				if err := client.Commit(t.Context(), txn); !errors.Is(err, c.want) {
+					t.Fatalf("got %v, want %v", err, c.want)
+				}
+			})
+		})
+	}
+}
+
+// overwriter changes row a between a commit and the next read.
+type overwriter struct {
+	*platformsim.Store
+	done bool
+}
+
+func (o *overwriter) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	rows, err := o.Store.Get(ctx, keys...)
+	if err != nil || o.done {
+		return rows, err
+	}
+	o.done = true
+	other := create("other", "a")
+	other.Conditions[0].Revision = rows[0].Revision
+	if err := o.Store.Commit(ctx, other); err != nil {
+		return nil, err
+	}
+	return o.Store.Get(ctx, keys...)
+}
+
+// The store hangs. The first few callers each pay an attempt's bound; from then on
+// callers are refused at once, without a request to the store and without using up the
+// rate budget, and one prober asks. When the store is back callers need not notice.
+func TestOutageCostsNothingPerRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		counted := &countingTable{Store: store}
+		client := resilient.New(counted, store, store, resilient.Settings{})
+		defer client.Close()
+		store.Faults.Set(platformsim.Order{Outage: platformsim.OutageHang})
+		for range resilient.DefaultFailuresToOpen {
+			_, _ = client.Get(t.Context(), "a")
+		}
+		if client.Healthy() {
+			t.Fatal("the table hangs and is taken for up")
+		}
+		asked, began := counted.calls.Load(), time.Now()
+		for range 1000 {
+			if _, err := client.Get(t.Context(), "a"); !errors.Is(err, platform.ErrUnavailable) {
+				t.Fatalf("got %v, want unavailable", err)
+			}
+			if err := client.Commit(t.Context(), create("t", "a")); !errors.Is(err, platform.ErrUnavailable) {
+				t.Fatalf("got %v, want unavailable", err)
+			}
+		}
+		if counted.calls.Load() != asked || !time.Now().Equal(began) {
+			t.Fatalf("2000 callers made %d requests and waited %v", counted.calls.Load()-asked, time.Since(began))
+		}
+		store.Faults.Set(platformsim.Order{})
+		time.Sleep(2 * (resilient.DefaultProbeInterval + resilient.DefaultProbeTimeout))
+		if err := client.Commit(t.Context(), create("t", "a")); err != nil {
+			t.Fatalf("after the outage: %v", err)
+		}
+	})
+}
+
+type countingTable struct {
+	*platformsim.Store
+	calls atomic.Int64
+}
+
+func (c *countingTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	c.calls.Add(1)
+	return c.Store.Get(ctx, keys...)
+}
+
+func (c *countingTable) Commit(ctx context.Context, txn platform.Txn) error {
+	c.calls.Add(1)
+	return c.Store.Commit(ctx, txn)
+}
+
+// Callers with almost no time left give up on a store that is well. Were they to
+// count, a few of them would cut everyone off.
+func TestImpatientCallersDoNotOpenTheCircuit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		client := wrap(t, store, resilient.Settings{})
+		store.Faults.Set(platformsim.Order{SlowBy: durationOf(20 * time.Millisecond)})
+		for range 2 * resilient.DefaultFailuresToOpen {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			_, _ = client.Get(ctx, "a")
+			cancel()
+		}
+		if !client.Healthy() {
+			t.Fatal("callers without time made a healthy table count as down")
+		}
+	})
+}
+
+// A caller's urgent read is answered while a long line of background reads waits for
+// the rate budget: the two draw on separate lanes.
+func TestUrgentDoesNotWaitBehindBackground(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		client := wrap(t, store, resilient.Settings{Timeout: time.Hour})
+		var background atomic.Int64
+		const line = 2000
+		for range line {
+			go func() {
+				_, _ = client.Get(t.Context(), "a")
+				background.Add(1)
+			}()
+		}
+		synctest.Wait()
+		began := time.Now()
+		if _, err := client.Get(platform.WithLane(t.Context(), platform.LaneUrgent), "a"); err != nil {
+			t.Fatal(err)
+		}
+		if waited := time.Since(began); waited != 0 || background.Load() == line {
+			t.Fatalf("urgent read waited %v, %d of %d background reads were first", waited, background.Load(), line)
+		}
+		time.Sleep(time.Hour)
+	})
+}
+
+// Without a condition on its first row a commit sent twice could take effect twice.
+func TestCommitWithoutConditionIsNotSent(t *testing.T) {
+	store := platformsim.NewStore()
+	client := wrap(t, store, resilient.Settings{})
+	txn := create("t", "a")
+	txn.Conditions[0].Key = "b"
+	var invalid *platform.InvalidTxnError
+	if err := client.Commit(t.Context(), txn); !errors.As(err, &invalid) {
+		t.Fatalf("got %v, want it invalid", err)
+	}
+	if commits, _ := store.Counts(); commits != 0 {
+		t.Fatal("it was sent")
+	}
+}
--- a/internal/platform/resilient/commit.go
+++ b/internal/platform/resilient/commit.go
@@ -38,7 +38,7 @@
 	if err := c.spend(ctx, c.writes, c.table, "commit"); err != nil {
 		return err
 	}
-	err := c.table.do(ctx, "commit", func() error {
+	err := c.table.do(ctx, "commit", func(ctx context.Context) error {
 		c.counters.commits.Add(1)
 		return c.rawTable.Commit(ctx, txn)
 	})
--- a/internal/platform/resilient/reads.go
+++ b/internal/platform/resilient/reads.go
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	var rows []platform.Row
-	err := c.table.do(ctx, operation, func() error {
+	err := c.table.do(ctx, operation, func(ctx context.Context) error {
 		c.counters.reads.Add(1)
 		var err error
 		rows, err = read(ctx)
@@ -43,7 +43,7 @@
 	if err := c.spend(ctx, c.writes, c.objects, "put object"); err != nil {
 		return err
 	}
-	return c.objects.do(ctx, "put object", func() error { return c.rawObjects.Put(ctx, name, body) })
+	return c.objects.do(ctx, "put object", func(ctx context.Context) error { return c.rawObjects.Put(ctx, name, body) })
 }
 
 // Fetch implements platform.Objects.
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	var body []byte
-	err := c.objects.do(ctx, "fetch object", func() error {
+	err := c.objects.do(ctx, "fetch object", func(ctx context.Context) error {
 		var err error
 		body, err = c.rawObjects.Fetch(ctx, name)
 		return err
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	var vms []platform.VM
-	err := c.vmList.do(ctx, "list VMs", func() error {
+	err := c.vmList.do(ctx, "list VMs", func(ctx context.Context) error {
 		var err error
 		vms, err = c.rawVMList.VMs(ctx)
 		return err
--- a/internal/platform/resilient/settings.go
+++ b/internal/platform/resilient/settings.go
@@ -16,6 +16,7 @@
 	DefaultUrgentReadShare  = 0.5
 	DefaultBurst            = 16
 	DefaultTimeout          = 5 * time.Second
+	DefaultAttemptTimeout   = time.Second
 	DefaultFailuresToOpen   = 3
 	DefaultProbeInterval    = 500 * time.Millisecond
 	DefaultProbeTimeout     = time.Second
@@ -38,6 +39,9 @@
 	Burst int
 	// Timeout bounds an operation whose context has no earlier deadline.
 	Timeout time.Duration
+	// AttemptTimeout bounds each request to a service, so that a silent one leaves
+	// time to resolve a lost answer.
+	AttemptTimeout time.Duration
 	// FailuresToOpen is how many failures in a row take a service for down.
 	FailuresToOpen int
 	// ProbeInterval is the time between probes of a service that is down, and
@@ -58,6 +62,7 @@
 	defaultTo(&s.UrgentReadShare, DefaultUrgentReadShare)
 	defaultTo(&s.Burst, DefaultBurst)
 	defaultTo(&s.Timeout, DefaultTimeout)
+	defaultTo(&s.AttemptTimeout, DefaultAttemptTimeout)
 	defaultTo(&s.FailuresToOpen, DefaultFailuresToOpen)
 	defaultTo(&s.ProbeInterval, DefaultProbeInterval)
 	defaultTo(&s.ProbeTimeout, DefaultProbeTimeout)
