--- /dev/null
+++ b/internal/telemetry/log_test.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/outcome"
+)
+
+func newTestLog(t *testing.T, out io.Writer) *Log {
+	t.Helper()
+	log, err := NewLog(LogOptions{Level: "info", Format: "json", Out: out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return log
+}
+
+func TestSecretIsNeverPrinted(t *testing.T) {
+	const plain = "tok-4711"
+	secret := NewSecret(plain)
+	var out bytes.Buffer
+	log := newTestLog(t, &out)
+	log.Info("m", zap.Any("a", secret), zap.Reflect("b", struct{ S Secret }{secret}), zap.Stringer("c", secret), zap.Any("d", map[Secret]Secret{secret: secret}))
+	log.Close()
+	encoded, err := json.Marshal(map[Secret]any{secret: []Secret{secret}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	printed := out.String() + string(encoded) + fmt.Sprintf("%v %s %q %x %d %#v %+v", secret, secret, secret, secret, secret, secret, struct{ S Secret }{secret})
+	if strings.Contains(printed, plain) || strings.Contains(printed, fmt.Sprintf("%x", plain)) {
+		t.Errorf("the secret is in %s", printed)
+	}
+	if strings.Count(printed, redacted) < 10 {
+		t.Errorf("too few marks in %s", printed)
+	}
+	if secret.Reveal() != plain {
+		t.Error("Reveal lost the secret")
+	}
+}
+
+// stalledWriter blocks each write until it is released.
+type stalledWriter struct{ release chan struct{} }
+
+func (w *stalledWriter) Write(b []byte) (int, error) {
+	<-w.release
+	return len(b), nil
+}
+
+// The log's reader stalls, as a full pipe does. Whoever logs goes on at once, the
+// lines that do not fit the queue are lost and counted; with direct writes the
+// first line would hold up its request, and the next ones theirs.
+func TestStalledLogHoldsNobodyUp(t *testing.T) {
+	out := &stalledWriter{release: make(chan struct{})}
+	writer := NewAsyncWriter(out)
+	for range queuedLines + 10 {
+		if _, err := writer.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if dropped := writer.Dropped(); dropped < 9 || dropped > 10 {
+		t.Errorf("%d lines dropped, want the 9 or 10 beyond the queue and the writer", dropped)
+	}
+	close(out.release)
+	writer.Close()
+}
+
+func TestLogEnd(t *testing.T) {
+	var out bytes.Buffer
+	log := newTestLog(t, &out)
+	LogEnd(log.Logger, RequestEnd{RequestID: "r1", Outcome: outcome.Complete})
+	LogEnd(log.Logger, RequestEnd{RequestID: "r2", Outcome: outcome.NotRun, Reason: outcome.ReasonDeadline, Took: time.Second})
+	LogEnd(log.Logger, RequestEnd{RequestID: "r3", Outcome: outcome.Unknown, Cause: io.EOF})
+	log.Close()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 2 || !strings.Contains(lines[0], `"requestId":"r2"`) || !strings.Contains(lines[1], `"requestId":"r3"`) {
+		t.Errorf("lines %q", lines)
+	}
+}
+
+// Ten thousand refusals in a burst leave a sample of lines, not ten thousand.
+func TestLogIsSampledUnderLoad(t *testing.T) {
+	var out bytes.Buffer
+	log := newTestLog(t, &out)
+	for range 10000 {
+		LogEnd(log.Logger, RequestEnd{RequestID: "r", Outcome: outcome.NotRun})
+	}
+	log.Close()
+	if lines := strings.Count(out.String(), "\n"); lines < sampleFirst || lines > 2000 {
+		t.Errorf("%d lines", lines)
+	}
+}
