Review queues by a timer, share a full queue, test admission in virtual time

A pool whose targets stand still was never woken, so its requests waited for their deadline although it was lost; a timer now reviews non-empty queues. A full queue takes from the workspace that holds the most for its weight. Bulk gets a bounded turn behind normal work.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,233 @@
+package admission
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/outcome"
+)
+
+// A request whose deadline the queue cannot meet is refused in the instant of its
+// arrival: the rate of the queue is known from what started before, and what is
+// ahead of it would take longer than it has. One with enough time is queued.
+func TestHopelessDeadlineIsRefusedOnArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{}, 1)
+		due := time.Now().Add(30 * time.Second)
+		for i := range 29 {
+			go f.serve(&Request{ID: fmt.Sprint(i), Workspace: "w", Deadline: due}, time.Second)
+		}
+		time.Sleep(10*time.Second + time.Millisecond)
+		arrival := time.Now()
+		err := f.admit(context.Background(), &Request{Workspace: "w", Deadline: arrival.Add(15 * time.Second)})
+		if reason := reasonOf(t, err); reason != outcome.ReasonDeadline || time.Now() != arrival {
+			t.Fatalf("refused for %s after %s, want deadline at once", reason, time.Since(arrival))
+		}
+		if failure := err.(*outcome.Failure); failure.RetryAfter < 15*time.Second || failure.RetryAfter > 25*time.Second {
+			t.Errorf("retry after %s, want about the 18 s that the queue needs", failure.RetryAfter)
+		}
+		if err := f.admit(context.Background(), &Request{Workspace: "w", Deadline: arrival.Add(25 * time.Second)}); err != nil {
+			t.Errorf("a request with time enough was refused: %v", err)
+		}
+	})
+}
+
+// stalledRefusal returns how long a queued request waited for its refusal after
+// all targets had stopped.
+func stalledRefusal(t *testing.T, s Settings) (waited time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(s, 1)
+		for i := range 40 {
+			go f.serve(&Request{ID: fmt.Sprint(i), Workspace: "w"}, 100*time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		f.setSlots(0)
+		queued := time.Now()
+		err := f.admit(context.Background(), &Request{Workspace: "w", Deadline: queued.Add(time.Minute)})
+		waited = time.Since(queued)
+		if reason := reasonOf(t, err); reason != outcome.ReasonDeadline {
+			t.Errorf("refused for %s", reason)
+		}
+		f.setSlots(40)
+		time.Sleep(time.Minute)
+	})
+	return waited
+}
+
+// The targets die while a request is queued. Nothing ends any more, so nothing
+// wakes the pool; the caller is still told not-run as soon as the time that the
+// queue stands still shows that its deadline is lost, and not at its deadline.
+func TestQueuedRequestIsRefusedOnceItsDeadlineIsLost(t *testing.T) {
+	if waited := stalledRefusal(t, Settings{}); waited > 50*time.Second {
+		t.Errorf("refused after %s, near its deadline", waited)
+	}
+	if waited := stalledRefusal(t, Settings{faults: faults{noReview: true}}); waited < time.Minute {
+		t.Errorf("refused after %s although nothing looked at the queue", waited)
+	}
+}
+
+// The queue is full of bulk. An urgent request is queued at once all the same, and
+// the bulk request that came last is told not-run; another bulk one is refused.
+func TestUrgentTakesThePlaceOfTheNewestBulk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{MaxQueued: 2}, 0)
+		first := f.queueUp(&Request{ID: "first", Workspace: "a"})
+		second := f.queueUp(&Request{ID: "second", Workspace: "a"})
+		third := f.queueUp(&Request{ID: "third", Workspace: "a"})
+		if reason := reasonOf(t, <-third); reason != outcome.ReasonOverloaded {
+			t.Errorf("third bulk request: %s", reason)
+		}
+		urgent := f.queueUp(&Request{ID: "urgent", Workspace: "b", Urgency: config.Urgent})
+		if reason := reasonOf(t, <-second); reason != outcome.ReasonOverloaded {
+			t.Errorf("newest bulk request: %s", reason)
+		}
+		f.setSlots(3)
+		if err := <-urgent; err != nil {
+			t.Error(err)
+		}
+		if err := <-first; err != nil {
+			t.Error(err)
+		}
+		if got := f.started(); !slices.Equal(got, []string{"urgent", "first"}) {
+			t.Errorf("started %v", got)
+		}
+	})
+}
+
+// A large workspace has filled the queue. A small one's request is not refused
+// for it: the large one, which holds more than its share, loses its newest.
+func TestFullQueueMakesRoomForASmallWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{MaxQueued: 3}, 0)
+		var large []<-chan error
+		for i := range 3 {
+			large = append(large, f.queueUp(&Request{ID: fmt.Sprint(i), Workspace: "large"}))
+		}
+		small := f.queueUp(&Request{ID: "small", Workspace: "small"})
+		reasonOf(t, <-large[2])
+		f.setSlots(10)
+		for _, ended := range []<-chan error{large[0], large[1], small} {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// A preempted stream comes back while the queue of its level is full: it is
+// queued, and goes before those that have not started yet.
+func TestResumedStreamGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{MaxQueued: 1}, 0)
+		fresh := f.queueUp(&Request{ID: "fresh", Workspace: "a"})
+		resumed := f.queueUp(&Request{ID: "resumed", Workspace: "b", Resume: true})
+		f.setSlots(10)
+		if err := <-resumed; err != nil {
+			t.Error(err)
+		}
+		if err := <-fresh; err != nil {
+			t.Error(err)
+		}
+		if got := f.started(); !slices.Equal(got, []string{"resumed", "fresh"}) {
+			t.Errorf("started %v", got)
+		}
+	})
+}
+
+// The caller goes away while its request is queued: its place is free at once and
+// no capacity is taken for it later.
+func TestAbandonedRequestTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{}, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- f.admit(ctx, &Request{ID: "gone", Workspace: "a"}) }()
+		synctest.Wait()
+		cancel()
+		if reason := reasonOf(t, <-ended); reason != outcome.ReasonCallerGone {
+			t.Errorf("reason %s", reason)
+		}
+		f.setSlots(2)
+		if got := f.started(); len(got) != 0 {
+			t.Errorf("started %v", got)
+		}
+	})
+}
+
+// A workspace at its limit is refused; the end of one of its requests, not its
+// start, makes room for the next.
+func TestWorkspaceLimitCountsUntilLeave(t *testing.T) {
+	f := newFakeTargets(Settings{}, 10)
+	request := func() *Request { return &Request{Workspace: "a", MaxInFlight: 1} }
+	first := request()
+	if err := f.admit(context.Background(), first); err != nil {
+		t.Fatal(err)
+	}
+	if reason := reasonOf(t, f.admit(context.Background(), request())); reason != outcome.ReasonWorkspaceLimit {
+		t.Fatalf("reason %s", reason)
+	}
+	f.controller.Leave(first)
+	if err := f.admit(context.Background(), request()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// An urgent request finds no slot. The router hears of it at once and again while
+// it waits, so that it can preempt a bulk stream.
+func TestStarvedIsToldUntilTheUrgentRequestStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{}, 0)
+		calls := 0
+		f.controller.OnStarved(func(pool string, r *Request) {
+			if calls++; calls == 3 {
+				go f.setSlots(1)
+			}
+		})
+		if err := f.admit(context.Background(), &Request{Workspace: "a", Urgency: config.Urgent}); err != nil {
+			t.Fatal(err)
+		}
+		if calls != 3 {
+			t.Errorf("called %d times", calls)
+		}
+	})
+}
+
+// Normal work keeps the pool full. Bulk still gets one start in BulkTurn, but not
+// while an urgent request waits.
+func TestBulkGetsATurnBehindNormalWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{BulkTurn: 4}, 0)
+		for i := range 8 {
+			f.queueUp(&Request{ID: fmt.Sprint("normal", i), Workspace: "a", Urgency: config.Normal})
+		}
+		f.queueUp(&Request{ID: "bulk", Workspace: "b"})
+		f.setSlots(20)
+		f.controller.Wake(testPool)
+		if at := slices.Index(f.started(), "bulk"); at != 4 {
+			t.Errorf("bulk started in place %d of %v", at, f.started())
+		}
+	})
+}
+
+// The operator asks for the state while the queue is full and nothing moves.
+func TestDumpAnswersWhileTheQueueIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{MaxQueued: 2}, 0)
+		f.queueUp(&Request{ID: "a", Workspace: "a"})
+		f.queueUp(&Request{ID: "b", Workspace: "b"})
+		dump := f.controller.Dump().(Dump)
+		if got := dump.Pools[testPool].Levels["bulk"].Queued; got != 2 {
+			t.Errorf("dump shows %d queued", got)
+		}
+		if _, err := json.Marshal(dump); err != nil {
+			t.Error(err)
+		}
+		f.setSlots(10)
+	})
+}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -62,7 +62,12 @@
 	if w == nil {
 		return failure
 	}
-	return p.await(ctx, w, c.starvedBy(r))
+	failure = p.await(ctx, w, c.starvedBy(r))
+	if failure != nil {
+		// The request may have been the one that those behind it waited for.
+		c.Wake(r.Pool)
+	}
+	return failure
 }
 
 func (c *Controller) starvedBy(r *Request) func() {
@@ -114,7 +119,7 @@
 
 // Finished records that a request of the pool ended after that time of service.
 func (c *Controller) Finished(name string, took time.Duration) {
-	c.pool(name).noteFinished(took)
+	c.pool(name).finished(took)
 }
 
 func (c *Controller) pool(name string) *pool {
--- a/internal/admission/counts.go
+++ b/internal/admission/counts.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // counts says how requests left a pool's queue.
 type counts struct {
 	// Direct requests started without waiting, Queued ones after a wait.
@@ -13,4 +15,6 @@
 	Displaced uint64 `json:"displaced"`
 	Expired   uint64 `json:"expired"`
 	Abandoned uint64 `json:"abandoned"`
+	// Service is the average time of service while requests waited.
+	Service time.Duration `json:"serviceNanoseconds"`
 }
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -1,56 +1,49 @@
 package admission
 
-import "time"
+import (
+	"time"
 
-// ahead is the cost that starts before r if r were queued now. A workspace that
-// is within its share waits for its own requests and for as much of the others
-// as their weights allow, never for more than the whole level.
-func (l *level) ahead(r *Request) float64 {
-	if r.Resume {
-		return 0
-	}
-	f := l.flows[r.Workspace]
-	own := 0.0
-	if f != nil {
-		own = f.cost
+	"geraniumcroft/internal/config"
+)
+
+// estimate is the time that w would wait if it were queued now.
+func (p *pool) estimate(w *waiter, now time.Time) time.Duration {
+	r := w.request
+	var wait time.Duration
+	for u := r.Urgency + 1; u < config.UrgencyCount; u++ {
+		wait += p.wait(p.levels[u], p.levels[u].cost, now)
 	}
-	return min(l.cost, (own+r.cost())*l.weights(f, r)/r.weight())
+	l := p.levels[r.Urgency]
+	return wait + p.wait(l, l.ahead(w), now)
 }
 
-// weights sums the weights of the flows that wait, r's own included.
-func (l *level) weights(f *flow, r *Request) float64 {
-	total := l.weight
-	if f == nil || f.index < 0 {
-		total += r.weight()
+// wait is the time in which the level starts that much cost.
+func (p *pool) wait(l *level, cost float64, now time.Time) time.Duration {
+	if cost <= 0 {
+		return 0
 	}
-	return total
+	if l.meter.known() {
+		return l.meter.wait(now, cost)
+	}
+	return p.ends.wait(now, cost*float64(l.length)/l.cost)
 }
 
-// hopeless returns the queued requests that cannot start in time, given the wait
-// for the levels above. Within each class of a flow the cost ahead is counted
-// exactly, that of other classes not at all, so the estimate is on the low side.
-func (l *level) hopeless(now time.Time, above time.Duration) []*waiter {
-	var found []*waiter
-	for _, f := range l.waiting {
-		for class := range f.classes {
-			found = f.hopelessIn(class, l, now.Add(above), now, found)
-		}
+// drain is the time that the whole queue needs.
+func (p *pool) drain(now time.Time) time.Duration {
+	var total time.Duration
+	for _, l := range p.levels {
+		total += p.wait(l, l.cost, now)
 	}
-	return found
+	return total
 }
 
-func (f *flow) hopelessIn(class int, l *level, from, now time.Time, found []*waiter) []*waiter {
-	ahead := 0.0
-	for w := f.classes[class].first; w != nil; w = w.next {
-		if w.lastStart.IsZero() {
-			continue
-		}
-		share := min(ahead*l.weight/f.weight, l.cost)
-		if from.Add(l.meter.wait(now, share)).After(w.lastStart) {
-			found = append(found, w)
-			continue
-		}
-		ahead += w.request.cost()
+// ahead is the cost that starts before w if w were queued now. A workspace that
+// is within its share waits for its own requests, and for as much of the others'
+// as their weights allow, never for more than the whole level.
+func (l *level) ahead(w *waiter) float64 {
+	f := l.flows[w.request.Workspace]
+	if f == nil || f.length == 0 {
+		return 0
 	}
-	return found
+	return min(l.cost, f.costUpTo(w.class)*l.weight/f.weight)
 }
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -22,8 +22,8 @@
 	workspace string
 	weight    float64
 	classes   [classCount]waiterList
+	costs     [classCount]float64
 	length    int
-	cost      float64
 	// start is the virtual time at which the flow's next request is due.
 	start float64
 	// index is the flow's place in the level's heap, -1 while it has no request.
@@ -32,14 +32,23 @@
 
 func (f *flow) push(w *waiter) {
 	f.classes[w.class].push(w)
+	f.costs[w.class] += w.request.cost()
 	f.length++
-	f.cost += w.request.cost()
 }
 
 func (f *flow) remove(w *waiter) {
 	f.classes[w.class].remove(w)
+	f.costs[w.class] -= w.request.cost()
 	f.length--
-	f.cost -= w.request.cost()
+}
+
+// costUpTo sums the cost of the classes up to that one.
+func (f *flow) costUpTo(class int) float64 {
+	total := 0.0
+	for _, cost := range f.costs[:class+1] {
+		total += cost
+	}
+	return total
 }
 
 // head returns the request that goes next: the classes are first in, first out
--- a/internal/admission/inhand.go
+++ b/internal/admission/inhand.go
@@ -1,27 +1,50 @@
 package admission
 
-import "sync"
+import (
+	"hash/maphash"
+	"maps"
+	"sync"
+)
+
+const inHandShards = 64
 
 // inHand counts requests in hand by name, for the limits of workspaces and
-// profiles. Names without a limit are not counted.
+// profiles. Names without a limit are not counted. It is sharded so that a
+// workspace's burst does not hold up the others on a lock.
 type inHand struct {
+	seed   maphash.Seed
+	shards [inHandShards]inHandShard
+}
+
+type inHandShard struct {
 	mu     sync.Mutex // guards counts
 	counts map[string]int
 }
 
-func newInHand() *inHand { return &inHand{counts: map[string]int{}} }
+func newInHand() *inHand {
+	h := &inHand{seed: maphash.MakeSeed()}
+	for i := range h.shards {
+		h.shards[i].counts = map[string]int{}
+	}
+	return h
+}
+
+func (h *inHand) shard(name string) *inHandShard {
+	return &h.shards[maphash.String(h.seed, name)%inHandShards]
+}
 
 // enter counts one more unless the limit is reached.
 func (h *inHand) enter(name string, limit int) bool {
 	if limit <= 0 {
 		return true
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.counts[name] >= limit {
+	s := h.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts[name] >= limit {
 		return false
 	}
-	h.counts[name]++
+	s.counts[name]++
 	return true
 }
 
@@ -29,20 +52,25 @@
 	if limit <= 0 {
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.counts[name]--
-	if h.counts[name] <= 0 {
-		delete(h.counts, name)
+	s := h.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[name]--
+	if s.counts[name] <= 0 {
+		delete(s.counts, name)
 	}
 }
 
 func (h *inHand) snapshot() map[string]int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	copied := make(map[string]int, len(h.counts))
-	for name, count := range h.counts {
-		copied[name] = count
+	copied := map[string]int{}
+	for i := range h.shards {
+		h.shards[i].copyTo(copied)
 	}
 	return copied
 }
+
+func (s *inHandShard) copyTo(all map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.Copy(all, s.counts)
+}
--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -64,6 +64,26 @@
 	return l.waiting[0].head()
 }
 
+// longer returns the newest request of the workspace that holds the most of the
+// level for its weight, nil when that is no more than r's workspace would hold.
+func (l *level) longer(r *Request) *waiter {
+	own := 1.0
+	if f := l.flows[r.Workspace]; f != nil {
+		own += float64(f.length)
+	}
+	most := own / r.weight()
+	var longest *flow
+	for _, f := range l.waiting {
+		if held := float64(f.length) / f.weight; held > most {
+			most, longest = held, f
+		}
+	}
+	if longest == nil {
+		return nil
+	}
+	return longest.newest()
+}
+
 // charge moves the workspace's virtual time on for a request that starts.
 func (l *level) charge(w *waiter) {
 	if w.flow == nil {
@@ -81,16 +101,20 @@
 	l.cost -= w.request.cost()
 	if w.flow == nil {
 		l.resumed.remove(w)
-		return
+	} else {
+		l.removeFromFlow(w)
 	}
+	if l.length == 0 {
+		l.reset()
+	}
+}
+
+func (l *level) removeFromFlow(w *waiter) {
 	l.removeByArrival(w)
 	w.flow.remove(w)
 	if w.flow.length == 0 {
 		l.retire(w.flow)
 	}
-	if l.length == 0 {
-		l.reset()
-	}
 }
 
 // retire takes an empty flow out of the heap. It is forgotten once its virtual
--- a/internal/admission/meter.go
+++ b/internal/admission/meter.go
@@ -2,8 +2,14 @@
 
 import "time"
 
-// meterWeight is the weight of the newest start in the moving averages.
-const meterWeight = 1.0 / 16
+const (
+	// meterWeight is the weight of the newest start in the moving averages.
+	meterWeight = 1.0 / 16
+	// meterSpread bounds an interval, in average ones, and meterFloor says up to
+	// how many seconds an interval is taken in full.
+	meterSpread = 8
+	meterFloor  = 0.1
+)
 
 // meter estimates how fast a level's queue moves. It only looks at intervals
 // through which somebody waited: an idle queue says nothing of the capacity.
@@ -13,6 +19,8 @@
 	last    time.Time
 }
 
+func (m *meter) known() bool { return m.cost > 0 }
+
 // restart begins a busy period.
 func (m *meter) restart(now time.Time) { m.last = now }
 
@@ -20,10 +28,13 @@
 func (m *meter) started(now time.Time, cost float64) {
 	seconds := now.Sub(m.last).Seconds()
 	m.last = now
-	if m.cost == 0 {
+	if !m.known() {
 		m.seconds, m.cost = seconds, cost
 		return
 	}
+	// A standstill is over once something starts; were it averaged in full, the
+	// estimate would stay high and refuse requests that the pool could serve.
+	seconds = min(seconds, max(meterSpread*m.seconds, meterFloor))
 	m.seconds += (seconds - m.seconds) * meterWeight
 	m.cost += (cost - m.cost) * meterWeight
 }
@@ -32,7 +43,7 @@
 // nothing is known. The open interval counts once it is longer than usual, so
 // that the estimate rises while the queue stands still.
 func (m *meter) wait(now time.Time, cost float64) time.Duration {
-	if m.cost == 0 {
+	if !m.known() {
 		return 0
 	}
 	seconds := m.seconds
@@ -41,7 +52,3 @@
 	}
 	return time.Duration(cost / m.cost * seconds * float64(time.Second))
 }
-
-// noteFinished records one end of service. While requests wait, a target that
-// ends one is ready for the next, so ends show the rate as starts do.
-func (p *pool) noteFinished(time.Duration) {}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -34,6 +34,20 @@
 	// Resume marks a stream that was preempted and comes back: it goes ahead of
 	// its level, and neither a full queue nor an in-flight limit refuses it.
 	Resume bool
+
+	// turn is set while try is called in bulk's turn; guarded by the pool's lock.
+	turn bool
+}
+
+// TakeAs is the urgency for which try should take capacity: the request's own,
+// but normal for a bulk request that starts in bulk's turn. Without that, bulk
+// would never find room while normal requests fill all but the slots that only
+// they and urgent ones may take. It may only be called from within try.
+func (r *Request) TakeAs() config.Urgency {
+	if r.turn {
+		return config.Normal
+	}
+	return r.Urgency
 }
 
 func (r *Request) weight() float64 { return float64(max(r.Weight, 1)) }
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -26,6 +26,15 @@
 	// ReviewInterval is the least time between two reviews of a queue for requests
 	// whose deadline can no longer be met.
 	ReviewInterval time.Duration
+
+	faults faults
+}
+
+// faults take safeguards away, so that tests can show that they notice.
+type faults struct {
+	noPriority bool
+	noFairness bool
+	noReview   bool
 }
 
 func (s Settings) withDefaults() Settings {
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -26,6 +26,15 @@
 	older, newer *waiter
 }
 
+func newWaiter(r *Request, try func() bool, now, lastStart time.Time) *waiter {
+	w := &waiter{request: r, try: try, queuedAt: now, lastStart: lastStart, done: make(chan struct{})}
+	w.class = classCount - 1
+	if !lastStart.IsZero() {
+		w.class = classOf(lastStart.Sub(now))
+	}
+	return w
+}
+
 func (w *waiter) settle(failure *outcome.Failure) {
 	w.settled = true
 	w.failure = failure
