--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -19,7 +19,7 @@
 		Doc:   "Largest head of a request, in bytes.",
 		field: func(s *Settings) any { return &s.Callers.MaxHeaderBytes }},
 	{Section: "callers", Name: "max_connections", Kind: KindInt, Default: "8192", Min: "16", Max: "1000000",
-		Doc:   "Connections from callers that are open at once; more wait to be accepted.",
+		Doc:   "Connections from callers that are open at once; requests on more are refused, and above twice as many they wait to be accepted.",
 		field: func(s *Settings) any { return &s.Callers.MaxConnections }},
 	{Section: "callers", Name: "read_timeout", Kind: KindDuration, Default: "10s", Min: "100ms", Max: "5m",
 		Doc:   "Bound on reading a request's head, and again on its body.",
--- a/internal/settings/line_index.go
+++ b/internal/settings/line_index.go
@@ -55,7 +55,7 @@
 	key, value, found := strings.Cut(line, "=")
 	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
 	at := place{section: section, key: key, line: number}
-	if !found || key == "" || section == "" || strings.ContainsAny(key, "\"`[]") || strings.HasPrefix(value, `"`) || strings.HasPrefix(value, "`") {
+	if !found || key == "" || section == "" || strings.ContainsAny(key, "\"`[]") || strings.IndexAny(value, "\"`'") == 0 {
 		x.malformed = append(x.malformed, at)
 		return false
 	}
--- a/internal/settings/redacted.go
+++ b/internal/settings/redacted.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // Redacted returns the settings by section and key, as the dump shows them. No
 // secret stands in the settings themselves; of the files that hold secrets only
@@ -20,5 +23,5 @@
 	if duration, ok := field.(*time.Duration); ok {
 		return duration.String()
 	}
-	return field
+	return reflect.ValueOf(field).Elem().Interface()
 }
