--- a/internal/engine/httpengine/stream.go
+++ b/internal/engine/httpengine/stream.go
@@ -1,8 +1,8 @@
 package httpengine
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"sync"
 	"time"
@@ -30,9 +30,11 @@
 	idle    *time.Timer
 	once    sync.Once
 
-	// buf[start:end] was read and not yet decoded. Used by Recv alone.
+	// The rest is used by Open and Recv alone. buf[start:end] was read and not yet
+	// decoded.
 	buf        []byte
 	start, end int
+	decoder    decoder
 	ready      engine.Event
 	readyGiven bool
 }
@@ -99,16 +101,18 @@
 	if err != nil {
 		return engine.Event{}, err
 	}
-	var event engine.Event
-	err = json.Unmarshal(line, &event)
-	return event, errors.Wrap(err, "decode event")
+	event, err := s.decoder.decode(line)
+	if err != nil {
+		return engine.Event{}, errors.Wrap(err, "decode event")
+	}
+	return event, nil
 }
 
 // line returns the next line; it stands until the next call.
 func (s *stream) line() ([]byte, error) {
 	searched := s.start
 	for {
-		if at := indexNewline(s.buf[searched:s.end]); at >= 0 {
+		if at := bytes.IndexByte(s.buf[searched:s.end], '\n'); at >= 0 {
 			line := s.buf[s.start : searched+at]
 			s.start = searched + at + 1
 			return line, nil
