adminapi: serve the operators' API over the configuration

Operators need to change the configuration without overwriting one another, and to know where a change is in force.

Entities are read with an ETag and changed with If-Match alone; conflicts show the present entity, pending answers name the VMs. Draining changes the state of whatever the target is by then. The dump answers with the stacks when it does not end in time.

--- /dev/null
+++ b/internal/adminapi/dumper.go
@@ -0,0 +1,97 @@
+package adminapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"runtime/pprof"
+	"sync"
+	"time"
+
+	"github.com/kataras/iris/v12"
+)
+
+// stackDetail merges equal stacks and shows no argument, so no value gets out.
+const stackDetail = 1
+
+// StuckDump stands in for a dump that did not end in time.
+type StuckDump struct {
+	Stuck bool `json:"stuck"`
+	// Since is when the dump that has not ended began.
+	Since  time.Time `json:"since"`
+	Stacks string    `json:"stacks"`
+}
+
+// dumper runs one dump at a time and bounds the wait for it. A dump that waits
+// for a lock which is never released would otherwise hang just when it is needed,
+// and each new try would leave one more goroutine behind.
+type dumper struct {
+	take  func() any
+	bound time.Duration
+
+	mu      sync.Mutex // guards the field below
+	running *dumpRun
+}
+
+type dumpRun struct {
+	since time.Time
+	done  chan struct{}
+	body  []byte
+	err   error
+}
+
+func newDumper(take func() any, bound time.Duration) *dumper {
+	return &dumper{take: take, bound: bound}
+}
+
+// dump returns the dump as JSON, or the stacks when it does not end in time.
+func (d *dumper) dump() ([]byte, error) {
+	run := d.join()
+	timer := time.NewTimer(d.bound)
+	defer timer.Stop()
+	select {
+	case <-run.done:
+		return run.body, run.err
+	case <-timer.C:
+		return json.Marshal(StuckDump{Stuck: true, Since: run.since, Stacks: stacks()})
+	}
+}
+
+// join returns the dump under way, or starts one.
+func (d *dumper) join() *dumpRun {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running != nil {
+		return d.running
+	}
+	run := &dumpRun{since: time.Now(), done: make(chan struct{})}
+	d.running = run
+	go d.finish(run)
+	return run
+}
+
+func (d *dumper) finish(run *dumpRun) {
+	run.body, run.err = json.Marshal(d.take())
+	d.mu.Lock()
+	d.running = nil
+	d.mu.Unlock()
+	close(run.done)
+}
+
+func stacks() string {
+	var text bytes.Buffer
+	_ = pprof.Lookup("goroutine").WriteTo(&text, stackDetail)
+	return text.String()
+}
+
+func (a *API) dump(ctx iris.Context) {
+	body, err := a.dumper.dump()
+	if err != nil {
+		a.failInternal(ctx, err)
+		return
+	}
+	writer := ctx.ResponseWriter()
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(http.StatusOK)
+	_, _ = writer.Write(body)
+}
--- /dev/null
+++ b/internal/adminapi/problem.go
@@ -0,0 +1,71 @@
+package adminapi
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+
+	"geraniumcroft/internal/config"
+)
+
+// Code names a kind of problem; scripts may rely on it.
+type Code string
+
+// The kinds of problems.
+const (
+	CodeUnauthorized         Code = "unauthorized"
+	CodeForbidden            Code = "forbidden"
+	CodeNotFound             Code = "not-found"
+	CodeBadRequest           Code = "bad-request"
+	CodeTooLarge             Code = "too-large"
+	CodeInvalid              Code = "invalid"
+	CodePreconditionRequired Code = "precondition-required"
+	CodeConflict             Code = "conflict"
+	CodeIDReused             Code = "id-reused"
+	CodeUnavailable          Code = "store-unavailable"
+	CodeUnknownChange        Code = "unknown-change"
+	CodeNotWritten           Code = "not-written"
+	CodeInternal             Code = "internal"
+)
+
+const problemPrefix = "urn:geraniumcroft:problem:"
+
+// Problem is an RFC 9457 problem body.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	Code   Code   `json:"code"`
+	// Findings are all that is wrong with the entity.
+	Findings []config.Finding `json:"findings,omitempty"`
+	// Current is the present entity after a conflict, null when there is none.
+	Current json.RawMessage `json:"current,omitempty"`
+	// Revision is the present entity's, 0 when there is none.
+	Revision uint64 `json:"revision,omitempty"`
+	// ID is the change's.
+	ID string `json:"id,omitempty"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string { return p.Title + ": " + p.Detail }
+
+func (p *Problem) write(w http.ResponseWriter) {
+	p.Type = problemPrefix + string(p.Code)
+	w.Header().Set("Content-Type", "application/problem+json")
+	if p.Revision > 0 {
+		w.Header().Set("ETag", etag(p.Revision))
+	}
+	if p.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", `Bearer realm="geraniumcroft admin"`)
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func fail(ctx iris.Context, p *Problem) { p.write(ctx.ResponseWriter()) }
+
+func badRequest(detail string) *Problem {
+	return &Problem{Status: http.StatusBadRequest, Code: CodeBadRequest, Title: "Bad request", Detail: detail}
+}
--- /dev/null
+++ b/internal/adminapi/set_state.go
@@ -0,0 +1,91 @@
+package adminapi
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/confstore"
+)
+
+// maxStateAttempts bounds how often other changes of a target may come first.
+const maxStateAttempts = 5
+
+// setState drains a target or takes it back. It needs no If-Match: it changes the
+// state alone, of whatever the target is by then, so it overwrites nobody's change.
+func (a *API) setState(state config.TargetState) iris.Handler {
+	return func(ctx iris.Context) {
+		wait, problem := waitOf(ctx)
+		if problem != nil {
+			fail(ctx, problem)
+			return
+		}
+		a.changeState(ctx, state, wait)
+	}
+}
+
+func (a *API) changeState(ctx iris.Context, state config.TargetState, wait time.Duration) {
+	// This VM may lag: by its old view the target may be in that state already,
+	// while someone has just taken it out of it.
+	if err := a.options.Store.Poll(ctx.Request().Context()); err != nil {
+		fail(ctx, unreadable(err))
+		return
+	}
+	var last error
+	for range maxStateAttempts {
+		target, ok := a.options.Store.Current().Targets[ctx.Params().Get("name")]
+		if !ok {
+			fail(ctx, noEntity(config.EntityTarget, ctx.Params().Get("name")))
+			return
+		}
+		if target.State == state {
+			a.answerUnchanged(ctx, target, wait)
+			return
+		}
+		change, err := a.proposeState(ctx, target, state)
+		if err == nil {
+			a.options.Logger.Info("target's state changed", zap.String("author", change.Author),
+				zap.String("name", change.Name), zap.String("state", string(state)))
+			a.answerChange(ctx, change, wait)
+			return
+		}
+		last = err
+		var conflict *confstore.ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+	}
+	a.failChange(ctx, last)
+}
+
+// proposeState takes a fresh id for each attempt: the target's other fields may
+// differ from those of the attempt before.
+func (a *API) proposeState(ctx iris.Context, target *config.Target, state config.TargetState) (config.Change, error) {
+	changed := *target
+	changed.State = state
+	value, err := json.Marshal(changed)
+	if err != nil {
+		return config.Change{}, errors.Wrap(err, "encode the target")
+	}
+	request := ctx.Request().Context()
+	return a.options.Store.Propose(request, confstore.Proposal{
+		ID:         uuid.NewString(),
+		Author:     authorOf(request),
+		Kind:       config.EntityTarget,
+		Name:       target.Name,
+		Value:      value,
+		IfRevision: target.Revision,
+	})
+}
+
+func (a *API) answerUnchanged(ctx iris.Context, target *config.Target, wait time.Duration) {
+	body := changeAnswer(a.acceptance(ctx, target.Revision, wait))
+	body.Unchanged = true
+	ctx.Header("ETag", etag(target.Revision))
+	answer(ctx, body.httpStatus(), body)
+}
--- /dev/null
+++ b/internal/adminapi/state.go
@@ -0,0 +1,24 @@
+package adminapi
+
+import (
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+)
+
+// VersionAnswer names the program's version and the configuration's.
+type VersionAnswer struct {
+	Program       string `json:"program"`
+	Configuration uint64 `json:"configuration"`
+}
+
+func (a *API) show(state func() any) iris.Handler {
+	return func(ctx iris.Context) { answer(ctx, http.StatusOK, state()) }
+}
+
+func (a *API) version(ctx iris.Context) {
+	answer(ctx, http.StatusOK, VersionAnswer{
+		Program:       a.options.Version,
+		Configuration: a.options.Store.Current().Version,
+	})
+}
--- a/internal/config/canonical.go
+++ b/internal/config/canonical.go
@@ -3,16 +3,21 @@
 import (
 	"encoding/json"
 	"reflect"
+	"slices"
 )
 
 // Canonical returns the change with its value decoded strictly, defaults filled
 // in and encoded again, so that every VM applies the same bytes.
 func Canonical(change Change) (Change, []Finding) {
+	found := &findings{}
+	if !slices.Contains(Kinds, change.Kind) {
+		found.unknownKind(change)
+		return change, found.sorted()
+	}
 	if change.IsDelete() {
 		change.Value = nil
 		return change, nil
 	}
-	found := &findings{}
 	entity := decodeEntity(change, found)
 	if len(found.list) > 0 {
 		return change, found.sorted()
@@ -32,7 +37,6 @@
 
 // decodeEntity returns the typed entity, or nil for an unknown kind.
 func decodeEntity(change Change, found *findings) any {
-	path := entityPath(change)
 	switch change.Kind {
 	case EntityWorkspace:
 		w := &Workspace{}
@@ -52,10 +56,14 @@
 		t.fillDefaults()
 		return t
 	}
-	found.add(path, "unknown kind", "workspace, profile, model, target")
+	found.unknownKind(change)
 	return nil
 }
 
+func (f *findings) unknownKind(change Change) {
+	f.add(entityPath(change), "unknown kind", "workspace, profile, model, target")
+}
+
 func decodeInto(change Change, entity any, name *string, revision *uint64, found *findings) {
 	path := entityPath(change)
 	strictDecoder{findings: found}.decode(change.Value, reflect.ValueOf(entity).Elem(), path)
--- a/internal/config/validate_target.go
+++ b/internal/config/validate_target.go
@@ -17,7 +17,7 @@
 		fmt.Sprintf("%d is out of range", t.Slots), fmt.Sprintf("1 to %d", MaxSlots))
 	v.rate(t.LayerTokensPerSecond, path+".layerTokensPerSecond")
 	v.links(t, path+".links")
-	v.require(t.State == StateActive || t.State == StateDraining, path+".state",
+	v.require(t.State == StateActive || t.State == StateDraining || t.State == StateReloading, path+".state",
 		fmt.Sprintf("unknown state %q", t.State), "active, draining")
 	switch t.Kind {
 	case KindEngine:
--- a/internal/config/validator.go
+++ b/internal/config/validator.go
@@ -25,7 +25,7 @@
 // at the next request, far from the change that broke them.
 func (v *validator) deletion(change Change) {
 	path := entityPath(change)
-	if !v.exists(change.Kind, change.Name) {
+	if entity, _ := v.snapshot.Entity(change.Kind, change.Name); entity == nil {
 		v.add(path, "does not exist", "")
 		return
 	}
@@ -44,21 +44,6 @@
 	}
 }
 
-func (v *validator) exists(kind EntityKind, name string) bool {
-	var ok bool
-	switch kind {
-	case EntityWorkspace:
-		_, ok = v.snapshot.Workspaces[name]
-	case EntityProfile:
-		_, ok = v.snapshot.Profiles[name]
-	case EntityModel:
-		_, ok = v.snapshot.Models[name]
-	case EntityTarget:
-		_, ok = v.snapshot.Targets[name]
-	}
-	return ok
-}
-
 func (p *Profile) uses(model string) bool {
 	for _, ref := range p.Models {
 		if ref.Model == model {
--- a/internal/confstore/writer.go
+++ b/internal/confstore/writer.go
@@ -113,7 +113,7 @@
 }
 
 func (w *writer) check(ctx context.Context, snapshot *config.Snapshot) error {
-	revision := revisionOf(snapshot, w.proposal.Kind, w.proposal.Name)
+	_, revision := snapshot.Entity(w.proposal.Kind, w.proposal.Name)
 	if revision != w.proposal.IfRevision {
 		return &ConflictError{
 			Kind:     w.proposal.Kind,
