Drive streams by hand on their own connections

Change: transport.Conn writes a request and reads its response by hand, once, with every wait bounded by a read deadline; engine streams and service calls use it. Sent now comes from the bytes that the connection took.

--- a/internal/engine/httpengine/client.go
+++ b/internal/engine/httpengine/client.go
@@ -82,12 +82,14 @@
 	return failure
 }
 
-// control makes one bounded call and reports whether it may have left this VM.
+// control makes one bounded call and reports whether it may have left this VM,
+// which it may from the moment that a connection was handed to it.
 func (c *Client) control(ctx context.Context, method, address, path string, in, out any) (sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.ControlTimeout)
 	defer cancel()
 	var left atomic.Bool
-	req, err := newRequest(ctx, method, address, path, in, &left)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { left.Store(true) }}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), method, address, path, in)
 	if err != nil {
 		return false, err
 	}
@@ -115,9 +117,7 @@
 
 // newRequest makes a request that net/http cannot send twice: its body has no
 // GetBody, so net/http does not replay it when a connection fails under it.
-func newRequest(ctx context.Context, method, address, path string, in any, left *atomic.Bool) (*http.Request, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { left.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+func newRequest(ctx context.Context, method, address, path string, in any) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil || in == nil {
 		return req, err
--- a/internal/engine/httpengine/doc.go
+++ b/internal/engine/httpengine/doc.go
@@ -8,7 +8,8 @@
 // interval; Recv gives up a stream that brings nothing within its bound and
 // reports it as silent, which says nothing about the engine itself.
 //
-// Nothing is resent by net/http: a POST has a body without GetBody, and the stand
-// of an OpenError's Sent field is taken at the moment a connection is handed to
-// the request, before the first byte can leave.
+// Nothing is resent behind the router's back. A stream's request is written by
+// hand on its own connection, and OpenError.Sent says whether the connection took
+// a byte of it. The other calls go through net/http on kept connections; their
+// bodies have no GetBody, without which net/http does not replay them.
 package httpengine
--- a/internal/engine/httpengine/open.go
+++ b/internal/engine/httpengine/open.go
@@ -2,65 +2,74 @@
 
 import (
 	"context"
+	"math"
+	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/transport"
 )
 
-var (
-	errNotReadyInTime = errors.New("the engine was not ready in time")
-	errNotReady       = errors.New("the engine's first event was not ready")
-)
+var errNotReady = errors.New("the engine's first event was not ready")
 
 // Open implements engine.Client. The stream lives until Close or until ctx ends.
 func (c *Client) Open(ctx context.Context, address string, open engine.StageOpen) (engine.Stream, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(c.settings.OpenTimeout, func() { cancel(errNotReadyInTime) })
-	var left atomic.Bool
-	req, err := newRequest(ctx, http.MethodPost, address, "/v1/stages", open, &left)
+	failure := &engine.OpenError{Address: address}
+	req, err := newRequest(context.Background(), http.MethodPost, address, "/v1/stages", open)
 	if err != nil {
-		cancel(nil)
-		return nil, &engine.OpenError{Address: address, Cause: err}
+		failure.Cause = err
+		return nil, failure
 	}
-	resp, err := c.pool.Fresh().RoundTrip(req)
+	start := time.Now()
+	raw, err := c.dial(ctx, address)
 	if err != nil {
-		err = c.openFailed(ctx, address, err)
-		cancel(nil)
-		return nil, &engine.OpenError{Address: address, Sent: left.Load(), Cause: err}
-	}
-	if resp.StatusCode != http.StatusOK {
-		refused := readRefusal(resp)
-		cancel(nil)
-		_ = resp.Body.Close()
-		return nil, &engine.OpenError{Address: address, Sent: true, Status: resp.StatusCode, Cause: refused}
-	}
-	s := newStream(c, address, resp.Body, cancel)
-	if err := s.awaitReady(); err != nil {
-		err = c.openFailed(ctx, address, err)
-		s.Close()
-		return nil, &engine.OpenError{Address: address, Sent: true, Cause: err}
+		failure.Cause = err
+		return nil, failure
 	}
-	timer.Stop()
-	if ctx.Err() != nil {
+	wire := c.pool.Settings().NewConn(raw, c.settings.OpenTimeout)
+	wire.Until(start.Add(c.settings.OpenTimeout))
+	s := newStream(ctx, c, address, wire)
+	if err := s.begin(req, failure); err != nil {
+		failure.Cause = s.why(err)
+		if transport.IsSilence(failure.Cause) {
+			c.pool.Suspect(address)
+		}
 		s.Close()
-		return nil, &engine.OpenError{Address: address, Sent: true, Cause: context.Cause(ctx)}
+		return nil, failure
 	}
-	s.ctx = ctx
 	return s, nil
 }
 
-// openFailed returns why an open failed, the bound rather than the cancelled read.
-func (c *Client) openFailed(ctx context.Context, address string, err error) error {
-	cause := context.Cause(ctx)
-	if cause == nil {
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.OpenTimeout)
+	defer cancel()
+	return c.pool.Dial()(ctx, "tcp", address)
+}
+
+// begin sends the request and waits for the ready event. It notes in failure what
+// is known of the request, should it not come.
+func (s *stream) begin(req *http.Request, failure *engine.OpenError) (err error) {
+	failure.Sent, err = s.wire.Send(req)
+	if err != nil {
+		return err
+	}
+	resp, err := s.wire.ReadHead(req, maxRefusalMessage)
+	if err != nil {
 		return err
 	}
-	if errors.Is(cause, errNotReadyInTime) {
-		c.pool.Suspect(address)
+	if resp.StatusCode != http.StatusOK {
+		failure.Status = resp.StatusCode
+		return readRefusal(resp)
+	}
+	s.body = resp.Body
+	s.wire.Limit(math.MaxInt64)
+	if err := s.awaitReady(); err != nil {
+		return err
 	}
-	return cause
+	s.wire.Until(time.Time{})
+	s.wire.Bound(s.client.settings.Idle)
+	return nil
 }
--- a/internal/engine/httpengine/stream.go
+++ b/internal/engine/httpengine/stream.go
@@ -4,34 +4,29 @@
 	"bytes"
 	"context"
 	"io"
-	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/transport"
 )
 
-var (
-	errSilent   = errors.New("nothing arrived within the bound")
-	errClosed   = errors.New("the stream was closed")
-	errTooLarge = errors.New("an event is larger than the bound")
-)
+var errEventTooLarge = errors.New("an event is larger than the bound")
 
-const firstLineBuffer = 1 << 10
+const firstLineBuffer = 512
 
 // stream is the router's end of one stage.
 type stream struct {
 	client  *Client
 	address string
-	body    io.ReadCloser
 	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	idle    *time.Timer
-	once    sync.Once
+	wire    *transport.Conn
+	// release detaches the stream from its context.
+	release func() bool
 
 	// The rest is used by Open and Recv alone. buf[start:end] was read and not yet
 	// decoded.
+	body       io.Reader
 	buf        []byte
 	start, end int
 	decoder    decoder
@@ -39,13 +34,18 @@
 	readyGiven bool
 }
 
-func newStream(c *Client, address string, body io.ReadCloser, cancel context.CancelCauseFunc) *stream {
-	s := &stream{client: c, address: address, body: body, cancel: cancel}
-	s.buf = make([]byte, firstLineBuffer)
-	return s
+func newStream(ctx context.Context, c *Client, address string, wire *transport.Conn) *stream {
+	return &stream{
+		client:  c,
+		address: address,
+		ctx:     ctx,
+		wire:    wire,
+		release: context.AfterFunc(ctx, wire.Close),
+		buf:     make([]byte, firstLineBuffer),
+	}
 }
 
-// awaitReady reads the first event; the caller bounds it.
+// awaitReady reads the first event.
 func (s *stream) awaitReady() error {
 	event, err := s.next()
 	if err != nil {
@@ -75,25 +75,28 @@
 }
 
 func (s *stream) broken(err error) error {
-	cause := context.Cause(s.ctx)
-	if cause == nil {
-		s.Close()
-		return &engine.StreamError{Address: s.address, Cause: err}
-	}
-	silent := errors.Is(cause, errSilent)
-	if silent {
+	cause := s.why(err)
+	failure := &engine.StreamError{Address: s.address, Silent: transport.IsSilence(cause), Cause: cause}
+	if failure.Silent {
 		s.client.pool.Suspect(s.address)
 	}
 	s.Close()
-	return &engine.StreamError{Address: s.address, Silent: silent, Cause: cause}
+	return failure
+}
+
+// why returns the cause of a failed wait: the end of the context, which closes the
+// connection, goes before what the closed connection says.
+func (s *stream) why(err error) error {
+	if cause := context.Cause(s.ctx); cause != nil {
+		return cause
+	}
+	return err
 }
 
-// Close implements engine.Stream.
+// Close implements engine.Stream. It may be called while Recv waits, which ends.
 func (s *stream) Close() {
-	s.once.Do(func() {
-		s.cancel(errClosed)
-		_ = s.body.Close()
-	})
+	s.release()
+	s.wire.Close()
 }
 
 func (s *stream) next() (engine.Event, error) {
@@ -142,7 +145,7 @@
 		return moved, nil
 	}
 	if len(s.buf) >= s.client.settings.MaxEventBytes {
-		return 0, errTooLarge
+		return 0, errEventTooLarge
 	}
 	grown := make([]byte, 2*len(s.buf))
 	copy(grown, s.buf)
@@ -150,11 +153,9 @@
 	return 0, nil
 }
 
-// fill reads once, within the idle bound.
+// fill reads once.
 func (s *stream) fill() error {
-	s.startIdle()
 	n, err := s.body.Read(s.buf[s.end:])
-	s.stopIdle()
 	s.end += n
 	if n > 0 {
 		return nil
@@ -164,22 +165,3 @@
 	}
 	return err
 }
-
-// startIdle bounds the read that follows. Only the wait for bytes is timed: a
-// consumer that is slow to call Recv is not a silent connection.
-func (s *stream) startIdle() {
-	if s.ctx == nil {
-		return
-	}
-	if s.idle == nil {
-		s.idle = time.AfterFunc(s.client.settings.Idle, func() { s.cancel(errSilent) })
-		return
-	}
-	s.idle.Reset(s.client.settings.Idle)
-}
-
-func (s *stream) stopIdle() {
-	if s.idle != nil {
-		s.idle.Stop()
-	}
-}
--- a/internal/engine/httpengine/stream_test.go
+++ b/internal/engine/httpengine/stream_test.go
@@ -139,7 +139,7 @@
 		}
 		defer stream.Close()
 		_, _ = stream.Recv()
-		if _, err := stream.Recv(); !errors.Is(err, errTooLarge) {
+		if _, err := stream.Recv(); !errors.Is(err, errEventTooLarge) {
 			t.Fatalf("%v, expected the bound", err)
 		}
 	})
--- a/internal/service/httpservice/conn.go
+++ b/internal/service/httpservice/conn.go
@@ -1,19 +1,17 @@
 package httpservice
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/service"
+	"geraniumcroft/internal/transport"
 )
 
 // The headers of the protocol with plain services.
@@ -23,42 +21,27 @@
 	HeaderNotRun         = "Geraniumcroft-Not-Run"
 )
 
-const (
-	maxHead         = 64 << 10
-	maxInterim      = 4
-	readBufferSize  = 2 << 10
-	writeBufferSize = 1 << 10
-)
+// framingAllowance is what chunked framing may add to a body, in bytes.
+const framingAllowance = 64 << 10
 
 var (
 	errUsed     = errors.New("the connection has already carried its call")
 	errNoLength = errors.New("the response states no length, so its end cannot be told from a cut")
-	errTooLarge = errors.New("the response is larger than the bound")
-	errInterim  = errors.New("too many interim responses")
 )
 
-// conn carries one call at a time; it implements service.Conn.
+// conn carries one call; it implements service.Conn.
 type conn struct {
 	client   *Client
 	address  string
-	raw      net.Conn
-	reader   *bufio.Reader
-	bound    *boundedReader
+	wire     *transport.Conn
 	used     bool
 	provenAt time.Time
 	expiry   *time.Timer // while kept
 }
 
 func newConn(c *Client, address string, raw net.Conn) *conn {
-	bound := &boundedReader{conn: raw, silence: c.settings.Silence}
-	return &conn{
-		client:   c,
-		address:  address,
-		raw:      raw,
-		bound:    bound,
-		reader:   bufio.NewReaderSize(bound, readBufferSize),
-		provenAt: time.Now(),
-	}
+	wire := c.pool.Settings().NewConn(raw, c.settings.Silence)
+	return &conn{client: c, address: address, wire: wire, provenAt: time.Now()}
 }
 
 // Discard implements service.Conn.
@@ -70,10 +53,10 @@
 	c.giveBack()
 }
 
+// giveBack keeps the connection under a new handle, so that whoever holds the old
+// one cannot send a second call on it.
 func (c *conn) giveBack() {
-	next := newConn(c.client, c.address, c.raw)
-	next.reader, next.bound = c.reader, c.bound
-	next.provenAt = c.provenAt
+	next := &conn{client: c.client, address: c.address, wire: c.wire, provenAt: c.provenAt}
 	c.client.kept.put(next)
 }
 
@@ -85,22 +68,20 @@
 	c.used = true
 	req, err := newRequest(c.address, call)
 	if err != nil {
-		_ = c.raw.Close()
+		c.wire.Close()
 		return service.Response{}, &service.CallError{Address: c.address, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
-	sent, err := c.send(req)
-	if err != nil {
-		stop()
+	stop := context.AfterFunc(ctx, c.wire.Close)
+	defer stop()
+	if sent, err := c.wire.Send(req); err != nil {
 		return service.Response{}, c.failed(ctx, sent, err)
 	}
 	resp, reusable, err := c.receive(req)
-	stopped := stop()
 	if err != nil {
 		return service.Response{}, c.failed(ctx, true, err)
 	}
-	if !reusable || !stopped {
-		_ = c.raw.Close()
+	if !reusable || !stop() {
+		c.wire.Close()
 		return resp, nil
 	}
 	c.provenAt = time.Now()
@@ -123,26 +104,11 @@
 	return req, nil
 }
 
-// send writes the request and reports whether a byte of it may have left.
-func (c *conn) send(req *http.Request) (bool, error) {
-	if err := c.raw.SetWriteDeadline(time.Now().Add(c.client.settings.Silence)); err != nil {
-		return false, err
-	}
-	counted := &countingWriter{to: c.raw}
-	buffered := bufio.NewWriterSize(counted, writeBufferSize)
-	if err := req.Write(buffered); err != nil {
-		return counted.sent > 0, err
-	}
-	err := buffered.Flush()
-	return counted.sent > 0, err
-}
-
 // receive reads the whole response and reports whether the connection can carry
 // another call.
 func (c *conn) receive(req *http.Request) (service.Response, bool, error) {
 	max := c.client.settings.MaxBody
-	c.bound.left = max + maxHead
-	resp, err := c.readHead(req)
+	resp, err := c.wire.ReadHead(req, max+framingAllowance)
 	if err != nil {
 		return service.Response{}, false, err
 	}
@@ -161,49 +127,30 @@
 		Body:      body,
 		NotRun:    resp.Header.Get(HeaderNotRun) == "true",
 	}
-	return answer, !resp.Close && c.reader.Buffered() == 0, nil
-}
-
-// readHead reads the response's head, past interim responses.
-func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	for range maxInterim {
-		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-	return nil, errInterim
+	return answer, !resp.Close && c.wire.Buffered() == 0, nil
 }
 
+// failed closes the connection and says what is known of the call.
 func (c *conn) failed(ctx context.Context, sent bool, err error) error {
-	_ = c.raw.Close()
-	failure := &service.CallError{Address: c.address, Sent: sent, Cause: err}
+	c.wire.Close()
+	failure := &service.CallError{Address: c.address, Sent: sent, Silent: transport.IsSilence(err), Cause: err}
 	if cause := context.Cause(ctx); cause != nil {
 		failure.Cause = cause
-		return failure
+		failure.Silent = errors.Is(cause, context.DeadlineExceeded)
 	}
-	if isSilence(err) {
-		failure.Silent = true
+	if failure.Silent {
 		c.client.suspect(c.address)
 	}
 	return failure
 }
 
-// isSilence reports whether our bound or the kernel's TCP_USER_TIMEOUT ended the wait.
-func isSilence(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
-}
-
 func readBounded(body io.Reader, max int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, max+1))
 	if err != nil {
 		return nil, err
 	}
 	if int64(len(data)) > max {
-		return nil, errTooLarge
+		return nil, transport.ErrTooLarge
 	}
 	return data, nil
 }
--- a/internal/service/httpservice/kept_conns.go
+++ b/internal/service/httpservice/kept_conns.go
@@ -40,7 +40,7 @@
 	defer k.mu.Unlock()
 	list := k.byPeer[c.address]
 	if len(list) >= k.settings.MaxKeptPerPeer {
-		_ = c.raw.Close()
+		c.wire.Close()
 		return
 	}
 	left := k.settings.ProvenFor - time.Since(c.provenAt)
@@ -49,7 +49,7 @@
 }
 
 func (k *keptConns) expire(c *conn) {
-	_ = c.raw.Close()
+	c.wire.Close()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	list := k.byPeer[c.address]
@@ -68,7 +68,7 @@
 	k.mu.Unlock()
 	for _, c := range list {
 		c.expiry.Stop()
-		_ = c.raw.Close()
+		c.wire.Close()
 	}
 }
 
--- /dev/null
+++ b/internal/transport/conn.go
@@ -0,0 +1,122 @@
+package transport
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	maxHeadBytes = 64 << 10
+	maxInterim   = 4
+)
+
+var (
+	// ErrTooLarge reports a response beyond its bound.
+	ErrTooLarge = errors.New("the response is larger than the bound")
+	errInterim  = errors.New("too many interim responses")
+)
+
+// Conn carries HTTP requests by hand, one at a time, each sent exactly once: with
+// one connection and no pool behind it there is nothing that could resend. It
+// needs no goroutine of its own, so an open stream costs little.
+type Conn struct {
+	raw     net.Conn
+	reader  *bufio.Reader
+	silence time.Duration
+	until   time.Time
+	// left is how many bytes may still be read.
+	left int64
+}
+
+// NewConn returns a Conn over raw on which no wait for bytes is longer than silence.
+func (s Settings) NewConn(raw net.Conn, silence time.Duration) *Conn {
+	c := &Conn{raw: raw, silence: silence}
+	c.reader = bufio.NewReaderSize(bounded{c}, s.WithDefaults().ReadBuffer)
+	return c
+}
+
+// Bound changes the longest wait for bytes.
+func (c *Conn) Bound(silence time.Duration) { c.silence = silence }
+
+// Until bounds all waits together; the zero time lifts the bound.
+func (c *Conn) Until(t time.Time) { c.until = t }
+
+// deadline returns when a wait that starts now is too long.
+func (c *Conn) deadline() time.Time {
+	bound := time.Now().Add(c.silence)
+	if !c.until.IsZero() && c.until.Before(bound) {
+		return c.until
+	}
+	return bound
+}
+
+// Limit sets how many more bytes may be read from the network.
+func (c *Conn) Limit(bytes int64) { c.left = bytes }
+
+// Buffered returns how many bytes were read from the network and not yet used.
+func (c *Conn) Buffered() int { return c.reader.Buffered() }
+
+// Close closes the connection, which ends every wait on it.
+func (c *Conn) Close() { _ = c.raw.Close() }
+
+// Send writes a request and reports whether a byte of it may have left this VM.
+func (c *Conn) Send(req *http.Request) (bool, error) {
+	if err := c.raw.SetWriteDeadline(c.deadline()); err != nil {
+		return false, err
+	}
+	counted := &countingWriter{to: c.raw}
+	buffered := bufio.NewWriterSize(counted, DefaultWriteBuffer)
+	if err := req.Write(buffered); err != nil {
+		return counted.taken > 0, err
+	}
+	err := buffered.Flush()
+	return counted.taken > 0, err
+}
+
+// ReadHead reads a response's head, past interim responses. The body may have
+// bodyLimit bytes on the network.
+func (c *Conn) ReadHead(req *http.Request, bodyLimit int64) (*http.Response, error) {
+	c.left = maxHeadBytes + bodyLimit
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errInterim
+}
+
+// IsSilence reports whether an error says that nothing arrived within the bound:
+// our own bound, or the kernel's TCP_USER_TIMEOUT or keepalive.
+func IsSilence(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
+// bounded reads from the network within the connection's bounds. Only a wait for
+// bytes is timed: a consumer that is slow to read is not a silent connection.
+type bounded struct{ *Conn }
+
+// Read implements io.Reader.
+func (b bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, ErrTooLarge
+	}
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	if err := b.raw.SetReadDeadline(b.deadline()); err != nil {
+		return 0, err
+	}
+	n, err := b.raw.Read(p)
+	b.left -= int64(n)
+	return n, err
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -11,13 +11,12 @@
 	address string
 }
 
-// Pool hands out HTTP transports: one for each class and peer, so that the idle
-// connections to one peer can be dropped alone, and one that never reuses a
-// connection. It is safe for concurrent use.
+// Pool makes connections. It hands out an HTTP transport for each class and peer,
+// so that the idle connections to one peer can be dropped alone. It is safe for
+// concurrent use.
 type Pool struct {
 	settings Settings
 	dial     DialFunc
-	fresh    *http.Transport
 	peers    *lru.Cache[peerKey, *http.Transport]
 }
 
@@ -27,8 +26,6 @@
 	if p.dial == nil {
 		p.dial = NewDialer(p.settings)
 	}
-	p.fresh = p.newTransport()
-	p.fresh.DisableKeepAlives = true
 	p.peers, _ = lru.NewWithEvict(p.settings.MaxPeers, closeIdle) // fails only for a size below 1
 	return p
 }
@@ -39,11 +36,6 @@
 // Dial returns the function that makes the pool's connections.
 func (p *Pool) Dial() DialFunc { return p.dial }
 
-// Fresh returns a transport that uses each connection for one request. A stream
-// lives for seconds, so a handshake saved is worth less than the certainty that
-// the connection was alive when the request left.
-func (p *Pool) Fresh() http.RoundTripper { return p.fresh }
-
 // Kept returns the transport that keeps connections to a peer for requests of a class.
 func (p *Pool) Kept(class Class, address string) http.RoundTripper {
 	key := peerKey{class: class, address: address}
@@ -70,10 +62,7 @@
 }
 
 // Close drops all idle connections.
-func (p *Pool) Close() {
-	p.fresh.CloseIdleConnections()
-	p.peers.Purge()
-}
+func (p *Pool) Close() { p.peers.Purge() }
 
 func (p *Pool) newTransport() *http.Transport {
 	return &http.Transport{
@@ -83,10 +72,8 @@
 		ReadBufferSize:         p.settings.ReadBuffer,
 		WriteBufferSize:        p.settings.WriteBuffer,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
-const maxHeaderBytes = 64 << 10
-
 func closeIdle(_ peerKey, t *http.Transport) { t.CloseIdleConnections() }
