--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -16,9 +16,6 @@
 	if id.Incarnation.Life() < m.Incarnation.Life() {
 		return false
 	}
-	if m.State == Left && id.Incarnation <= m.Incarnation {
-		return false
-	}
 	m.Heard = now
 	t.raise(m, id, now)
 	t.raiseVersion(m, id.Incarnation, id.Version)
