plan: weigh plans by a linear programme with a proven bound

Greedy weights gave no bound and wasted engines. The weights now come from column generation: a simplex over groups of like engines and their links, a dynamic programme as the pricing step, and Lagrangian prices as proof of the bound.

--- a/internal/plan/chooser.go
+++ b/internal/plan/chooser.go
@@ -27,7 +27,9 @@
 	// turns is the member at which each group's next pick starts.
 	turns  []int
 	finder *search
-	tried  []bool
+	// fine is made when a plan that is cut within ranges needs a repair.
+	fine  *search
+	tried []bool
 }
 
 // NewChooser returns a chooser over the set. Equal seeds give equal choices.
@@ -60,8 +62,7 @@
 	if plan, ok := c.chooseWeighted(u, free); ok {
 		return plan, true
 	}
-	whole := span{from: 0, to: len(c.graph.cuts) - 1, before: noGroup, after: noGroup}
-	return c.layOut(whole, free)
+	return c.layOut(c.finder, c.graph.whole(), free)
 }
 
 func (c *Chooser) chooseWeighted(u config.Urgency, free func(string) bool) (Plan, bool) {
@@ -103,7 +104,7 @@
 }
 
 // layOut finds the path of the least latency over the span.
-func (c *Chooser) layOut(over span, free func(string) bool) (Plan, bool) {
+func (c *Chooser) layOut(finder *search, over span, free func(string) bool) (Plan, bool) {
 	count := make([]int, len(c.graph.groups))
 	allowed := make([]bool, len(count))
 	for i, grp := range c.graph.groups {
@@ -114,7 +115,7 @@
 		}
 		allowed[i] = count[i] > 0
 	}
-	legs, _, ok := c.finder.run(over, c.graph.latencyPrices(), allowed)
+	legs, _, ok := finder.run(over, c.graph.latencyPrices(), allowed)
 	if !ok {
 		return Plan{}, false
 	}
--- /dev/null
+++ b/internal/plan/chooser_test.go
@@ -0,0 +1,181 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"geraniumcroft/internal/config"
+)
+
+func compute(t rapid.TB, in Input) *Set {
+	t.Helper()
+	set, err := Compute(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+func drawNames(t *rapid.T, in Input, label string) map[string]bool {
+	names := map[string]bool{}
+	for _, target := range in.Targets {
+		if rapid.IntRange(0, 2).Draw(t, label) == 0 {
+			names[target.Name] = true
+		}
+	}
+	return names
+}
+
+// covers is the oracle of whether targets can cover layers: the furthest reach.
+func covers(in Input, layers config.LayerRange, free func(string) bool) bool {
+	for next := layers.From; next < layers.To; {
+		reach := next
+		for _, target := range in.Targets {
+			if free(target.Name) && target.Layers.From <= next {
+				reach = max(reach, target.Layers.To)
+			}
+		}
+		if reach == next {
+			return false
+		}
+		next = reach
+	}
+	return true
+}
+
+// A caller is refused when no plan can be had, so Choose must find one whenever
+// the targets with free slots hold all layers, and must never use another.
+func TestChooseFindsAPlanWheneverOneExists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t, rapid.IntRange(1, 16).Draw(t, "layers"), rapid.IntRange(0, 12).Draw(t, "targets"))
+		chooser := NewChooser(compute(t, in), 1)
+		for range 5 {
+			busy, exclude := drawNames(t, in, "busy"), drawNames(t, in, "exclude")
+			usable := func(name string) bool { return !busy[name] }
+			chosen, ok := chooser.Choose(config.Normal, usable, exclude)
+			free := func(name string) bool { return usable(name) && !exclude[name] }
+			if possible := covers(in, config.LayerRange{To: in.Model.Layers}, free); ok != possible {
+				t.Fatalf("chose %v, a plan exists: %v", ok, possible)
+			}
+			if ok {
+				checkFree(t, in, chosen, free)
+			}
+		}
+	})
+}
+
+func checkFree(t rapid.TB, in Input, chosen Plan, free func(string) bool) {
+	t.Helper()
+	if err := chosen.Check(in.Model.Layers); err != nil {
+		t.Fatalf("%v: %v", chosen, err)
+	}
+	for _, stage := range chosen.Stages {
+		if !free(stage.Target.Name) {
+			t.Fatalf("%s is not free", stage.Target.Name)
+		}
+	}
+}
+
+// A stage dies in the middle of a draft. The other stages hold KV cache of the
+// draft; were they moved too, the whole prompt would be replayed and the caller
+// would wait for it. So they stay whenever other targets can take the lost layers.
+func TestRepairKeepsTheStagesThatStand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t, rapid.IntRange(1, 16).Draw(t, "layers"), rapid.IntRange(0, 12).Draw(t, "targets"))
+		chooser := NewChooser(compute(t, in), 1)
+		current, _ := chooser.Choose(config.Normal, always, nil)
+		busy := drawNames(t, in, "busy")
+		failed := map[string]bool{rapid.SampledFrom(current.Stages).Draw(t, "dead").Target.Name: true}
+		usable := func(name string) bool { return !busy[name] }
+		repaired, ok := chooser.Repair(current, failed, usable)
+		free := func(name string) bool { return !failed[name] && (current.Uses(name) || usable(name)) }
+		if ok != covers(in, config.LayerRange{To: in.Model.Layers}, free) {
+			t.Fatalf("repaired %v", ok)
+		}
+		if !ok {
+			return
+		}
+		checkFree(t, in, repaired, free)
+		checkKept(t, in, current, repaired, failed, usable)
+	})
+}
+
+func checkKept(t rapid.TB, in Input, current, repaired Plan, failed map[string]bool, usable func(string) bool) {
+	t.Helper()
+	spare := func(name string) bool { return !failed[name] && !current.Uses(name) && usable(name) }
+	kept := map[Stage]bool{}
+	for _, stage := range repaired.Stages {
+		kept[stage] = true
+	}
+	for _, stage := range current.Stages {
+		if failed[stage.Target.Name] && !covers(in, stage.Layers, spare) {
+			return
+		}
+	}
+	for _, stage := range current.Stages {
+		if !failed[stage.Target.Name] && !kept[stage] {
+			t.Fatalf("%v was moved: %v, then %v", stage, current, repaired)
+		}
+	}
+}
+
+// A target dies and the next Compute is not there yet. The set without it must not
+// promise more than the rest can carry, and its bound must still be one.
+func TestWithoutKeepsTheLimitsOfTheRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t, rapid.IntRange(1, 16).Draw(t, "layers"), rapid.IntRange(2, 20).Draw(t, "targets"))
+		dead := rapid.SampledFrom(in.Targets).Draw(t, "dead").Name
+		next, err := compute(t, in).Without(map[string]bool{dead: true})
+		in.Usable = func(name string) bool { return name != dead }
+		anew, anewErr := Compute(in)
+		if (err == nil) != (anewErr == nil) {
+			t.Fatalf("%v, but anew %v", err, anewErr)
+		}
+		if err != nil {
+			return
+		}
+		checkSet(t, in, next)
+		if next.Bound < anew.Throughput()*(1-slack) {
+			t.Fatalf("bound %g, but plans computed anew reach %g", next.Bound, anew.Throughput())
+		}
+	})
+}
+
+// Engines that get more or less than their share make the whole pool wait for the
+// one that is overloaded. All VMs have the same set; if they took the same plans in
+// the same order, the first requests after a change would meet on a few engines.
+func TestChooseSpreadsByWeightAndDiffersByVM(t *testing.T) {
+	in := mixedInput(60, 3, 1)
+	set := compute(t, in)
+	want := map[string]float64{}
+	for _, plan := range set.Plans {
+		for _, stage := range plan.Stages {
+			want[stage.Target.Name] += plan.Weight / set.Throughput()
+		}
+	}
+	const choices = 20_000
+	got := map[string]float64{}
+	chooser := NewChooser(set, 1)
+	for range choices {
+		chosen, _ := chooser.Choose(config.Bulk, always, nil)
+		for _, stage := range chosen.Stages {
+			got[stage.Target.Name] += 1.0 / choices
+		}
+	}
+	for name, share := range want {
+		if math.Abs(got[name]-share) > 0.01 {
+			t.Errorf("%s got a share of %.4f instead of %.4f", name, got[name], share)
+		}
+	}
+	first := map[string]bool{}
+	for seed := range uint64(6) {
+		chosen, _ := NewChooser(set, seed).Choose(config.Bulk, always, nil)
+		first[fmt.Sprint(chosen.Stages)] = true
+	}
+	if len(first) < 4 {
+		t.Errorf("6 VMs began with only %d plans", len(first))
+	}
+}
--- a/internal/plan/graph.go
+++ b/internal/plan/graph.go
@@ -21,17 +21,19 @@
 )
 
 // graph is the engines that hold a model, cut at the ends of their ranges.
-// Between two neighbouring cuts every engine holds either all layers or none, so
-// stages that begin and end at cuts lose no throughput.
+// Between two neighbouring cuts every engine holds either all layers or none.
+// Stages that begin and end at cuts then lose no throughput, but for one case: an
+// engine that does little work and relays for two that have no good link between
+// them. refined makes that case possible too.
 type graph struct {
-	model  *config.Model
-	cuts   []int
-	zones  map[string]int
-	groups []*group
+	model   *config.Model
+	version string
+	adapter string
+	cuts    []int
+	zones   map[string]int
+	groups  []*group
 	// groupOf gives a target's index in groups.
 	groupOf map[string]int
-	// targetLinks says that some link names a target rather than a data centre.
-	targetLinks bool
 }
 
 // group is engines that are alike in range, rate, data centre and links, so
@@ -54,8 +56,6 @@
 	latency float64 // seconds
 	// capacity is in tokens a second, +Inf when unbounded.
 	capacity float64
-	// exists says that the edge is configured rather than assumed.
-	exists bool
 }
 
 func rateOf(target *config.Target) float64 {
@@ -67,7 +67,7 @@
 
 func newGraph(in Input) (*graph, error) {
 	targets := in.eligible()
-	g := &graph{model: in.Model, zones: map[string]int{}, groupOf: map[string]int{}}
+	g := &graph{model: in.Model, version: in.Version, adapter: in.Adapter, zones: map[string]int{}, groupOf: map[string]int{}}
 	g.cuts = cutsOf(in.Model.Layers, targets)
 	for _, target := range targets {
 		if _, ok := g.zones[target.DataCentre]; !ok {
@@ -76,7 +76,10 @@
 	}
 	g.addGroups(targets)
 	g.addEdges()
-	return g, g.checkCover(in)
+	if layer, ok := g.uncovered(); ok {
+		return nil, &GapError{Model: in.Model.Name, Version: in.Version, Adapter: in.Adapter, Layer: layer}
+	}
+	return g, nil
 }
 
 func cutsOf(layers int, targets []*config.Target) []int {
@@ -153,13 +156,12 @@
 }
 
 func (g *graph) addLink(grp *group, link config.Link) {
-	found := edge{latency: time.Duration(link.Latency).Seconds(), capacity: g.tokensOver(link), exists: true}
+	found := edge{latency: time.Duration(link.Latency).Seconds(), capacity: g.tokensOver(link)}
 	if index, ok := g.groupOf[link.To]; ok {
 		if grp.toGroup == nil {
 			grp.toGroup = map[int]edge{}
 		}
 		grp.toGroup[index] = found
-		g.targetLinks = true
 		return
 	}
 	if zone, ok := g.zones[link.To]; ok {
@@ -174,22 +176,38 @@
 	return link.BytesPerSecond / float64(g.model.ActivationBytes)
 }
 
-// edge returns the way from one group to another.
-func (g *graph) edge(from, to int) edge {
-	if found, ok := g.groups[from].toGroup[to]; ok {
-		return found
+// refined returns the same groups with a cut between any two layers.
+func (g *graph) refined() *graph {
+	fine := *g
+	fine.cuts = make([]int, g.model.Layers+1)
+	for cut := range fine.cuts {
+		fine.cuts[cut] = cut
+	}
+	fine.groups = make([]*group, len(g.groups))
+	for i, grp := range g.groups {
+		copied := *grp
+		copied.from, copied.to = g.cuts[grp.from], g.cuts[grp.to]
+		fine.groups[i] = &copied
 	}
-	return g.groups[from].toZone[g.groups[to].zone]
+	return &fine
 }
 
+// whole is the span of all layers.
+func (g *graph) whole() span {
+	return span{from: 0, to: len(g.cuts) - 1, before: noGroup, after: noGroup}
+}
+
+func (g *graph) memberCount(index int) int { return len(g.groups[index].members) }
+
 // segmentLayers returns the layers between a cut and the next one.
 func (g *graph) segmentLayers(cut int) int { return g.cuts[cut+1] - g.cuts[cut] }
 
-func (g *graph) checkCover(in Input) error {
+// uncovered returns the first layer that no group holds.
+func (g *graph) uncovered() (layer int, ok bool) {
 	for cut := 0; cut+1 < len(g.cuts); cut++ {
-		if !slices.ContainsFunc(g.groups, func(grp *group) bool { return grp.from <= cut && cut < grp.to }) {
-			return &GapError{Model: in.Model.Name, Version: in.Version, Adapter: in.Adapter, Layer: g.cuts[cut]}
+		if !slices.ContainsFunc(g.groups, func(grp *group) bool { return len(grp.members) > 0 && grp.covers(cut) }) {
+			return g.cuts[cut], true
 		}
 	}
-	return nil
+	return 0, false
 }
--- a/internal/plan/input.go
+++ b/internal/plan/input.go
@@ -37,7 +37,7 @@
 }
 
 func (in Input) holds(target *config.Target) bool {
-	if target.Kind != config.KindEngine || target.State == config.StateDraining {
+	if target.Kind != config.KindEngine || !target.TakesWork() {
 		return false
 	}
 	if target.Model != in.Model.Name || target.Version != in.Version {
--- a/internal/plan/pick.go
+++ b/internal/plan/pick.go
@@ -12,7 +12,7 @@
 		if target == nil {
 			return Plan{}, false
 		}
-		layers := config.LayerRange{From: g.cuts[l.from], To: g.cuts[l.to]}
+		layers := config.LayerRange{From: l.from, To: l.to}
 		plan.Stages = append(plan.Stages, Stage{Target: target, Layers: layers})
 	}
 	return plan, true
--- a/internal/plan/repair.go
+++ b/internal/plan/repair.go
@@ -17,7 +17,7 @@
 		return plan, true
 	}
 	free := func(name string) bool { return !failed[name] && (current.Uses(name) || usable(name)) }
-	return c.layOut(span{from: 0, to: len(c.graph.cuts) - 1, before: noGroup, after: noGroup}, free)
+	return c.layOut(c.finder, c.graph.whole(), free)
 }
 
 func (c *Chooser) patch(current Plan, failed map[string]bool, usable func(string) bool) (Plan, bool) {
@@ -31,14 +31,11 @@
 		for end+1 < len(current.Stages) && failed[current.Stages[end+1].Target.Name] {
 			end++
 		}
-		missing, ok := c.span(current, i, end)
-		if !ok {
-			return Plan{}, false
-		}
+		finder, missing := c.span(current, i, end)
 		free := func(name string) bool {
 			return !failed[name] && !current.Uses(name) && !patched.Uses(name) && usable(name)
 		}
-		part, ok := c.layOut(missing, free)
+		part, ok := c.layOut(finder, missing, free)
 		if !ok {
 			return Plan{}, false
 		}
@@ -48,12 +45,16 @@
 	return patched, true
 }
 
-// span returns the layers of stages first to last and their neighbours. It
-// reports false when the plan was made from targets that changed since.
-func (c *Chooser) span(current Plan, first, last int) (span, bool) {
+// span returns the layers of stages first to last with their neighbours, and a
+// search whose cuts include both ends: a plan may be cut within a range.
+func (c *Chooser) span(current Plan, first, last int) (*search, span) {
 	layers := config.LayerRange{From: current.Stages[first].Layers.From, To: current.Stages[last].Layers.To}
+	finder := c.finder
 	from, fromOK := slices.BinarySearch(c.graph.cuts, layers.From)
 	to, toOK := slices.BinarySearch(c.graph.cuts, layers.To)
+	if !fromOK || !toOK {
+		finder, from, to = c.fineFinder(), layers.From, layers.To
+	}
 	over := span{from: from, to: to, before: noGroup, after: noGroup}
 	if first > 0 {
 		over.before = c.groupIndex(current.Stages[first-1])
@@ -61,7 +62,14 @@
 	if last+1 < len(current.Stages) {
 		over.after = c.groupIndex(current.Stages[last+1])
 	}
-	return over, fromOK && toOK
+	return finder, over
+}
+
+func (c *Chooser) fineFinder() *search {
+	if c.fine == nil {
+		c.fine = newSearch(c.graph.refined())
+	}
+	return c.fine
 }
 
 func (c *Chooser) groupIndex(stage Stage) int {
--- a/internal/plan/search.go
+++ b/internal/plan/search.go
@@ -153,15 +153,16 @@
 
 func (s *search) trace(over span, last int) path {
 	var legs path
-	current := leg{group: last, to: over.to}
+	cuts := s.g.cuts
+	current := leg{group: last, to: cuts[over.to]}
 	for cut := over.to - 1; cut >= over.from; cut-- {
 		origin := s.origin[cut][current.group]
 		if origin == current.group {
 			continue
 		}
-		current.from = cut
+		current.from = cuts[cut]
 		legs = append(legs, current)
-		current = leg{group: origin, to: cut}
+		current = leg{group: origin, to: cuts[cut]}
 	}
 	for i, j := 0, len(legs)-1; i < j; i, j = i+1, j-1 {
 		legs[i], legs[j] = legs[j], legs[i]
--- a/internal/plan/set.go
+++ b/internal/plan/set.go
@@ -1,6 +1,6 @@
 package plan
 
-// Set is the weighted plans of one model, version and adapter.
+// Set is the weighted plans of one model, version and adapter. It is immutable.
 type Set struct {
 	Plans []Plan
 	// Bound is the most tokens a second that any weighting of plans can reach.
@@ -8,6 +8,10 @@
 
 	graph *graph
 	paths []weightedPath
+	// rows are the limits and price what one unit of each is worth, in tokens a
+	// second: at these prices every path costs at least 1, which proves the bound.
+	rows  *rows
+	price []float64
 }
 
 type weightedPath struct {
