--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"geraniumcroft/internal/invariant"
-	"geraniumcroft/internal/membership"
 )
 
 // fleet is a number of whole nodes in one process, in virtual time.
@@ -37,12 +36,25 @@
 func vmName(i int) string { return fmt.Sprintf("vm-%03d", i) }
 
 func (f *fleet) start(name string, store *memoryStore, s Settings) *testVM {
+	return f.startWith(name, store, nil, s)
+}
+
+func (f *fleet) startWith(name string, store *memoryStore, load LoadSink, s Settings) *testVM {
+	return f.launch(name, name, store, load, s)
+}
+
+// startAt starts a VM whose address is not its name.
+func (f *fleet) startAt(name, address string) *testVM {
+	return f.launch(name, address, newMemoryStore(), nil, Settings{})
+}
+
+func (f *fleet) launch(name, address string, store *memoryStore, load LoadSink, s Settings) *testVM {
 	vm := &testVM{name: name, store: store, done: make(chan struct{})}
 	vm.node = New(Options{
-		VM: name, DataCentre: "hall-a", Address: name, Seeds: []string{vmName(0), vmName(1)},
-		Store: store, Invariants: invariant.Strict(), Settings: s, Dial: f.network.dialFrom(name),
+		VM: name, DataCentre: "hall-a", Address: address, Seeds: []string{vmName(0), vmName(1)},
+		Store: store, Load: load, Invariants: invariant.Strict(), Settings: s, Dial: f.network.dialFrom(address),
 	})
-	lis := f.network.listen(name)
+	lis := f.network.listen(address)
 	var ctx context.Context
 	ctx, vm.stop = context.WithCancel(context.Background())
 	go func() { _ = vm.node.Serve(lis) }()
@@ -112,15 +124,6 @@
 	}
 }
 
-func (f *fleet) state(on, of string) membership.State {
-	for _, m := range f.vms[on].node.Members() {
-		if m.Name == of {
-			return m.State
-		}
-	}
-	return membership.Left
-}
-
 func (vm *testVM) change(name string) uint64 {
 	changes := vm.store.commit(name)
 	vm.node.Announce(changes)
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -55,8 +55,10 @@
 	Invariants    *invariant.Registry
 	Logger        *zap.Logger
 	Settings      Settings
-	// TLS is used by both ends of each connection; nil is plain.
-	TLS *tls.Config
+	// TLS is the listener's, ClientTLS the one for connections to peers; both are
+	// nil for plain connections.
+	TLS       *tls.Config
+	ClientTLS ClientTLS
 	// Dial replaces TCP, for tests.
 	Dial Dial
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -57,7 +57,7 @@
 		dial = dialTCP(s.KeepAliveTimeout)
 	}
 	return []grpc.DialOption{
-		grpc.WithTransportCredentials(transportCredentials(o)),
+		grpc.WithTransportCredentials(dialCredentials(o)),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			conn, err := dial(ctx, address)
 			if err != nil {
@@ -82,13 +82,20 @@
 	}
 }
 
-func transportCredentials(o Options) credentials.TransportCredentials {
+func serverCredentials(o Options) credentials.TransportCredentials {
 	if o.TLS == nil {
 		return insecure.NewCredentials()
 	}
 	return credentials.NewTLS(o.TLS)
 }
 
+func dialCredentials(o Options) credentials.TransportCredentials {
+	if o.ClientTLS == nil {
+		return insecure.NewCredentials()
+	}
+	return newClientCredentials(o.ClientTLS)
+}
+
 // open returns a new connection, which connects with its first call.
 func (p *pool) open(address string) (*connection, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address, p.options...)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,7 +12,7 @@
 
 func newServer(o Options, s Settings) *grpc.Server {
 	return grpc.NewServer(
-		grpc.Creds(transportCredentials(o)),
+		grpc.Creds(serverCredentials(o)),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: s.KeepAlivePeriod, Timeout: s.KeepAliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: s.KeepAlivePeriod / 2, PermitWithoutStream: true}),
 		grpc.ConnectionTimeout(s.TransferTimeout),
