enginesim: a client without a network, and tests of each fault

Change: DirectClient calls the engines of a fabric without HTTP, so that a router's parts run in virtual time; KV import takes no two locks; engines can be awaited by slots in use.

--- a/internal/service/httpservice/client.go
+++ b/internal/service/httpservice/client.go
@@ -76,6 +76,9 @@
 	}
 }
 
+// Close drops every unused connection.
+func (c *Client) Close() { c.kept.dropAll() }
+
 // suspect drops every unused connection to a peer of which one was found silent.
 func (c *Client) suspect(address string) {
 	c.kept.drop(address)
--- a/internal/service/httpservice/kept_conns.go
+++ b/internal/service/httpservice/kept_conns.go
@@ -1,6 +1,8 @@
 package httpservice
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -72,6 +74,15 @@
 	}
 }
 
+func (k *keptConns) dropAll() {
+	k.mu.Lock()
+	peers := slices.Collect(maps.Keys(k.byPeer))
+	k.mu.Unlock()
+	for _, address := range peers {
+		k.drop(address)
+	}
+}
+
 func (k *keptConns) set(address string, list []*conn) {
 	if len(list) == 0 {
 		delete(k.byPeer, address)
--- /dev/null
+++ b/internal/standin/enginesim/direct_client.go
@@ -0,0 +1,191 @@
+package enginesim
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/engine/httpengine"
+)
+
+// DefaultDirectIdle is the default of DirectClient.Idle.
+const DefaultDirectIdle = 750 * time.Millisecond
+
+var (
+	errUnreachable = errors.New("connection refused")
+	errNothingCame = errors.New("nothing arrived within the bound")
+)
+
+// DirectClient is an engine.Client without a network: it calls the engines of a
+// fabric, so that tests can run a router's parts in virtual time.
+type DirectClient struct {
+	fabric *Fabric
+	// Idle is the bound after which a stream counts as silent.
+	Idle time.Duration
+}
+
+var _ engine.Client = (*DirectClient)(nil)
+
+// NewDirectClient returns a client for the engines of a fabric.
+func NewDirectClient(fabric *Fabric) *DirectClient {
+	return &DirectClient{fabric: fabric, Idle: DefaultDirectIdle}
+}
+
+// Open implements engine.Client.
+func (c *DirectClient) Open(ctx context.Context, address string, open engine.StageOpen) (engine.Stream, error) {
+	e := c.fabric.Engine(address)
+	if e == nil {
+		return nil, &engine.OpenError{Address: address, Cause: errUnreachable}
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, &engine.OpenError{Address: address, Cause: err}
+	}
+	st, no := e.take(open)
+	if no != nil {
+		return nil, &engine.OpenError{Address: address, Sent: true, Status: no.status, Cause: no.asError()}
+	}
+	s := &directStream{client: c, engine: e, stage: st, address: address, ctx: ctx, closed: make(chan struct{})}
+	s.release = context.AfterFunc(ctx, s.Close)
+	return s, nil
+}
+
+// Cancel implements engine.Client.
+func (c *DirectClient) Cancel(_ context.Context, address, requestID string, epoch uint32) error {
+	e := c.fabric.Engine(address)
+	if e == nil {
+		return errUnreachable
+	}
+	e.cancel(requestID, epoch)
+	return nil
+}
+
+// Load implements engine.Client.
+func (c *DirectClient) Load(_ context.Context, address string) (engine.LoadReport, error) {
+	e := c.fabric.Engine(address)
+	if e == nil {
+		return engine.LoadReport{}, errUnreachable
+	}
+	return e.Load(), nil
+}
+
+// CacheEvents implements engine.Client.
+func (c *DirectClient) CacheEvents(_ context.Context, address string, after uint64) (engine.CacheEvents, error) {
+	e := c.fabric.Engine(address)
+	if e == nil {
+		return engine.CacheEvents{}, errUnreachable
+	}
+	return e.CacheEvents(after), nil
+}
+
+// State implements engine.Client.
+func (c *DirectClient) State(_ context.Context, address string) (engine.State, error) {
+	e := c.fabric.Engine(address)
+	if e == nil {
+		return engine.State{}, errUnreachable
+	}
+	return e.State(), nil
+}
+
+// Order implements engine.Client.
+func (c *DirectClient) Order(_ context.Context, address string, order engine.Order) error {
+	e := c.fabric.Engine(address)
+	if e == nil {
+		return &engine.OrderError{Address: address, Cause: errUnreachable}
+	}
+	if no := e.obey(order); no != nil {
+		return &engine.OrderError{Address: address, OldFencing: no.Code == httpengine.CodeOldFencing, Cause: no.asError()}
+	}
+	return nil
+}
+
+// directStream is the router's end of a stage without a connection between.
+type directStream struct {
+	client  *DirectClient
+	engine  *Engine
+	stage   *stage
+	address string
+	ctx     context.Context
+	closed  chan struct{}
+	release func() bool
+	events  []engine.Event // used by Recv alone
+}
+
+// Recv implements engine.Stream.
+func (s *directStream) Recv() (engine.Event, error) {
+	for {
+		if event, ok := s.pop(); ok {
+			return event, nil
+		}
+		events, ended := s.stage.out.take(nil)
+		if len(events) > 0 && !s.silent() {
+			s.events = events
+			continue
+		}
+		if ended && !s.silent() {
+			return engine.Event{}, s.broken(io.ErrUnexpectedEOF, false)
+		}
+		if event, err, done := s.wait(); done {
+			return event, err
+		}
+	}
+}
+
+func (s *directStream) pop() (engine.Event, bool) {
+	if len(s.events) == 0 {
+		return engine.Event{}, false
+	}
+	event := s.events[0]
+	s.events = s.events[1:]
+	return event, true
+}
+
+// wait waits for events, a heartbeat or an end.
+func (s *directStream) wait() (event engine.Event, err error, done bool) {
+	bound, arrived := s.engine.options.Heartbeat, s.stage.out.ready
+	silent := s.silent()
+	if silent {
+		bound, arrived = s.client.Idle, nil // nothing arrives any more
+	}
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	select {
+	case <-arrived:
+		return event, nil, false
+	case <-s.closed:
+		return event, s.broken(context.Canceled, false), true
+	case <-timer.C:
+		if silent {
+			return event, s.broken(errNothingCame, true), true
+		}
+		return s.stage.event(engine.EventHeartbeat), nil, !s.silent()
+	}
+}
+
+func (s *directStream) silent() bool { return s.stage.silent.Load() || s.engine.muted() }
+
+func (s *directStream) broken(cause error, silent bool) error {
+	s.Close()
+	return &engine.StreamError{Address: s.address, Silent: silent, Cause: cause}
+}
+
+// Close implements engine.Stream.
+func (s *directStream) Close() {
+	s.engine.mu.Lock()
+	select {
+	case <-s.closed:
+		s.engine.mu.Unlock()
+		return
+	default:
+	}
+	close(s.closed)
+	s.engine.mu.Unlock()
+	if s.release != nil {
+		s.release()
+	}
+	if !s.stage.silent.Load() {
+		s.engine.leave(s.stage)
+	}
+}
--- /dev/null
+++ b/internal/standin/enginesim/direct_test.go
@@ -0,0 +1,420 @@
+package enginesim
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/engine/httpengine"
+)
+
+// bench is a set of engines in virtual time.
+type bench struct {
+	*testing.T
+	fabric  *Fabric
+	client  *DirectClient
+	engines []*Engine
+}
+
+// inVirtualTime runs a test with engines for the given layer ranges.
+func inVirtualTime(t *testing.T, o Options, link LinkFunc, ranges []config.LayerRange, test func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{T: t, fabric: NewFabric(link)}
+		b.client = NewDirectClient(b.fabric)
+		for i, layers := range ranges {
+			own := o
+			own.Name, own.Model, own.Version, own.Layers, own.Fabric = fmt.Sprintf("e%d", i), testModel, "1", layers, b.fabric
+			e := New(own)
+			e.Attach(fmt.Sprintf("192.0.2.%d:1", i+1))
+			t.Cleanup(e.Close)
+			b.engines = append(b.engines, e)
+		}
+		test(b)
+	})
+}
+
+var (
+	halves   = []config.LayerRange{{From: 0, To: 4}, {From: 4, To: 8}}
+	whole    = []config.LayerRange{{From: 0, To: 8}}
+	twoWhole = []config.LayerRange{{From: 0, To: 8}, {From: 0, To: 8}}
+)
+
+func (b *bench) open(id string, epoch uint32, tokens int, engines ...*Engine) engine.StageOpen {
+	return engine.StageOpen{RequestID: id, Epoch: epoch, Model: "m", Version: "1", Hops: hopsOf(engines), Prompt: []string{"a"}, MaxTokens: tokens}
+}
+
+// last opens all stages and returns the stream of the last one.
+func (b *bench) last(open engine.StageOpen) engine.Stream {
+	b.Helper()
+	streams := openAll(b.T, b.client, open)
+	return streams[len(streams)-1]
+}
+
+// receive reads tokens until the stream ends or fails.
+func receive(stream engine.Stream, atMost int) (tokens []engine.Event, finish string, err error) {
+	for range 100 * (atMost + 1) {
+		event, err := stream.Recv()
+		if err != nil {
+			return tokens, "", err
+		}
+		switch event.Kind {
+		case engine.EventToken:
+			tokens = append(tokens, event)
+		case engine.EventDone:
+			return tokens, event.Finish, nil
+		case engine.EventError:
+			return tokens, "", errors.New(event.Message)
+		}
+		if len(tokens) == atMost {
+			return tokens, "", nil
+		}
+	}
+	return tokens, "", errors.New("no end")
+}
+
+func refusalOf(t *testing.T, err error) (status int, code string) {
+	t.Helper()
+	var open *engine.OpenError
+	var refused *httpengine.RefusedError
+	if !errors.As(err, &open) || !errors.As(err, &refused) {
+		t.Fatalf("%v is no refusal", err)
+	}
+	return open.Status, refused.Code
+}
+
+func TestTheRateIsSharedByAllRequests(t *testing.T) {
+	// 400 layer-tokens a second over 4 layers are 100 tokens a second.
+	inVirtualTime(t, Options{LayerTokensPerSecond: 400}, nil, halves, func(b *bench) {
+		start := time.Now()
+		done := make(chan error)
+		for i := range 10 {
+			stream := b.last(b.open(fmt.Sprint(i), 1, 20, b.engines...))
+			go func() {
+				_, _, err := receive(stream, 1000)
+				done <- err
+			}()
+		}
+		for range 10 {
+			if err := <-done; err != nil {
+				b.Fatal(err)
+			}
+		}
+		if took := time.Since(start).Seconds(); took < 1.95 || took > 2.1 {
+			b.Fatalf("200 tokens at 100 a second took %.3f virtual seconds", took)
+		}
+	})
+}
+
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	inVirtualTime(t, Options{LayerTokensPerSecond: 800}, nil, whole, func(b *bench) {
+		for i := range 8 {
+			b.last(b.open(fmt.Sprint("bulk", i), 1, 1000, b.engines...))
+		}
+		time.Sleep(time.Second)
+		urgent := b.open("urgent", 1, 10, b.engines...)
+		urgent.Priority = 2
+		start := time.Now()
+		if _, finish, err := receive(b.last(urgent), 100); err != nil || finish != "length" {
+			b.Fatalf("%s, %v", finish, err)
+		}
+		// 10 tokens of 10 ms each; the one in the accelerator is finished first.
+		if took := time.Since(start); took > 210*time.Millisecond {
+			b.Fatalf("took %s beside bulk work", took)
+		}
+	})
+}
+
+func TestLinksTakeTheirTime(t *testing.T) {
+	link := func(string, string) (time.Duration, float64) { return 5 * time.Millisecond, 102400 }
+	inVirtualTime(t, Options{LayerTokensPerSecond: 4e6}, link, halves, func(b *bench) {
+		stream := b.last(b.open("r", 1, 100, b.engines...))
+		start := time.Now()
+		if _, _, err := receive(stream, 10); err != nil {
+			b.Fatal(err)
+		}
+		// A token's 1,024 bytes take 10 ms forward, the next position 64 bytes back.
+		per := time.Since(start).Seconds() / 9.5
+		if per < 0.019 || per > 0.022 {
+			b.Fatalf("%.4f virtual seconds a token", per)
+		}
+	})
+}
+
+// The caller's stream resumes at its next token. The router cancels the stage and
+// opens the next epoch: on the same engine the KV cache was kept, on another one
+// it is imported, and without either the whole context is replayed.
+func TestKVCacheIsKeptAndImported(t *testing.T) {
+	inVirtualTime(t, Options{LayerTokensPerSecond: 8000, KeepKVFor: time.Second}, nil, twoWhole, func(b *bench) {
+		first := b.open("r", 1, 100, b.engines[0])
+		first.KeepKV = true
+		stream := b.last(first)
+		tokens, _, err := receive(stream, 10)
+		if err != nil {
+			b.Fatal(err)
+		}
+		stream.Close()
+		for epoch, c := range []struct {
+			on     int
+			from   string
+			after  time.Duration
+			reuses bool
+		}{
+			{on: 1},
+			{on: 1, from: b.engines[0].Addr(), reuses: true},
+			{on: 0, reuses: true},
+			{on: 0, after: 2 * time.Second},
+		} {
+			time.Sleep(c.after)
+			next := b.open("r", uint32(epoch+2), 100, b.engines[c.on])
+			next.ImportKVFrom = c.from
+			next.KeepKV = true
+			for _, token := range tokens {
+				next.Committed = append(next.Committed, token.Text)
+			}
+			stream := b.last(next)
+			ready, err := stream.Recv()
+			if err != nil || (ready.ReusedKV >= 10) != c.reuses {
+				b.Fatalf("epoch %d: %+v, %v", next.Epoch, ready, err)
+			}
+			more, _, err := receive(stream, 1)
+			if err != nil || more[0].Position != 10 || more[0].Trace[0].Epoch != next.Epoch {
+				b.Fatalf("epoch %d: %+v, %v", next.Epoch, more, err)
+			}
+			stream.Close()
+		}
+	})
+}
+
+// A stage that an older epoch opens late must not run beside the newer one, or the
+// token at a position would be made twice.
+func TestOldEpochsAreRefused(t *testing.T) {
+	inVirtualTime(t, Options{Slots: 1}, nil, whole, func(b *bench) {
+		e := b.engines[0]
+		old := b.last(b.open("r", 1, 1000, e))
+		b.last(b.open("r", 2, 1000, e)) // takes the slot over
+		if _, _, err := receive(old, 1000); err == nil || e.Active() != 1 {
+			b.Fatalf("the old epoch goes on: %v, %d active", err, e.Active())
+		}
+		if err := b.client.Cancel(b.Context(), e.Addr(), "r", 1); err != nil || e.Active() != 1 {
+			b.Fatalf("a cancel of epoch 1 hit epoch 2: %v", err)
+		}
+		if err := b.client.Cancel(b.Context(), e.Addr(), "r", 3); err != nil || e.Active() != 0 {
+			b.Fatalf("a cancel of epoch 3 left epoch 2: %v", err)
+		}
+		for epoch := uint32(1); epoch <= 3; epoch++ {
+			_, err := b.client.Open(b.Context(), e.Addr(), b.open("r", epoch, 1000, e))
+			if status, code := refusalOf(b.T, err); status != http.StatusConflict || code != httpengine.CodeOldEpoch {
+				b.Fatalf("epoch %d: %d %s", epoch, status, code)
+			}
+		}
+		b.last(b.open("r", 4, 1000, e))
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	inVirtualTime(t, Options{Slots: 1}, nil, []config.LayerRange{{From: 0, To: 4}}, func(b *bench) {
+		e := b.engines[0]
+		b.last(b.open("held", 1, 1000, e))
+		wrongLayers := b.open("r", 1, 5, e)
+		wrongLayers.Hops[0].Layers.To = 5
+		wrongAdapter := b.open("r", 1, 5, e)
+		wrongAdapter.Adapter = "x"
+		for _, c := range []struct {
+			open    engine.StageOpen
+			leaving bool
+			status  int
+			code    string
+		}{
+			{b.open("r", 1, 5, e), false, http.StatusConflict, httpengine.CodeBusy},
+			{wrongLayers, false, http.StatusNotFound, httpengine.CodeNotHeld},
+			{wrongAdapter, false, http.StatusNotFound, httpengine.CodeNotHeld},
+			{b.open("r", 1, 5, e), true, http.StatusGone, httpengine.CodeLeaving},
+			{b.open("r", 1, 0, e), false, http.StatusBadRequest, "bad-request"},
+		} {
+			e.SetFaults(func(f *Faults) { f.Leaving = c.leaving })
+			_, err := b.client.Open(b.Context(), e.Addr(), c.open)
+			if status, code := refusalOf(b.T, err); status != c.status || code != c.code {
+				b.Errorf("%d %s, expected %d %s", status, code, c.status, c.code)
+			}
+		}
+	})
+}
+
+func TestDeathAtAToken(t *testing.T) {
+	for dying := range 2 {
+		t.Run(fmt.Sprint("stage ", dying), func(t *testing.T) {
+			inVirtualTime(t, Options{}, nil, halves, func(b *bench) {
+				b.engines[dying].SetFaults(func(f *Faults) { f.DieAtToken = 7 })
+				streams := openAll(b.T, b.client, b.open("r", 1, 100, b.engines...))
+				if dying == 0 {
+					if _, _, err := receive(streams[0], 100); err == nil {
+						b.Fatal("the stream of the dead stage goes on")
+					}
+				}
+				tokens, _, err := receive(streams[1], 7+dying)
+				if len(tokens) != 7 || (err != nil) != (dying == 1) {
+					b.Fatalf("%d tokens, %v", len(tokens), err)
+				}
+				if _, err := b.client.Load(b.Context(), b.engines[dying].Addr()); err == nil {
+					b.Fatal("a dead engine answers")
+				}
+				if err := b.engines[dying].Revive(); err != nil {
+					b.Fatal(err)
+				}
+				if _, finish, err := receive(b.last(b.open("s", 1, 9, b.engines...)), 100); err != nil || finish != "length" {
+					b.Fatalf("after the revival: %s, %v", finish, err)
+				}
+			})
+		})
+	}
+}
+
+// The caller's stream may have to be told which stage failed by another one: the
+// last stage cannot reach the first with the next position.
+func TestAStageBlamesTheOneThatItCannotReach(t *testing.T) {
+	inVirtualTime(t, Options{}, nil, halves, func(b *bench) {
+		b.engines[1].SetFaults(func(f *Faults) { f.Slowdown = 100 })
+		stream := b.last(b.open("r", 1, 100, b.engines...))
+		if _, _, err := receive(stream, 3); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond) // half of the last stage's work on position 3
+		b.engines[0].Die()
+		for range 1000 {
+			event, err := stream.Recv()
+			if err != nil {
+				b.Fatal(err)
+			}
+			if event.Kind == engine.EventError {
+				if event.Blame != 0 {
+					b.Fatalf("%+v", event)
+				}
+				return
+			}
+		}
+		b.Fatal("no stage was blamed")
+	})
+}
+
+func TestSilenceHitsOpenStreamsOnly(t *testing.T) {
+	inVirtualTime(t, Options{}, nil, whole, func(b *bench) {
+		stream := b.last(b.open("r", 1, 1000, b.engines...))
+		if _, _, err := receive(stream, 3); err != nil {
+			b.Fatal(err)
+		}
+		b.engines[0].GoSilent()
+		var broken *engine.StreamError
+		if _, _, err := receive(stream, 1000); !errors.As(err, &broken) || !broken.Silent {
+			b.Fatalf("%v, expected silence", err)
+		}
+		if b.engines[0].Active() != 1 {
+			b.Fatal("the engine learnt of a close on a silent connection")
+		}
+		if _, finish, err := receive(b.last(b.open("s", 1, 5, b.engines...)), 1000); err != nil || finish != "length" {
+			b.Fatalf("a new stream: %s, %v", finish, err)
+		}
+	})
+}
+
+func TestSlowdownStopPositionAndStaleTokens(t *testing.T) {
+	inVirtualTime(t, Options{LayerTokensPerSecond: 800}, nil, whole, func(b *bench) {
+		b.engines[0].SetFaults(func(f *Faults) { f.Slowdown, f.StaleTokens = 10, true })
+		open := b.open("r", 5, 100, b.engines...)
+		open.Prompt = []string{"stop:4"}
+		start := time.Now()
+		tokens, finish, err := receive(b.last(open), 1000)
+		if err != nil || finish != "stop" || len(tokens) != 10 {
+			b.Fatalf("%d tokens, %s, %v", len(tokens), finish, err)
+		}
+		if took := time.Since(start); took != 500*time.Millisecond {
+			b.Fatalf("5 tokens of 100 ms took %s", took)
+		}
+		for i, token := range tokens {
+			stale := i%2 == 0
+			if stale != (token.Epoch == 4) || token.Position != i/2 {
+				b.Fatalf("token %d: %+v", i, token)
+			}
+		}
+	})
+}
+
+// The lease holder that was paused orders with an old number. An engine that
+// checks it refuses; one that does not obeys, and its request in hand is cut off.
+func TestFencingCanBeSwitchedOff(t *testing.T) {
+	for _, ignores := range []bool{false, true} {
+		t.Run(fmt.Sprint("ignores ", ignores), func(t *testing.T) {
+			inVirtualTime(t, Options{IgnoresFencing: ignores, LoadTime: time.Second}, nil, whole, func(b *bench) {
+				e := b.engines[0]
+				order := engine.Order{ID: "1", Fencing: 9, Model: "m", Version: "1", Layers: whole[0]}
+				if err := b.client.Order(b.Context(), e.Addr(), order); err != nil {
+					b.Fatal(err)
+				}
+				b.last(b.open("r", 1, 1000, e))
+				order.ID, order.Fencing, order.Version = "2", 8, "2"
+				err := b.client.Order(b.Context(), e.Addr(), order)
+				var refused *engine.OrderError
+				if ignores && err != nil || !ignores && (!errors.As(err, &refused) || !refused.OldFencing) {
+					b.Fatalf("%v", err)
+				}
+				if cut := e.Counts().CutOff == 1; cut != ignores {
+					b.Fatalf("%+v", e.Counts())
+				}
+				state := e.State()
+				if state.Loading != ignores || (state.Fencing == 0) != ignores {
+					b.Fatalf("%+v", state)
+				}
+				time.Sleep(time.Second)
+				if e.State().Loading {
+					b.Fatal("still loading")
+				}
+			})
+		})
+	}
+}
+
+func TestReportsAndCacheEventsComeLateAndWithGaps(t *testing.T) {
+	o := Options{LoadLag: time.Second, CacheEventLag: time.Second, CacheBlocks: 2, LayerTokensPerSecond: 8e3}
+	inVirtualTime(t, o, nil, whole, func(b *bench) {
+		e := b.engines[0]
+		open := b.open("r", 1, 1000000, e)
+		open.Prompt = make([]string, 3*engine.PrefixBlockTokens)
+		stream := b.last(open)
+		if _, _, err := receive(stream, 3); err != nil {
+			b.Fatal(err)
+		}
+		if e.Load().Active != 0 {
+			b.Fatalf("a load report without a lag: %+v", e.Load())
+		}
+		time.Sleep(time.Second)
+		if e.Load().Active != 1 {
+			b.Fatalf("%+v", e.Load())
+		}
+		stream.Close()
+		if got := e.CacheEvents(0); len(got.Events) != 0 {
+			b.Fatalf("cache events without a lag: %+v", got)
+		}
+		time.Sleep(time.Second)
+		hashes := engine.PrefixHashes("m", "1", "", open.Prompt)
+		got := e.CacheEvents(0)
+		if len(got.Events) != 4 || got.Gap || got.Events[0].Prefix != hashes[0] || !got.Events[3].Evict {
+			b.Fatalf("%+v, expected three blocks and an eviction", got)
+		}
+		e.DropCacheEvents(2)
+		open.RequestID, open.Prompt = "s", make([]string, engine.PrefixBlockTokens)
+		open.Prompt[0] = "other"
+		stream = b.last(open)
+		if _, _, err := receive(stream, 1); err != nil {
+			b.Fatal(err)
+		}
+		stream.Close()
+		time.Sleep(time.Second)
+		if got := e.CacheEvents(0); !got.Gap {
+			b.Fatalf("%+v, expected a gap", got)
+		}
+	})
+}
--- a/internal/standin/enginesim/engine.go
+++ b/internal/standin/enginesim/engine.go
@@ -1,6 +1,7 @@
 package enginesim
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -33,6 +34,7 @@
 	fencing  uint64
 	stages   map[string]*stage
 	active   int
+	changed  chan struct{} // closed when active changes; nil when nobody waits
 	// floors holds the lowest epoch that is still accepted of each request.
 	floors *lru.Cache[string, uint32]
 	early  *lru.Cache[string, []*activation]
@@ -134,6 +136,35 @@
 	return e.active
 }
 
+// AwaitActive waits until the number of slots in use is the given one.
+func (e *Engine) AwaitActive(ctx context.Context, active int) error {
+	for {
+		e.mu.Lock()
+		if e.active == active {
+			e.mu.Unlock()
+			return nil
+		}
+		if e.changed == nil {
+			e.changed = make(chan struct{})
+		}
+		changed := e.changed
+		e.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// activeChanged wakes who waits for it; the caller holds the lock.
+func (e *Engine) activeChanged() {
+	if e.changed != nil {
+		close(e.changed)
+		e.changed = nil
+	}
+}
+
 func (e *Engine) signal() {
 	select {
 	case e.wake <- struct{}{}:
--- a/internal/standin/enginesim/kept_kv.go
+++ b/internal/standin/enginesim/kept_kv.go
@@ -12,3 +12,11 @@
 	layers    config.LayerRange
 	until     time.Time
 }
+
+// usable returns how many positions a stage of these layers need not replay.
+func (k keptKV) usable(now time.Time, layers config.LayerRange) int {
+	if now.After(k.until) || !k.layers.Contains(layers) {
+		return 0
+	}
+	return k.positions
+}
--- a/internal/standin/enginesim/open.go
+++ b/internal/standin/enginesim/open.go
@@ -2,14 +2,17 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
+	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
 	"geraniumcroft/internal/engine/httpengine"
 )
 
 // take opens a stage or refuses it.
 func (e *Engine) take(open engine.StageOpen) (*stage, *refusal) {
+	imported, arrives := e.importKV(open)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if no := e.refuse(open); no != nil {
@@ -24,9 +27,10 @@
 	e.floors.Add(open.RequestID, open.Epoch)
 	e.stages[open.RequestID] = st
 	e.active++
+	e.activeChanged()
 	e.counts.Opens++
 	e.addRecord(st)
-	starts := e.reuse(st)
+	starts := e.reuse(st, imported, arrives)
 	e.loads.note(time.Now(), e.report())
 	ready := st.event(engine.EventReady)
 	ready.ReusedKV = st.kv
@@ -73,21 +77,12 @@
 	if open.Model != e.held.Model || open.Version != e.held.Version {
 		return false
 	}
-	if open.Adapter != "" && !contains(e.held.Adapters, open.Adapter) {
+	if open.Adapter != "" && !slices.Contains(e.held.Adapters, open.Adapter) {
 		return false
 	}
 	return e.held.Layers.Contains(open.Hops[open.Index].Layers)
 }
 
-func contains(list []string, name string) bool {
-	for _, each := range list {
-		if each == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (e *Engine) addRecord(st *stage) {
 	st.record = &Executed{RequestID: st.open.RequestID, Target: e.options.Name, Epoch: st.open.Epoch, Layers: st.hop.Layers}
 	if len(e.executed) == maxExecuted {
@@ -97,19 +92,16 @@
 }
 
 // reuse finds how much of the context needs no replay, and when work can start.
-func (e *Engine) reuse(st *stage) time.Time {
+func (e *Engine) reuse(st *stage, imported int, arrives time.Time) time.Time {
 	now := time.Now()
 	whole := st.context(len(st.open.Committed))
-	hashes := engine.PrefixHashes(st.open.Model, st.open.Version, st.open.Adapter, st.open.Prompt)
-	st.kv = e.cache.use(hashes) * engine.PrefixBlockTokens
+	st.kv = e.cache.use(st.prefixes()) * engine.PrefixBlockTokens
 	if kept, ok := e.kv.Peek(st.open.RequestID); ok {
 		e.kv.Remove(st.open.RequestID)
-		if now.Before(kept.until) && kept.layers.Contains(st.hop.Layers) {
-			st.kv = max(st.kv, kept.positions)
-		}
+		st.kv = max(st.kv, kept.usable(now, st.hop.Layers))
 	}
 	starts := now
-	if imported, arrives := e.importKV(st, now); imported > st.kv {
+	if imported > st.kv {
 		st.kv = imported
 		starts = arrives
 	}
@@ -118,45 +110,35 @@
 	return starts
 }
 
-// importKV asks another engine of this process for the request's KV cache.
-//
-// It takes the other engine's lock while holding this one's; TryLock keeps two
-// engines that import from each other from waiting for each other for good.
-func (e *Engine) importKV(st *stage, now time.Time) (int, time.Time) {
-	from := e.fabric.Engine(st.open.ImportKVFrom)
-	if from == nil || from == e {
+// importKV asks another engine for the request's KV cache and returns how many
+// positions it holds and when they have arrived. The caller holds no lock, so two
+// engines may import from each other.
+func (e *Engine) importKV(open engine.StageOpen) (int, time.Time) {
+	now := time.Now()
+	from := e.fabric.Engine(open.ImportKVFrom)
+	if from == nil || from == e || open.Index < 0 || open.Index >= len(open.Hops) {
 		return 0, now
 	}
-	positions := from.exportKV(st.open.RequestID, st)
-	size := positions * st.hop.Layers.Len() * e.options.KVBytesPerToken
+	layers := open.Hops[open.Index].Layers
+	positions := from.exportKV(open.RequestID, layers)
+	size := positions * layers.Len() * e.options.KVBytesPerToken
 	return positions, e.fabric.arrival(from.options.Name, e.options.Name, now, size)
 }
 
-const exportTries = 1000
-
-func (e *Engine) exportKV(requestID string, st *stage) int {
-	for range exportTries {
-		if e.mu.TryLock() {
-			defer e.mu.Unlock()
-			return e.exportLocked(requestID, st)
-		}
-		time.Sleep(time.Microsecond)
-	}
-	return 0
-}
-
-func (e *Engine) exportLocked(requestID string, st *stage) int {
+func (e *Engine) exportKV(requestID string, layers config.LayerRange) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.dead {
 		return 0
 	}
-	if own := e.stages[requestID]; own != nil && own.hop.Layers.Contains(st.hop.Layers) {
+	if own := e.stages[requestID]; own != nil && own.hop.Layers.Contains(layers) {
 		return own.kv
 	}
 	kept, ok := e.kv.Peek(requestID)
-	if !ok || time.Now().After(kept.until) || !kept.layers.Contains(st.hop.Layers) {
+	if !ok {
 		return 0
 	}
-	return kept.positions
+	return kept.usable(time.Now(), layers)
 }
 
 // takeEarly moves activations that came before the stage was opened to its queue.
@@ -216,7 +198,7 @@
 	if !st.over {
 		e.counts.Cancelled++
 	}
-	hashes := engine.PrefixHashes(st.open.Model, st.open.Version, st.open.Adapter, st.open.Prompt)
+	hashes := st.prefixes()
 	e.cache.put(hashes[:min(len(hashes), st.kv/engine.PrefixBlockTokens)], time.Now())
 	if st.open.KeepKV && !st.over && st.kv > 0 {
 		e.kv.Add(st.open.RequestID, keptKV{positions: st.kv, layers: st.hop.Layers, until: time.Now().Add(e.options.KeepKVFor)})
--- a/internal/standin/enginesim/run.go
+++ b/internal/standin/enginesim/run.go
@@ -264,6 +264,7 @@
 	}
 	st.over = true
 	e.active--
+	e.activeChanged()
 	e.loads.note(time.Now(), e.report())
 }
 
--- a/internal/standin/enginesim/stage.go
+++ b/internal/standin/enginesim/stage.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"geraniumcroft/internal/engine"
 )
@@ -21,6 +22,7 @@
 	stopAt int
 	// over says that the generation has ended, so the slot is free.
 	over   bool
+	silent atomic.Bool // its connection is silent, for streams of a DirectClient
 	record *Executed
 }
 
@@ -37,6 +39,11 @@
 // context is the number of positions before generated position p.
 func (s *stage) context(p int) int { return len(s.open.Prompt) + p }
 
+// prefixes returns the hashes of the prompt's whole blocks.
+func (s *stage) prefixes() []uint64 {
+	return engine.PrefixHashes(s.open.Model, s.open.Version, s.open.Adapter, s.open.Prompt)
+}
+
 func (s *stage) event(kind engine.EventKind) engine.Event {
 	return engine.Event{Kind: kind, RequestID: s.open.RequestID, Epoch: s.open.Epoch}
 }
--- a/internal/standin/enginesim/start.go
+++ b/internal/standin/enginesim/start.go
@@ -62,19 +62,22 @@
 	}
 	e.dead = true
 	listener, server, address := e.listener, e.server, e.address
-	for _, st := range e.stages {
-		st.out.close()
+	stages := e.stages
+	for _, st := range stages {
 		st.over = true
 	}
 	e.forgetAll()
+	e.activeChanged()
 	e.mu.Unlock()
 	e.fabric.Unregister(address)
-	if listener == nil {
-		return
+	if listener != nil {
+		_ = listener.Close()
+		listener.ResetAll()
+		_ = server.Close()
+	}
+	for _, st := range stages {
+		st.out.close() // after the resets, so that no stream ends in an orderly way
 	}
-	_ = listener.Close()
-	listener.ResetAll()
-	_ = server.Close()
 }
 
 // Revive starts a dead engine again at its address.
@@ -93,6 +96,9 @@
 func (e *Engine) GoSilent() {
 	e.mu.Lock()
 	listener := e.listener
+	for _, st := range e.stages {
+		st.silent.Store(true)
+	}
 	e.mu.Unlock()
 	if listener != nil {
 		listener.SilenceAll()
--- /dev/null
+++ b/internal/transport/dialer_test.go
@@ -0,0 +1,61 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// A resolver that hangs or answers with something else must not stand between a
+// request and its target.
+func TestOnlyIPNumbersAreDialled(t *testing.T) {
+	dial := NewDialer(Settings{})
+	for _, address := range []string{"localhost:80", "engine.example:80", "127.0.0.1", ":80", "127.0.0.1:http"} {
+		conn, err := dial(context.Background(), "tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			t.Errorf("%q was dialled", address)
+		}
+	}
+}
+
+// Without these options the kernel takes minutes to tell that a connection has
+// lost its peer.
+func TestConnectionsCarryTheirBounds(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	settings := Settings{UserTimeout: 1700 * time.Millisecond, KeepAlive: 3 * time.Second}
+	conn, err := NewDialer(settings)(context.Background(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, option := range []struct {
+		name                   string
+		level, option, expects int
+	}{
+		{"TCP_USER_TIMEOUT", unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 1700},
+		{"SO_KEEPALIVE", unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		{"TCP_KEEPIDLE", unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 3},
+		{"TCP_KEEPINTVL", unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 3},
+		{"TCP_KEEPCNT", unix.IPPROTO_TCP, unix.TCP_KEEPCNT, keepAliveProbes},
+	} {
+		var got int
+		var failed error
+		err := raw.Control(func(fd uintptr) { got, failed = unix.GetsockoptInt(int(fd), option.level, option.option) })
+		if err != nil || failed != nil || got != option.expects {
+			t.Errorf("%s is %d, %v, %v; expected %d", option.name, got, err, failed, option.expects)
+		}
+	}
+}
