Prove leases under pauses, outages and lost answers

Cause: the safeguards of leases had no test. Change: failure tests in virtual time and a porcupine check of acts by four VMs; three planted faults (taking over without observing, monotonic clock alone, counting unanswered renewals) must be caught.

--- a/internal/drain/tracker.go
+++ b/internal/drain/tracker.go
@@ -48,14 +48,12 @@
 // Run reads the platform's list at an interval until ctx ends, and looks at the
 // configuration as often.
 func (t *Tracker) Run(ctx context.Context, list platform.VMList, every time.Duration) {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
 	for {
 		t.poll(ctx, list, every)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(every):
 		}
 	}
 }
--- /dev/null
+++ b/internal/lease/failure_test.go
@@ -0,0 +1,187 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/standin/platformsim"
+)
+
+// takeoverBound is what the operators were promised.
+const takeoverBound = 10 * time.Second
+
+var threeVMs = []string{"vm-a", "vm-b", "vm-c"}
+
+func must(t *testing.T, ok bool, format string, args ...any) {
+	t.Helper()
+	if !ok {
+		t.Fatalf(format, args...)
+	}
+}
+
+// The operator sees the duty move to another VM within 10 s of its holder's death.
+// The holder stops without a word, the others see its row unchanged for the whole
+// duration, and one of them takes it with a higher fencing number.
+func TestDeadHolderIsReplacedWithinTenSeconds(t *testing.T) {
+	for _, vms := range []int{1, 320} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(hooks{}, threeVMs, testDuty)
+			defer f.stop()
+			for _, v := range f.vms {
+				v.manager.options.VMs = func() int { return vms }
+			}
+			dead := f.awaitHolder(testDuty, takeoverBound)
+			must(t, dead != nil, "nobody took the free lease")
+			before, _ := dead.manager.Held(testDuty)
+			f.kill(dead)
+			died := time.Now()
+			time.Sleep(DefaultTTL)
+			next := f.awaitHolder(testDuty, takeoverBound-DefaultTTL)
+			must(t, next != nil && next != dead, "no new holder %s after the death, in a fleet of %d", time.Since(died), vms)
+			after, _ := next.manager.Held(testDuty)
+			must(t, after.Fencing > before.Fencing, "fencing number %d after %d", after.Fencing, before.Fencing)
+			t.Logf("fleet of %d: taken over %s after the death", vms, time.Since(died))
+		})
+	}
+}
+
+// The operator sees one holder, never two. A VM is paused past its lease and its
+// monotonic clock stands still meanwhile; on waking, by that clock its view would
+// still stand, but the wall clock shows the truth before anything is done.
+func TestHolderPausedPastItsLeaseDoesNotActOnWaking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hooks{}, threeVMs, testDuty)
+		defer f.stop()
+		paused := f.awaitHolder(testDuty, takeoverBound)
+		l, _ := paused.manager.Held(testDuty)
+		must(t, l.Check() == nil, "the holder may act before its pause")
+		paused.pause()
+		time.Sleep(2 * DefaultTTL)
+		paused.wake()
+		must(t, l.Check() != nil, "the holder may act after a pause past its lease")
+		must(t, len(f.holders(testDuty)) == 1, "%d holders", len(f.holders(testDuty)))
+	})
+}
+
+// The operator sees the duty move on, and the old holder stops by itself. All of its
+// renewals end without an answer or an effect while its reads still work: a renewal
+// that was not read back must not prolong its view.
+func TestUnansweredRenewalsDoNotProlongTheView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hooks{}, threeVMs, testDuty)
+		defer f.stop()
+		old := f.awaitHolder(testDuty, takeoverBound)
+		l, _ := old.manager.Held(testDuty)
+		old.setHangCommits(true)
+		time.Sleep(DefaultTTL)
+		must(t, l.Check() != nil, "the view outlived the last renewal that took effect")
+		next := f.awaitHolder(testDuty, takeoverBound)
+		must(t, next != nil && next != old, "nobody took over")
+	})
+}
+
+// The operator sees the same holder throughout. The answers of some renewals are
+// lost after the write took effect; the holder reads its own transaction back and
+// goes on under the same fencing number.
+func TestLostAnswersOfRenewalsAreReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hooks{}, threeVMs, testDuty)
+		defer f.stop()
+		holder := f.awaitHolder(testDuty, takeoverBound)
+		l, _ := holder.manager.Held(testDuty)
+		f.store.Faults.Choose(func(op platformsim.Operation) platformsim.Action {
+			if op == platformsim.OpCommit {
+				return platformsim.Action{Kind: platformsim.ActLoseAnswer}
+			}
+			return platformsim.Action{}
+		})
+		for range 60 {
+			time.Sleep(500 * time.Millisecond)
+			must(t, l.Check() == nil, "the holder lost a lease that it renewed")
+		}
+	})
+}
+
+// The operator sees the duty rest while the store is out, and exactly one holder
+// soon after. Views end on their own; when the table is back, whoever writes first
+// on the row's old revision wins.
+func TestLongOutageLeavesNoHolderAndThenOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hooks{}, threeVMs, testDuty)
+		defer f.stop()
+		first := f.awaitHolder(testDuty, takeoverBound)
+		before, _ := first.manager.Held(testDuty)
+		f.store.Faults.Set(platformsim.Order{Outage: platformsim.OutageHang})
+		time.Sleep(30 * time.Minute)
+		must(t, len(f.holders(testDuty)) == 0, "a holder without the table")
+		f.store.Faults.Set(platformsim.Order{})
+		next := f.awaitHolder(testDuty, takeoverBound)
+		must(t, next != nil, "no holder after the outage")
+		after, _ := next.manager.Held(testDuty)
+		must(t, next == first || after.Fencing > before.Fencing, "new holder with fencing number %d after %d", after.Fencing, before.Fencing)
+	})
+}
+
+// The operator sees a planned stop hand its duty on at once. The row is marked free
+// and keeps its fencing number, so the next holder's is higher.
+func TestReleaseHandsOnWithoutWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hooks{}, threeVMs, testDuty)
+		defer f.stop()
+		first := f.awaitHolder(testDuty, takeoverBound)
+		before, _ := first.manager.Held(testDuty)
+		f.store.Faults.Set(platformsim.Order{LoseAnswers: 1})
+		first.manager.Release(context.Background())
+		must(t, before.Check() != nil, "acts are possible after the release")
+		next := f.awaitHolder(testDuty, DefaultTTL/2)
+		must(t, next != nil && next != first, "not handed on")
+		after, _ := next.manager.Held(testDuty)
+		must(t, after.Fencing == before.Fencing+1, "fencing number %d after %d", after.Fencing, before.Fencing)
+	})
+}
+
+// A VM is replaced under the same name and its predecessor's row still stands. The
+// successor must not take the lease for its own: the predecessor may only be paused.
+func TestSameNameIsNotTheSameHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hooks{}, []string{"vm-a"}, testDuty)
+		defer f.stop()
+		old := f.awaitHolder(testDuty, takeoverBound)
+		l, _ := old.manager.Held(testDuty)
+		successor := newVM("vm-a", f.store, hooks{}, testDuty)
+		ctx, cancel := context.WithCancel(context.Background())
+		f.done.Go(func() { successor.manager.Run(ctx) })
+		defer cancel()
+		for range 40 {
+			time.Sleep(500 * time.Millisecond)
+			_, held := successor.manager.Held(testDuty)
+			must(t, !held && l.Check() == nil, "the successor took a live lease")
+		}
+	})
+}
+
+// Six VMs start together; no VM is left with all the control work.
+func TestDutiesAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		duties := []string{"orders", "sweep", "compact"}
+		f := newFleet(hooks{}, []string{"vm-a", "vm-b", "vm-c", "vm-d", "vm-e", "vm-f"}, duties...)
+		defer f.stop()
+		time.Sleep(takeoverBound)
+		holders := map[string]bool{}
+		for _, duty := range duties {
+			holding := f.holders(duty)
+			must(t, len(holding) == 1, "%d holders of %s", len(holding), duty)
+			holders[holding[0].name] = true
+		}
+		must(t, len(holders) == len(duties), "held by %v", holders)
+	})
+}
+
+// A row written by a VM with a longer duration is respected by one with a shorter.
+func TestContenderRespectsTheRowsDuration(t *testing.T) {
+	d := duty{record: record{Holder: "vm-a", Duration: config.Duration(time.Minute)}}
+	must(t, d.takeableAfter(DefaultTTL) == time.Minute, "takeable after %s", d.takeableAfter(DefaultTTL))
+}
--- /dev/null
+++ b/internal/lease/history_test.go
@@ -0,0 +1,163 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"geraniumcroft/internal/standin/platformsim"
+)
+
+const (
+	historySeeds = 12
+	historyLong  = 3 * time.Minute
+	actEvery     = 200 * time.Millisecond
+)
+
+// actModel is the history of acts under one duty: once a fencing number has acted,
+// no lower one may.
+var actModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, _ any) (bool, any) {
+		highest, fencing := state.(uint64), input.(uint64)
+		return fencing >= highest, max(highest, fencing)
+	},
+	DescribeOperation: func(input, _ any) string { return fmt.Sprintf("act(%d)", input) },
+}
+
+type history struct {
+	mu  sync.Mutex // guards ops
+	ops []porcupine.Operation
+}
+
+func (h *history) add(client int, fencing uint64, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: fencing, Call: at.UnixNano(), Return: at.UnixNano()})
+}
+
+func (h *history) holders() int {
+	seen := map[uint64]bool{}
+	for _, op := range h.ops {
+		seen[op.Input.(uint64)] = true
+	}
+	return len(seen)
+}
+
+// run lets four VMs act under one duty for a while, under pauses, outages, lost
+// answers and late writes that the seed decides, and returns the acts.
+func run(seed uint64, planted hooks) *history {
+	h := &history{}
+	f := newFleet(planted, append([]string{"vm-d"}, threeVMs...), testDuty)
+	end := time.Now().Add(historyLong)
+	for i, v := range f.vms {
+		f.done.Go(func() { act(h, i, v, end) })
+	}
+	disturb(rand.New(rand.NewPCG(seed, seed)), f, end)
+	f.stop()
+	return h
+}
+
+func act(h *history, client int, v *vm, end time.Time) {
+	for time.Now().Before(end) {
+		time.Sleep(actEvery)
+		v.running()
+		l, ok := v.manager.Held(testDuty)
+		if ok && l.Check() == nil {
+			h.add(client, l.Fencing, time.Now())
+		}
+	}
+}
+
+func disturb(random *rand.Rand, f *fleet, end time.Time) {
+	var mu sync.Mutex // the store asks from several goroutines
+	f.store.Faults.Choose(func(platformsim.Operation) platformsim.Action {
+		mu.Lock()
+		defer mu.Unlock()
+		return randomAction(random)
+	})
+	for time.Now().Before(end) {
+		mu.Lock()
+		long := time.Duration(random.Int64N(int64(9 * time.Second)))
+		v := f.vms[random.IntN(len(f.vms))]
+		what := random.IntN(5)
+		mu.Unlock()
+		if holding := f.holders(testDuty); what < 4 && len(holding) > 0 {
+			v = holding[0]
+		}
+		switch what {
+		case 0, 1, 4:
+			v.pause()
+			time.Sleep(long)
+			v.wake()
+		case 2:
+			v.setHangCommits(true)
+			time.Sleep(2 * long)
+			v.setHangCommits(false)
+		case 3:
+			f.store.Faults.Set(platformsim.Order{Outage: platformsim.OutageHang})
+			time.Sleep(long)
+			f.store.Faults.Set(platformsim.Order{})
+		}
+	}
+}
+
+func randomAction(random *rand.Rand) platformsim.Action {
+	wait := time.Duration(random.Int64N(int64(3 * time.Second)))
+	switch random.IntN(20) {
+	case 0:
+		return platformsim.Action{Kind: platformsim.ActLoseAnswer}
+	case 1:
+		return platformsim.Action{Kind: platformsim.ActDelay, Wait: wait}
+	case 2:
+		return platformsim.Action{Kind: platformsim.ActSlow, Wait: wait / 2}
+	case 3:
+		return platformsim.Action{Kind: platformsim.ActUnavailable}
+	default:
+		return platformsim.Action{}
+	}
+}
+
+func linearizable(seed uint64, planted hooks, t *testing.T) (bool, *history) {
+	var h *history
+	synctest.Test(t, func(*testing.T) { h = run(seed, planted) })
+	return porcupine.CheckOperations(actModel, h.ops), h
+}
+
+// No run shows an act under a lower fencing number after one under a higher.
+func TestNoActAfterASuccessorsAct(t *testing.T) {
+	acts, holders := 0, 0
+	for seed := range uint64(historySeeds) {
+		ok, h := linearizable(seed, hooks{}, t)
+		must(t, ok, "seed %d: two holders acted", seed)
+		acts += len(h.ops)
+		holders += h.holders()
+	}
+	must(t, holders > 4*historySeeds, "only %d tenures in %d runs, the runs prove little", holders, historySeeds)
+	t.Logf("%d runs, %d acts, %d tenures", historySeeds, acts, holders)
+}
+
+// Each safeguard that is taken out is missed by the check.
+func TestHistoryCheckCatchesPlantedFaults(t *testing.T) {
+	faults := map[string]hooks{
+		"takes over without observing":   {skipObservation: true},
+		"trusts the monotonic clock":     {skipWallClock: true},
+		"counts renewals without answer": {trustAmbiguous: true},
+	}
+	for name, planted := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(historySeeds) {
+				if ok, _ := linearizable(seed, planted, t); !ok {
+					t.Logf("caught with seed %d", seed)
+					return
+				}
+			}
+			t.Error("not caught")
+		})
+	}
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,24 +43,36 @@
 func NewManager(o Options) *Manager {
 	o.setDefaults()
 	m := &Manager{options: o}
-	for _, name := range o.Duties {
+	for _, name := range inPreference(o.VM, o.Duties) {
 		m.keys = append(m.keys, keyOf(name))
 		m.duties = append(m.duties, &duty{name: name, attempts: map[string]attempt{}})
 	}
 	return m
 }
 
+// inPreference orders the duties differently on each VM, so that VMs which start
+// together do not all try for the same one.
+func inPreference(vm string, duties []string) []string {
+	return slices.SortedFunc(slices.Values(duties), func(a, b string) int {
+		return cmp.Compare(rank(vm, a), rank(vm, b))
+	})
+}
+
+func rank(vm, duty string) uint64 { return xxhash.Sum64String(vm + "\x00" + duty) }
+
 // Run acquires free and expired leases and renews the held ones until ctx ends or
 // Release is called. It does not release them.
+//
+// The pause between steps is a timer of its own and not a time.Ticker: a ticker that
+// falls due while a step runs is delivered by the reading goroutine, and several at
+// once in one synctest bubble crash Go 1.26's race detector.
 func (m *Manager) Run(ctx context.Context) {
-	ticker := time.NewTicker(m.options.tick())
-	defer ticker.Stop()
 	for {
 		m.step(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(m.options.tick()):
 		}
 	}
 }
@@ -211,8 +225,7 @@
 			held++
 		}
 	}
-	rank := xxhash.Sum64String(m.options.VM + "\x00" + d.name)
-	share := time.Duration(rank % uint64(m.options.tick()))
+	share := time.Duration(rank(m.options.VM, d.name) % uint64(m.options.tick()))
 	return time.Duration(min(held, maxPenalties))*m.options.penalty() + share
 }
 
--- a/internal/lease/options.go
+++ b/internal/lease/options.go
@@ -11,7 +11,8 @@
 
 // DefaultTTL is how long a lease lasts after its renewal. With the fractions
 // below, a dead holder's duty is taken over after at most
-// 5 s + 0.83 s + 0.42 s + 2.08 s = 8.3 s and three round trips to the table.
+// 5 s + 0.83 s + 0.42 s + 0.42 s = 6.7 s and three round trips to the table, and
+// 2.5 s later if nobody is left but VMs that hold two leases already.
 const DefaultTTL = 5 * time.Second
 
 const (
@@ -20,6 +21,9 @@
 	marginFraction = 5
 	// renewFraction: a holder renews four times in a TTL, so two may be lost.
 	renewFraction = 4
+	// penaltyFraction: a VM that holds a lease leaves the others this much time for
+	// each, which is three ticks, so that one that lost a race can try for another.
+	penaltyFraction = 4
 	// readFraction bounds how late a contender first sees a revision.
 	readFraction = 6
 	// tickFraction is the granularity of the manager's loop.
@@ -82,7 +86,7 @@
 func (o *Options) view() time.Duration       { return o.TTL - o.TTL/marginFraction }
 func (o *Options) renewEvery() time.Duration { return o.TTL / renewFraction }
 func (o *Options) tick() time.Duration       { return o.TTL / tickFraction }
-func (o *Options) penalty() time.Duration    { return o.TTL / readFraction }
+func (o *Options) penalty() time.Duration    { return o.TTL / penaltyFraction }
 func (o *Options) callTimeout() time.Duration {
 	return o.TTL / marginFraction
 }
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -32,14 +32,12 @@
 // that the lease may then be handed back.
 func (c *Controller) Run(ctx context.Context) {
 	defer c.steps.Wait()
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
 	for {
 		c.round(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(tick):
 		}
 	}
 }
