servicesim: test that each fault executes a call as it says

Change: a table of faults with what the caller gets and how often the call ran; silence hits open connections only; a dead service comes back at its address; load reports lag. AwaitIdle lets tests wait without a clock. Conclusion: the record of executions can serve as proof of at most once.

--- a/internal/standin/servicesim/handler.go
+++ b/internal/standin/servicesim/handler.go
@@ -116,6 +116,10 @@
 	s.active += active
 	s.queued += queued
 	s.note()
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
 }
 
 func (s *Service) record(execution Execution) bool {
--- a/internal/standin/servicesim/service.go
+++ b/internal/standin/servicesim/service.go
@@ -38,6 +38,7 @@
 	received   uint64
 	active     int
 	queued     int
+	changed    chan struct{} // closed when active or queued changes; nil when nobody waits
 	reports    []engine.LoadReport
 }
 
@@ -141,7 +142,7 @@
 	return append([]Execution(nil), s.executions...)
 }
 
-// ExecutedTotal returns how many calls were executed, Received how many arrived.
+// ExecutedTotal returns how many calls were executed.
 func (s *Service) ExecutedTotal() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,6 +156,27 @@
 	return s.received
 }
 
+// AwaitIdle waits until no call is in hand.
+func (s *Service) AwaitIdle(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		if s.active+s.queued == 0 {
+			s.mu.Unlock()
+			return nil
+		}
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Load returns the load report, late by the ordered lag.
 func (s *Service) Load() engine.LoadReport {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/standin/servicesim/service_test.go
@@ -0,0 +1,155 @@
+package servicesim
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/service"
+	"geraniumcroft/internal/service/httpservice"
+	"geraniumcroft/internal/transport"
+)
+
+// patient is a bound on silence that only a hanging test comes near.
+const (
+	patient   = 30 * time.Second
+	impatient = 500 * time.Millisecond
+)
+
+func start(t *testing.T, o Options, silence time.Duration) (*Service, *httpservice.Client) {
+	t.Helper()
+	s := New(o)
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	pool := transport.NewPool(transport.Settings{}, nil)
+	t.Cleanup(pool.Close)
+	client := httpservice.New(pool, httpservice.Settings{Silence: silence, ProvenFor: time.Minute})
+	t.Cleanup(client.Close)
+	return s, client
+}
+
+func call(t *testing.T, client *httpservice.Client, s *Service, id string, fresh bool) (service.Response, error) {
+	t.Helper()
+	conn, err := client.Connect(context.Background(), s.Addr(), fresh)
+	if err != nil {
+		return service.Response{}, err
+	}
+	return conn.Do(context.Background(), service.Call{RequestID: id, IdempotencyKey: "k" + id, Path: "/hold", Body: []byte("body " + id)})
+}
+
+// What the caller may be told depends on whether the call ran, so each fault has
+// to run the call, or not, just as it says, and never twice.
+func TestEachFaultExecutesAsItSays(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   Faults
+		executed int
+		// broken says that no whole response comes.
+		broken, silent bool
+		status         int
+		notRun         bool
+		id             string
+	}{
+		{name: "none", executed: 1, status: http.StatusOK, id: "r"},
+		{name: "die before", faults: Faults{DieBefore: true}, broken: true},
+		{name: "die after", faults: Faults{DieAfter: true}, executed: 1, broken: true},
+		{name: "lose the response", faults: Faults{LoseResponses: 1}, executed: 1, broken: true},
+		{name: "cut the response", faults: Faults{TruncateResponses: 1}, executed: 1, broken: true},
+		{name: "go silent", faults: Faults{SilenceOnCall: 1}, executed: 1, broken: true, silent: true},
+		{name: "not run", faults: Faults{DeclareNotRun: 1}, status: http.StatusServiceUnavailable, notRun: true, id: "r"},
+		{name: "leaving", faults: Faults{Leaving: true}, status: http.StatusServiceUnavailable, notRun: true, id: "r"},
+		{name: "fail", faults: Faults{Fail: 1}, executed: 1, status: http.StatusInternalServerError, id: "r"},
+		{name: "wrong id", faults: Faults{WrongIDs: 1}, executed: 1, status: http.StatusOK, id: "another-request"},
+		{name: "slow", faults: Faults{Slowdown: 50}, executed: 1, broken: true, silent: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			silence := patient
+			if c.silent {
+				silence = impatient
+			}
+			s, client := start(t, Options{ServiceTime: 20 * time.Millisecond}, silence)
+			s.SetFaults(func(f *Faults) { *f = c.faults })
+			response, err := call(t, client, s, "r", true)
+			if (err != nil) != c.broken || response.Status != c.status || response.NotRun != c.notRun || response.RequestID != c.id {
+				t.Fatalf("%+v, %v", response, err)
+			}
+			var failure *service.CallError
+			if c.broken && (!errors.As(err, &failure) || !failure.Sent || failure.Silent != c.silent) {
+				t.Fatalf("%v", err)
+			}
+			if err := s.AwaitIdle(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			got := s.Executions()
+			if len(got) != c.executed || s.ExecutedTotal() != uint64(c.executed) || s.Received() != 1 {
+				t.Fatalf("%d executions, %d received", len(got), s.Received())
+			}
+			if c.executed == 1 && got[0] != (Execution{RequestID: "r", IdempotencyKey: "kr", Path: "/hold", Body: "body r"}) {
+				t.Fatalf("%+v", got[0])
+			}
+		})
+	}
+}
+
+// The caller's call after the fault works: the connections that were open stay
+// silent, and a new one does not. A kept connection is found silent once and the
+// others are not tried.
+func TestSilenceHitsOpenConnectionsOnly(t *testing.T) {
+	s, client := start(t, Options{}, impatient)
+	if _, err := call(t, client, s, "1", false); err != nil {
+		t.Fatal(err)
+	}
+	s.GoSilent()
+	var failure *service.CallError
+	if _, err := call(t, client, s, "2", false); !errors.As(err, &failure) || !failure.Silent {
+		t.Fatalf("%v, expected silence", err)
+	}
+	if _, err := call(t, client, s, "3", false); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range s.Executions() {
+		if x.RequestID == "2" {
+			t.Fatal("a call on a silent connection arrived")
+		}
+	}
+}
+
+func TestADeadServiceIsRevivedAtItsAddress(t *testing.T) {
+	s, client := start(t, Options{}, patient)
+	address := s.Addr()
+	s.Die()
+	var failure *service.CallError
+	if _, err := call(t, client, s, "1", true); !errors.As(err, &failure) || failure.Sent {
+		t.Fatalf("%v, expected a refused connection", err)
+	}
+	if err := s.Revive(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(t, client, s, "2", true); err != nil || s.Addr() != address {
+		t.Fatalf("%s, %v", s.Addr(), err)
+	}
+}
+
+func TestLoadReportsLagAndFaultsComeByHTTP(t *testing.T) {
+	s, client := start(t, Options{Slots: 3}, patient)
+	resp, err := http.Post("http://"+s.Addr()+"/faults", "application/json", strings.NewReader(`{"set":{"leaving":true}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	load, err := client.Load(context.Background(), s.Addr())
+	if err != nil || !load.Leaving || load.Slots != 3 {
+		t.Fatalf("%+v, %v", load, err)
+	}
+	s.SetFaults(func(f *Faults) { f.LoadLag = config.Duration(time.Hour) })
+	if load, err := client.Load(context.Background(), s.Addr()); err != nil || load.Leaving {
+		t.Fatalf("%+v, %v: a report without its lag", load, err)
+	}
+}
