--- a/internal/generation/job.go
+++ b/internal/generation/job.go
@@ -11,6 +11,9 @@
 	Model     string
 	Version   string
 	Adapter   string
+	// Layers is how many layers the model has, which every placement must cover; 0
+	// takes the number from the first placement.
+	Layers int
 	// Prompt is not modified.
 	Prompt []string
 	// MaxTokens bounds the answer; 0 leaves it to the engine.
--- a/internal/generation/recover.go
+++ b/internal/generation/recover.go
@@ -181,8 +181,8 @@
 	return outcome.Uncertain(reason, detail)
 }
 
-// checkPlacement refuses stages that do not cover the layers once and in order;
-// all placements of a run cover the same layers.
+// checkPlacement refuses stages that do not cover the model's layers once and in
+// order.
 func (r *run) checkPlacement() *outcome.Failure {
 	stages := r.placement.Stages()
 	if len(stages) == 0 {
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -37,7 +37,7 @@
 
 func newRun(ctx context.Context, r *Runner, j Job, sink Sink) *run {
 	return &run{
-		ctx: ctx, runner: r, job: j, sink: sink, placement: j.First,
+		ctx: ctx, runner: r, job: j, sink: sink, placement: j.First, layers: j.Layers,
 		suspected: map[string]bool{}, excluded: map[string]bool{}, pause: r.settings.RetryPause,
 	}
 }
