Form a group of claims when its turn has come

Groups were formed first and then waited for the rate budget one behind the other, so a claim waited for up to four turns. A writer now takes its turn first and takes whatever has come meanwhile. The fixed linger goes: the turn itself collects under load, and on an idle table it only cost latency.

The end of a request is written also when its caller is gone. Bursts of the rate budget fall with a VM's share.

--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -108,6 +108,8 @@
 	// Unended counts requests whose end could not be written.
 	Unended uint64 `json:"unended"`
 	Swept   uint64 `json:"swept"`
+	// Grouping is nil when claims are written one by one.
+	Grouping *GroupState `json:"grouping,omitempty"`
 }
 
 // Dump returns the state; it holds no key.
@@ -115,7 +117,7 @@
 	c.mu.Lock()
 	inHand := len(c.owned)
 	c.mu.Unlock()
-	return State{
+	state := State{
 		InHand:   inHand,
 		Run:      c.counters.run.Load(),
 		Replayed: c.counters.replayed.Load(),
@@ -125,4 +127,8 @@
 		Unended:  c.counters.unended.Load(),
 		Swept:    c.counters.swept.Load(),
 	}
+	if grouped, ok := c.writer.(*groupWriter); ok {
+		state.Grouping = grouped.dump()
+	}
+	return state
 }
--- a/internal/claim/claims_bench_test.go
+++ b/internal/claim/claims_bench_test.go
@@ -19,7 +19,6 @@
 )
 
 const (
-	benchVMs           = 6
 	benchCommitLatency = 2 * time.Millisecond
 	benchWritesASecond = 300
 	benchWriteBurst    = 10
@@ -57,25 +56,43 @@
 		settings Settings
 	}{
 		{"single", Settings{Ungrouped: true}},
-		{"group-1ms-4", Settings{Linger: time.Millisecond}},
-		{"group-2ms-1", Settings{MaxInFlight: 1}},
-		{"group-2ms-4", Settings{}},
-		{"group-5ms-4", Settings{Linger: 5 * time.Millisecond}},
-		{"group-10ms-4", Settings{Linger: 10 * time.Millisecond}},
+		{"group-0ms-1", Settings{MaxInFlight: 1}},
+		{"group-0ms-2", Settings{}},
+		{"group-0ms-4", Settings{MaxInFlight: 4}},
+		{"group-2ms-2", Settings{Linger: 2 * time.Millisecond}},
+		{"group-10ms-2", Settings{Linger: 10 * time.Millisecond}},
 	}
 	for _, budget := range []bool{false, true} {
 		for _, perSecond := range []int{20, 100, 400, 1600} {
 			for _, way := range ways {
 				name := fmt.Sprintf("budget=%t/rate=%d/%s", budget, perSecond, way.name)
-				b.Run(name, func(b *testing.B) { benchmarkClaims(b, way.settings, perSecond, budget) })
+				run := benchRun{vms: 6, settings: way.settings, perSecond: perSecond, budget: budget}
+				b.Run(name, run.measure)
 			}
 		}
 	}
 }
 
-func benchmarkClaims(b *testing.B, settings Settings, perSecond int, budget bool) {
+// BenchmarkClaimsOfLargeFleet shows what an even division of the budget among 320 VMs
+// carries.
+func BenchmarkClaimsOfLargeFleet(b *testing.B) {
+	for _, perSecond := range []int{20, 100, 400} {
+		run := benchRun{vms: 320, perSecond: perSecond, budget: true}
+		b.Run(fmt.Sprintf("rate=%d", perSecond), run.measure)
+	}
+}
+
+// benchRun is one case of the benchmarks.
+type benchRun struct {
+	vms       int
+	settings  Settings
+	perSecond int
+	budget    bool
+}
+
+func (r benchRun) measure(b *testing.B) {
 	table := newLimitedTable()
-	vms := benchFleet(b, table, settings, budget)
+	vms := r.fleet(b, table)
 	random := rand.New(rand.NewPCG(1, 2))
 	var (
 		wait    sync.WaitGroup
@@ -86,11 +103,11 @@
 	began := time.Now()
 	arrival := began
 	for n := range b.N {
-		arrival = arrival.Add(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
+		arrival = arrival.Add(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(r.perSecond)))
 		intended := arrival
 		wait.Go(func() {
 			time.Sleep(time.Until(intended))
-			run, decided := claimAndFinish(vms[n%benchVMs], n)
+			run, decided := claimAndFinish(vms[n%r.vms], n)
 			mu.Lock()
 			defer mu.Unlock()
 			if !run {
@@ -106,16 +123,16 @@
 	report(b, won, refused, commits, elapsed)
 }
 
-func benchFleet(b *testing.B, table *limitedTable, settings Settings, budget bool) []*Claims {
+func (r benchRun) fleet(b *testing.B, table *limitedTable) []*Claims {
 	var vms []*Claims
-	for n := range benchVMs {
+	for n := range r.vms {
 		var shared platform.Table = table
-		if budget {
-			client := resilient.New(table, table, table, resilient.Settings{VMs: benchVMs})
+		if r.budget {
+			client := resilient.New(table, table, table, resilient.Settings{VMs: r.vms})
 			b.Cleanup(client.Close)
 			shared = client
 		}
-		vms = append(vms, New(shared, fmt.Sprint("vm-", n), settings, invariant.Strict()))
+		vms = append(vms, New(shared, fmt.Sprint("vm-", n), r.settings, invariant.Strict()))
 	}
 	return vms
 }
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -198,6 +198,7 @@
 func TestCopiesInOneGroupRunOnce(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T, settings Settings) {
 		store := platformsim.NewStore()
+		settings.Linger = time.Millisecond
 		v := newVM(t, store, "vm-1", settings)
 		if runs := claimAtOnce(t, v, 8, func(int) Key { return testKey }); runs != 1 {
 			t.Fatalf("%d copies run, want 1", runs)
@@ -209,7 +210,7 @@
 func TestRefusedRowDoesNotRefuseItsGroup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := platformsim.NewStore()
-		other, v := newVM(t, store, "vm-1", Settings{}), newVM(t, store, "vm-2", Settings{})
+		other, v := newVM(t, store, "vm-1", Settings{}), newVM(t, store, "vm-2", Settings{Linger: time.Millisecond})
 		mustRun(t, other.claim(t, "r"))
 		const claims = 8
 		runs := claimAtOnce(t, v, claims, func(n int) Key {
--- a/internal/claim/finish.go
+++ b/internal/claim/finish.go
@@ -43,7 +43,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(platform.WithLane(ctx, platform.LaneUrgent), c.settings.Timeout)
+	// The end is written also when the caller is gone and its context has ended: a
+	// copy of its request may still come.
+	ctx = platform.WithLane(context.WithoutCancel(ctx), platform.LaneUrgent)
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
 	defer cancel()
 	return c.writer.write(ctx, newRow{key: claim.key.endRow(), value: value})
 }
--- a/internal/claim/group_writer.go
+++ b/internal/claim/group_writer.go
@@ -26,6 +26,9 @@
 	collecting bool
 	// sending counts the groups under way.
 	sending int
+	// groups and rows count what was formed.
+	groups uint64
+	rows   uint64
 }
 
 // pendingRow is a row on its way into the table.
@@ -89,15 +92,38 @@
 }
 
 // run collects and sends one group.
+//
+// The group is formed at the last moment, when the table's rate budget lets it be
+// sent. Formed before, it would wait for its turn while later claims formed groups of
+// their own behind it, and each claim would wait for several turns in place of one.
 func (w *groupWriter) run() {
-	time.Sleep(w.settings.Linger)
-	w.send(w.take())
+	ctx := platform.WithLane(context.Background(), platform.LaneUrgent)
+	ctx, cancel := context.WithTimeout(ctx, w.settings.Timeout)
+	defer cancel()
+	if w.settings.Linger > 0 {
+		time.Sleep(w.settings.Linger)
+	}
+	ctx, err := takeTurn(ctx, w.table)
+	group := w.take()
+	if err != nil {
+		finish(group, err)
+	} else {
+		w.send(ctx, group)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sending--
 	w.collect()
 }
 
+func takeTurn(ctx context.Context, table platform.Table) (context.Context, error) {
+	taker, ok := table.(platform.TurnTaker)
+	if !ok {
+		return ctx, nil
+	}
+	return taker.Turn(ctx)
+}
+
 // take removes the next group from the queue, and lets the one after it collect.
 //
 // A key stands in a group only once: two creations of one row hold each other's
@@ -122,16 +148,15 @@
 	w.queue = left
 	w.collecting = false
 	w.sending++
+	w.groups++
+	w.rows += uint64(len(group))
 	w.collect()
 	return group
 }
 
 // send commits the group, without the rows that are refused. Each round ends at
 // least one row, so the rounds are bounded by the group's size.
-func (w *groupWriter) send(group []*pendingRow) {
-	ctx := platform.WithLane(context.Background(), platform.LaneUrgent)
-	ctx, cancel := context.WithTimeout(ctx, w.settings.Timeout)
-	defer cancel()
+func (w *groupWriter) send(ctx context.Context, group []*pendingRow) {
 	for len(group) > 0 {
 		err := w.table.Commit(ctx, createTxn(rowsOf(group)))
 		var refused *platform.RefusedError
@@ -162,6 +187,20 @@
 	return rest
 }
 
+// GroupState is what the dump shows of the grouping of writes.
+type GroupState struct {
+	Queued  int    `json:"queued"`
+	Sending int    `json:"sending"`
+	Groups  uint64 `json:"groups"`
+	Rows    uint64 `json:"rows"`
+}
+
+func (w *groupWriter) dump() *GroupState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return &GroupState{Queued: len(w.queue), Sending: w.sending, Groups: w.groups, Rows: w.rows}
+}
+
 func finish(group []*pendingRow, err error) {
 	for _, pending := range group {
 		pending.done <- err
--- a/internal/claim/settings.go
+++ b/internal/claim/settings.go
@@ -8,10 +8,9 @@
 	DefaultLongestDeadline = 15 * time.Minute
 	DefaultTimeout         = 2 * time.Second
 	DefaultRetryAfter      = time.Second
-	DefaultLinger          = 2 * time.Millisecond
 	DefaultMaxGroup        = 64
 	DefaultMaxGroupBytes   = 256 << 10
-	DefaultMaxInFlight     = 4
+	DefaultMaxInFlight     = 2
 	DefaultMaxQueued       = 4096
 )
 
@@ -28,7 +27,8 @@
 	RetryAfter time.Duration
 	// Ungrouped writes each claim in a transaction of its own.
 	Ungrouped bool
-	// Linger is how long a group waits for more claims before it is sent.
+	// Linger is how long a group waits for more claims before it takes its turn; 0 is
+	// not at all. Claims that come while it waits for its turn join it anyway.
 	Linger time.Duration
 	// MaxGroup and MaxGroupBytes bound one transaction.
 	MaxGroup      int
@@ -45,7 +45,6 @@
 	s.Retention = max(s.Retention, s.LongestDeadline)
 	defaultTo(&s.Timeout, DefaultTimeout)
 	defaultTo(&s.RetryAfter, DefaultRetryAfter)
-	defaultTo(&s.Linger, DefaultLinger)
 	defaultTo(&s.MaxGroup, DefaultMaxGroup)
 	defaultTo(&s.MaxGroupBytes, DefaultMaxGroupBytes)
 	defaultTo(&s.MaxInFlight, DefaultMaxInFlight)
--- a/internal/platform/resilient/budget.go
+++ b/internal/platform/resilient/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"golang.org/x/time/rate"
 
@@ -11,13 +12,18 @@
 // budget is one VM's share of the table's rate, divided into lanes so that an
 // urgent operation never waits behind background ones.
 type budget struct {
-	lanes [platform.LaneCount]*rate.Limiter
+	lanes       [platform.LaneCount]*rate.Limiter
+	urgentShare float64
+	maxBurst    int
 }
 
-func newBudget(perSecond, urgentShare float64, burst int) *budget {
-	b := &budget{}
-	b.lanes[platform.LaneUrgent] = rate.NewLimiter(rate.Limit(perSecond*urgentShare), burst)
-	b.lanes[platform.LaneBackground] = rate.NewLimiter(rate.Limit(perSecond*(1-urgentShare)), burst)
+func newBudget(perSecond, urgentShare float64, maxBurst int) *budget {
+	b := &budget{urgentShare: urgentShare, maxBurst: maxBurst}
+	for lane := range b.lanes {
+		// A new limiter starts with its whole burst; the rate is set next.
+		b.lanes[lane] = rate.NewLimiter(rate.Inf, maxBurst)
+	}
+	b.setRate(perSecond)
 	return b
 }
 
@@ -27,7 +33,16 @@
 	return b.lanes[platform.LaneOf(ctx)].Wait(ctx)
 }
 
-func (b *budget) setRate(perSecond, urgentShare float64) {
-	b.lanes[platform.LaneUrgent].SetLimit(rate.Limit(perSecond * urgentShare))
-	b.lanes[platform.LaneBackground].SetLimit(rate.Limit(perSecond * (1 - urgentShare)))
+func (b *budget) setRate(perSecond float64) {
+	b.setLane(platform.LaneUrgent, perSecond*b.urgentShare)
+	b.setLane(platform.LaneBackground, perSecond*(1-b.urgentShare))
+}
+
+// setLane allows a burst of one second's operations. With a burst that did not fall
+// with the rate, a large fleet that has been quiet could send many seconds' worth of
+// the table's rate at one moment.
+func (b *budget) setLane(lane platform.Lane, perSecond float64) {
+	burst := min(int(math.Ceil(perSecond)), b.maxBurst)
+	b.lanes[lane].SetLimit(rate.Limit(perSecond))
+	b.lanes[lane].SetBurst(max(burst, 1))
 }
--- a/internal/platform/resilient/client.go
+++ b/internal/platform/resilient/client.go
@@ -50,8 +50,8 @@
 // SetVMs sets how many VMs share the fleet's budget, as the membership learns it.
 func (c *Client) SetVMs(vms int) {
 	share := float64(max(vms, 1))
-	c.writes.setRate(c.settings.WritesPerSecond/share, c.settings.UrgentWriteShare)
-	c.reads.setRate(c.settings.ReadsPerSecond/share, c.settings.UrgentReadShare)
+	c.writes.setRate(c.settings.WritesPerSecond / share)
+	c.reads.setRate(c.settings.ReadsPerSecond / share)
 }
 
 // Healthy reports whether the table is taken for up.
--- a/internal/platform/resilient/commit.go
+++ b/internal/platform/resilient/commit.go
@@ -35,8 +35,10 @@
 
 // send sends the transaction once.
 func (c *Client) send(ctx context.Context, txn platform.Txn) error {
-	if err := c.spend(ctx, c.writes, c.table, "commit"); err != nil {
-		return err
+	if !takeTurn(ctx) {
+		if err := c.spend(ctx, c.writes, c.table, "commit"); err != nil {
+			return err
+		}
 	}
 	err := c.table.do(ctx, "commit", func(ctx context.Context) error {
 		c.counters.commits.Add(1)
--- a/internal/platform/resilient/settings.go
+++ b/internal/platform/resilient/settings.go
@@ -35,7 +35,8 @@
 	// platform.LaneUrgent draws on; the rest is the background's.
 	UrgentWriteShare float64
 	UrgentReadShare  float64
-	// Burst is how many operations a lane may carry out at once after a quiet time.
+	// Burst bounds the operations that a lane may carry out at once after a quiet
+	// time, which are one second's worth.
 	Burst int
 	// Timeout bounds an operation whose context has no earlier deadline.
 	Timeout time.Duration
