Spread by own sends and peers, hint by prefixes, eject slow targets; prove it

Cause: the first version trusted the last report less what this VM had in flight. A single report is off by what came and went while it was under way, and VMs herded on that error.

Change: the load from elsewhere is what peers say plus a moving average of what reports show beyond that. Two random targets are compared instead of three. Prefix hints come from one bounded index a pool, with trust that gaps lower. A plain service's outliers count as failures; requests from before an ejection no longer end or renew it. Subsets are cut in rounds, so that each target is used by the same number of VMs.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -22,6 +22,8 @@
 	mu       sync.Mutex // guards the fields below and serialises changes of view
 	snapshot *config.Snapshot
 	states   map[string]*target
+	groups   map[groupKey]*group
+	prefixes map[string]*prefixIndex
 	index    int
 	leaving  map[string]bool
 	peerLoad map[string]peerLoad
@@ -34,6 +36,8 @@
 		invariants: inv,
 		snapshot:   config.NewSnapshot(),
 		states:     map[string]*target{},
+		groups:     map[groupKey]*group{},
+		prefixes:   map[string]*prefixIndex{},
 		peerLoad:   map[string]peerLoad{},
 	}
 	b.peerCount.Store(1)
@@ -106,6 +110,7 @@
 		return
 	}
 	t.change(func(now time.Time) {
+		t.busyAt = now
 		t.busyUntil = now.Add(b.settings.BusyHold)
 		t.busyCap = int(t.inFlight.Load())
 	})
@@ -126,7 +131,7 @@
 func (b *Balancer) Usable(name string) (bool, string) {
 	t := b.view.Load().targets[name]
 	if t == nil {
-		return false, "not configured"
+		return false, ReasonNotConfigured
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -1,6 +1,10 @@
 package balance
 
-import "geraniumcroft/internal/config"
+import (
+	"time"
+
+	"geraniumcroft/internal/config"
+)
 
 // candidate keeps the best of the targets that were offered.
 type candidate struct {
@@ -11,13 +15,25 @@
 	offered  int
 }
 
+// offerHolders considers the targets that are said to have a prefix of the prompt
+// cached. They must have room as any other: a hint saves work, but a queue behind
+// a full target costs more than it saves.
+func (c *candidate) offerHolders(p *pool, now time.Time) {
+	found, covered := p.prefixes.find(c.query.Prefixes)
+	for _, h := range found {
+		if h.valid() {
+			c.offer(h.target, c.settings.PrefixBonus*covered*h.target.hintTrust(now, c.settings))
+		}
+	}
+}
+
 // offer considers t if it has room for the query.
-func (c *candidate) offer(t *target) {
-	if !t.hasRoom(c.query.Urgency) || c.query.excludes(t.name) {
+func (c *candidate) offer(t *target, bonus float64) {
+	if !t.hasRoom(c.query.Urgency) || !c.query.accepts(t) {
 		return
 	}
 	c.offered++
-	score := t.score() + c.adjust(t)
+	score := t.score() + c.adjust(t) - bonus
 	if c.best == nil || score < c.score {
 		c.best, c.score = t, score
 	}
--- /dev/null
+++ b/internal/balance/decision_bench_test.go
@@ -0,0 +1,135 @@
+package balance
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"geraniumcroft/internal/admission"
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/invariant"
+)
+
+// The size that a decision is measured at.
+const (
+	benchTargets    = 600
+	benchWorkspaces = 2600
+	benchSlots      = 8
+)
+
+// decisions makes decisions: admission and choice of target, then the release.
+type decisions struct {
+	admission  *admission.Controller
+	balancer   *Balancer
+	workspaces []string
+	next       atomic.Uint64
+}
+
+func newDecisions() *decisions {
+	d := &decisions{
+		admission: admission.New(admission.Settings{}, invariant.Strict()),
+		balancer:  New(Settings{}, invariant.Strict()),
+	}
+	d.balancer.Update(services(benchTargets, benchSlots))
+	d.balancer.OnFree(d.admission.Wake)
+	for i := range benchWorkspaces {
+		d.workspaces = append(d.workspaces, fmt.Sprint("workspace", i))
+	}
+	return d
+}
+
+// decide makes one decision and returns the slot.
+func (d *decisions) decide(u config.Urgency, prefixes []uint64) *Slot {
+	n := d.next.Add(1)
+	r := &admission.Request{Workspace: d.workspaces[n%benchWorkspaces], Pool: "svc", Urgency: u, Cost: 355, MaxInFlight: 100}
+	var slot *Slot
+	err := d.admission.Admit(context.Background(), r, func() bool {
+		slot, _ = d.balancer.Pick(Query{Pool: "svc", Urgency: r.TakeAs(), Prefixes: prefixes})
+		return slot != nil
+	})
+	if err != nil {
+		return nil
+	}
+	d.admission.Leave(r)
+	return slot
+}
+
+// fill leaves that many slots open to urgent requests.
+func (d *decisions) fill(open int) {
+	for range benchTargets*benchSlots - open {
+		_, _ = d.balancer.Pick(Query{Pool: "svc", Urgency: config.Urgent})
+	}
+}
+
+// backlog queues bulk requests of all workspaces up to the queue's bound.
+func (d *decisions) backlog(ctx context.Context) {
+	for i := range admission.DefaultMaxQueued {
+		r := &admission.Request{Workspace: d.workspaces[i*2], Pool: "svc", Cost: 355}
+		go func() { _ = d.admission.Admit(ctx, r, func() bool { return false }) }()
+	}
+	for d.admission.Dump().(admission.Dump).Pools["svc"].Queued < admission.DefaultMaxQueued {
+	}
+}
+
+// BenchmarkDecision measures one decision with its release at 600 targets and
+// 2,600 workspaces: with room, with a prefix to look up, with one free slot among
+// all targets, and with a full queue of bulk behind it.
+func BenchmarkDecision(b *testing.B) {
+	prefixes := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+	for _, c := range []struct {
+		name     string
+		open     int
+		queued   bool
+		prefixes []uint64
+	}{
+		{name: "room", open: benchTargets * benchSlots},
+		{name: "prefixes", open: benchTargets * benchSlots, prefixes: prefixes},
+		{name: "one-slot-free", open: 1},
+		{name: "bulk-queued", open: 1, queued: true},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			d := newDecisions()
+			d.fill(c.open)
+			if c.queued {
+				d.backlog(ctx)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				d.decide(config.Urgent, c.prefixes).Release(ResultOK)
+			}
+		})
+	}
+}
+
+// BenchmarkDecisionParallel measures decisions made by all processors at once, in
+// one pool, and urgent ones while all other processors decide bulk requests.
+func BenchmarkDecisionParallel(b *testing.B) {
+	b.Run("one-pool", func(b *testing.B) {
+		d := newDecisions()
+		b.ReportAllocs()
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				if slot := d.decide(config.Normal, nil); slot != nil {
+					slot.Release(ResultOK)
+				}
+			}
+		})
+	})
+}
+
+// BenchmarkRefusal measures a refusal on arrival: the queue is full of requests
+// of the same urgency, none of a workspace that holds more than its share.
+func BenchmarkRefusal(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := newDecisions()
+	d.fill(0)
+	d.backlog(ctx)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.decide(config.Bulk, nil)
+	}
+}
--- a/internal/balance/load_view.go
+++ b/internal/balance/load_view.go
@@ -6,8 +6,14 @@
 	"geraniumcroft/internal/engine"
 )
 
-// agingStep is the time between two recomputations of an ageing report's trust.
-const agingStep = 500 * time.Millisecond
+const (
+	// agingStep is the time between two recomputations of an ageing report's trust.
+	agingStep = 500 * time.Millisecond
+	// outsideWeight is the weight of the newest report in the average of the outside
+	// load. A single report is off by what came and went while it was under way;
+	// acting on that error makes VMs herd, see docs/design/target-choice.md.
+	outsideWeight = 0.25
+)
 
 // loadView estimates the load that does not come from this VM.
 type loadView struct {
@@ -19,23 +25,26 @@
 	// and the target's at the report: the clocks' difference plus the least delay.
 	offset    time.Duration
 	hasOffset bool
-	// counted is the reported load less what this VM had in flight at the time.
-	counted float64
-	// peers is what peers have in flight now, peersCounted what they had when the
-	// report was made.
-	peers        int
-	peersCounted int
-	peerChanges  history
+	// outside is the reported load that neither this VM nor its peers had in flight
+	// at the time: other users of the target, and peers that were not heard.
+	outside float64
+	// peers is what peers say they have in flight now.
+	peers       int
+	peerChanges history
 }
 
-// take stores a newer report. sent is the history of this VM's own inFlight.
-func (v *loadView) take(r engine.LoadReport, now time.Time, inFlight int, sent *history) {
-	v.at = v.localTime(r.At, now)
+// take stores a newer report that was made at that time, when this VM had that
+// many in flight.
+func (v *loadView) take(r engine.LoadReport, at, now time.Time, inFlight int) {
+	peers := v.peers - v.peerChanges.since(at, now)
+	outside := float64(r.Active + r.Queued - inFlight - peers)
+	if v.received.IsZero() {
+		v.outside = outside
+	}
+	v.outside += (outside - v.outside) * outsideWeight
+	v.at = at
 	v.report = r
 	v.received = now
-	ours := inFlight - sent.since(v.at, now)
-	v.counted = max(0, float64(r.Active+r.Queued-ours))
-	v.peersCounted = v.peers - v.peerChanges.since(v.at, now)
 }
 
 // localTime translates the target's time stamp to this VM's clock. The clocks may
@@ -56,12 +65,10 @@
 	v.peerChanges.add(now, delta)
 }
 
-// others estimates the load from elsewhere: the trusted part of the report with
-// what peers changed since, and for the rest what peers say alone.
+// others estimates the load from elsewhere: what peers say, and what the reports
+// show beyond that, as far as they are trusted.
 func (v *loadView) others(now time.Time, s Settings) float64 {
-	trust := v.trust(now, s)
-	reported := v.counted + float64(v.peers-v.peersCounted)
-	return max(0, trust*reported+(1-trust)*float64(v.peers))
+	return max(0, float64(v.peers)+v.trust(now, s)*v.outside)
 }
 
 // trust falls from 1 to 0 as the report ages.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"geraniumcroft/internal/config"
@@ -27,7 +26,7 @@
 	}
 	now := time.Now()
 	for range pickAttempts {
-		t := b.choose(p, &q)
+		t := b.choose(p, &q, now)
 		if t == nil {
 			break
 		}
@@ -54,28 +53,36 @@
 }
 
 // choose returns the best of a few targets that have room, nil if none has.
-func (b *Balancer) choose(p *pool, q *Query) *target {
+func (b *Balancer) choose(p *pool, q *Query, now time.Time) *target {
 	c := candidate{query: q, settings: &b.settings}
+	if len(q.Prefixes) > 0 {
+		c.offerHolders(p, now)
+	}
+	if len(p.members) <= b.settings.Choices {
+		p.scan(&c, len(p.members))
+		return c.best
+	}
 	for range b.settings.Choices {
-		c.offer(p.members[rand.IntN(len(p.members))])
+		c.offer(p.members[c.settings.random(len(p.members))], 0)
 	}
 	if c.best == nil {
-		b.scan(p, &c)
+		p.scan(&c, scanCandidates)
 	}
 	return c.best
 }
 
-// scan looks through the whole pool from a random place, so that a request does
-// not wait while a target that was not sampled has room.
-func (b *Balancer) scan(p *pool, c *candidate) {
-	offset := rand.IntN(len(p.members))
+// scan looks through the whole pool from a random place until enough targets were
+// found to have room, so that a request does not wait while a target that was not
+// sampled has some.
+func (p *pool) scan(c *candidate, enough int) {
+	offset := c.settings.random(len(p.members))
 	for i := range p.members {
 		at := offset + i
 		if at >= len(p.members) {
 			at -= len(p.members)
 		}
-		c.offer(p.members[at])
-		if c.offered == scanCandidates {
+		c.offer(p.members[at], 0)
+		if c.offered >= enough {
 			return
 		}
 	}
@@ -103,7 +110,7 @@
 // noRoom tells whether a slot may come free at a target that q accepts.
 func (p *pool) noRoom(q *Query) error {
 	for _, t := range p.members {
-		if t.blockedAt.Load() == 0 && !q.excludes(t.name) {
+		if t.blockedAt.Load() == 0 && q.accepts(t) {
 			return ErrNoCapacity
 		}
 	}
@@ -116,10 +123,11 @@
 	return t.blocked() != "" || t.outside
 }
 
-func (b *Balancer) release(t *target, r Result, took time.Duration) {
+func (b *Balancer) release(t *target, r Result, started time.Time) {
+	now := time.Now()
 	left := t.inFlight.Add(-1)
 	b.invariants.Check(left >= 0, invariant.SlotsNotNegative, "target %s has %d in flight", t.name, left)
-	t.sent.add(time.Now(), -1)
-	t.settle(r, took)
+	t.sent.add(now, -1)
+	t.settle(r, started, now)
 	b.freed(t)
 }
--- /dev/null
+++ b/internal/balance/prefix_index.go
@@ -0,0 +1,96 @@
+package balance
+
+import (
+	"sync"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// holdersPerPrefix bounds how many targets are remembered for a prefix; a prefix
+// that more targets hold needs no hint.
+const holdersPerPrefix = 4
+
+// holder is a target that said it has a prefix cached. It counts only while the
+// target's view is still of that generation.
+type holder struct {
+	target     *target
+	generation uint32
+}
+
+func (h holder) valid() bool {
+	return h.target != nil && h.generation == h.target.cacheGeneration.Load()
+}
+
+// holders are the targets that have one prefix cached.
+type holders [holdersPerPrefix]holder
+
+// prefixIndex remembers which targets of a pool have which prefixes cached. It is
+// one bounded index by prefix rather than one by target: a choice asks for the
+// holders of a prefix, and the memory does not grow with the number of targets.
+type prefixIndex struct {
+	mu  sync.Mutex // guards lru
+	lru *simplelru.LRU[uint64, holders]
+}
+
+func newPrefixIndex(size int) *prefixIndex {
+	lru, err := simplelru.NewLRU[uint64, holders](size, nil)
+	if err != nil {
+		panic(err) // the size is a setting with a positive default
+	}
+	return &prefixIndex{lru: lru}
+}
+
+// find returns the holders of the longest prefix that any target holds, and the
+// part of the prompt that it covers.
+func (x *prefixIndex) find(prefixes []uint64) (found holders, covered float64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		if found, ok := x.lru.Get(prefixes[i]); ok {
+			return found, float64(i+1) / float64(len(prefixes))
+		}
+	}
+	return holders{}, 0
+}
+
+func (x *prefixIndex) add(prefix uint64, h holder) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	have, _ := x.lru.Peek(prefix)
+	have.put(h)
+	x.lru.Add(prefix, have)
+}
+
+// put adds h in the first place that is free or no longer valid, else last.
+func (hs *holders) put(h holder) {
+	for i := range hs {
+		if hs[i].target == h.target || !hs[i].valid() {
+			hs[i] = h
+			return
+		}
+	}
+	hs[holdersPerPrefix-1] = h
+}
+
+func (x *prefixIndex) remove(prefix uint64, t *target) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	have, ok := x.lru.Peek(prefix)
+	if !ok {
+		return
+	}
+	left := 0
+	for i := range have {
+		if have[i].target == t {
+			have[i] = holder{}
+		}
+		if have[i].valid() {
+			left++
+		}
+	}
+	if left == 0 {
+		x.lru.Remove(prefix)
+		return
+	}
+	x.lru.Add(prefix, have)
+}
--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -10,6 +10,8 @@
 type Query struct {
 	Pool    string
 	Urgency config.Urgency
+	// Layers must be within what the target holds; zero leaves it open.
+	Layers config.LayerRange
 	// Exclude names targets that the request has tried already.
 	Exclude []string
 	// Prefixes are hashes of the prompt's prefixes, the longest last.
@@ -18,6 +20,10 @@
 	DataCentre string
 }
 
-func (q *Query) excludes(name string) bool {
-	return len(q.Exclude) > 0 && slices.Contains(q.Exclude, name)
+// accepts reports whether the query may go to t at all.
+func (q *Query) accepts(t *target) bool {
+	if len(q.Exclude) > 0 && slices.Contains(q.Exclude, t.name) {
+		return false
+	}
+	return q.Layers == (config.LayerRange{}) || t.config.Load().Layers.Contains(q.Layers)
 }
--- a/internal/balance/rebuild.go
+++ b/internal/balance/rebuild.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"time"
 
 	"geraniumcroft/internal/config"
@@ -9,33 +10,53 @@
 // rebuild makes a new view from the snapshot. b.mu is held.
 func (b *Balancer) rebuild() {
 	next := &view{pools: map[string]*pool{}, targets: map[string]*target{}}
-	for key, members := range groupConfigs(b.snapshot) {
+	groups := groupConfigs(b.snapshot)
+	for key, members := range groups {
 		b.rebuildGroup(next, key, members)
 	}
 	b.view.Store(next)
-	b.removeOthers(next)
+	b.closeOthers(next)
+	maps.DeleteFunc(b.groups, func(key groupKey, _ *group) bool { return groups[key] == nil })
+	maps.DeleteFunc(b.prefixes, func(name string, _ *prefixIndex) bool { return next.pools[name] == nil })
 }
 
 func (b *Balancer) rebuildGroup(next *view, key groupKey, members []*config.Target) {
+	p := b.poolIn(next, key.pool)
+	g := b.group(key)
 	chosen := inSubset(members, b.peers(), b.index, b.settings)
 	rooms := headrooms(members, b.settings)
-	g := &group{}
-	p := next.pools[key.pool]
-	if p == nil {
-		p = &pool{name: key.pool}
-		next.pools[key.pool] = p
-	}
-	for _, c := range members {
+	var used []*target
+	for i, c := range members {
 		t := b.state(c)
 		next.targets[c.Name] = t
+		t.group.Store(g)
+		t.prefixes.Store(p.prefixes)
+		b.configure(t, c, rooms[i], !chosen[c.Name])
 		if chosen[c.Name] {
-			g.targets = append(g.targets, t)
-			p.members = append(p.members, t)
+			used = append(used, t)
 		}
 	}
-	for i, c := range members {
-		b.configure(b.states[c.Name], c, g, rooms[i], !chosen[c.Name])
+	p.members = append(p.members, used...)
+	g.setTargets(used)
+}
+
+func (b *Balancer) poolIn(v *view, name string) *pool {
+	if p := v.pools[name]; p != nil {
+		return p
 	}
+	if b.prefixes[name] == nil {
+		b.prefixes[name] = newPrefixIndex(b.settings.PrefixesPerPool)
+	}
+	p := &pool{name: name, prefixes: b.prefixes[name]}
+	v.pools[name] = p
+	return p
+}
+
+func (b *Balancer) group(key groupKey) *group {
+	if b.groups[key] == nil {
+		b.groups[key] = &group{}
+	}
+	return b.groups[key]
 }
 
 func (b *Balancer) state(c *config.Target) *target {
@@ -48,25 +69,19 @@
 	return t
 }
 
-func (b *Balancer) configure(t *target, c *config.Target, g *group, room [config.UrgencyCount]int, outside bool) {
+func (b *Balancer) configure(t *target, c *config.Target, room [config.UrgencyCount]int, outside bool) {
 	t.changeQuietly(func(time.Time) {
 		t.config.Store(c)
-		t.group = g
 		t.headroom = room
 		t.removed = false
 		t.leaving = b.leaving[c.Name]
 		t.outside = outside
-		if t.health.out {
-			g.mu.Lock()
-			g.ejected++
-			g.mu.Unlock()
-		}
 	})
 }
 
-// removeOthers closes the targets that the view does not have and forgets those
+// closeOthers closes the targets that the view does not have and forgets those
 // of them that have nothing in hand.
-func (b *Balancer) removeOthers(next *view) {
+func (b *Balancer) closeOthers(next *view) {
 	for name, t := range b.states {
 		if next.targets[name] != nil {
 			continue
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -1,10 +1,13 @@
 package balance
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // The values that a zero field of Settings takes.
 const (
-	DefaultChoices          = 3
+	DefaultChoices          = 2
 	DefaultUrgentShare      = 0.1
 	DefaultNormalShare      = 0.1
 	DefaultMinSlotsPerVM    = 2
@@ -67,6 +70,17 @@
 	PrefixTrustDecay time.Duration
 	// RemotePenalty is added to the score of a target in another data centre.
 	RemotePenalty float64
+
+	// random is rand.IntN but in tests.
+	random func(n int) int
+	faults faults
+}
+
+// faults take safeguards away, so that tests can show that they notice.
+type faults struct {
+	noHeadroom   bool
+	noDrain      bool
+	noEjectBound bool
 }
 
 func (s Settings) withDefaults() Settings {
@@ -89,6 +103,9 @@
 	setDefault(&s.PrefixBonus, DefaultPrefixBonus)
 	setDefault(&s.PrefixTrustDecay, DefaultPrefixTrustDecay)
 	setDefault(&s.RemotePenalty, DefaultRemotePenalty)
+	if s.random == nil {
+		s.random = rand.IntN
+	}
 	return s
 }
 
--- a/internal/balance/settle.go
+++ b/internal/balance/settle.go
@@ -1,40 +1,61 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"geraniumcroft/internal/config"
+)
 
 // settle takes the result of a request into the target's health.
-func (t *target) settle(r Result, took time.Duration) {
+func (t *target) settle(r Result, started, now time.Time) {
+	if r == ResultOK && t.tooSlow(now.Sub(started)) {
+		r = ResultSlow
+	}
 	switch r {
 	case ResultOK:
 		if t.troubled.Load() {
-			t.succeeded()
+			t.succeeded(started)
 		}
 	case ResultFailed, ResultSlow:
-		t.failed()
+		t.failed(started)
 	}
 }
 
-func (t *target) succeeded() {
-	t.change(func(now time.Time) {
-		if t.health.out {
-			t.group.restored()
+// tooSlow compares the answers of a plain service's instances. The time of a
+// generation depends on its length, so there only the router can tell.
+func (t *target) tooSlow(took time.Duration) bool {
+	if t.config.Load().Kind != config.KindService {
+		return false
+	}
+	return t.group.Load().slow(t, took, t.balancer.settings.SlowFactor)
+}
+
+func (t *target) succeeded(started time.Time) {
+	t.change(func(time.Time) {
+		if t.health.stale(started) {
+			return
 		}
-		t.health.recover(now)
-		t.troubled.Store(false)
+		t.recover(0)
 	})
 }
 
-func (t *target) failed() {
+// recover lets the target in again, with that many failures held against it.
+func (t *target) recover(failures int) {
+	t.health = health{failures: failures}
+	t.out.Store(false)
+	t.troubled.Store(failures > 0)
+}
+
+func (t *target) failed(started time.Time) {
+	s := t.balancer.settings
 	t.change(func(now time.Time) {
+		if t.health.stale(started) {
+			return
+		}
 		t.troubled.Store(true)
 		t.health.failures++
-		switch {
-		case t.health.ejected(now):
-			// A request from before the ejection; the ejection stands as it is.
-		case t.health.out:
-			t.health.eject(now, t.balancer.settings)
-		case t.health.failures >= t.balancer.settings.EjectAfter && t.group.mayEject(t.balancer.settings.MaxEjectedShare):
-			t.health.eject(now, t.balancer.settings)
+		if t.health.out || t.health.failures >= s.EjectAfter && t.group.Load().tryEject(t, s.MaxEjectedShare) {
+			t.health.eject(now, s)
 		}
 	})
 }
--- a/internal/balance/slot.go
+++ b/internal/balance/slot.go
@@ -25,5 +25,5 @@
 	if s.released.Swap(true) {
 		return
 	}
-	s.balancer.release(s.target, r, time.Since(s.started))
+	s.balancer.release(s.target, r, s.started)
 }
--- a/internal/balance/subset.go
+++ b/internal/balance/subset.go
@@ -22,22 +22,30 @@
 }
 
 // inSubset returns the names of the group's targets that the VM with that index
-// uses: the first by rendezvous hash, so that a target that comes or goes moves
-// few others.
+// uses. The VMs are taken in rounds. Within a round the targets are ranked by
+// rendezvous hash with the round's number and cut into one part for each VM, so
+// each target is in just one part of each round: all are used by the same number
+// of VMs, give or take one. A target that comes or goes shifts the cuts by one
+// place, so it changes two targets of a VM at most.
 func inSubset(members []*config.Target, peers, index int, s Settings) map[string]bool {
-	size := subsetSize(members, peers, s)
-	ranked := slices.Clone(members)
-	if size < len(members) {
-		vm := strconv.Itoa(index)
-		slices.SortFunc(ranked, func(a, b *config.Target) int {
-			return cmp.Compare(rendezvous(vm, a.Name), rendezvous(vm, b.Name))
-		})
+	parts := max(len(members)/subsetSize(members, peers, s), 1)
+	ranked := members
+	if parts > 1 {
+		ranked = rank(members, index/parts)
 	}
-	chosen := make(map[string]bool, size)
-	for _, t := range ranked[:size] {
+	part := index % parts
+	chosen := map[string]bool{}
+	for _, t := range ranked[part*len(ranked)/parts : (part+1)*len(ranked)/parts] {
 		chosen[t.Name] = true
 	}
 	return chosen
 }
 
-func rendezvous(vm, name string) uint64 { return xxhash.Sum64String(vm + "/" + name) }
+func rank(members []*config.Target, round int) []*config.Target {
+	prefix := strconv.Itoa(round) + "/"
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b *config.Target) int {
+		return cmp.Compare(xxhash.Sum64String(prefix+a.Name), xxhash.Sum64String(prefix+b.Name))
+	})
+	return ranked
+}
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -15,8 +15,9 @@
 
 // pool is the part of a pool that is in this VM's subset.
 type pool struct {
-	name    string
-	members []*target
+	name     string
+	members  []*target
+	prefixes *prefixIndex
 }
 
 // groupKey names a group.
