Put the whole path together: serve, demo, roster of VMs

Cause: the parts stood side by side. Run together they showed two faults. (1) A change was answered accepted while a router that had just started did not have it: the accepting VM did not know of it yet. (2) With engines full, every request of a pool waited for good: a plan whose second slot was full gave back its first one under the queue's lock, which woke the queue from under that lock. Change: node (order of start and stop), router placement and plans, roster (each VM writes a row before it reads the configuration; the accepting VM reads the rows after its commit), Slot.Undo, rig, demo, command line.

--- /dev/null
+++ b/internal/cli/admincmd/entity_verbs.go
@@ -0,0 +1,106 @@
+package admincmd
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/google/subcommands"
+
+	"geraniumcroft/internal/config"
+)
+
+func entityVerbs(kind config.EntityKind) []verb {
+	e := entities{kind: kind}
+	verbs := []verb{
+		{name: "list", help: "list all", run: e.list},
+		{name: "show", args: "NAME", help: "print one as JSON, to be edited and set again", arity: 1, run: e.show},
+		{name: "set", args: "NAME -f FILE", help: "create or change one; the file's revision must be the present one", arity: 1, run: e.set},
+		{name: "delete", args: "NAME", help: "delete one", arity: 1, run: e.remove},
+	}
+	if kind == config.EntityTarget {
+		verbs = append(verbs,
+			verb{name: "drain", args: "NAME", help: "give it no new work; what it has in hand ends whole", arity: 1, run: e.moveTo("drain")},
+			verb{name: "undrain", args: "NAME", help: "give it work again", arity: 1, run: e.moveTo("undrain")})
+	}
+	return verbs
+}
+
+// entities are the verbs of one table of the configuration.
+type entities struct {
+	kind config.EntityKind
+}
+
+func (e entities) path(name string) string {
+	path := "/" + string(e.kind) + "s"
+	if name != "" {
+		path += "/" + url.PathEscape(name)
+	}
+	return path
+}
+
+func (e entities) list(ctx context.Context, s *session, _ []string) subcommands.ExitStatus {
+	r, err := s.do(ctx, request{method: http.MethodGet, path: e.path("")})
+	switch {
+	case err != nil:
+		return s.failSend(err)
+	case r.status != http.StatusOK:
+		return s.fail(r)
+	case s.json:
+		s.printJSON(r.body)
+		return exitDone
+	}
+	if err := e.printList(s, r); err != nil {
+		s.complain("%v", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+func (e entities) show(ctx context.Context, s *session, args []string) subcommands.ExitStatus {
+	r, err := s.do(ctx, request{method: http.MethodGet, path: e.path(args[0])})
+	switch {
+	case err != nil:
+		return s.failSend(err)
+	case r.status != http.StatusOK:
+		return s.fail(r)
+	}
+	s.printJSON(r.body)
+	return exitDone
+}
+
+func (e entities) remove(ctx context.Context, s *session, args []string) subcommands.ExitStatus {
+	revision, exit := e.revisionToDelete(ctx, s, args[0])
+	if exit != exitDone {
+		return exit
+	}
+	return s.change(ctx, request{
+		method: http.MethodDelete, path: e.path(args[0]), header: precondition(revision),
+	})
+}
+
+// revisionToDelete is the flag's, or else the present one.
+func (e entities) revisionToDelete(ctx context.Context, s *session, name string) (uint64, subcommands.ExitStatus) {
+	if s.revision > 0 {
+		return s.revision, exitDone
+	}
+	r, err := s.do(ctx, request{method: http.MethodGet, path: e.path(name)})
+	switch {
+	case err != nil:
+		return 0, s.failSend(err)
+	case r.status != http.StatusOK:
+		return 0, s.fail(r)
+	}
+	var present struct{ Revision uint64 }
+	if err := r.decode(&present); err != nil {
+		s.complain("%v", err)
+		return 0, exitFailed
+	}
+	return present.Revision, exitDone
+}
+
+func (e entities) moveTo(action string) func(context.Context, *session, []string) subcommands.ExitStatus {
+	return func(ctx context.Context, s *session, args []string) subcommands.ExitStatus {
+		return s.change(ctx, request{method: http.MethodPost, path: e.path(args[0]) + "/" + action})
+	}
+}
--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,31 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+// Run executes the command line and returns the process's exit code.
+func Run(args []string) int {
+	flags := flag.NewFlagSet("geraniumcroft", flag.ContinueOnError)
+	commander := subcommands.NewCommander(flags, "geraniumcroft")
+	register(commander)
+	flags.Usage = func() { commander.Explain(os.Stderr) }
+	if err := flags.Parse(args); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(commander.Execute(context.Background()))
+}
+
+func register(c *subcommands.Commander) {
+	c.Register(c.HelpCommand(), "help")
+	c.Register(c.FlagsCommand(), "help")
+	c.Register(&versionCommand{}, "help")
+	c.Register(&serveCommand{}, "running")
+	c.Register(&checkCommand{}, "running")
+	c.Register(&dumpCommand{}, "running")
+	c.Register(&demoCommand{}, "trying")
+}
--- /dev/null
+++ b/internal/node/announcing_store.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"context"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/confstore"
+	"geraniumcroft/internal/peer"
+)
+
+// announcingStore pushes each accepted change to the peers at once, so that it
+// reaches every VM even if the store goes out right after the commit.
+type announcingStore struct {
+	*confstore.Store
+	peers *peer.Node
+}
+
+// Propose implements adminapi.Store.
+func (s announcingStore) Propose(ctx context.Context, p confstore.Proposal) (config.Change, error) {
+	before := s.Current().Version
+	change, err := s.Store.Propose(ctx, p)
+	if err == nil {
+		s.announce(before)
+	}
+	return change, err
+}
+
+// announce pushes all that this VM learned with the proposal, for a proposal that
+// followed another VM's change has applied that one as well.
+func (s announcingStore) announce(after uint64) {
+	changes, ok := s.ChangesAfter(after, maxAnnounced)
+	if ok && len(changes) > 0 {
+		s.peers.Announce(changes)
+	}
+}
+
+// maxAnnounced bounds the changes in one push; anti-entropy carries the rest.
+const maxAnnounced = 64
+
+// Change proposes a change on this VM and waits until it is in force on every VM
+// that may serve, as the admin API does.
+func (n *Node) Change(ctx context.Context, p confstore.Proposal) (confstore.Acceptance, error) {
+	change, err := announcingStore{n.store, n.peers}.Propose(ctx, p)
+	if err != nil {
+		return confstore.Acceptance{}, err
+	}
+	return n.store.Wait(ctx, change.Version, n.roster), nil
+}
--- /dev/null
+++ b/internal/node/build.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"net/http"
+
+	"geraniumcroft/internal/adminapi"
+	"geraniumcroft/internal/admission"
+	"geraniumcroft/internal/api"
+	"geraniumcroft/internal/balance"
+	"geraniumcroft/internal/claim"
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/confstore"
+	"geraniumcroft/internal/dispatch"
+	"geraniumcroft/internal/drain"
+	"geraniumcroft/internal/engine/httpengine"
+	"geraniumcroft/internal/generation"
+	"geraniumcroft/internal/lease"
+	"geraniumcroft/internal/orders"
+	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/peer"
+	"geraniumcroft/internal/platform/httpplatform"
+	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/roster"
+	"geraniumcroft/internal/router"
+	"geraniumcroft/internal/security"
+	"geraniumcroft/internal/service/httpservice"
+	"geraniumcroft/internal/transport"
+	"geraniumcroft/internal/watch"
+)
+
+// The duties that are won by lease.
+const (
+	dutySweep   = "sweep"
+	dutyCompact = "compact"
+)
+
+// clients are the connections to targets.
+type clients struct {
+	pool     *transport.Pool
+	engines  *httpengine.Client
+	services *httpservice.Client
+}
+
+func (n *Node) buildPlatform() {
+	s := n.settings.Platform
+	service := func(url string) *httpplatform.Client {
+		return httpplatform.New(httpplatform.Settings{BaseURL: url, AttemptTimeout: s.Timeout})
+	}
+	// The settings name this VM's own share of the fleet's budget.
+	share := resilient.Settings{VMs: 1, WritesPerSecond: s.WritesPerSecond, ReadsPerSecond: s.ReadsPerSecond, AttemptTimeout: s.Timeout}
+	n.platform = resilient.New(service(s.Table), service(s.Objects), service(s.VMList), share)
+	n.store = confstore.New(confstore.Options{
+		Table: n.platform, Objects: n.platform, VM: n.settings.VM.Name, Invariants: n.invariants, Logger: n.logger,
+	})
+}
+
+func (n *Node) buildRequestPath() {
+	s := n.settings
+	n.admission = admission.New(admission.Settings{
+		MaxQueued: s.Admission.MaxQueued, MaxQueuedPerWorkspace: s.Admission.MaxQueuedPerWorkspace,
+	}, n.invariants)
+	n.balancer = balance.New(balance.Settings{
+		UrgentShare: s.Admission.UrgentHeadroom, EjectAfter: s.Targets.EjectionFailures,
+		EjectFor: s.Targets.EjectionTime, MaxEjectedShare: s.Targets.EjectionMaxShare,
+	}, n.invariants)
+	n.plans = router.NewPlanCache(s.VM.Name, n.balancer, n.logger)
+	n.buildClients()
+	n.runner = generation.New(n.clients.engines, n.options.Generation, n.invariants)
+	n.claims = claim.New(n.platform, s.VM.Name, claim.Settings{}, n.invariants)
+	n.gate = &router.Gate{}
+	n.router = router.New(router.Options{
+		VM: s.VM.Name, DataCentre: s.VM.DataCentre, Source: n.store,
+		Admission: n.admission, Balancer: n.balancer, Plans: n.plans, Runner: n.runner,
+		Dispatcher: dispatch.New(n.clients.services, n.dispatchSettings(), n.invariants, n.recorder),
+		Claims:     n.claims, Gate: n.gate, Authorize: security.CheckKey, Observer: observer{n.recorder},
+		Invariants: n.invariants, Logger: n.logger, Limits: n.limits(),
+	})
+}
+
+func (n *Node) limits() router.Limits {
+	limits := router.DefaultLimits()
+	limits.MaxBodyBytes = n.settings.Callers.MaxBodyBytes
+	return limits
+}
+
+func (n *Node) buildClients() {
+	t := n.settings.Targets
+	base := transport.Settings{ConnectTimeout: t.ConnectTimeout}
+	n.clients.pool = transport.NewPool(base, transport.NewDialer(base.WithDefaults()))
+	n.clients.engines = httpengine.New(n.clients.pool, httpengine.Settings{Idle: t.SilenceTimeout})
+	n.clients.services = httpservice.New(n.clients.pool, httpservice.Settings{})
+}
+
+func (n *Node) buildControl() {
+	s := n.settings
+	n.tracker = drain.New(drain.Options{Source: n.store, OnChange: n.onLeaving, Logger: n.logger})
+	n.watcher = watch.New(watch.Options{
+		Source: n.store, Engines: n.clients.engines, Services: n.clients.services,
+		Sink: reports{n.balancer, n.tracker}, Watched: n.watched, Interval: s.Targets.ReportInterval,
+	})
+	n.peers = peer.New(peer.Options{
+		VM: s.VM.Name, DataCentre: s.VM.DataCentre, Address: n.PeerAddress(), Seeds: s.Peers.Seeds,
+		Store: n.store, Load: n.balancer, Invariants: n.invariants, Logger: n.logger, TLS: n.options.PeersTLS, ClientTLS: n.options.PeersClientTLS,
+	})
+	n.roster = roster.New(n.platform, s.VM.Name, n.peers, n.logger)
+	n.leases = lease.NewManager(lease.Options{
+		Table: n.platform, VM: s.VM.Name, Duties: []string{orders.Duty, dutySweep, dutyCompact},
+		VMs:        func() int { return n.peers.PeerCount() + 1 },
+		Invariants: n.invariants, Logger: n.logger,
+	})
+	n.orders = orders.NewController(orders.Options{
+		Source: n.store, Leases: n.leases, Engines: n.clients.engines,
+		Drainer: &reloadDrainer{store: n.store, confirmer: n.roster},
+		Leaving: func(target string) bool { return n.tracker.Leaving()[target] != 0 },
+
+		Invariants: n.invariants, Logger: n.logger,
+	})
+	n.store.Subscribe(n.onConfig)
+}
+
+// watched reports whether this VM sends to the target: it is outside the VM's
+// subset at most at fleet size.
+func (n *Node) watched(target string) bool {
+	_, reason := n.balancer.Usable(target)
+	return reason != balance.ReasonOutsideSubset
+}
+
+// onConfig puts a configuration in force on this VM.
+func (n *Node) onConfig(snapshot *config.Snapshot) {
+	n.balancer.Update(snapshot)
+	n.plans.Update(snapshot)
+	n.tracker.Refresh()
+}
+
+func (n *Node) onLeaving(causes map[string]drain.Cause) {
+	leaving := make(map[string]bool, len(causes))
+	for name := range causes {
+		leaving[name] = true
+	}
+	n.balancer.SetLeaving(leaving)
+}
+
+func (n *Node) buildServers() error {
+	admin, err := adminapi.New(adminapi.Options{
+		Store: announcingStore{n.store, n.peers}, Confirmer: n.roster, Authenticator: n.options.Authenticator,
+		VMs: func() any { return n.peers.Members() }, Leases: n.leases.Dump, Dump: n.Dump,
+		Version: n.version, Logger: n.logger,
+	})
+	if err != nil {
+		return err
+	}
+	n.adminServer = admin.Server()
+	n.adminServer.Handler = n.withMetrics(admin)
+	c := n.settings.Callers
+	n.callers = api.NewServer(c.Address, n.router, api.Options{
+		MaxBodyBytes: c.MaxBodyBytes, MaxHeaderBytes: c.MaxHeaderBytes, MaxConnections: c.MaxConnections,
+		ReadTimeout: c.ReadTimeout, WriteTimeout: c.WriteTimeout, IdleTimeout: c.IdleTimeout,
+		StreamHeadWait: c.StreamHeadWait, CommentInterval: c.CommentInterval,
+		TLS: n.options.CallersTLS, Logger: n.logger, OnRefused: n.onRefused,
+	})
+	return nil
+}
+
+// withMetrics serves the metrics beside the admin API. They name workspaces and
+// targets and hold no secret, so a scraper needs no token.
+func (n *Node) withMetrics(admin http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	mux.Handle("/", admin)
+	return mux
+}
+
+func (n *Node) onRefused(_, _ string, f *outcome.Failure) {
+	n.recorder.RequestEnded(f.Outcome, f.Reason, config.Normal, "", 0)
+}
--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -45,17 +46,25 @@
 	return true
 }
 
-// openAnswer takes in the envelope of an answer.
-func (n *Node) openAnswer(e *peerpb.Envelope) bool {
+// openAnswer takes in the envelope of an answer. It fails when another VM
+// answered than was asked: addresses are given to new VMs, and a dead VM whose
+// address answers would be waited for for good. An empty name accepts any.
+func (n *Node) openAnswer(name string, e *peerpb.Envelope) error {
 	if !n.open(e) {
-		return false
+		return errDropped
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lastAnswer = time.Now()
-	return true
+	if name != "" && e.GetVm() != name {
+		return errOtherVM
+	}
+	return nil
 }
 
+// errOtherVM reports that an address now belongs to another VM.
+var errOtherVM = errors.New("another VM answers at the address")
+
 func envelopeOf(self membership.Identity, updates []membership.Update) *peerpb.Envelope {
 	e := &peerpb.Envelope{
 		Vm:          self.Name,
--- a/internal/peer/leave.go
+++ b/internal/peer/leave.go
@@ -44,7 +44,7 @@
 
 func (n *Node) tellOneLeaving(ctx context.Context, m membership.Member, stopped bool) {
 	_ = n.call(ctx, m.Address, n.settings.CallTimeout, func(ctx context.Context, client peerpb.PeerClient) error {
-		_, err := client.Leave(ctx, &peerpb.LeaveRequest{Envelope: n.seal(m.Name, maxProbeUpdates), Stopped: stopped})
+		_, err := client.Leave(ctx, &peerpb.LeaveRequest{Envelope: n.seal(m.Name, 0), Stopped: stopped})
 		return err
 	})
 }
--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -63,8 +63,7 @@
 	n.table.ProbeFailed(m.Name, m.Incarnation, time.Now())
 }
 
-// probe returns the VM's answer, or nil. An answer of another VM, which has the
-// address now, is none.
+// probe returns the VM's answer, or nil.
 func (n *Node) probe(ctx context.Context, name, address string) *peerpb.Envelope {
 	var answer *peerpb.ProbeResponse
 	err := n.call(ctx, address, n.settings.CallTimeout, func(ctx context.Context, client peerpb.PeerClient) error {
@@ -72,7 +71,7 @@
 		answer, err = client.Probe(ctx, &peerpb.ProbeRequest{Envelope: n.seal(name, maxProbeUpdates)})
 		return err
 	})
-	if err != nil || !n.openAnswer(answer.GetEnvelope()) || answer.GetEnvelope().GetVm() != name {
+	if err != nil || n.openAnswer(name, answer.GetEnvelope()) != nil {
 		return nil
 	}
 	return answer.GetEnvelope()
@@ -110,7 +109,7 @@
 		})
 		return err
 	})
-	if err != nil || !n.openAnswer(answer.GetEnvelope()) {
+	if err != nil || n.openAnswer(helper.Name, answer.GetEnvelope()) != nil {
 		return false
 	}
 	return answer.GetAnswer().GetVm() == m.Name && n.open(answer.GetAnswer())
--- a/internal/peer/push.go
+++ b/internal/peer/push.go
@@ -120,8 +120,7 @@
 	if err != nil {
 		return 0, err
 	}
-	n.openAnswer(answer.GetEnvelope())
-	return answer.GetEnvelope().GetVersion(), nil
+	return answer.GetEnvelope().GetVersion(), n.openAnswer(m.Name, answer.GetEnvelope())
 }
 
 // passOn pushes on what was news here, in a fleet that the first push does not
--- a/internal/peer/spreading_test.go
+++ b/internal/peer/spreading_test.go
@@ -223,6 +223,9 @@
 // the dead VM's: taken for it, they would make changes wait for it for ever.
 func TestAddressOfDeadVMIsTakenOver(t *testing.T) {
 	run(t, 4, Settings{}, func(t *testing.T, f *fleet) {
+		if f.vm(0).node.probe(t.Context(), vmName(3), vmName(1)) != nil {
+			t.Fatal("one VM's answer was taken for another's")
+		}
 		f.kill(vmName(3))
 		f.network.setCut(func(string, string) bool { return false })
 		f.startAt("young", vmName(3))
--- a/internal/peer/sync.go
+++ b/internal/peer/sync.go
@@ -78,8 +78,8 @@
 		if err != nil {
 			return err
 		}
-		if !n.openAnswer(answer.GetEnvelope()) {
-			return errDropped
+		if err := n.openAnswer(name, answer.GetEnvelope()); err != nil {
+			return err
 		}
 		n.load.take(answer.GetEnvelope(), answer.GetLoad(), answer.GetLoadSeen())
 		rose := n.apply(answer.GetConfiguration())
--- /dev/null
+++ b/internal/rig/fleet.go
@@ -0,0 +1,231 @@
+// Package rig starts a whole fleet in one process on loopback addresses: routers,
+// and small stand-ins for the platform, engines and plain services. The demo, the
+// load measurements and the tests of whole routers run on it.
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"geraniumcroft/internal/adminapi"
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/confstore"
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/node"
+	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/settings"
+	"geraniumcroft/internal/standin/enginesim"
+	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/standin/servicesim"
+)
+
+const loopback = "127.0.0.1:0"
+
+// AdminToken is the operators' token of every router of a rig.
+const AdminToken = "rig-operator"
+
+// Options describe a fleet.
+type Options struct {
+	// Routers is the number of entry VMs.
+	Routers int
+	// LogOut takes the routers' logs; nil discards them.
+	LogOut io.Writer
+	// OnViolation is called on each violated invariant.
+	OnViolation func(invariant.Violation)
+	// Adjust changes a router's options before it is built; nil changes nothing.
+	Adjust func(*node.Options)
+}
+
+// Fleet is what was started.
+type Fleet struct {
+	Platform *platformsim.Server
+	Nodes    []*node.Node
+	Engines  map[string]*enginesim.Engine
+	Services map[string]*servicesim.Service
+
+	options Options
+	started int
+	vms     []platform.VM
+}
+
+// Start starts the platform and the routers and waits until these are ready.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	sim, err := platformsim.Start(loopback)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Platform: sim, Engines: map[string]*enginesim.Engine{}, Services: map[string]*servicesim.Service{}, options: o}
+	for range o.Routers {
+		if _, err := f.AddRouter(); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.AwaitReady(ctx)
+}
+
+// AddRouter starts one more router and lists it with the platform.
+func (f *Fleet) AddRouter() (*node.Node, error) {
+	f.started++
+	options := node.Options{
+		Settings: f.settings(fmt.Sprintf("entry-%d", f.started)), Version: "rig", LogOut: f.options.LogOut,
+		Authenticator: authenticator{}, OnViolation: f.options.OnViolation,
+	}
+	if f.options.Adjust != nil {
+		f.options.Adjust(&options)
+	}
+	n, err := node.New(options)
+	if err != nil {
+		return nil, err
+	}
+	f.Nodes = append(f.Nodes, n)
+	f.vms = append(f.vms, platform.VM{
+		Name: options.Settings.VM.Name, Address: "127.0.0.1", DataCentre: options.Settings.VM.DataCentre,
+		Role: "entry", PeerAddress: n.PeerAddress(),
+	})
+	f.Platform.SetVMs(f.vms...)
+	return n, n.Start()
+}
+
+func (f *Fleet) settings(name string) *settings.Settings {
+	text := fmt.Sprintf(`
+[vm]
+name = %s
+data_centre = dc-%d
+[callers]
+address = %s
+plain = true
+[admin]
+address = %s
+tokens_file = unused
+plain = true
+[peers]
+address = %s
+plain = true
+[platform]
+table = %s
+objects = %s
+vm_list = %s
+timeout = 1s
+[targets]
+report_interval = 100ms
+[shutdown]
+unready_wait = 100ms
+[log]
+level = warn
+format = console
+`, name, f.started%3, loopback, loopback, loopback, f.Platform.URL(), f.Platform.URL(), f.Platform.URL())
+	parsed, findings := settings.Parse("rig.ini", []byte(text))
+	if len(findings) > 0 {
+		panic(fmt.Sprint("settings of the rig: ", findings))
+	}
+	return parsed
+}
+
+// AwaitReady waits until every router has read the configuration.
+func (f *Fleet) AwaitReady(ctx context.Context) error {
+	for _, n := range f.Nodes {
+		select {
+		case <-n.Ready():
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "router not ready")
+		}
+	}
+	return nil
+}
+
+// Apply proposes an entity on the first router and waits until it is in force on
+// all of them.
+func (f *Fleet) Apply(ctx context.Context, kind config.EntityKind, name string, entity any) error {
+	value, err := json.Marshal(entity)
+	if err != nil {
+		return err
+	}
+	accepted, err := f.Nodes[0].Change(ctx, confstore.Proposal{
+		ID: uuid.NewString(), Author: "rig", Kind: kind, Name: name, Value: value,
+		IfRevision: f.revision(kind, name),
+	})
+	if err != nil {
+		return errors.Wrapf(err, "%s %s", kind, name)
+	}
+	if !accepted.Accepted {
+		return fmt.Errorf("%s %s is not in force on %v", kind, name, accepted.Missing)
+	}
+	return nil
+}
+
+func (f *Fleet) revision(kind config.EntityKind, name string) uint64 {
+	now := f.Nodes[0].Store().Current()
+	switch kind {
+	case config.EntityTarget:
+		if t := now.Targets[name]; t != nil {
+			return t.Revision
+		}
+	case config.EntityProfile:
+		if p := now.Profiles[name]; p != nil {
+			return p.Revision
+		}
+	case config.EntityModel:
+		if m := now.Models[name]; m != nil {
+			return m.Revision
+		}
+	case config.EntityWorkspace:
+		if w := now.Workspaces[name]; w != nil {
+			return w.Revision
+		}
+	}
+	return 0
+}
+
+// AddEngine starts an engine and adds it as a target.
+func (f *Fleet) AddEngine(ctx context.Context, o enginesim.Options, dataCentre, accelerator string, links ...config.Link) (*enginesim.Engine, error) {
+	e := enginesim.New(o)
+	if err := e.Start(loopback); err != nil {
+		return nil, err
+	}
+	f.Engines[o.Name] = e
+	target := e.Target()
+	target.DataCentre, target.Accelerator, target.Links = dataCentre, accelerator, links
+	return e, f.Apply(ctx, config.EntityTarget, o.Name, target)
+}
+
+// AddService starts an instance of a plain service and adds it as a target.
+func (f *Fleet) AddService(ctx context.Context, o servicesim.Options, dataCentre string) (*servicesim.Service, error) {
+	s := servicesim.New(o)
+	if err := s.Start(loopback); err != nil {
+		return nil, err
+	}
+	f.Services[o.Name] = s
+	target := s.Target()
+	target.DataCentre = dataCentre
+	return s, f.Apply(ctx, config.EntityTarget, o.Name, target)
+}
+
+// Stop stops the routers in order and then the stand-ins.
+func (f *Fleet) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for _, n := range f.Nodes {
+		n.Stop(ctx)
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+	for _, s := range f.Services {
+		s.Close()
+	}
+	f.Platform.Close()
+}
+
+// authenticator knows the rig's one token.
+type authenticator struct{}
+
+// Authenticate implements adminapi.Authenticator.
+func (authenticator) Authenticate(token string) (string, adminapi.Role, bool) {
+	return "operator", adminapi.RoleOperate, token == AdminToken
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,192 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/confstore"
+	"geraniumcroft/internal/membership"
+	"geraniumcroft/internal/platform"
+)
+
+const (
+	rowPrefix = "vm/"
+	// rowEnd is the first key after all rows: '0' follows '/'.
+	rowEnd      = "vm0"
+	scanLimit   = 4096
+	scanTimeout = time.Second
+	scanPause   = 200 * time.Millisecond
+	// forgetAfter is how long a VM must have been dead, or unknown to membership,
+	// before its row is deleted.
+	forgetAfter = 30 * time.Second
+)
+
+// Members is what the roster asks of membership.
+type Members interface {
+	confstore.Confirmer
+	Members() []membership.Member
+}
+
+// Roster implements confstore.Confirmer over membership and the rows.
+type Roster struct {
+	table   platform.Table
+	vm      string
+	members Members
+	logger  *zap.Logger
+
+	mu sync.Mutex // guards the fields below
+	// scanned is the newest version for which the rows were read after its commit.
+	scanned  uint64
+	rows     []string
+	lastScan time.Time
+	// doubted is since when a row's VM was seen dead or unknown.
+	doubted map[string]time.Time
+}
+
+// record is the value of a row.
+type record struct {
+	VM    string    `json:"vm"`
+	Since time.Time `json:"since"`
+}
+
+// New returns a roster for this VM.
+func New(table platform.Table, vm string, members Members, logger *zap.Logger) *Roster {
+	return &Roster{table: table, vm: vm, members: members, logger: logger, doubted: map[string]time.Time{}}
+}
+
+// Register writes this VM's row. It must return before the configuration is read.
+func (r *Roster) Register(ctx context.Context) error {
+	value, err := json.Marshal(record{VM: r.vm, Since: time.Now()})
+	if err != nil {
+		return err
+	}
+	return r.write(ctx, platform.Write{Key: rowPrefix + r.vm, Value: value})
+}
+
+// Unregister deletes this VM's row, after its last request.
+func (r *Roster) Unregister(ctx context.Context) error {
+	return r.write(ctx, platform.Write{Key: rowPrefix + r.vm, Delete: true})
+}
+
+func (r *Roster) write(ctx context.Context, write platform.Write) error {
+	rows, err := r.table.Get(ctx, write.Key)
+	if err != nil {
+		return err
+	}
+	return r.commit(ctx, rows[0], write)
+}
+
+func (r *Roster) commit(ctx context.Context, row platform.Row, write platform.Write) error {
+	err := r.table.Commit(ctx, platform.Txn{
+		ID:         uuid.NewString(),
+		Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
+		Writes:     []platform.Write{write},
+	})
+	return errors.Wrapf(err, "row of VM %s", strings.TrimPrefix(write.Key, rowPrefix))
+}
+
+// InForce implements confstore.Confirmer: a VM that has a row and is unknown to
+// membership has not confirmed. Where the rows cannot be read membership alone
+// answers, since while the store is out no VM can have read an older configuration
+// from it.
+func (r *Roster) InForce(version uint64) (confirmed, missing []string) {
+	confirmed, missing = r.members.InForce(version)
+	known := r.known()
+	for _, name := range r.registered(version) {
+		if name != r.vm && !known[name] {
+			missing = append(missing, name)
+		}
+	}
+	return confirmed, missing
+}
+
+func (r *Roster) known() map[string]bool {
+	known := map[string]bool{}
+	for _, member := range r.members.Members() {
+		known[member.Name] = true
+	}
+	return known
+}
+
+// registered returns the VMs that had a row at a moment after the commit of the
+// version.
+func (r *Roster) registered(version uint64) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.scanned >= version || time.Since(r.lastScan) < scanPause {
+		return r.rows
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), scanTimeout)
+	defer cancel()
+	r.lastScan = time.Now()
+	rows, err := r.scan(ctx)
+	if err != nil {
+		r.logger.Debug("rows of VMs cannot be read", zap.Error(err))
+		return nil
+	}
+	r.rows = names(rows)
+	r.scanned = version
+	return r.rows
+}
+
+func (r *Roster) scan(ctx context.Context) ([]platform.Row, error) {
+	return r.table.Scan(ctx, rowPrefix, rowEnd, scanLimit)
+}
+
+func names(rows []platform.Row) []string {
+	found := make([]string, 0, len(rows))
+	for _, row := range rows {
+		found = append(found, strings.TrimPrefix(row.Key, rowPrefix))
+	}
+	return found
+}
+
+// Sweep deletes rows of VMs that died without deleting their own. Only the holder
+// of the duty calls it.
+func (r *Roster) Sweep(ctx context.Context, now time.Time) error {
+	rows, err := r.scan(ctx)
+	if err != nil {
+		return err
+	}
+	for _, row := range r.forgotten(rows, now) {
+		if err := r.commit(ctx, row, platform.Write{Key: row.Key, Delete: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// forgotten returns the rows whose VMs have been in doubt for long enough.
+func (r *Roster) forgotten(rows []platform.Row, now time.Time) []platform.Row {
+	serving := map[string]bool{r.vm: true}
+	for _, member := range r.members.Members() {
+		serving[member.Name] = member.MayServe()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	doubted := map[string]time.Time{}
+	var forgotten []platform.Row
+	for _, row := range rows {
+		name := strings.TrimPrefix(row.Key, rowPrefix)
+		if serving[name] {
+			continue
+		}
+		since, before := r.doubted[name]
+		if !before {
+			since = now
+		}
+		doubted[name] = since
+		if now.Sub(since) >= forgetAfter {
+			forgotten = append(forgotten, row)
+		}
+	}
+	r.doubted = doubted
+	return forgotten
+}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -86,8 +86,10 @@
 func (r *Router) admitCall(ctx context.Context, e *entry) (*balance.Slot, error) {
 	var slot *balance.Slot
 	var noTarget error
-	err := r.admit(ctx, e, admissionCost{tokens: 1}, func() bool {
-		picked, err := r.Balancer.Pick(r.query(e, nil))
+	err := r.admit(ctx, e, admissionCost{tokens: 1}, func(u config.Urgency) bool {
+		query := r.query(e, nil)
+		query.Urgency = u
+		picked, err := r.Balancer.Pick(query)
 		if errors.Is(err, balance.ErrNoTarget) {
 			noTarget = err
 			return true
@@ -107,10 +109,13 @@
 	resume bool
 }
 
-func (r *Router) admit(ctx context.Context, e *entry, cost admissionCost, try func() bool) error {
+// admit waits for the entry's turn; try takes capacity as a request of the
+// urgency that it is given.
+func (r *Router) admit(ctx context.Context, e *entry, cost admissionCost, try func(config.Urgency) bool) error {
 	e.enter(StageQueued)
 	queued := time.Now()
-	err := r.Admission.Admit(ctx, r.admissionRequest(e, cost), try)
+	request := r.admissionRequest(e, cost)
+	err := r.Admission.Admit(ctx, request, func() bool { return try(request.TakeAs()) })
 	r.Observer.Queued(e.profile.Urgency, time.Since(queued))
 	return err
 }
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -94,7 +94,7 @@
 	if tokens == 0 {
 		tokens = lowest(e.profile.Limits.MaxTokens, r.Limits.MaxTokens)
 	}
-	first, err := r.placeGeneration(ctx, e, ref, admissionCost{tokens: len(request.Prompt) + tokens}, nil)
+	first, err := r.placeGeneration(ctx, e, ref, admissionCost{tokens: len(request.Prompt) + tokens})
 	if err != nil {
 		return GenerateResult{}, asFailure(err)
 	}
@@ -118,17 +118,19 @@
 }
 
 func (r *Router) generationJob(e *entry, ref config.ModelRef, prompt []string, tokens int, first *placement) generation.Job {
+	current := first.plan
 	return generation.Job{
 		RequestID: e.id.RequestID, Model: ref.Model, Version: ref.Version, Adapter: ref.Adapter,
-		Prompt: prompt, MaxTokens: tokens, Priority: int(e.profile.Urgency), Deadline: e.deadline,
+		Prompt: prompt, MaxTokens: tokens, Idempotent: e.profile.Idempotent, Priority: int(e.profile.Urgency), Deadline: e.deadline,
 		First:   first,
 		Preempt: e.preempt,
 		Replace: func(ctx context.Context, exclude []string) (generation.Placement, error) {
 			remaining := max(1, tokens-int(e.tokens.Load()))
-			next, err := r.placeGeneration(ctx, e, ref, admissionCost{tokens: remaining, resume: true}, exclude)
+			next, err := r.replaceStages(ctx, e, ref, current, remaining, exclude)
 			if err != nil {
 				return nil, err
 			}
+			current = next.plan
 			e.enter(StageRunning)
 			return next, nil
 		},
@@ -136,24 +138,59 @@
 }
 
 // placeGeneration waits in admission for a plan with a slot on each target.
-func (r *Router) placeGeneration(ctx context.Context, e *entry, ref config.ModelRef, cost admissionCost, exclude []string) (*placement, error) {
+func (r *Router) placeGeneration(ctx context.Context, e *entry, ref config.ModelRef, cost admissionCost) (*placement, error) {
+	if !r.Plans.Covered(ref, nil) {
+		return nil, noEngines()
+	}
+	var placed *placement
+	err := r.admit(ctx, e, cost, func(u config.Urgency) bool {
+		placed = r.tryPlan(u, ref, nil)
+		return placed != nil
+	})
+	return placed, err
+}
+
+// replaceStages waits in admission for stages in place of the current ones. The
+// surviving stages are asked for first, as their KV cache is still valid.
+func (r *Router) replaceStages(ctx context.Context, e *entry, ref config.ModelRef, current plan.Plan, tokens int, exclude []string) (*placement, error) {
 	if !r.Plans.Covered(ref, exclude) {
-		return nil, outcome.Refuse(outcome.ReasonNoTarget, "no engines that can take work hold all layers of the model").WithRetryAfter(time.Second)
+		return nil, noEngines()
 	}
 	var placed *placement
-	err := r.admit(ctx, e, cost, func() bool {
-		placed = r.tryPlan(e.profile.Urgency, ref, exclude)
+	err := r.admit(ctx, e, admissionCost{tokens: tokens, resume: true}, func(u config.Urgency) bool {
+		placed = r.tryRepair(u, ref, current, exclude)
+		if placed == nil {
+			placed = r.tryPlan(u, ref, exclude)
+		}
 		return placed != nil
 	})
 	return placed, err
 }
 
+func (r *Router) tryRepair(u config.Urgency, ref config.ModelRef, current plan.Plan, exclude []string) *placement {
+	repaired, ok := r.Plans.Repair(ref, current, u, asSet(exclude))
+	if !ok {
+		return nil
+	}
+	placed, _ := r.reserve(repaired, u)
+	return placed
+}
+
+func noEngines() *outcome.Failure {
+	return outcome.Refuse(outcome.ReasonNoTarget, "no engines that can take work hold all layers of the model").WithRetryAfter(time.Second)
+}
+
+func asSet(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
 // tryPlan chooses a plan and takes its slots, all or none.
 func (r *Router) tryPlan(u config.Urgency, ref config.ModelRef, exclude []string) *placement {
-	excluded := make(map[string]bool, len(exclude))
-	for _, name := range exclude {
-		excluded[name] = true
-	}
+	excluded := asSet(exclude)
 	for range planAttempts {
 		chosen, ok := r.Plans.Choose(ref, u, excluded)
 		if !ok {
@@ -173,7 +210,7 @@
 	for _, stage := range chosen.Stages {
 		slot, err := r.Balancer.Reserve(stage.Target.Name, u)
 		if err != nil {
-			p.releaseAll(balance.ResultNeutral)
+			p.undo()
 			return nil, stage.Target.Name
 		}
 		p.slots[stage.Target.Name] = slot
@@ -181,14 +218,6 @@
 	return p, ""
 }
 
-func (p *placement) releaseAll(result balance.Result) {
-	results := make(map[string]balance.Result, len(p.slots))
-	for name := range p.slots {
-		results[name] = result
-	}
-	p.Release(results)
-}
-
 // onStarved makes room for an urgent request by preempting one bulk generation.
 // It loses no token: the generation keeps its KV cache where it can and resumes.
 func (r *Router) onStarved(pool string, _ *admission.Request) {
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -33,3 +33,13 @@
 		slot.Release(result)
 	}
 }
+
+// undo gives back slots of a plan that could not be taken whole.
+func (p *placement) undo() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, slot := range p.slots {
+		slot.Undo()
+	}
+	p.slots = nil
+}
