--- a/internal/confstore/compact.go
+++ b/internal/confstore/compact.go
@@ -142,8 +142,11 @@
 func (s *Store) drop(ctx context.Context, pointer snapshotPointer, rows []platform.Row) error {
 	txn := platform.Txn{
 		ID: uuid.NewString(),
-		// Without it a delayed drop would go by a pointer that was taken back.
-		Conditions: []platform.Condition{{Key: snapshotKey, Revision: pointer.rowRevision}},
+		Conditions: []platform.Condition{
+			// Without it a delayed drop would go by a pointer that was taken back.
+			{Key: snapshotKey, Revision: pointer.rowRevision},
+			{Key: rows[0].Key, Revision: rows[0].Revision},
+		},
 	}
 	for _, row := range rows {
 		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
--- /dev/null
+++ b/internal/confstore/compact_test.go
@@ -0,0 +1,265 @@
+package confstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumcroft/internal/platform"
+)
+
+var compactSoon = Options{CompactAfter: 4, RetainChanges: 2}
+
+// fill makes n changes of one workspace and returns the last version.
+func (f *fixture) fill(s *Store, n int) uint64 {
+	f.t.Helper()
+	for range n {
+		_, revision := s.Current().Entity("workspace", "crews")
+		f.mustPropose(s, workspace("crews", revision, int(s.Current().Version)+1))
+	}
+	return s.Current().Version
+}
+
+func (f *fixture) mustCompact(s *Store) {
+	f.t.Helper()
+	if err := s.Compact(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fixture) changeRows() int {
+	rows, _ := f.table.Scan(context.Background(), changeKey(0), changesEnd, 10_000)
+	return len(rows)
+}
+
+func snapshotJSON(t *testing.T, s *Store) []byte {
+	t.Helper()
+	encoded, err := json.Marshal(s.Current())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// A VM starts while the history is compacted: between its reading of the old
+// snapshot and of the tail, a newer snapshot takes the place of the rows that it
+// needs and old objects go. It reads the pointer again and ends with just what the
+// others have in force, instead of a configuration with a hole.
+func TestNewVMLoadsWhileCompactionRuns(t *testing.T) {
+	f := newFixture(t)
+	writer := f.storeWith("vm-1", compactSoon)
+	f.fill(writer, 10)
+	f.mustCompact(writer)
+	overtaken := 0
+	f.objects.onFetch = func(string) {
+		if overtaken == 2 {
+			return
+		}
+		overtaken++
+		hook := f.objects.onFetch
+		f.objects.onFetch = nil
+		// Three compactions: the object that is about to be read is gone.
+		for range 3 {
+			f.fill(writer, 6)
+			f.mustCompact(writer)
+		}
+		f.objects.onFetch = hook
+	}
+	s := f.store("vm-2")
+	if err := s.Load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(snapshotJSON(t, s), snapshotJSON(t, writer)) || overtaken != 2 {
+		t.Fatalf("version %d, want %d; overtaken %d times", s.Current().Version, writer.Current().Version, overtaken)
+	}
+	if rows := f.changeRows(); rows != 2 {
+		t.Errorf("%d rows are left, want the 2 retained", rows)
+	}
+	if n := len(f.objects.objects); n != 1+keptObjects {
+		t.Errorf("%d objects are left", n)
+	}
+}
+
+// A VM that has fallen behind for longer than rows are kept finds a gap after its
+// own version, takes the snapshot and goes on.
+func TestPollAfterCompactionTakesTheSnapshot(t *testing.T) {
+	f := newFixture(t)
+	writer, s := f.storeWith("vm-1", compactSoon), f.store("vm-2")
+	f.fill(writer, 1)
+	if err := s.Load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	f.fill(writer, 12)
+	f.mustCompact(writer)
+	f.fill(writer, 2)
+	if err := s.Poll(context.Background()); err != nil || s.Current().Version != writer.Current().Version {
+		t.Fatalf("version %d, %v", s.Current().Version, err)
+	}
+}
+
+// The object store loses or damages the snapshot. Compaction notices before it
+// drops a row, so the table still has the whole history; a row that was dropped
+// first would be a change that reverts on every VM that starts.
+func TestNoRowIsDroppedWithoutItsSnapshot(t *testing.T) {
+	f := newFixture(t)
+	writer := f.storeWith("vm-1", compactSoon)
+	f.fill(writer, 6)
+	f.mustCompact(writer)
+	f.fill(writer, 3)
+	rows := f.changeRows()
+	// The pointer stands, its rows are still there, its object is damaged.
+	f.objects.mu.Lock()
+	for name := range f.objects.objects {
+		f.objects.objects[name] = []byte("damaged")
+	}
+	f.objects.mu.Unlock()
+	lazy := f.storeWith("vm-2", Options{CompactAfter: 1000, RetainChanges: 1})
+	if err := lazy.Compact(context.Background()); err == nil {
+		t.Fatal("compaction took a damaged snapshot for good")
+	}
+	if f.changeRows() != rows {
+		t.Fatalf("%d rows, were %d", f.changeRows(), rows)
+	}
+}
+
+// Two holders of the lease compact at once, one of them after a long pause: the
+// pointer never goes back to the older snapshot.
+func TestPausedCompactionDoesNotTakeThePointerBack(t *testing.T) {
+	f := newFixture(t)
+	paused, other := f.storeWith("vm-1", compactSoon), f.storeWith("vm-2", compactSoon)
+	f.fill(paused, 6)
+	f.table.onCommit = func(txn platform.Txn) {
+		if txn.Writes[0].Key != snapshotKey {
+			return
+		}
+		f.table.onCommit = nil
+		if err := other.Poll(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		f.fill(other, 6)
+		f.mustCompact(other)
+	}
+	if err := paused.Compact(context.Background()); !errors.Is(err, platform.ErrRefused) {
+		t.Fatalf("got %v, want the pointer refused", err)
+	}
+	pointer, err := other.readPointer(context.Background())
+	if err != nil || pointer.Version != 12 {
+		t.Fatalf("pointer to %d, %v", pointer.Version, err)
+	}
+	s := f.store("vm-3")
+	if err := s.Load(context.Background()); err != nil || s.Current().Version != 12 {
+		t.Fatalf("version %d, %v", s.Current().Version, err)
+	}
+}
+
+// An operator's transaction is under way for so long that the row of its version
+// was written by somebody else, compacted and dropped. It arrives then. The head
+// has moved, so it has no effect; it would otherwise take the head back, and every
+// VM that starts would miss the changes since.
+func TestDelayedTransactionAfterCompactionHasNoEffect(t *testing.T) {
+	for name, guarded := range map[string]bool{"with the condition on the head": true, "without it": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { delayedOverCompaction(t, guarded) })
+		})
+	}
+}
+
+func delayedOverCompaction(t *testing.T, guarded bool) {
+	f := newFixture(t)
+	late, other := f.store("vm-1"), f.storeWith("vm-2", compactSoon)
+	f.fill(late, 1)
+	if !guarded {
+		late.hooks.conditions = func(c []platform.Condition) []platform.Condition { return c[1:] }
+	}
+	f.table.setFault(func(platform.Txn) fault { return delayRequest })
+	_, err := late.Propose(context.Background(), workspace("desk", 0, 1))
+	var pending *PendingError
+	if !errors.As(err, &pending) {
+		t.Fatalf("got %v", err)
+	}
+	f.table.setFault(nil)
+	if err := other.Load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	last := f.fill(other, 12)
+	f.mustCompact(other)
+	before := maps.Clone(f.table.rows)
+	f.table.release()
+	unchanged := fmt.Sprint(before) == fmt.Sprint(f.table.rows)
+	if unchanged != guarded {
+		t.Fatalf("the delayed transaction changed the table: %v", !unchanged)
+	}
+	s := f.store("vm-3")
+	err = s.Load(context.Background())
+	if arrived := err == nil && s.Current().Version == last; arrived != guarded {
+		t.Fatalf("a new VM has version %d of %d, %v", s.Current().Version, last, err)
+	}
+	// Nobody can tell any more what became of a row that is gone.
+	if _, err := late.Lookup(context.Background(), "desk-0-1"); guarded && !errors.As(err, &pending) {
+		t.Fatalf("lookup: %v", err)
+	}
+}
+
+// The lease holder compacts while the table goes out: compaction fails, and the
+// next one goes on from what is there.
+func TestCompactionDuringAnOutage(t *testing.T) {
+	f := newFixture(t)
+	s := f.storeWith("vm-1", compactSoon)
+	f.fill(s, 8)
+	for _, what := range []fault{loseAnswer, loseRequest} {
+		f.table.setFault(once(what))
+		if err := s.Compact(context.Background()); err == nil {
+			t.Fatal("compaction took a lost answer for success")
+		}
+		f.fill(s, 4)
+	}
+	f.mustCompact(s)
+	if rows := f.changeRows(); rows > int(compactSoon.CompactAfter+compactSoon.RetainChanges) {
+		t.Fatalf("%d rows are left", rows)
+	}
+	fresh := f.store("vm-2")
+	if err := fresh.Load(context.Background()); err != nil || fresh.Current().Version != s.Current().Version {
+		t.Fatalf("version %d, %v", fresh.Current().Version, err)
+	}
+}
+
+// fakeConfirmer says that a VM confirms once it was asked a few times.
+type fakeConfirmer struct{ left int }
+
+func (c *fakeConfirmer) InForce(uint64) (confirmed, missing []string) {
+	c.left--
+	if c.left >= 0 {
+		return []string{"vm-1"}, []string{"vm-5"}
+	}
+	return []string{"vm-1", "vm-5"}, nil
+}
+
+// The operator's change is accepted when the last VM has it in force, and pending
+// with that VM's name until then; this VM itself counts by what its subscribers
+// have taken in, whatever its peers think of it.
+func TestWaitNamesWhoIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		s := f.store("vm-1")
+		f.fill(s, 1)
+		if got := s.Wait(context.Background(), 1, &fakeConfirmer{left: 3}); !got.Accepted || len(got.Confirmed) != 2 {
+			t.Fatalf("got %+v", got)
+		}
+		bounded, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		got := s.Wait(bounded, 1, &fakeConfirmer{left: 1000})
+		if got.Accepted || len(got.Missing) != 1 || got.Missing[0] != "vm-5" {
+			t.Fatalf("got %+v", got)
+		}
+		if got := s.acceptance(2, &fakeConfirmer{}); got.Accepted || got.Missing[0] != "vm-1" {
+			t.Fatalf("got %+v", got)
+		}
+	})
+}
--- a/internal/confstore/not_written_error.go
+++ b/internal/confstore/not_written_error.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// NotWrittenError reports a change that certainly was not written and never will be.
+// NotWrittenError reports a proposal that certainly wrote nothing and never will.
 type NotWrittenError struct {
 	ID    string
 	Cause error
--- a/internal/confstore/pending_changes.go
+++ b/internal/confstore/pending_changes.go
@@ -1,22 +1,9 @@
 package confstore
 
-import (
-	"sync"
-
-	"geraniumcroft/internal/platform"
-)
+import "sync"
 
 const maxPendingChanges = 256
 
-// attempt is one transaction whose answer may be lost.
-type attempt struct {
-	version uint64
-	txn     platform.Txn
-	// headRevision is the head row's revision that the transaction demands. Once
-	// the head has moved, the transaction can never apply.
-	headRevision uint64
-}
-
 // pendingChanges remembers the attempts that could not be settled, by the
 // change's id, the newest maxPendingChanges of them.
 type pendingChanges struct {
--- a/internal/confstore/propose_test.go
+++ b/internal/confstore/propose_test.go
@@ -79,6 +79,10 @@
 		t.Fatalf("got %v, want pending", err)
 	}
 	f.table.setFault(nil)
+	_, err = s.Propose(context.Background(), permits("shorten", revision, 2*time.Second))
+	if !errors.As(err, &pending) {
+		t.Fatalf("proposed again during the outage: %v, want pending", err)
+	}
 	f.table.setOut(false)
 	if _, err := s.Lookup(context.Background(), "shorten"); !errors.As(err, &pending) {
 		t.Fatalf("lookup while undecided: %v", err)
--- a/internal/confstore/writer.go
+++ b/internal/confstore/writer.go
@@ -31,7 +31,18 @@
 	if w.undecided != nil {
 		return w.settle(ctx, err)
 	}
-	return config.Change{}, w.failure(err)
+	return config.Change{}, w.orEarlier(w.failure(err))
+}
+
+// orEarlier keeps a proposal that wrote nothing from being told so while an earlier
+// one with the same id is still pending here: the change may yet take effect.
+func (w *writer) orEarlier(err error) error {
+	var notWritten *NotWrittenError
+	earlier, pending := w.store.pending.get(w.proposal.ID)
+	if pending && errors.As(err, &notWritten) {
+		return &PendingError{ID: w.proposal.ID, Version: earlier.version, Cause: err}
+	}
+	return err
 }
 
 // settle goes on reading back for a while after the proposal's time is over,
