Give each safeguard of claims and the platform client a test

Trials on a scratch copy removed safeguards one at a time. Each has a test now that fails without it.

Callers as probes was a fault besides: the prober asked at the very moment at which the breaker was still shut, so every other probe was lost. The breaker now opens for probes before the prober's pause is over.

--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -175,6 +175,64 @@
 	})
 }
 
+// The store falls silent with claims under way, which wait for their own bound. Once
+// the outage is known, later callers are refused at once and not behind those.
+func TestOutageDoesNotQueueBehindHangingGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		v := newVM(t, store, "vm-1", Settings{Timeout: 10 * time.Second})
+		store.Faults.Set(platformsim.Order{Outage: platformsim.OutageHang})
+		var hanging sync.WaitGroup
+		for n := range DefaultMaxInFlight {
+			hanging.Go(func() {
+				v.Claim(t.Context(), Key{Key: fmt.Sprint(n)}, fmt.Sprint("h", n), testDigest, time.Now().Add(testDeadline))
+			})
+			synctest.Wait()
+		}
+		time.Sleep(3 * time.Second)
+		if v.client.Healthy() || v.Dump().Grouping.Sending != DefaultMaxInFlight {
+			t.Fatalf("not the state to test: %+v", v.Dump())
+		}
+		began := time.Now()
+		mustFail(t, v.claim(t, "r"), outcome.Unknown, outcome.ReasonStoreUnavailable)
+		if !time.Now().Equal(began) {
+			t.Fatalf("waited %v behind hanging groups", time.Since(began))
+		}
+		hanging.Wait()
+	})
+}
+
+// A caller's time runs out while its claim waits behind a slow group. It is told
+// unknown, and the claim is never sent: the caller's retry finds the key free and runs.
+func TestAbandonedClaimIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		v := newVM(t, store, "vm-1", Settings{MaxInFlight: 1})
+		store.Faults.Set(platformsim.Order{DelayCommits: 1})
+		go v.Claim(t.Context(), Key{Key: "slow"}, "r0", testDigest, time.Now().Add(testDeadline))
+		synctest.Wait()
+		short := v.Claim(t.Context(), testKey, "r1", testDigest, time.Now().Add(100*time.Millisecond))
+		mustFail(t, short, outcome.Unknown, outcome.ReasonStoreUnavailable)
+		time.Sleep(time.Minute)
+		mustRun(t, v.claim(t, "r2"))
+	})
+}
+
+// The caller leaves while its request waits for a target. The request is refused, and
+// the tombstone is written all the same: a copy may still come.
+func TestTombstoneOfACallerWhoLeft(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, settings Settings) {
+		v := newVM(t, platformsim.NewStore(), "vm-1", settings)
+		mustRun(t, v.claim(t, "r1"))
+		gone, leave := context.WithCancel(t.Context())
+		leave()
+		if err := v.Finish(gone, testKey, "r1", outcome.NotRun, nil); err != nil {
+			t.Fatal(err)
+		}
+		mustFail(t, v.claim(t, "r2"), outcome.NotRun, outcome.ReasonKeySpent)
+	})
+}
+
 // The request was not run, but the store goes out before the tombstone is written.
 // Finish fails, so that the caller is told unknown: another VM cannot know.
 func TestNotRunNeedsItsTombstone(t *testing.T) {
@@ -286,6 +344,32 @@
 	})
 }
 
+// Tombstones written late are kept for their whole retention, and so are their claims,
+// also where a page ends between the two: a copy that finds the claim gone would run.
+func TestSweepKeepsTheClaimOfALateTombstone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVM(t, platformsim.NewStore(), "vm-1", Settings{})
+		const keys = 5
+		keyOf := func(n int) Key { return Key{Key: fmt.Sprint(n)} }
+		for n := range keys {
+			mustRun(t, v.Claim(t.Context(), keyOf(n), fmt.Sprint("r", n), testDigest, time.Now().Add(testDeadline)))
+		}
+		time.Sleep(time.Hour)
+		for n := range keys {
+			if err := v.Finish(t.Context(), keyOf(n), fmt.Sprint("r", n), outcome.NotRun, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(DefaultRetention - time.Minute)
+		for range 10 {
+			result, err := v.Sweep(t.Context(), time.Now(), 3)
+			if err != nil || result.Deleted > 0 {
+				t.Fatalf("%+v, %v; want nothing deleted", result, err)
+			}
+		}
+	})
+}
+
 func TestRowsHoldNoKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := platformsim.NewStore()
--- a/internal/platform/resilient/circuit.go
+++ b/internal/platform/resilient/circuit.go
@@ -42,8 +42,9 @@
 	}
 	c.stopCtx, c.stop = context.WithCancel(context.Background())
 	c.breaker = gobreaker.NewCircuitBreaker[struct{}](gobreaker.Settings{
-		Name:    name,
-		Timeout: s.ProbeInterval,
+		Name: name,
+		// Shorter than the prober's pause, so that the breaker lets each probe through.
+		Timeout: s.ProbeInterval / 2,
 		ReadyToTrip: func(counts gobreaker.Counts) bool {
 			return counts.ConsecutiveFailures >= uint32(s.FailuresToOpen)
 		},
@@ -56,6 +57,8 @@
 
 // do runs one request to the service, or fails at once while it is down.
 func (c *circuit) do(ctx context.Context, operation string, request func(context.Context) error) error {
+	// The breaker itself would let a caller through as a probe. One that waited for
+	// the rate budget while the service went down would pay a whole timeout.
 	if !c.healthy() {
 		return c.refuse(operation, errDown)
 	}
@@ -104,14 +107,7 @@
 }
 
 func (c *circuit) probeUntilHealthy() {
-	ticker := time.NewTicker(c.interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.stopCtx.Done():
-			return
-		case <-ticker.C:
-		}
+	for sleep(c.stopCtx, c.interval) {
 		if c.probeOnce() {
 			return
 		}
--- a/internal/platform/resilient/client_test.go
+++ b/internal/platform/resilient/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -162,13 +163,16 @@
 	})
 }
 
+// countingTable counts the requests of callers, who ask for row a.
 type countingTable struct {
 	*platformsim.Store
 	calls atomic.Int64
 }
 
 func (c *countingTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	c.calls.Add(1)
+	if keys[0] == "a" {
+		c.calls.Add(1)
+	}
 	return c.Store.Get(ctx, keys...)
 }
 
@@ -177,6 +181,54 @@
 	return c.Store.Commit(ctx, txn)
 }
 
+// Callers wait in line for the rate budget when the store begins to hang. Those whose
+// turn comes later are refused without a request, also while the breaker lets a probe
+// through: only the prober asks.
+func TestWaitingCallersDoNotProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		counted := &countingTable{Store: store}
+		client := resilient.New(counted, store, store, resilient.Settings{
+			VMs: 1, ReadsPerSecond: 2, Timeout: time.Hour, AttemptTimeout: 100 * time.Millisecond,
+		})
+		defer client.Close()
+		store.Faults.Set(platformsim.Order{Outage: platformsim.OutageHang})
+		var callers sync.WaitGroup
+		for range 60 {
+			callers.Go(func() { _, _ = client.Get(t.Context(), "a") })
+		}
+		callers.Wait()
+		if asked := counted.calls.Load(); asked != resilient.DefaultFailuresToOpen {
+			t.Fatalf("%d requests of callers reached the store, want %d", asked, resilient.DefaultFailuresToOpen)
+		}
+	})
+}
+
+// A write that was paid by taking a turn is sent at once; the next one waits.
+func TestTurnPaysForOneCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		client := wrap(t, store, resilient.Settings{VMs: 1, WritesPerSecond: 4, Burst: 1})
+		ctx, err := client.Turn(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		if err := client.Commit(ctx, create("t1", "a")); err != nil {
+			t.Fatal(err)
+		}
+		if !time.Now().Equal(began) {
+			t.Fatalf("a paid commit waited %v", time.Since(began))
+		}
+		if err := client.Commit(ctx, create("t2", "b")); err != nil {
+			t.Fatal(err)
+		}
+		if time.Now().Equal(began) {
+			t.Fatal("the turn paid for two commits")
+		}
+	})
+}
+
 // Callers with almost no time left give up on a store that is well. Were they to
 // count, a few of them would cut everyone off.
 func TestImpatientCallersDoNotOpenTheCircuit(t *testing.T) {
