--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -161,6 +161,13 @@
 	c.want(c.send("POST", "/admin/v1/targets/gpu-1/drain", ""), 200, `"unchanged":true`, `"version":4`)
 	c.want(c.send("POST", "/admin/v1/targets/gpu-1/undrain", ""), 200, `"version":5`)
 	c.want(c.send("POST", "/admin/v1/targets/gpu-2/drain", ""), 404)
+	reloaded := engineTarget()
+	reloaded.IfRevision = 5
+	reloaded.Value = []byte(strings.Replace(string(reloaded.Value), `"slots":4`, `"slots":4,"state":"reloading"`, 1))
+	if _, err := store.Propose(context.Background(), reloaded); err != nil {
+		t.Fatal(err)
+	}
+	c.want(c.send("POST", "/admin/v1/targets/gpu-1/undrain", ""), 409, `"code":"reloading"`)
 	c.want(c.send("GET", "/admin/v1/targets", ""), 200, `"uncheckedCallers":["gpu-1"]`, `"ignoreFencing":["gpu-1"]`)
 }
 
--- a/internal/adminapi/change_entity.go
+++ b/internal/adminapi/change_entity.go
@@ -7,7 +7,6 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
 	"go.uber.org/zap"
 
@@ -15,36 +14,32 @@
 	"geraniumcroft/internal/confstore"
 )
 
-const maxIDLength = 128
-
 func (a *API) put(kind config.EntityKind) iris.Handler {
 	return func(ctx iris.Context) {
-		revision, problem := precondition(ctx, true)
-		if problem != nil {
-			fail(ctx, problem)
-			return
+		e, problem := readEdit(ctx, kind, true)
+		if problem == nil {
+			e.value, problem = a.readValue(ctx, e)
 		}
-		value, problem := a.readValue(ctx, kind, revision)
 		if problem != nil {
 			fail(ctx, problem)
 			return
 		}
-		a.change(ctx, kind, value, revision)
+		a.change(ctx, e)
 	}
 }
 
 func (a *API) remove(kind config.EntityKind) iris.Handler {
 	return func(ctx iris.Context) {
-		revision, problem := precondition(ctx, false)
+		e, problem := readEdit(ctx, kind, false)
 		if problem != nil {
 			fail(ctx, problem)
 			return
 		}
-		a.change(ctx, kind, nil, revision)
+		a.change(ctx, e)
 	}
 }
 
-func (a *API) readValue(ctx iris.Context, kind config.EntityKind, revision uint64) (json.RawMessage, *Problem) {
+func (a *API) readValue(ctx iris.Context, e edit) (json.RawMessage, *Problem) {
 	body, err := io.ReadAll(ctx.Request().Body)
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -62,56 +57,28 @@
 	case string(body) == "null":
 		return nil, badRequest("The body is null; use DELETE to delete.")
 	}
-	if kind == config.EntityWorkspace {
-		return a.keepKeyDigests(ctx, body, revision)
+	if e.kind == config.EntityWorkspace {
+		return a.keepKeyDigests(ctx, e, body)
 	}
 	return body, nil
 }
 
-func (a *API) change(ctx iris.Context, kind config.EntityKind, value json.RawMessage, revision uint64) {
-	wait, problem := waitOf(ctx)
-	if problem != nil {
-		fail(ctx, problem)
-		return
-	}
-	id, problem := changeID(ctx)
-	if problem != nil {
-		fail(ctx, problem)
-		return
-	}
+func (a *API) change(ctx iris.Context, e edit) {
 	request := ctx.Request().Context()
 	change, err := a.options.Store.Propose(request, confstore.Proposal{
-		ID:         id,
+		ID:         e.id,
 		Author:     authorOf(request),
-		Kind:       kind,
-		Name:       ctx.Params().Get("name"),
-		Value:      value,
-		IfRevision: revision,
+		Kind:       e.kind,
+		Name:       e.name,
+		Value:      e.value,
+		IfRevision: e.revision,
 	})
 	if err != nil {
 		a.failChange(ctx, err)
 		return
 	}
 	a.options.Logger.Info("configuration changed",
-		zap.String("author", change.Author), zap.String("kind", string(kind)), zap.String("name", change.Name),
+		zap.String("author", change.Author), zap.String("kind", string(e.kind)), zap.String("name", change.Name),
 		zap.Uint64("version", change.Version), zap.Bool("delete", change.IsDelete()))
-	a.answerChange(ctx, change, wait)
-}
-
-// changeID is the caller's Idempotency-Key, so that a repeated request is not a
-// second change.
-func changeID(ctx iris.Context) (string, *Problem) {
-	id := ctx.GetHeader("Idempotency-Key")
-	if id == "" {
-		return uuid.NewString(), nil
-	}
-	if len(id) > maxIDLength {
-		return "", badRequest("Idempotency-Key has at most 128 characters.")
-	}
-	for _, r := range id {
-		if r <= ' ' || r > '~' {
-			return "", badRequest("Idempotency-Key has printable ASCII characters without spaces.")
-		}
-	}
-	return id, nil
+	a.answerChange(ctx, change, e.wait)
 }
--- a/internal/adminapi/changes.go
+++ b/internal/adminapi/changes.go
@@ -16,20 +16,6 @@
 	maxChangesLimit     = 256
 )
 
-// ChangesAnswer is a part of the history.
-type ChangesAnswer struct {
-	// Version is the configuration's, as this VM has it in force.
-	Version uint64          `json:"version"`
-	Changes []config.Change `json:"changes"`
-}
-
-// ChangeShown is a change and where it is in force.
-type ChangeShown struct {
-	ChangeAnswer
-	// Change is null when compaction has dropped it.
-	Change *config.Change `json:"change"`
-}
-
 func (a *API) listChanges(ctx iris.Context) {
 	if id := ctx.URLParam("id"); id != "" {
 		a.lookUpChange(ctx, id)
--- a/internal/adminapi/dumper.go
+++ b/internal/adminapi/dumper.go
@@ -14,14 +14,6 @@
 // stackDetail merges equal stacks and shows no argument, so no value gets out.
 const stackDetail = 1
 
-// StuckDump stands in for a dump that did not end in time.
-type StuckDump struct {
-	Stuck bool `json:"stuck"`
-	// Since is when the dump that has not ended began.
-	Since  time.Time `json:"since"`
-	Stacks string    `json:"stacks"`
-}
-
 // dumper runs one dump at a time and bounds the wait for it. A dump that waits
 // for a lock which is never released would otherwise hang just when it is needed,
 // and each new try would leave one more goroutine behind.
--- a/internal/adminapi/problem.go
+++ b/internal/adminapi/problem.go
@@ -26,6 +26,7 @@
 	CodeUnavailable          Code = "store-unavailable"
 	CodeUnknownChange        Code = "unknown-change"
 	CodeNotWritten           Code = "not-written"
+	CodeReloading            Code = "reloading"
 	CodeInternal             Code = "internal"
 )
 
--- a/internal/adminapi/set_state.go
+++ b/internal/adminapi/set_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,6 +48,10 @@
 			a.answerUnchanged(ctx, target, wait)
 			return
 		}
+		if target.State == config.StateReloading && state == config.StateActive {
+			fail(ctx, reloading(target))
+			return
+		}
 		change, err := a.proposeState(ctx, target, state)
 		if err == nil {
 			a.options.Logger.Info("target's state changed", zap.String("author", change.Author),
@@ -89,3 +94,12 @@
 	ctx.Header("ETag", etag(target.Revision))
 	answer(ctx, body.httpStatus(), body)
 }
+
+// reloading refuses to give work to a target that is being reloaded: the reload
+// would cut it off. The holder of the orders' lease makes the target active again.
+func reloading(target *config.Target) *Problem {
+	return &Problem{
+		Status: http.StatusConflict, Code: CodeReloading, Title: "The target is being reloaded",
+		Detail: target.Name + " takes work again by itself when it is loaded.", Revision: target.Revision,
+	}
+}
--- a/internal/adminapi/state.go
+++ b/internal/adminapi/state.go
@@ -6,12 +6,6 @@
 	"github.com/kataras/iris/v12"
 )
 
-// VersionAnswer names the program's version and the configuration's.
-type VersionAnswer struct {
-	Program       string `json:"program"`
-	Configuration uint64 `json:"configuration"`
-}
-
 func (a *API) show(state func() any) iris.Handler {
 	return func(ctx iris.Context) { answer(ctx, http.StatusOK, state()) }
 }
