--- a/internal/engine/httpengine/client.go
+++ b/internal/engine/httpengine/client.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return false, err
 	}
-	resp, err := c.pool.Kept(transport.ClassControl, address).RoundTrip(req)
+	resp, err := c.pool.Kept(address).RoundTrip(req)
 	if err != nil {
 		c.suspectIfSilent(ctx, address)
 		return left.Load(), errors.Wrapf(err, "%s %s", method, path)
--- a/internal/engine/httpengine/open.go
+++ b/internal/engine/httpengine/open.go
@@ -34,6 +34,7 @@
 	s := newStream(ctx, c, address, wire)
 	if err := s.begin(req, failure); err != nil {
 		failure.Cause = s.why(err)
+		failure.Busy = isBusy(failure.Cause)
 		if transport.IsSilence(failure.Cause) {
 			c.pool.Suspect(address)
 		}
@@ -43,6 +44,11 @@
 	return s, nil
 }
 
+func isBusy(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Code == CodeBusy
+}
+
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.OpenTimeout)
 	defer cancel()
--- a/internal/service/httpservice/client.go
+++ b/internal/service/httpservice/client.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return report, err
 	}
-	resp, err := c.pool.Kept(transport.ClassControl, address).RoundTrip(req)
+	resp, err := c.pool.Kept(address).RoundTrip(req)
 	if err != nil {
 		c.suspectIfSilent(ctx, address)
 		return report, errors.Wrap(err, "load report")
--- a/internal/standin/enginesim/direct_client.go
+++ b/internal/standin/enginesim/direct_client.go
@@ -45,7 +45,7 @@
 	}
 	st, no := e.take(open)
 	if no != nil {
-		return nil, &engine.OpenError{Address: address, Sent: true, Status: no.status, Cause: no.asError()}
+		return nil, &engine.OpenError{Address: address, Sent: true, Status: no.status, Busy: no.Code == httpengine.CodeBusy, Cause: no.asError()}
 	}
 	s := &directStream{client: c, engine: e, stage: st, address: address, ctx: ctx, closed: make(chan struct{})}
 	s.release = context.AfterFunc(ctx, s.Close)
--- a/internal/standin/enginesim/engine.go
+++ b/internal/standin/enginesim/engine.go
@@ -101,6 +101,7 @@
 		Name:                 e.options.Name,
 		Address:              e.address,
 		Kind:                 config.KindEngine,
+		State:                config.StateActive,
 		Model:                e.held.Model,
 		Version:              e.held.Version,
 		Adapters:             e.held.Adapters,
--- a/internal/standin/servicesim/service.go
+++ b/internal/standin/servicesim/service.go
@@ -130,6 +130,7 @@
 		Name:    s.options.Name,
 		Address: s.Addr(),
 		Kind:    config.KindService,
+		State:   config.StateActive,
 		Service: s.options.Service,
 		Slots:   s.options.Slots,
 	}
--- a/internal/transport/doc.go
+++ b/internal/transport/doc.go
@@ -9,7 +9,8 @@
 // through the same middle; the peer itself is not declared dead for it, and the
 // next request dials anew.
 //
-// TCP delivers in order, so a connection is one line of waiting. Requests of
-// different classes therefore never share one: an urgent request cannot wait
-// behind a large bulk body in the same socket buffer.
+// TCP delivers in order, so a connection is one line of waiting, whatever is
+// multiplexed on it. Streams of tokens and calls of services therefore never share
+// one: each has a Conn of its own while it lasts, and a lost packet or a large
+// bulk body delays nobody else. Only short control calls use kept connections.
 package transport
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,18 +6,13 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-type peerKey struct {
-	class   Class
-	address string
-}
-
-// Pool makes connections. It hands out an HTTP transport for each class and peer,
-// so that the idle connections to one peer can be dropped alone. It is safe for
-// concurrent use.
+// Pool makes connections. For control calls it hands out an HTTP transport for
+// each peer, so that the idle connections to one peer can be dropped alone. It is
+// safe for concurrent use.
 type Pool struct {
 	settings Settings
 	dial     DialFunc
-	peers    *lru.Cache[peerKey, *http.Transport]
+	peers    *lru.Cache[string, *http.Transport]
 }
 
 // NewPool returns a pool; a nil dial takes NewDialer's.
@@ -36,14 +31,15 @@
 // Dial returns the function that makes the pool's connections.
 func (p *Pool) Dial() DialFunc { return p.dial }
 
-// Kept returns the transport that keeps connections to a peer for requests of a class.
-func (p *Pool) Kept(class Class, address string) http.RoundTripper {
-	key := peerKey{class: class, address: address}
-	if t, ok := p.peers.Get(key); ok {
+// Kept returns the transport that keeps connections to a peer for control calls:
+// load reports, cancels, orders. It has no limit on connections, so that no call
+// waits for another one's.
+func (p *Pool) Kept(address string) http.RoundTripper {
+	if t, ok := p.peers.Get(address); ok {
 		return t
 	}
 	t := p.newTransport()
-	if earlier, ok, _ := p.peers.PeekOrAdd(key, t); ok {
+	if earlier, ok, _ := p.peers.PeekOrAdd(address, t); ok {
 		return earlier
 	}
 	return t
@@ -54,10 +50,8 @@
 // would wait its whole bound for nothing. Connections in use stay, as each has a
 // bound of its own.
 func (p *Pool) Suspect(address string) {
-	for _, class := range []Class{ClassBulk, ClassUrgent, ClassControl} {
-		if t, ok := p.peers.Peek(peerKey{class: class, address: address}); ok {
-			t.CloseIdleConnections()
-		}
+	if t, ok := p.peers.Peek(address); ok {
+		t.CloseIdleConnections()
 	}
 }
 
@@ -76,4 +70,4 @@
 	}
 }
 
-func closeIdle(_ peerKey, t *http.Transport) { t.CloseIdleConnections() }
+func closeIdle(_ string, t *http.Transport) { t.CloseIdleConnections() }
--- a/internal/transport/settings.go
+++ b/internal/transport/settings.go
@@ -13,7 +13,7 @@
 	KeepAlive time.Duration
 	// IdleLifetime is how long an unused connection is kept.
 	IdleLifetime time.Duration
-	// MaxIdlePerPeer bounds the unused connections to one peer in one class.
+	// MaxIdlePerPeer bounds the unused connections to one peer.
 	MaxIdlePerPeer int
 	// MaxPeers bounds the peers that are remembered.
 	MaxPeers int
