Wait for a slot when an engine is busy; test the attempts of calls

Cause: two routers each took an engine's slots as free, the engine answered busy, and the run counted that as a failure of the engine: after eight of them a draft was given up as unknown. By the log of the failed drafts all eight were 409 busy; no stage had begun. Change: OpenError says busy, the run queues again in admission without blaming or excluding the engine, and the balancer lowers its estimate. Dispatch has a table of what the caller is told for each failure of the first instance. A retry budget of rate 0 still let one retry through; the test found it.

--- a/internal/balance/result.go
+++ b/internal/balance/result.go
@@ -12,4 +12,7 @@
 	ResultFailed
 	// ResultSlow means that the target answered too late; it counts as a failure.
 	ResultSlow
+	// ResultBusy means that the target had no free slot. It says nothing against
+	// the target, but this VM's estimate of its load was too low.
+	ResultBusy
 )
--- a/internal/balance/settle.go
+++ b/internal/balance/settle.go
@@ -18,6 +18,8 @@
 		}
 	case ResultFailed, ResultSlow:
 		t.failed(started)
+	case ResultBusy:
+		t.refusedBusy()
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/balance"
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/service"
+)
+
+const pool = "permits"
+
+// behaviour is what a fake instance does with a call.
+type behaviour struct {
+	connectErr error
+	connect    time.Duration
+	doErr      error
+	response   service.Response
+	wrongID    bool
+	takes      time.Duration
+}
+
+// fakeServices is a service.Client whose instances are known by address.
+type fakeServices struct {
+	mu   sync.Mutex
+	by   map[string]behaviour
+	sent []string
+}
+
+func (f *fakeServices) Connect(ctx context.Context, address string, _ bool) (service.Conn, error) {
+	f.mu.Lock()
+	b := f.by[address]
+	f.mu.Unlock()
+	select {
+	case <-time.After(b.connect):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if b.connectErr != nil {
+		return nil, b.connectErr
+	}
+	return &fakeConn{services: f, address: address, behaviour: b}, nil
+}
+
+func (f *fakeServices) Load(context.Context, string) (engine.LoadReport, error) {
+	return engine.LoadReport{}, errors.New("no report")
+}
+
+type fakeConn struct {
+	services  *fakeServices
+	address   string
+	behaviour behaviour
+}
+
+func (c *fakeConn) Do(ctx context.Context, call service.Call) (service.Response, error) {
+	c.services.mu.Lock()
+	c.services.sent = append(c.services.sent, c.address)
+	c.services.mu.Unlock()
+	select {
+	case <-time.After(c.behaviour.takes):
+	case <-ctx.Done():
+		return service.Response{}, &service.CallError{Address: c.address, Sent: true, Cause: ctx.Err()}
+	}
+	if c.behaviour.doErr != nil {
+		return service.Response{}, c.behaviour.doErr
+	}
+	response := c.behaviour.response
+	if response.Status == 0 {
+		response.Status = 200
+	}
+	response.RequestID = call.RequestID
+	if c.behaviour.wrongID {
+		response.RequestID = "another"
+	}
+	return response, nil
+}
+
+func (c *fakeConn) Discard() {}
+
+// twoInstances returns a balancer over the instances a and b.
+func twoInstances(inv *invariant.Registry) *balance.Balancer {
+	snapshot := config.NewSnapshot()
+	for _, name := range []string{"a", "b"} {
+		snapshot.Targets[name] = &config.Target{
+			Name: name, Address: name, Kind: config.KindService, Service: pool, Slots: 8, State: config.StateActive,
+		}
+	}
+	b := balance.New(balance.Settings{}, inv)
+	b.Update(snapshot)
+	return b
+}
+
+type outcomeOf struct {
+	outcome outcome.Outcome
+	reason  outcome.Reason
+	sent    []string
+}
+
+// callOnce makes one call that goes to a first; sent lists the instances it reached.
+func callOnce(t *testing.T, a, b behaviour, idempotent bool, u config.Urgency, s Settings) outcomeOf {
+	t.Helper()
+	violations := invariant.NewRegistry(nil)
+	balancer := twoInstances(violations)
+	services := &fakeServices{by: map[string]behaviour{"a": a, "b": b}}
+	first, err := balancer.Reserve("a", u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	boundary := NewBoundary("r1", idempotent, violations)
+	_, err = New(services, s, violations, nil).Call(ctx, Job{
+		Call: service.Call{RequestID: "r1", Idempotent: idempotent}, Urgency: u, Boundary: boundary, First: first,
+		Next: func(exclude []string) (*balance.Slot, error) {
+			return balancer.Pick(balance.Query{Pool: pool, Urgency: u, Exclude: exclude})
+		},
+	})
+	synctest.Wait()
+	time.Sleep(5 * time.Second)
+	got := outcomeOf{outcome: outcome.Complete, sent: services.sent}
+	var failure *outcome.Failure
+	if errors.As(err, &failure) {
+		got.outcome, got.reason = failure.Outcome, failure.Reason
+	}
+	if got.outcome == outcome.NotRun && boundary.MayHaveRun() {
+		t.Error("told not-run although it was sent")
+	}
+	for name, n := range balancer.InFlight() {
+		t.Errorf("%d slots of %s were not given back", n, name)
+	}
+	if v := violations.Total(); v != 0 && !a.wrongID {
+		t.Errorf("%d violations: %+v", v, violations.Report().Recent)
+	}
+	return got
+}
+
+// What the caller is told, and where the call was sent, for each way in which
+// the first instance fails. The second one always works.
+func TestOutcomesByFailureOfTheFirstInstance(t *testing.T) {
+	reset := &service.CallError{Sent: true, Cause: errors.New("connection reset")}
+	rows := []struct {
+		shows      string
+		first      behaviour
+		idempotent bool
+		urgency    config.Urgency
+		want       outcomeOf
+	}{
+		{"the answer comes back", behaviour{}, false, config.Urgent, outcomeOf{outcome.Complete, "", []string{"a"}}},
+		{"a failed connect proves that it did not run", behaviour{connectErr: errors.New("refused")}, false, config.Urgent,
+			outcomeOf{outcome.Complete, "", []string{"b"}}},
+		{"a reset after sending is unknown and never sent again", behaviour{doErr: reset}, false, config.Urgent,
+			outcomeOf{outcome.Unknown, outcome.ReasonTargetFailed, []string{"a"}}},
+		{"a 5xx is unknown and never sent again", behaviour{response: service.Response{Status: 503}}, false, config.Urgent,
+			outcomeOf{outcome.Unknown, outcome.ReasonTargetFailed, []string{"a"}}},
+		{"a slow answer is not hedged", behaviour{takes: 700 * time.Millisecond}, false, config.Urgent,
+			outcomeOf{outcome.Complete, "", []string{"a"}}},
+		{"silence up to the deadline is unknown", behaviour{takes: time.Hour}, false, config.Urgent,
+			outcomeOf{outcome.Unknown, outcome.ReasonDeadline, []string{"a"}}},
+		{"declared as not run, it may go elsewhere", behaviour{response: service.Response{NotRun: true}}, false, config.Urgent,
+			outcomeOf{outcome.Complete, "", []string{"a", "b"}}},
+		{"another request's answer is not handed out", behaviour{wrongID: true}, false, config.Urgent,
+			outcomeOf{outcome.Unknown, outcome.ReasonTargetFailed, []string{"a"}}},
+		{"idempotent: a reset is retried elsewhere", behaviour{doErr: reset}, true, config.Normal,
+			outcomeOf{outcome.Complete, "", []string{"a", "b"}}},
+		{"idempotent and urgent: a slow answer is hedged", behaviour{takes: 700 * time.Millisecond}, true, config.Urgent,
+			outcomeOf{outcome.Complete, "", []string{"a", "b"}}},
+		{"idempotent and normal: a slow answer is waited for", behaviour{takes: 700 * time.Millisecond}, true, config.Normal,
+			outcomeOf{outcome.Complete, "", []string{"a"}}},
+	}
+	for _, row := range rows {
+		t.Run(row.shows, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := callOnce(t, row.first, behaviour{}, row.idempotent, row.urgency, DefaultSettings())
+				if fmt.Sprint(got) != fmt.Sprint(row.want) {
+					t.Errorf("got %v, want %v", got, row.want)
+				}
+			})
+		})
+	}
+}
+
+// The caller is told at its deadline that the call did not run. Its attempt was
+// still connecting and gets its connection a moment later. Were it then sent, a
+// call that was told as not run would run; the boundary was closed first, so the
+// attempt gives up.
+func TestNotRunStaysTrueWhenTheConnectionComesLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := DefaultSettings()
+		settings.ConnectTimeout = time.Hour
+		got := callOnce(t, behaviour{connect: 2 * time.Second}, behaviour{}, false, config.Urgent, settings)
+		want := outcomeOf{outcome.NotRun, outcome.ReasonDeadline, nil}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	})
+}
+
+// Every first attempt fails. Without a budget each request would be sent twice
+// and an overload would feed itself; with it the extra attempts stay a share.
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	budget := NewRetryBudget(0.1, 20, 0)
+	taken := 0
+	for range 1000 {
+		budget.Fresh(config.Normal)
+		if budget.Take(config.Normal) {
+			taken++
+		}
+	}
+	if taken > 100 || taken < 90 {
+		t.Errorf("%d retries for 1000 requests, want a tenth", taken)
+	}
+	if budget.Take(config.Urgent) {
+		t.Error("urgent drew on what normal requests had earned")
+	}
+}
+
+// Two attempts of a call that may not be repeated race to be sent, as a mistake
+// in the attempts' logic would have them. Only one passes, and it is reported.
+func TestSecondCrossingIsStoppedAndReported(t *testing.T) {
+	violations := invariant.NewRegistry(nil)
+	boundary := NewBoundary("r1", false, violations)
+	if !boundary.Cross() || boundary.Cross() {
+		t.Error("the boundary let a second attempt through")
+	}
+	if got := violations.Report().Counts[invariant.OneDispatch]; got != 1 {
+		t.Errorf("%d violations reported, want 1", got)
+	}
+}
--- a/internal/dispatch/retry_budget.go
+++ b/internal/dispatch/retry_budget.go
@@ -29,7 +29,7 @@
 func NewRetryBudget(share, burst, perSecond float64) *RetryBudget {
 	b := &RetryBudget{share: share, burst: burst}
 	for level := range b.base {
-		b.base[level] = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+		b.base[level] = rate.NewLimiter(rate.Limit(perSecond), int(perSecond))
 	}
 	return b
 }
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -10,7 +10,9 @@
 	Sent bool
 	// Status is the HTTP status of a refusal, 0 when there was no answer.
 	Status int
-	Cause  error
+	// Busy says that the engine refused because it has no free slot now.
+	Busy  bool
+	Cause error
 }
 
 // Error implements error.
--- a/internal/generation/fault.go
+++ b/internal/generation/fault.go
@@ -16,6 +16,9 @@
 const (
 	// faultRefused: the engine answered that it does not take the stage.
 	faultRefused faultKind = iota
+	// faultBusy: the engine answered that it has no free slot. That is no failure:
+	// several VMs send to one engine and each knows of the others with a delay.
+	faultBusy
 	// faultOpen: the stage could not be opened, or nobody knows whether it was.
 	faultOpen
 	// faultBroken: the stream ended too early.
@@ -48,6 +51,8 @@
 	switch f.kind {
 	case faultRefused:
 		return balance.ResultNeutral
+	case faultBusy:
+		return balance.ResultBusy
 	case faultSlow:
 		return balance.ResultSlow
 	default:
@@ -69,6 +74,9 @@
 	if !errors.As(err, &open) {
 		return &fault{stage: stage, kind: faultOpen, cause: err}, true
 	}
+	if open.Busy {
+		return &fault{stage: stage, kind: faultBusy, cause: err}, false
+	}
 	if isRefusal(open.Status) {
 		return &fault{stage: stage, kind: faultRefused, cause: err}, false
 	}
--- a/internal/generation/recover.go
+++ b/internal/generation/recover.go
@@ -27,10 +27,13 @@
 	if e.fault == nil {
 		return r.resumeLater()
 	}
+	if e.fault.kind == faultBusy {
+		return r.queueAgain(e)
+	}
 	r.faults++
 	r.failedAt = e.faultTime
 	r.holders.avoid = r.holders.avoid || e.imported
-	if r.faults > r.runner.settings.MaxRecoveries || int(r.epochs) >= r.runner.settings.MaxEpochs {
+	if r.faults > r.runner.settings.MaxRecoveries || int(r.epochs)-r.busy >= r.runner.settings.MaxEpochs {
 		return r.fail(e.fault.reason(), "the engines failed too often").WithCause(e.fault)
 	}
 	return r.recover(e)
@@ -53,13 +56,24 @@
 // others.
 func (r *run) resumeLater() *outcome.Failure {
 	r.runner.counters.preemptions.Add(1)
-	if int(r.epochs) >= r.runner.settings.MaxEpochs {
+	if int(r.epochs)-r.busy >= r.runner.settings.MaxEpochs {
 		return r.fail(outcome.ReasonOverloaded, "the generation was preempted too often")
 	}
 	r.release(nil)
 	return r.replace()
 }
 
+// queueAgain waits in admission after an engine had no free slot. The engine is
+// not excluded, as it may be the only one, and the answer does not count as a
+// failure: the balancer holds the engine closed for a moment, so the run cannot
+// ask in a tight loop, and the deadline bounds it.
+func (r *run) queueAgain(e *epoch) *outcome.Failure {
+	r.runner.counters.busy.Add(1)
+	r.busy++
+	r.release(r.blame(e))
+	return r.replace()
+}
+
 // recover replaces what failed. A target whose stream went silent for the first
 // time keeps its place: its slots are in hand and its KV cache is warm, and a new
 // connection shows within a short bound whether it works.
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -30,7 +30,9 @@
 	reproving string
 	excluded  map[string]bool
 	faults    int
-	pause     time.Duration
+	// busy counts the epochs that an engine without a free slot ended.
+	busy  int
+	pause time.Duration
 	// failedAt is when the present recovery began; zero when there is none.
 	failedAt time.Time
 }
--- a/internal/generation/stats.go
+++ b/internal/generation/stats.go
@@ -12,6 +12,8 @@
 	Recoveries uint64 `json:"recoveries"`
 	// Preemptions counts preempted epochs.
 	Preemptions uint64 `json:"preemptions"`
+	// Busy counts epochs that an engine without a free slot ended.
+	Busy uint64 `json:"busy"`
 	// Reproved counts stages that were opened again because their stream went silent.
 	Reproved uint64 `json:"reproved"`
 	// StaleEvents counts events of an older epoch, Duplicates repeated positions of
@@ -27,6 +29,7 @@
 type counters struct {
 	running                            atomic.Int64
 	committed, recoveries, preemptions atomic.Uint64
+	busy                               atomic.Uint64
 	reproved, staleEvents, duplicates  atomic.Uint64
 	cancelsFailed, cancelsSkipped      atomic.Uint64
 }
@@ -37,6 +40,7 @@
 		Committed:      c.committed.Load(),
 		Recoveries:     c.recoveries.Load(),
 		Preemptions:    c.preemptions.Load(),
+		Busy:           c.busy.Load(),
 		Reproved:       c.reproved.Load(),
 		StaleEvents:    c.staleEvents.Load(),
 		Duplicates:     c.duplicates.Load(),
