Put the stand-in's faults in force before the order is answered

Repeated runs failed now and then: an order to refuse connections could return while the listener still took them, and an order to silence the open ones was answered before it took effect, so the next request escaped it. The listener is now closed first, and only the order's own connection is spared.

--- a/internal/standin/platformsim/server.go
+++ b/internal/standin/platformsim/server.go
@@ -1,6 +1,7 @@
 package platformsim
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -22,6 +23,13 @@
 	maxBodyBytes = 64 << 20
 )
 
+// connKey is where a request's context has its connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
 // Server serves a Store over HTTP.
 type Server struct {
 	*Store
@@ -30,7 +38,6 @@
 	mu       sync.Mutex // guards the fields below
 	address  string
 	listener *silenceableListener
-	server   *http.Server
 }
 
 // NewServer returns a server of the store that listens nowhere yet.
@@ -78,9 +85,9 @@
 	}
 	s.address = listener.Addr().String()
 	s.listener = newSilenceableListener(listener)
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout}
-	server, silenceable := s.server, s.listener
-	go func() { _ = server.Serve(silenceable) }() // ends with Close
+	server := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout, ConnContext: withConn}
+	silenceable := s.listener
+	go func() { _ = server.Serve(silenceable) }() // ends when the listener is closed
 	return nil
 }
 
@@ -98,34 +105,39 @@
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.close()
+	s.close(nil)
 }
 
-func (s *Server) close() {
-	if s.server == nil {
+// close stops listening and cuts all connections but one, which may be nil.
+func (s *Server) close(but *silenceableConn) {
+	if s.listener == nil {
 		return
 	}
-	_ = s.server.Close()
-	s.listener.cut()
-	s.server, s.listener = nil, nil
+	_ = s.listener.Close()
+	s.listener.cut(but)
+	s.listener = nil
 }
 
 // Order puts the faults in force. An outage that refuses connections stops the
 // listener until an Order without it.
-func (s *Server) Order(order Order) error {
+func (s *Server) Order(order Order) error { return s.order(order, nil) }
+
+// order spares the connection that the order came on, if any, so that its sender
+// knows when the faults are in force.
+func (s *Server) order(order Order, but *silenceableConn) error {
 	silence := order.SilenceOpen
 	order.SilenceOpen = false
 	s.Faults.Set(order)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if silence && s.listener != nil {
-		s.listener.silence()
+		s.listener.silence(but)
 	}
 	if order.Outage == OutageRefuse {
-		s.close()
+		s.close(but)
 		return nil
 	}
-	if s.server == nil && s.address != "" {
+	if s.listener == nil && s.address != "" {
 		return s.listen(s.address)
 	}
 	return nil
@@ -136,11 +148,15 @@
 	if !decode(w, r, &order) {
 		return
 	}
-	// Some orders take this very connection with them, so the answer goes first.
-	answer(w, http.StatusOK, order)
-	_ = http.NewResponseController(w).Flush()
-	// A listener that cannot come back shows as an outage that goes on.
-	_ = s.Order(order)
+	conn, _ := r.Context().Value(connKey{}).(*silenceableConn)
+	if err := s.order(order, conn); err != nil {
+		answer(w, http.StatusInternalServerError, httpplatform.Problem{Code: "listen", Detail: err.Error()})
+		return
+	}
+	if order.Outage != OutageNone {
+		w.Header().Set("Connection", "close")
+	}
+	answer(w, http.StatusOK, s.Faults.Current())
 }
 
 func (s *Server) commitHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platformsim/silenceable_listener.go
+++ b/internal/standin/platformsim/silenceable_listener.go
@@ -31,19 +31,23 @@
 	return conn, nil
 }
 
-func (l *silenceableListener) silence() {
+func (l *silenceableListener) silence(but *silenceableConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for conn := range l.open {
-		conn.silence()
+		if conn != but {
+			conn.silence()
+		}
 	}
 }
 
-func (l *silenceableListener) cut() {
+func (l *silenceableListener) cut(but *silenceableConn) {
 	l.mu.Lock()
 	conns := make([]*silenceableConn, 0, len(l.open))
 	for conn := range l.open {
-		conns = append(conns, conn)
+		if conn != but {
+			conns = append(conns, conn)
+		}
 	}
 	l.mu.Unlock()
 	for _, conn := range conns {
