Share slots among VMs: claims by peers, and a hold that grows with busy answers

Cause, found by six VMs that all have more work than the targets can do: more than half of the requests reached a target that had no slot left, and the VM that began first kept every slot, as its peers' counts of zero told it that nobody else wanted any.

Change: a busy answer holds a target for longer with each one in a row and until a report shows room. InFlight, which goes to the peers, claims this VM's share of each target while requests find no slot in the pool. Reports that show less than the peers say count for nothing, so that claims stand.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -16,15 +16,16 @@
 	invariants *invariant.Registry
 	view       atomic.Pointer[view]
 	onFree     atomic.Pointer[func(pool string)]
-	// peerCount is the number of VMs that share the targets, this one included.
+	// peerCount is the number of VMs that share the targets, this one included, and
+	// index says which of them this one is.
 	peerCount atomic.Int32
+	index     atomic.Int32
 
 	mu       sync.Mutex // guards the fields below and serialises changes of view
 	snapshot *config.Snapshot
 	states   map[string]*target
 	groups   map[groupKey]*group
 	prefixes map[string]*prefixIndex
-	index    int
 	leaving  map[string]bool
 	peerLoad map[string]peerLoad
 }
@@ -47,6 +48,8 @@
 
 func (b *Balancer) peers() int { return int(b.peerCount.Load()) }
 
+func (b *Balancer) vmIndex() int { return int(b.index.Load()) }
+
 // OnFree sets the function that is called, outside of any lock, when a slot may
 // have come free.
 func (b *Balancer) OnFree(f func(pool string)) { b.onFree.Store(&f) }
@@ -73,7 +76,7 @@
 func (b *Balancer) SetSubset(peers, index int) {
 	b.mu.Lock()
 	b.peerCount.Store(int32(max(peers, 1)))
-	b.index = index
+	b.index.Store(int32(index))
 	b.rebuild()
 	b.mu.Unlock()
 	b.freedAll()
@@ -101,32 +104,6 @@
 	}
 }
 
-// Busy says that the target answered that it has no free slot, which shows that
-// the estimate was too low: until BusyHold is over or a newer report comes, the
-// target gets no more than it has. Call it after the slot's Release.
-func (b *Balancer) Busy(name string) {
-	t := b.view.Load().targets[name]
-	if t == nil {
-		return
-	}
-	t.change(func(now time.Time) {
-		t.busyAt = now
-		t.busyUntil = now.Add(b.settings.BusyHold)
-		t.busyCap = int(t.inFlight.Load())
-	})
-}
-
-// InFlight returns what this VM has in flight at each target that has any.
-func (b *Balancer) InFlight() map[string]int {
-	inFlight := map[string]int{}
-	for name, t := range b.view.Load().targets {
-		if n := t.inFlight.Load(); n > 0 {
-			inFlight[name] = int(n)
-		}
-	}
-	return inFlight
-}
-
 // Usable reports whether the target takes new work from this VM, and why not.
 func (b *Balancer) Usable(name string) (bool, string) {
 	t := b.view.Load().targets[name]
--- a/internal/balance/change.go
+++ b/internal/balance/change.go
@@ -28,9 +28,7 @@
 	t.change(func(now time.Time) {
 		at := t.load.localTime(r.At, now)
 		t.load.take(r, at, now, int(t.inFlight.Load())-t.sent.since(at, now))
-		if t.load.at.After(t.busyAt) {
-			t.busyUntil = time.Time{}
-		}
+		t.busy.reported(at, r.Active+r.Queued < t.slots(now))
 		if t.health.paroled(now, t.balancer.settings) {
 			t.recover(t.balancer.settings.EjectAfter - 1)
 		}
--- a/internal/balance/herding_test.go
+++ b/internal/balance/herding_test.go
@@ -147,7 +147,9 @@
 func (h *herd) run() (mean, p99 float64) {
 	h.load = make([]int, herdTargets)
 	h.addOutside()
-	h.arrive()
+	if len(h.events) == 0 {
+		h.arrive()
+	}
 	h.reports()
 	h.gossip()
 	h.sample()
--- a/internal/balance/load_view.go
+++ b/internal/balance/load_view.go
@@ -66,9 +66,10 @@
 }
 
 // others estimates the load from elsewhere: what peers say, and what the reports
-// show beyond that, as far as they are trusted.
+// show beyond that, as far as they are trusted. Reports that show less than the
+// peers say count for nothing: peers also say what they claim.
 func (v *loadView) others(now time.Time, s Settings) float64 {
-	return max(0, float64(v.peers)+v.trust(now, s)*v.outside)
+	return float64(v.peers) + v.trust(now, s)*max(0, v.outside)
 }
 
 // trust falls from 1 to 0 as the report ages.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -34,7 +34,7 @@
 			return s, nil
 		}
 	}
-	return nil, p.noRoom(&q)
+	return nil, p.noRoom(&q, now)
 }
 
 // Reserve takes a slot on a given target.
@@ -43,12 +43,14 @@
 	if t == nil {
 		return nil, ErrNoTarget
 	}
-	if s := b.reserve(t, u, time.Now()); s != nil {
+	now := time.Now()
+	if s := b.reserve(t, u, now); s != nil {
 		return s, nil
 	}
 	if t.isClosed() {
 		return nil, ErrNoTarget
 	}
+	b.noteDenied(t, now)
 	return nil, ErrNoCapacity
 }
 
@@ -108,9 +110,10 @@
 }
 
 // noRoom tells whether a slot may come free at a target that q accepts.
-func (p *pool) noRoom(q *Query) error {
+func (p *pool) noRoom(q *Query, now time.Time) error {
 	for _, t := range p.members {
 		if t.blockedAt.Load() == 0 && q.accepts(t) {
+			p.noteDenied(now)
 			return ErrNoCapacity
 		}
 	}
--- a/internal/balance/rebuild.go
+++ b/internal/balance/rebuild.go
@@ -23,7 +23,8 @@
 func (b *Balancer) rebuildGroup(next *view, key groupKey, members []*config.Target) {
 	p := b.poolIn(next, key.pool)
 	g := b.group(key)
-	chosen := inSubset(members, b.peers(), b.index, b.settings)
+	chosen := inSubset(members, b.peers(), b.vmIndex(), b.settings)
+	sharers := sharersOf(members, b.peers(), b.settings)
 	rooms := headrooms(members, b.settings)
 	var used []*target
 	for i, c := range members {
@@ -31,7 +32,7 @@
 		next.targets[c.Name] = t
 		t.group.Store(g)
 		t.prefixes.Store(p.prefixes)
-		b.configure(t, c, rooms[i], !chosen[c.Name])
+		b.configure(t, c, rooms[i], sharers, !chosen[c.Name])
 		if chosen[c.Name] {
 			used = append(used, t)
 		}
@@ -62,17 +63,18 @@
 func (b *Balancer) state(c *config.Target) *target {
 	t := b.states[c.Name]
 	if t == nil {
-		t = &target{balancer: b, name: c.Name}
+		t = &target{balancer: b, name: c.Name, sharers: 1}
 		t.config.Store(c)
 		b.states[c.Name] = t
 	}
 	return t
 }
 
-func (b *Balancer) configure(t *target, c *config.Target, room [config.UrgencyCount]int, outside bool) {
+func (b *Balancer) configure(t *target, c *config.Target, room [config.UrgencyCount]int, sharers int, outside bool) {
 	t.changeQuietly(func(time.Time) {
 		t.config.Store(c)
 		t.headroom = room
+		t.sharers = sharers
 		t.removed = false
 		t.leaving = b.leaving[c.Name]
 		t.outside = outside
--- a/internal/balance/refresh.go
+++ b/internal/balance/refresh.go
@@ -49,9 +49,10 @@
 // its share of the slots in any case, and what others leave free beyond it.
 func (t *target) limit(u config.Urgency, slots int, others float64, now time.Time) int {
 	open := t.open(u, slots)
-	limit := max(open-int(math.Round(others)), open/t.balancer.peers())
-	if now.Before(t.busyUntil) {
-		limit = min(limit, t.busyCap)
+	borrowed := open - int(math.Round(others))
+	limit := max(borrowed, open/t.sharers)
+	if t.busy.holds(now) {
+		limit = min(limit, t.busy.cap)
 	}
 	if t.health.halfOpen(now) {
 		limit = min(limit, t.probeCap())
@@ -79,7 +80,7 @@
 func (t *target) schedule(now time.Time) {
 	next := t.load.nextChange(now, t.balancer.settings)
 	next = sooner(next, t.health.until, now)
-	next = sooner(next, t.busyUntil, now)
+	next = sooner(next, t.busy.until, now)
 	if next.IsZero() {
 		if t.timer != nil {
 			t.timer.Stop()
--- /dev/null
+++ b/internal/balance/saturation_test.go
@@ -0,0 +1,135 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/invariant"
+)
+
+const (
+	saturationSlots = 16
+	saturationRetry = 100 * time.Millisecond
+)
+
+// saturation is a herd whose VMs always have more work: each takes every slot
+// that its balancer gives it. A target refuses what it has no slot for.
+type saturation struct {
+	herd
+	balancers []*Balancer
+	accepted  []int
+	busy      int
+	area      float64
+	changed   time.Duration
+	working   int
+}
+
+func newSaturation(vms int, f faults) *saturation {
+	s := &saturation{accepted: make([]int, vms), herd: herd{random: rand.New(rand.NewPCG(5, 6)), length: herdTableLength}}
+	for vm := range vms {
+		b := New(Settings{random: s.random.IntN, faults: f}, invariant.Strict())
+		b.Update(services(herdTargets, saturationSlots))
+		b.SetSubset(vms, vm)
+		s.balancers = append(s.balancers, b)
+		s.choosers = append(s.choosers, &balancerChooser{b, true})
+	}
+	return s
+}
+
+// draw lets one VM send until it finds no slot.
+func (s *saturation) draw(vm int) {
+	for range herdTargets * saturationSlots {
+		slot, err := s.balancers[vm].Pick(Query{Pool: "svc", Urgency: config.Urgent})
+		if err != nil {
+			return
+		}
+		s.send(vm, slot)
+	}
+}
+
+func (s *saturation) send(vm int, slot *Slot) {
+	var target int
+	_, _ = fmt.Sscanf(slot.Target().Name, "t%d", &target)
+	if s.load[target] >= saturationSlots {
+		s.count(&s.busy)
+		slot.Release(ResultNeutral)
+		s.balancers[vm].Busy(slot.Target().Name)
+		return
+	}
+	s.count(&s.accepted[vm])
+	s.change(target, 1)
+	s.after(s.exponential(herdService), func() {
+		s.change(target, -1)
+		slot.Release(ResultOK)
+		s.draw(vm)
+	})
+}
+
+func (s *saturation) count(counter *int) {
+	if s.now > herdWarmUp {
+		*counter++
+	}
+}
+
+func (s *saturation) change(target, delta int) {
+	if s.now > herdWarmUp {
+		s.area += float64(s.working) * (s.now - max(s.changed, herdWarmUp)).Seconds()
+	}
+	s.changed = s.now
+	s.working += delta
+	s.load[target] += delta
+}
+
+// retry lets the VM look again, as admission's review does.
+func (s *saturation) retry(vm int) {
+	s.draw(vm)
+	s.after(saturationRetry, func() { s.retry(vm) })
+}
+
+// saturate returns the used part of all slots, the part of the requests that a
+// target refused, and the least that a VM got, as a part of the average. The VMs
+// begin one after the other; the first one finds all slots free and takes them.
+func saturate(t *testing.T, vms int, f faults) (used, refused, least float64) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSaturation(vms, f)
+		for vm := range vms {
+			s.after(time.Duration(vm)*saturationRetry, func() { s.retry(vm) })
+		}
+		s.run()
+		whole := float64(herdTargets*saturationSlots) * (herdTableLength - herdWarmUp).Seconds()
+		accepted := 0
+		for _, n := range s.accepted {
+			accepted += n
+		}
+		used = s.area / whole
+		refused = float64(s.busy) / float64(s.busy+accepted)
+		least = float64(slices.Min(s.accepted)*vms) / float64(accepted)
+	})
+	t.Logf("%2d VMs: %.1f%% of the slots used, %.1f%% of the requests refused as busy, the least VM got %.2f of the average",
+		vms, used*100, refused*100, least)
+	return used, refused, least
+}
+
+// Several VMs have more work than the targets can do, and share their slots by
+// stale reports and counts. Nearly all slots stay in use, few requests reach a
+// target that has no slot left, and the VM that was first does not keep them all.
+func TestVMsShareSlotsUnderSaturation(t *testing.T) {
+	sizes := []int{6}
+	if *herdTable {
+		sizes = []int{1, 2, 6, 64}
+	}
+	for _, vms := range sizes {
+		used, refused, least := saturate(t, vms, faults{})
+		if vms <= 6 && (used < 0.9 || refused > 0.2 || least < 0.5) {
+			t.Errorf("%d VMs: %.2f used, %.2f refused, %.2f for the least", vms, used, refused, least)
+		}
+	}
+	if _, _, least := saturate(t, 6, faults{noClaims: true}); least > 0.2 {
+		t.Errorf("without claims the least VM still got %.2f of the average", least)
+	}
+}
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -81,6 +81,7 @@
 	noHeadroom   bool
 	noDrain      bool
 	noEjectBound bool
+	noClaims     bool
 }
 
 func (s Settings) withDefaults() Settings {
--- a/internal/balance/subset.go
+++ b/internal/balance/subset.go
@@ -21,6 +21,17 @@
 	return min(max(size, s.MinSubset), len(members))
 }
 
+// subsetParts is the number of parts that a group is cut into.
+func subsetParts(members []*config.Target, peers int, s Settings) int {
+	return max(len(members)/subsetSize(members, peers, s), 1)
+}
+
+// sharersOf is the number of VMs that use each target of the group.
+func sharersOf(members []*config.Target, peers int, s Settings) int {
+	parts := subsetParts(members, peers, s)
+	return (peers + parts - 1) / parts
+}
+
 // inSubset returns the names of the group's targets that the VM with that index
 // uses. The VMs are taken in rounds. Within a round the targets are ranked by
 // rendezvous hash with the round's number and cut into one part for each VM, so
@@ -28,7 +39,7 @@
 // of VMs, give or take one. A target that comes or goes shifts the cuts by one
 // place, so it changes two targets of a VM at most.
 func inSubset(members []*config.Target, peers, index int, s Settings) map[string]bool {
-	parts := max(len(members)/subsetSize(members, peers, s), 1)
+	parts := subsetParts(members, peers, s)
 	ranked := members
 	if parts > 1 {
 		ranked = rank(members, index/parts)
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -44,18 +44,18 @@
 	cacheTrust      atomic.Uint64
 	cacheHeard      atomic.Int64
 
-	mu        sync.Mutex // guards the fields below
-	headroom  [config.UrgencyCount]int
-	removed   bool
-	leaving   bool
-	outside   bool
-	load      loadView
-	health    health
-	cache     cacheView
-	busyAt    time.Time
-	busyUntil time.Time
-	busyCap   int
-	timer     *time.Timer
+	mu       sync.Mutex // guards the fields below
+	headroom [config.UrgencyCount]int
+	// sharers is the number of VMs that have the target in their subset.
+	sharers int
+	removed bool
+	leaving bool
+	outside bool
+	load    loadView
+	health  health
+	cache   cacheView
+	busy    busyHold
+	timer   *time.Timer
 }
 
 func (t *target) hasRoom(u config.Urgency) bool {
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
 
 	"geraniumcroft/internal/config"
 )
@@ -18,6 +19,8 @@
 	name     string
 	members  []*target
 	prefixes *prefixIndex
+	// denied is when a request last found no slot, in nanoseconds.
+	denied atomic.Int64
 }
 
 // groupKey names a group.
