Prove orders under pauses, lost answers and outages

Cause: nothing showed that two holders' orders are never in force together. A holder now checks its lease before a drain and before it ends one, and on an engine that ignores fencing numbers it keeps a drain until no old order can be under way. VM stand-in that pauses moved to its own package.

--- a/internal/lease/clock.go
+++ b/internal/lease/clock.go
@@ -11,7 +11,13 @@
 
 // Clock reads a VM's clocks.
 type Clock interface {
-	Now() Reading
+	// Now returns the wall clock, and the monotonic clock from an arbitrary moment.
+	Now() (wall time.Time, mono time.Duration)
+}
+
+func read(c Clock) Reading {
+	wall, mono := c.Now()
+	return Reading{Wall: wall, Mono: mono}
 }
 
 // longestSince is the elapsed time that a holder assumes. The monotonic clock
--- a/internal/lease/dump.go
+++ b/internal/lease/dump.go
@@ -33,7 +33,7 @@
 	dump := Dump{VM: m.options.VM, TTL: m.options.TTL.String()}
 	dump.ReadError = text(m.readErr)
 	dump.WriteError = text(m.writeErr)
-	now := m.options.Clock.Now()
+	now := read(m.options.Clock)
 	for _, d := range m.duties {
 		dump.Leases = append(dump.Leases, m.dumpDuty(d, now))
 	}
--- a/internal/lease/failure_test.go
+++ b/internal/lease/failure_test.go
@@ -58,9 +58,9 @@
 		paused := f.awaitHolder(testDuty, takeoverBound)
 		l, _ := paused.manager.Held(testDuty)
 		must(t, l.Check() == nil, "the holder may act before its pause")
-		paused.pause()
+		paused.Pause()
 		time.Sleep(2 * DefaultTTL)
-		paused.wake()
+		paused.Wake()
 		must(t, l.Check() != nil, "the holder may act after a pause past its lease")
 		must(t, len(f.holders(testDuty)) == 1, "%d holders", len(f.holders(testDuty)))
 	})
@@ -75,7 +75,7 @@
 		defer f.stop()
 		old := f.awaitHolder(testDuty, takeoverBound)
 		l, _ := old.manager.Held(testDuty)
-		old.setHangCommits(true)
+		old.HangCommits(true)
 		time.Sleep(DefaultTTL)
 		must(t, l.Check() != nil, "the view outlived the last renewal that took effect")
 		next := f.awaitHolder(testDuty, takeoverBound)
@@ -174,7 +174,7 @@
 		for _, duty := range duties {
 			holding := f.holders(duty)
 			must(t, len(holding) == 1, "%d holders of %s", len(holding), duty)
-			holders[holding[0].name] = true
+			holders[holding[0].Name] = true
 		}
 		must(t, len(holders) == len(duties), "held by %v", holders)
 	})
--- a/internal/lease/held.go
+++ b/internal/lease/held.go
@@ -29,7 +29,7 @@
 	if d.tenure == nil || m.released {
 		return false
 	}
-	now := m.options.Clock.Now()
+	now := read(m.options.Clock)
 	if m.options.hooks.skipWallClock {
 		return now.certainSince(d.tenure.renewed) < m.options.view()
 	}
@@ -53,5 +53,5 @@
 	if l.manager == nil {
 		return 0
 	}
-	return l.manager.options.Clock.Now().certainSince(l.Acquired)
+	return read(l.manager.options.Clock).certainSince(l.Acquired)
 }
--- a/internal/lease/history_test.go
+++ b/internal/lease/history_test.go
@@ -66,7 +66,7 @@
 func act(h *history, client int, v *vm, end time.Time) {
 	for time.Now().Before(end) {
 		time.Sleep(actEvery)
-		v.running()
+		v.Running()
 		l, ok := v.manager.Held(testDuty)
 		if ok && l.Check() == nil {
 			h.add(client, l.Fencing, time.Now())
@@ -92,13 +92,13 @@
 		}
 		switch what {
 		case 0, 1, 4:
-			v.pause()
+			v.Pause()
 			time.Sleep(long)
-			v.wake()
+			v.Wake()
 		case 2:
-			v.setHangCommits(true)
+			v.HangCommits(true)
 			time.Sleep(2 * long)
-			v.setHangCommits(false)
+			v.HangCommits(false)
 		case 3:
 			f.store.Faults.Set(platformsim.Order{Outage: platformsim.OutageHang})
 			time.Sleep(long)
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -100,7 +100,7 @@
 	if !m.tried {
 		return true
 	}
-	now := m.options.Clock.Now()
+	now := read(m.options.Clock)
 	if m.readErr == nil && m.anyTakeable(now) {
 		return true
 	}
@@ -129,7 +129,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.options.callTimeout())
 	defer cancel()
 	rows, err := m.options.Table.Get(ctx, m.keys...)
-	now := m.options.Clock.Now()
+	now := read(m.options.Clock)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastTry = now
@@ -173,7 +173,7 @@
 func (m *Manager) plan() []planned {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.options.Clock.Now()
+	now := read(m.options.Clock)
 	var writes []planned
 	acquiring := false
 	for _, d := range m.duties {
@@ -248,7 +248,7 @@
 		Conditions: []platform.Condition{{Key: key, Revision: p.attempt.condition}},
 		Writes:     []platform.Write{{Key: key, Value: p.attempt.record.encode()}},
 	})
-	now := m.options.Clock.Now()
+	now := read(m.options.Clock)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := p.duty
--- a/internal/lease/release.go
+++ b/internal/lease/release.go
@@ -60,7 +60,7 @@
 func (m *Manager) planRelease(nonces map[string]string) []planned {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.options.Clock.Now()
+	now := read(m.options.Clock)
 	var writes []planned
 	for _, d := range m.duties {
 		if d.tenure != nil {
--- a/internal/lease/system_clock.go
+++ b/internal/lease/system_clock.go
@@ -12,7 +12,7 @@
 }
 
 // Now implements Clock.
-func (c systemClock) Now() Reading {
+func (c systemClock) Now() (wall time.Time, mono time.Duration) {
 	now := time.Now()
-	return Reading{Wall: now.Round(0), Mono: now.Sub(c.start)}
+	return now.Round(0), now.Sub(c.start)
 }
--- a/internal/lease/vm_test.go
+++ b/internal/lease/vm_test.go
@@ -6,129 +6,31 @@
 	"time"
 
 	"geraniumcroft/internal/invariant"
-	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/standin/vmsim"
 )
 
 const testDuty = "orders"
 
-// pausableClock is a VM's clocks in virtual time. While the VM is paused its
-// monotonic clock stands still and the wall clock goes on.
-type pausableClock struct {
-	start time.Time
-
-	mu     sync.Mutex // guards the fields below
-	since  time.Time  // of the pause, zero when running
-	paused time.Duration
-}
-
-func (c *pausableClock) Now() Reading {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	mono := now.Sub(c.start) - c.paused
-	if !c.since.IsZero() {
-		mono -= now.Sub(c.since)
-	}
-	return Reading{Wall: now.Round(0), Mono: mono}
-}
-
-// vm is one VM: its manager, and its way to the table, which stops while it is
-// paused and can be made to hang.
+// vm is a VM with its manager.
 type vm struct {
-	name    string
-	store   *platformsim.Store
-	clock   *pausableClock
+	*vmsim.VM
 	manager *Manager
-
-	mu     sync.Mutex // guards the fields below
-	resume chan struct{}
-	// hangCommits makes commits end without effect or answer.
-	hangCommits bool
 }
 
 func newVM(name string, store *platformsim.Store, h hooks, duties ...string) *vm {
-	v := &vm{name: name, store: store, clock: &pausableClock{start: time.Now()}}
+	v := &vm{VM: vmsim.New(name, store)}
 	v.manager = NewManager(Options{
 		Table:      v,
 		VM:         name,
 		Duties:     duties,
-		Clock:      v.clock,
+		Clock:      v,
 		Invariants: invariant.Strict(),
 		hooks:      h,
 	})
 	return v
 }
 
-func (v *vm) pause() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.resume != nil {
-		return
-	}
-	v.resume = make(chan struct{})
-	v.clock.mu.Lock()
-	defer v.clock.mu.Unlock()
-	v.clock.since = time.Now()
-}
-
-func (v *vm) wake() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.resume == nil {
-		return
-	}
-	close(v.resume)
-	v.resume = nil
-	v.clock.mu.Lock()
-	defer v.clock.mu.Unlock()
-	v.clock.paused += time.Since(v.clock.since)
-	v.clock.since = time.Time{}
-}
-
-// running waits until the VM is not paused.
-func (v *vm) running() {
-	v.mu.Lock()
-	resume := v.resume
-	v.mu.Unlock()
-	if resume != nil {
-		<-resume
-	}
-}
-
-func (v *vm) setHangCommits(hang bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.hangCommits = hang
-}
-
-func (v *vm) hangs() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.hangCommits
-}
-
-func (v *vm) Commit(ctx context.Context, txn platform.Txn) error {
-	v.running()
-	defer v.running()
-	if v.hangs() {
-		<-ctx.Done()
-		return &platform.AmbiguousError{TxnID: txn.ID, Cause: ctx.Err()}
-	}
-	return v.store.Commit(ctx, txn)
-}
-
-func (v *vm) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	v.running()
-	defer v.running()
-	return v.store.Get(ctx, keys...)
-}
-
-func (v *vm) Scan(ctx context.Context, from, to string, limit int) ([]platform.Row, error) {
-	v.running()
-	return v.store.Scan(ctx, from, to, limit)
-}
-
 // fleet is some VMs on one store; stop ends their loops.
 type fleet struct {
 	store *platformsim.Store
@@ -149,11 +51,11 @@
 	return f
 }
 
-func (f *fleet) kill(v *vm) { f.stops[v.name]() }
+func (f *fleet) kill(v *vm) { f.stops[v.Name]() }
 
 func (f *fleet) stop() {
 	for _, v := range f.vms {
-		v.wake()
+		v.Wake()
 		f.kill(v)
 	}
 	f.done.Wait()
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -76,9 +76,10 @@
 }
 
 // adopt takes over the drains that earlier holders left: a target that was drained
-// for a reload must get work again even if its holder died half-way.
+// for a reload must get work again even if its holder died half-way. It looks again
+// at times, since a request for a drain can take effect late.
 func (c *Controller) adopt(ctx context.Context, t *tenure) bool {
-	if t.adopted {
+	if !t.adopted.IsZero() && time.Since(t.adopted) < c.options.Settings.ReadBackEvery {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.options.Settings.CallTimeout)
@@ -86,14 +87,14 @@
 	names, err := c.options.Drainer.Draining(ctx)
 	if err != nil {
 		c.options.Logger.Warn("drains of earlier holders cannot be read", zap.Error(err))
-		return false
+		return !t.adopted.IsZero()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, name := range names {
-		t.tasks[name] = newTask(name, true)
+		t.adoptDrain(name)
 	}
-	t.adopted = true
+	t.adopted = time.Now()
 	return true
 }
 
--- a/internal/orders/drain.go
+++ b/internal/orders/drain.go
@@ -7,14 +7,18 @@
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/lease"
 )
 
 // drain sees to it that a reload cuts nothing off. It reports whether the engine
 // holds nothing, or gets no new work and has none in hand.
-func (c *Controller) drain(ctx context.Context, target *config.Target, task *task) (verdict, bool) {
-	if task.state.Model == "" {
+func (c *Controller) drain(ctx context.Context, l lease.Lease, target *config.Target, task *task) (verdict, bool) {
+	if task.state.Model == "" || c.options.hooks.skipDrain {
 		return verdict{}, true
 	}
+	if l.Check() != nil && !c.options.hooks.skipCheck {
+		return c.again(PhaseNoLease), false
+	}
 	confirmed, err := c.askDrain(ctx, target, task)
 	if err != nil {
 		return c.slower(task, PhaseDraining, err.Error()), false
--- /dev/null
+++ b/internal/orders/fleet_test.go
@@ -0,0 +1,192 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/lease"
+	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/standin/vmsim"
+)
+
+const modelLayers = 8
+
+func testSettings() Settings {
+	return Settings{
+		ReadBackEvery: 5 * time.Second,
+		RetryEvery:    500 * time.Millisecond,
+		CallTimeout:   time.Second,
+		OrderTimeout:  time.Second,
+		MaxUnderWay:   12 * time.Second,
+		Settle:        500 * time.Millisecond,
+		LoadEvery:     time.Second,
+		MaxLoading:    2,
+	}
+}
+
+// member is one VM with its lease manager and its controller.
+type member struct {
+	vm         *vmsim.VM
+	link       *link
+	leases     *lease.Manager
+	controller *Controller
+	stop       context.CancelFunc
+}
+
+// fleet is some VMs and engines on one store.
+type fleet struct {
+	store      *platformsim.Store
+	source     *config.StaticSource
+	engines    map[string]*fakeEngine // by target
+	drains     *fakeDrains
+	log        *history
+	violations *invariant.Registry
+	members    []*member
+	done       sync.WaitGroup
+}
+
+func fencingTarget(name string) *config.Target {
+	t := ignoringTarget(name)
+	t.RefusesOldFencing = true
+	return t
+}
+
+func ignoringTarget(name string) *config.Target {
+	return &config.Target{
+		Name:    name,
+		Address: "address of " + name,
+		Kind:    config.KindEngine,
+		Model:   "writer",
+		Version: "v1",
+		Layers:  config.LayerRange{To: modelLayers},
+		Slots:   4,
+		State:   config.StateActive,
+	}
+}
+
+func newFleet(vms int, planted hooks, targets ...*config.Target) *fleet {
+	f := &fleet{
+		store:      platformsim.NewStore(),
+		engines:    map[string]*fakeEngine{},
+		drains:     &fakeDrains{asked: map[string]time.Time{}},
+		log:        &history{},
+		violations: invariant.NewRegistry(nil),
+	}
+	snapshot := config.NewSnapshot()
+	byAddress := map[string]*fakeEngine{}
+	for _, target := range targets {
+		snapshot.Targets[target.Name] = target
+		f.engines[target.Name] = newFakeEngine(target, f.log)
+		byAddress[target.Address] = f.engines[target.Name]
+	}
+	f.source = config.NewStaticSource(snapshot)
+	planted.onAgreed = f.log.agreed
+	for i := range vms {
+		f.members = append(f.members, f.newMember(fmt.Sprintf("vm-%d", i), planted, byAddress))
+	}
+	return f
+}
+
+func (f *fleet) newMember(name string, planted hooks, engines map[string]*fakeEngine) *member {
+	m := &member{vm: vmsim.New(name, f.store)}
+	m.link = &link{vm: m.vm, engines: engines}
+	m.leases = lease.NewManager(lease.Options{
+		Table:      m.vm,
+		VM:         name,
+		Duties:     []string{Duty},
+		Clock:      m.vm,
+		Invariants: f.violations,
+	})
+	m.controller = NewController(Options{
+		Source:     f.source,
+		Leases:     m.leases,
+		Engines:    m.link,
+		Drainer:    fakeDrainer{vm: m.vm, drains: f.drains},
+		Settings:   testSettings(),
+		Invariants: f.violations,
+		hooks:      planted,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	f.done.Go(func() { m.leases.Run(ctx) })
+	f.done.Go(func() { m.controller.Run(ctx) })
+	return m
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.members {
+		m.stop()
+		m.vm.Wake()
+	}
+	f.done.Wait()
+}
+
+// change sets a target's version, as an operator does.
+func (f *fleet) change(target, version string) {
+	now := f.source.Current()
+	entry := *now.Targets[target]
+	entry.Version = version
+	value, err := json.Marshal(&entry)
+	if err != nil {
+		panic(err)
+	}
+	next, err := now.Apply(config.Change{Version: now.Version + 1, Kind: config.EntityTarget, Name: target, Value: value})
+	if err != nil {
+		panic(err)
+	}
+	f.source.Set(next)
+}
+
+// holder returns the VM that holds the lease, nil when none or more than one does.
+func (f *fleet) holder() *member {
+	var found *member
+	for _, m := range f.members {
+		if _, held := m.leases.Held(Duty); held {
+			if found != nil {
+				return nil
+			}
+			found = m
+		}
+	}
+	return found
+}
+
+// await lets virtual time pass until the condition holds, at most the bound.
+func await(t *testing.T, bound time.Duration, what string, condition func() bool) {
+	t.Helper()
+	const step = 50 * time.Millisecond
+	for range int(bound / step) {
+		if condition() {
+			return
+		}
+		time.Sleep(step)
+	}
+	t.Fatalf("not within %s: %s", bound, what)
+}
+
+func (f *fleet) awaitHolder(t *testing.T) *member {
+	t.Helper()
+	await(t, 10*time.Second, "a holder", func() bool { return f.holder() != nil })
+	return f.holder()
+}
+
+func (f *fleet) awaitVersion(t *testing.T, target, version string) {
+	t.Helper()
+	await(t, time.Minute, target+" at "+version, func() bool {
+		state := f.engines[target].read()
+		return state.Version == version && !state.Loading
+	})
+}
+
+func must(t *testing.T, ok bool, format string, args ...any) {
+	t.Helper()
+	if !ok {
+		t.Fatalf(format, args...)
+	}
+}
--- a/internal/orders/options.go
+++ b/internal/orders/options.go
@@ -33,10 +33,18 @@
 	skipWait bool
 	// skipStamp does not tell engines that agree the new fencing number.
 	skipStamp bool
-	// skipFinalRead orders on the strength of an earlier reading.
-	skipFinalRead bool
+	// skipDrain orders without looking at work in hand.
+	skipDrain bool
 	// repeatBlind sends an order anew while an earlier one is unresolved.
 	repeatBlind bool
+	// onAgreed is told when a holder declares that an engine agrees.
+	onAgreed func(target string, fencing uint64)
+}
+
+func (h hooks) agreed(target string, fencing uint64) {
+	if h.onAgreed != nil {
+		h.onAgreed(target, fencing)
+	}
 }
 
 func (o *Options) setDefaults() {
--- a/internal/orders/step.go
+++ b/internal/orders/step.go
@@ -58,11 +58,20 @@
 
 // agreed gives the engine the new fencing number and lets it have work again.
 func (c *Controller) agreed(ctx context.Context, l lease.Lease, target *config.Target, task *task) verdict {
+	if !c.waitedOut(l, target) {
+		// A late order of the old holder may yet reload the engine: work that a drain
+		// keeps away now would be cut off.
+		return c.again(PhaseWaitingOut)
+	}
 	if c.needsStamp(target, task, l) {
 		if v, ok := c.stamp(ctx, l, target, task); !ok {
 			return v
 		}
 	}
+	if l.Check() != nil && !c.options.hooks.skipCheck {
+		return c.again(PhaseNoLease)
+	}
+	c.options.hooks.agreed(target.Name, l.Fencing)
 	if task.drained && !c.resume(ctx, task) {
 		return c.again(PhaseDraining)
 	}
@@ -92,7 +101,7 @@
 	if !c.waitedOut(l, target) {
 		return c.again(PhaseWaitingOut)
 	}
-	if v, ok := c.drain(ctx, target, task); !ok {
+	if v, ok := c.drain(ctx, l, target, task); !ok {
 		return v
 	}
 	if !c.mayLoad(t, task) {
@@ -132,7 +141,7 @@
 // reading is from before the drain was seen confirmed, and work or another order
 // may have come since.
 func (c *Controller) lastLook(ctx context.Context, l lease.Lease, target *config.Target, task *task) (verdict, bool) {
-	if c.options.hooks.skipFinalRead {
+	if c.options.hooks.skipDrain {
 		return verdict{}, true
 	}
 	state, err := c.read(ctx, target)
--- a/internal/orders/tenure.go
+++ b/internal/orders/tenure.go
@@ -17,8 +17,9 @@
 	lease lease.Lease
 	loads *rate.Limiter
 	tasks map[string]*task
-	// adopted says that the drains left by earlier holders were taken over.
-	adopted bool
+	// adopted is when the drains left by earlier holders were last looked for; zero
+	// before the first time.
+	adopted time.Time
 }
 
 func newTenure(l lease.Lease, s Settings) *tenure {
@@ -34,3 +35,15 @@
 	}
 	return t
 }
+
+// adoptDrain is called under the controller's mutex. A task whose step runs knows
+// better than the list, which was read before.
+func (t *tenure) adoptDrain(target string) {
+	known, ok := t.tasks[target]
+	switch {
+	case !ok:
+		t.tasks[target] = newTask(target, true)
+	case !known.busy:
+		known.drained = true
+	}
+}
