transport: show that the kernel gives up a peer that takes nothing

Change: a test fills the window of a peer that never reads and expects ETIMEDOUT; without TCP_USER_TIMEOUT the write waits until the test's own deadline. Pool.Connect returns the Conn, and files hold one type each.

--- a/internal/engine/httpengine/open.go
+++ b/internal/engine/httpengine/open.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"net"
 	"net/http"
 	"time"
 
@@ -24,12 +23,11 @@
 		return nil, failure
 	}
 	start := time.Now()
-	raw, err := c.dial(ctx, address)
+	wire, err := c.connect(ctx, address)
 	if err != nil {
 		failure.Cause = err
 		return nil, failure
 	}
-	wire := c.pool.Settings().NewConn(raw, c.settings.OpenTimeout)
 	wire.Until(start.Add(c.settings.OpenTimeout))
 	s := newStream(ctx, c, address, wire)
 	if err := s.begin(req, failure); err != nil {
@@ -49,10 +47,10 @@
 	return errors.As(err, &refused) && refused.Code == CodeBusy
 }
 
-func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+func (c *Client) connect(ctx context.Context, address string) (*transport.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.OpenTimeout)
 	defer cancel()
-	return c.pool.Dial()(ctx, "tcp", address)
+	return c.pool.Connect(ctx, address, c.settings.OpenTimeout)
 }
 
 // begin sends the request and waits for the ready event. It notes in failure what
--- a/internal/service/httpservice/client.go
+++ b/internal/service/httpservice/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -36,11 +37,11 @@
 			return kept, nil
 		}
 	}
-	raw, err := c.pool.Dial()(ctx, "tcp", address)
+	wire, err := c.pool.Connect(ctx, address, c.settings.Silence)
 	if err != nil {
 		return nil, &service.CallError{Address: address, Cause: err}
 	}
-	return newConn(c, address, raw), nil
+	return &conn{client: c, address: address, wire: wire, provenAt: time.Now()}, nil
 }
 
 // Load implements service.Client. The report goes on a connection of its own
--- a/internal/service/httpservice/conn.go
+++ b/internal/service/httpservice/conn.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -39,11 +38,6 @@
 	expiry   *time.Timer // while kept
 }
 
-func newConn(c *Client, address string, raw net.Conn) *conn {
-	wire := c.pool.Settings().NewConn(raw, c.settings.Silence)
-	return &conn{client: c, address: address, wire: wire, provenAt: time.Now()}
-}
-
 // Discard implements service.Conn.
 func (c *conn) Discard() {
 	if c.used {
--- /dev/null
+++ b/internal/standin/enginesim/delivery.go
@@ -0,0 +1,11 @@
+package enginesim
+
+import "geraniumcroft/internal/engine"
+
+// delivery is an activation on its way to the engine of another stage.
+type delivery struct {
+	from *stage
+	hop  engine.Hop
+	size int
+	act  *activation
+}
--- a/internal/standin/enginesim/direct_client.go
+++ b/internal/standin/enginesim/direct_client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,92 +99,3 @@
 	}
 	return nil
 }
-
-// directStream is the router's end of a stage without a connection between.
-type directStream struct {
-	client  *DirectClient
-	engine  *Engine
-	stage   *stage
-	address string
-	ctx     context.Context
-	closed  chan struct{}
-	release func() bool
-	events  []engine.Event // used by Recv alone
-}
-
-// Recv implements engine.Stream.
-func (s *directStream) Recv() (engine.Event, error) {
-	for {
-		if event, ok := s.pop(); ok {
-			return event, nil
-		}
-		events, ended := s.stage.out.take(nil)
-		if len(events) > 0 && !s.silent() {
-			s.events = events
-			continue
-		}
-		if ended && !s.silent() {
-			return engine.Event{}, s.broken(io.ErrUnexpectedEOF, false)
-		}
-		if event, err, done := s.wait(); done {
-			return event, err
-		}
-	}
-}
-
-func (s *directStream) pop() (engine.Event, bool) {
-	if len(s.events) == 0 {
-		return engine.Event{}, false
-	}
-	event := s.events[0]
-	s.events = s.events[1:]
-	return event, true
-}
-
-// wait waits for events, a heartbeat or an end.
-func (s *directStream) wait() (event engine.Event, err error, done bool) {
-	bound, arrived := s.engine.options.Heartbeat, s.stage.out.ready
-	silent := s.silent()
-	if silent {
-		bound, arrived = s.client.Idle, nil // nothing arrives any more
-	}
-	timer := time.NewTimer(bound)
-	defer timer.Stop()
-	select {
-	case <-arrived:
-		return event, nil, false
-	case <-s.closed:
-		return event, s.broken(context.Canceled, false), true
-	case <-timer.C:
-		if silent {
-			return event, s.broken(errNothingCame, true), true
-		}
-		return s.stage.event(engine.EventHeartbeat), nil, !s.silent()
-	}
-}
-
-func (s *directStream) silent() bool { return s.stage.silent.Load() || s.engine.muted() }
-
-func (s *directStream) broken(cause error, silent bool) error {
-	s.Close()
-	return &engine.StreamError{Address: s.address, Silent: silent, Cause: cause}
-}
-
-// Close implements engine.Stream.
-func (s *directStream) Close() {
-	s.engine.mu.Lock()
-	select {
-	case <-s.closed:
-		s.engine.mu.Unlock()
-		return
-	default:
-	}
-	close(s.closed)
-	s.engine.mu.Unlock()
-	if s.release != nil {
-		s.release()
-	}
-	if !s.stage.silent.Load() {
-		s.engine.leave(s.stage)
-	}
-}
--- a/internal/standin/enginesim/fabric.go
+++ b/internal/standin/enginesim/fabric.go
@@ -19,8 +19,6 @@
 	busy    map[linkKey]time.Time
 }
 
-type linkKey struct{ from, to string }
-
 // NewFabric returns a fabric; without a link function messages arrive at once.
 func NewFabric(link LinkFunc) *Fabric {
 	return &Fabric{link: link, engines: map[string]*Engine{}, busy: map[linkKey]time.Time{}}
--- a/internal/standin/enginesim/open.go
+++ b/internal/standin/enginesim/open.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
 	"geraniumcroft/internal/engine/httpengine"
 )
@@ -91,56 +90,6 @@
 	e.executed = append(e.executed, st.record)
 }
 
-// reuse finds how much of the context needs no replay, and when work can start.
-func (e *Engine) reuse(st *stage, imported int, arrives time.Time) time.Time {
-	now := time.Now()
-	whole := st.context(len(st.open.Committed))
-	st.kv = e.cache.use(st.prefixes()) * engine.PrefixBlockTokens
-	if kept, ok := e.kv.Peek(st.open.RequestID); ok {
-		e.kv.Remove(st.open.RequestID)
-		st.kv = max(st.kv, kept.usable(now, st.hop.Layers))
-	}
-	starts := now
-	if imported > st.kv {
-		st.kv = imported
-		starts = arrives
-	}
-	st.kv = min(st.kv, whole)
-	e.counts.ReusedKV += uint64(st.kv)
-	return starts
-}
-
-// importKV asks another engine for the request's KV cache and returns how many
-// positions it holds and when they have arrived. The caller holds no lock, so two
-// engines may import from each other.
-func (e *Engine) importKV(open engine.StageOpen) (int, time.Time) {
-	now := time.Now()
-	from := e.fabric.Engine(open.ImportKVFrom)
-	if from == nil || from == e || open.Index < 0 || open.Index >= len(open.Hops) {
-		return 0, now
-	}
-	layers := open.Hops[open.Index].Layers
-	positions := from.exportKV(open.RequestID, layers)
-	size := positions * layers.Len() * e.options.KVBytesPerToken
-	return positions, e.fabric.arrival(from.options.Name, e.options.Name, now, size)
-}
-
-func (e *Engine) exportKV(requestID string, layers config.LayerRange) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.dead {
-		return 0
-	}
-	if own := e.stages[requestID]; own != nil && own.hop.Layers.Contains(layers) {
-		return own.kv
-	}
-	kept, ok := e.kv.Peek(requestID)
-	if !ok {
-		return 0
-	}
-	return kept.usable(time.Now(), layers)
-}
-
 // takeEarly moves activations that came before the stage was opened to its queue.
 func (e *Engine) takeEarly(st *stage, starts time.Time) {
 	list, ok := e.early.Peek(st.open.RequestID)
@@ -164,44 +113,3 @@
 		e.sched.add(a)
 	}
 }
-
-// cancel ends a stage of an epoch up to the given one. Later opens of these
-// epochs are refused: they were under way when the cancel overtook them.
-func (e *Engine) cancel(requestID string, epoch uint32) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if floor, _ := e.floors.Get(requestID); floor <= epoch {
-		e.floors.Add(requestID, epoch+1)
-	}
-	st := e.stages[requestID]
-	if st == nil || st.open.Epoch > epoch {
-		return
-	}
-	st.out.close()
-	e.end(st)
-}
-
-// leave ends the stage whose stream's connection has gone.
-func (e *Engine) leave(st *stage) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.end(st)
-}
-
-// end takes a stage off the engine, keeping its KV cache where the request asked.
-func (e *Engine) end(st *stage) {
-	if e.stages[st.open.RequestID] == st {
-		delete(e.stages, st.open.RequestID)
-	} else if st.over {
-		return
-	}
-	if !st.over {
-		e.counts.Cancelled++
-	}
-	hashes := st.prefixes()
-	e.cache.put(hashes[:min(len(hashes), st.kv/engine.PrefixBlockTokens)], time.Now())
-	if st.open.KeepKV && !st.over && st.kv > 0 {
-		e.kv.Add(st.open.RequestID, keptKV{positions: st.kv, layers: st.hop.Layers, until: time.Now().Add(e.options.KeepKVFor)})
-	}
-	e.free(st)
-}
--- a/internal/standin/enginesim/prefix_cache.go
+++ b/internal/standin/enginesim/prefix_cache.go
@@ -19,11 +19,6 @@
 	now    time.Time
 }
 
-type loggedEvent struct {
-	event engine.CacheEvent
-	at    time.Time
-}
-
 func newPrefixCache(size int) *prefixCache {
 	c := &prefixCache{}
 	c.blocks, _ = simplelru.NewLRU(size, func(prefix uint64, _ struct{}) { c.note(prefix, true) })
--- a/internal/standin/servicesim/handler.go
+++ b/internal/standin/servicesim/handler.go
@@ -32,18 +32,12 @@
 	}
 }
 
-// plan is what happens to one call.
-type plan struct {
-	dieBefore, dieAfter, lose, truncate, notRun, fail, wrongID, silence bool
-	takes                                                               time.Duration
-}
-
-func (s *Service) plan() plan {
+func (s *Service) plan() callPlan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.received++
 	f := &s.faults
-	p := plan{takes: s.options.ServiceTime}
+	p := callPlan{takes: s.options.ServiceTime}
 	if f.Slowdown > 0 {
 		p.takes = time.Duration(float64(p.takes) * f.Slowdown)
 	}
@@ -136,7 +130,7 @@
 	return true
 }
 
-func (s *Service) respond(w http.ResponseWriter, r *http.Request, p plan, body []byte) {
+func (s *Service) respond(w http.ResponseWriter, r *http.Request, p callPlan, body []byte) {
 	conn, _ := r.Context().Value(connKey{}).(*faultnet.Conn)
 	switch {
 	case p.dieAfter:
@@ -171,13 +165,6 @@
 	_ = conn.Close()
 }
 
-// faultOrder is the body of POST /faults.
-type faultOrder struct {
-	Die     bool            `json:"die"`
-	Silence bool            `json:"silence"`
-	Set     json.RawMessage `json:"set"`
-}
-
 func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var order faultOrder
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -31,13 +31,13 @@
 	silence time.Duration
 	until   time.Time
 	// left is how many bytes may still be read.
-	left int64
+	left        int64
+	writeBuffer int
 }
 
-// NewConn returns a Conn over raw on which no wait for bytes is longer than silence.
-func (s Settings) NewConn(raw net.Conn, silence time.Duration) *Conn {
-	c := &Conn{raw: raw, silence: silence}
-	c.reader = bufio.NewReaderSize(bounded{c}, s.WithDefaults().ReadBuffer)
+func newConn(raw net.Conn, silence time.Duration, s Settings) *Conn {
+	c := &Conn{raw: raw, silence: silence, writeBuffer: s.WriteBuffer}
+	c.reader = bufio.NewReaderSize(boundedReader{c}, s.ReadBuffer)
 	return c
 }
 
@@ -71,7 +71,7 @@
 		return false, err
 	}
 	counted := &countingWriter{to: c.raw}
-	buffered := bufio.NewWriterSize(counted, DefaultWriteBuffer)
+	buffered := bufio.NewWriterSize(counted, c.writeBuffer)
 	if err := req.Write(buffered); err != nil {
 		return counted.taken > 0, err
 	}
@@ -100,23 +100,3 @@
 func IsSilence(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
 }
-
-// bounded reads from the network within the connection's bounds. Only a wait for
-// bytes is timed: a consumer that is slow to read is not a silent connection.
-type bounded struct{ *Conn }
-
-// Read implements io.Reader.
-func (b bounded) Read(p []byte) (int, error) {
-	if b.left <= 0 {
-		return 0, ErrTooLarge
-	}
-	if int64(len(p)) > b.left {
-		p = p[:b.left]
-	}
-	if err := b.raw.SetReadDeadline(b.deadline()); err != nil {
-		return 0, err
-	}
-	n, err := b.raw.Read(p)
-	b.left -= int64(n)
-	return n, err
-}
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"testing"
@@ -59,3 +60,32 @@
 		}
 	}
 }
+
+// The caller's request does not hang on a peer that takes no more bytes. The peer
+// accepts and never reads, so its window closes and what is sent stays in this
+// VM's kernel; after the bound the kernel ends the connection with ETIMEDOUT,
+// which counts as silence.
+func TestTheKernelGivesUpAPeerThatTakesNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	conn, err := NewDialer(Settings{UserTimeout: 300 * time.Millisecond})(context.Background(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	chunk := make([]byte, 1<<20)
+	for range 1 << 10 {
+		if _, err = conn.Write(chunk); err != nil {
+			break
+		}
+	}
+	if !errors.Is(err, syscall.ETIMEDOUT) || !IsSilence(err) {
+		t.Fatalf("%v, expected the kernel's timeout", err)
+	}
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -1,7 +1,9 @@
 package transport
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
 )
@@ -25,11 +27,15 @@
 	return p
 }
 
-// Settings returns the pool's settings with the defaults filled in.
-func (p *Pool) Settings() Settings { return p.settings }
-
-// Dial returns the function that makes the pool's connections.
-func (p *Pool) Dial() DialFunc { return p.dial }
+// Connect dials a peer, IP:port. The connection carries one request at a time, and
+// no wait for bytes on it is longer than silence.
+func (p *Pool) Connect(ctx context.Context, address string, silence time.Duration) (*Conn, error) {
+	raw, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, silence, p.settings), nil
+}
 
 // Kept returns the transport that keeps connections to a peer for control calls:
 // load reports, cancels, orders. It has no limit on connections, so that no call
