Stand-ins: put an ordered silence in force before its answer

Cause: POST /faults answered first and silenced after, so a test that went on at once could still be served on a connection that was to be silent. Change: the connection that carries the order is left out, and the others are silent when the answer goes out. A death takes its order's connection with it after the answer was written.

--- a/internal/standin/enginesim/fault_order.go
+++ b/internal/standin/enginesim/fault_order.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+
+	"geraniumcroft/internal/standin/faultnet"
 )
 
 // faultOrder is the body of POST /faults: faults that happen once, and changes of
@@ -28,12 +30,12 @@
 		}
 	}
 	e.DropCacheEvents(order.DropCacheEvents)
-	w.WriteHeader(http.StatusNoContent)
-	_ = http.NewResponseController(w).Flush()
 	if order.Silence {
-		e.GoSilent()
+		e.goSilent(faultnet.ConnOf(r.Context()))
 	}
+	w.WriteHeader(http.StatusNoContent)
+	_ = http.NewResponseController(w).Flush()
 	if order.Die {
-		go e.Die()
+		e.Die() // takes the connection of the order with it
 	}
 }
--- a/internal/standin/enginesim/http_test.go
+++ b/internal/standin/enginesim/http_test.go
@@ -96,7 +96,7 @@
 	if _, _, err := receive(stream, 3); err != nil {
 		t.Fatal(err)
 	}
-	engines[0].GoSilent()
+	order(t, engines[0], `{"silence":true}`)
 	var broken *engine.StreamError
 	if _, _, err := receive(stream, 1<<20); !errors.As(err, &broken) || !broken.Silent {
 		t.Fatalf("%v, expected silence", err)
--- a/internal/standin/enginesim/start.go
+++ b/internal/standin/enginesim/start.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: e, ErrorLog: log.New(io.Discard, "", 0)}
+	server := &http.Server{Handler: e, ConnContext: faultnet.ConnContext, ErrorLog: log.New(io.Discard, "", 0)}
 	e.mu.Lock()
 	if e.listener != nil && !e.dead {
 		e.mu.Unlock()
@@ -93,7 +93,9 @@
 }
 
 // GoSilent makes the connections that are open now silent for good; new ones work.
-func (e *Engine) GoSilent() {
+func (e *Engine) GoSilent() { e.goSilent(nil) }
+
+func (e *Engine) goSilent(except *faultnet.Conn) {
 	e.mu.Lock()
 	listener := e.listener
 	for _, st := range e.stages {
@@ -101,7 +103,7 @@
 	}
 	e.mu.Unlock()
 	if listener != nil {
-		listener.SilenceAll()
+		listener.SilenceAll(except)
 	}
 }
 
--- a/internal/standin/faultnet/listener.go
+++ b/internal/standin/faultnet/listener.go
@@ -42,10 +42,13 @@
 	}
 }
 
-// SilenceAll makes the connections that are open now silent for good. New ones work.
-func (l *Listener) SilenceAll() {
+// SilenceAll makes the connections that are open now silent for good, but for one
+// that may be nil: the connection on which the order came. New ones work.
+func (l *Listener) SilenceAll(except *Conn) {
 	for _, c := range l.connections() {
-		c.silent.Store(true)
+		if c != except {
+			c.GoSilent()
+		}
 	}
 }
 
--- a/internal/standin/servicesim/handler.go
+++ b/internal/standin/servicesim/handler.go
@@ -131,7 +131,7 @@
 }
 
 func (s *Service) respond(w http.ResponseWriter, r *http.Request, p callPlan, body []byte) {
-	conn, _ := r.Context().Value(connKey{}).(*faultnet.Conn)
+	conn := faultnet.ConnOf(r.Context())
 	switch {
 	case p.dieAfter:
 		s.Die()
@@ -178,12 +178,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
-	_ = http.NewResponseController(w).Flush()
 	if order.Silence {
-		s.GoSilent()
+		s.goSilent(faultnet.ConnOf(r.Context()))
 	}
+	w.WriteHeader(http.StatusNoContent)
+	_ = http.NewResponseController(w).Flush()
 	if order.Die {
-		go s.Die()
+		s.Die() // takes the connection of the order with it
 	}
 }
--- a/internal/standin/servicesim/service.go
+++ b/internal/standin/servicesim/service.go
@@ -19,8 +19,6 @@
 	maxReports    = 4096
 )
 
-type connKey struct{}
-
 // Service is a stand-in plain service. It is safe for concurrent use.
 type Service struct {
 	options Options
@@ -63,9 +61,7 @@
 		Handler:     s,
 		ErrorLog:    log.New(io.Discard, "", 0),
 		BaseContext: func(net.Listener) context.Context { return life },
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
-		},
+		ConnContext: faultnet.ConnContext,
 	}
 	s.mu.Lock()
 	s.listener, s.server, s.life = listener, server, end
@@ -100,12 +96,14 @@
 func (s *Service) Revive() error { return s.Start(s.Addr()) }
 
 // GoSilent makes the connections that are open now silent for good; new ones work.
-func (s *Service) GoSilent() {
+func (s *Service) GoSilent() { s.goSilent(nil) }
+
+func (s *Service) goSilent(except *faultnet.Conn) {
 	s.mu.Lock()
 	listener := s.listener
 	s.mu.Unlock()
 	if listener != nil {
-		listener.SilenceAll()
+		listener.SilenceAll(except)
 	}
 }
 
