--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -6,9 +6,9 @@
 	"geraniumcroft/internal/config"
 )
 
-// candidate keeps the best of the targets that were offered.
+// candidate keeps the best of the targets that were offered. It does not hold the
+// query, which would then have to live on the heap as the target does.
 type candidate struct {
-	query    *Query
 	settings *Settings
 	best     *target
 	score    float64
@@ -18,42 +18,42 @@
 // offerHolders considers the targets that are said to have a prefix of the prompt
 // cached. They must have room as any other: a hint saves work, but a queue behind
 // a full target costs more than it saves.
-func (c *candidate) offerHolders(p *pool, now time.Time) {
-	found, covered := p.prefixes.find(c.query.Prefixes)
+func (c *candidate) offerHolders(q *Query, p *pool, now time.Time) {
+	found, covered := p.prefixes.find(q.Prefixes)
 	for _, h := range found {
 		if h.valid() {
-			c.offer(h.target, c.settings.PrefixBonus*covered*h.target.hintTrust(now, c.settings))
+			c.offer(q, h.target, c.settings.PrefixBonus*covered*h.target.hintTrust(now, c.settings))
 		}
 	}
 }
 
 // offer considers t if it has room for the query.
-func (c *candidate) offer(t *target, bonus float64) {
-	if !t.hasRoom(c.query.Urgency) || !c.query.accepts(t) {
+func (c *candidate) offer(q *Query, t *target, bonus float64) {
+	if !t.hasRoom(q.Urgency) || !q.accepts(t) {
 		return
 	}
 	c.offered++
-	score := t.score() + c.adjust(t) - bonus
+	score := t.score() + c.adjust(q, t) - bonus
 	if c.best == nil || score < c.score {
 		c.best, c.score = t, score
 	}
 }
 
-func (c *candidate) adjust(t *target) float64 {
+func (c *candidate) adjust(q *Query, t *target) float64 {
 	adjust := 0.0
-	if c.query.DataCentre != "" && t.config.Load().DataCentre != c.query.DataCentre {
+	if q.DataCentre != "" && t.config.Load().DataCentre != q.DataCentre {
 		adjust += c.settings.RemotePenalty
 	}
 	if t.probing.Load() {
-		adjust += c.probe()
+		adjust += probe(q)
 	}
 	return adjust
 }
 
 // probe makes less urgent requests go to a half-open target first, so that it is
 // known soon whether it is well, and urgent ones last.
-func (c *candidate) probe() float64 {
-	if c.query.Urgency == config.Urgent {
+func probe(q *Query) float64 {
+	if q.Urgency == config.Urgent {
 		return probePenalty
 	}
 	return -probePenalty
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -70,13 +70,19 @@
 	return usual > 0 && took > slowFloor && seconds > factor*usual
 }
 
+// noteAnswer computes anew what is usual, once for each usualInterval answers or
+// as many as there are targets.
 func (g *group) noteAnswer() {
-	if g.answers.Add(1)%usualInterval != 0 {
+	answers := g.answers.Add(1)
+	if answers%usualInterval != 0 {
 		return
 	}
 	g.mu.Lock()
 	targets := g.targets
 	g.mu.Unlock()
+	if answers%uint64(max(len(targets)/usualInterval, 1)*usualInterval) != 0 {
+		return
+	}
 	averages := make([]float64, 0, len(targets))
 	for _, t := range targets {
 		if average := math.Float64frombits(t.usual.Load()); average > 0 {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -56,19 +56,19 @@
 
 // choose returns the best of a few targets that have room, nil if none has.
 func (b *Balancer) choose(p *pool, q *Query, now time.Time) *target {
-	c := candidate{query: q, settings: &b.settings}
+	c := candidate{settings: &b.settings}
 	if len(q.Prefixes) > 0 {
-		c.offerHolders(p, now)
+		c.offerHolders(q, p, now)
 	}
 	if len(p.members) <= b.settings.Choices {
-		p.scan(&c, len(p.members))
+		p.scan(q, &c, len(p.members))
 		return c.best
 	}
 	for range b.settings.Choices {
-		c.offer(p.members[c.settings.random(len(p.members))], 0)
+		c.offer(q, p.members[c.settings.random(len(p.members))], 0)
 	}
 	if c.best == nil {
-		p.scan(&c, scanCandidates)
+		p.scan(q, &c, scanCandidates)
 	}
 	return c.best
 }
@@ -76,14 +76,14 @@
 // scan looks through the whole pool from a random place until enough targets were
 // found to have room, so that a request does not wait while a target that was not
 // sampled has some.
-func (p *pool) scan(c *candidate, enough int) {
+func (p *pool) scan(q *Query, c *candidate, enough int) {
 	offset := c.settings.random(len(p.members))
 	for i := range p.members {
 		at := offset + i
 		if at >= len(p.members) {
 			at -= len(p.members)
 		}
-		c.offer(p.members[at], 0)
+		c.offer(q, p.members[at], 0)
 		if c.offered >= enough {
 			return
 		}
@@ -129,7 +129,9 @@
 func (b *Balancer) release(t *target, r Result, started time.Time) {
 	now := time.Now()
 	left := t.inFlight.Add(-1)
-	b.invariants.Check(left >= 0, invariant.SlotsNotNegative, "target %s has %d in flight", t.name, left)
+	if left < 0 {
+		b.invariants.Check(false, invariant.SlotsNotNegative, "target %s has %d in flight", t.name, left)
+	}
 	t.sent.add(now, -1)
 	t.settle(r, started, now)
 	b.freed(t)
