peer: bound a call on a silent connection, a third of the load's bytes

A VM that is cut off has to stop serving before the others accept a change without it: ReachableBound is now 3 s, below the suspicion timeout of 5 s, with a test. HasPeers tells a VM that holds all others dead from a fleet of one; PeerCount does not.

A push stops when the peer takes nothing instead of repeating.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -31,8 +31,9 @@
 	if m := t.members[to]; m != nil && m.State != Alive {
 		updates = append(updates, t.update(m, true))
 	}
+	transmits := t.settings.transmits(t.Fleet())
 	for _, r := range t.pending(limit) {
-		updates = append(updates, t.pass(r))
+		updates = append(updates, t.pass(r, transmits))
 	}
 	return t.rotate(updates)
 }
@@ -60,9 +61,9 @@
 	return pending[:min(limit, len(pending))]
 }
 
-func (t *Table) pass(r *rumour) Update {
+func (t *Table) pass(r *rumour, transmits int) Update {
 	r.sent++
-	if r.sent >= t.settings.transmits(t.Fleet()) {
+	if r.sent >= transmits {
 		delete(t.rumours, r.name)
 	}
 	return t.update(t.find(r.name), r.full)
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -43,12 +43,19 @@
 	t.spread(t.self.Name, true)
 }
 
+// maxMembers bounds the members learned by rumour, so that a faulty peer cannot
+// fill this VM's memory.
+const maxMembers = 4096
+
 // learn adds a VM by rumour. A dead one that is not remembered is not taken up:
 // two VMs would otherwise remind each other of it for ever.
 func (t *Table) learn(u Update, now time.Time) {
 	if u.VersionOnly || u.Name == "" || u.State == Dead || u.State == Left {
 		return
 	}
+	if len(t.members) >= maxMembers {
+		return
+	}
 	t.members[u.Name] = &Member{
 		Name:        u.Name,
 		Address:     u.Address,
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -24,10 +24,10 @@
 
 // The defaults of Settings.
 const (
-	DefaultSuspicionTimeout = 4 * time.Second
+	DefaultSuspicionTimeout = 5 * time.Second
 	DefaultRetention        = 3 * time.Hour
 	DefaultRetryDeadEvery   = 3
-	DefaultTransmitFactor   = 2
+	DefaultTransmitFactor   = 1
 	DefaultRotation         = 2
 )
 
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -16,10 +16,12 @@
 // call makes a call on the kept connection and, should that one be silent or
 // broken, once more on a new connection. The failure of a kept connection says
 // nothing of the peer: a box between the two may have lost track of it. All
-// calls of the protocol are idempotent, so the second try is safe.
+// calls of the protocol are idempotent, so the second try is safe. Only the try
+// on a new connection has the whole timeout: a call that was too long for the
+// short one loses little, and a silent connection holds nothing up for long.
 func (n *Node) call(ctx context.Context, address string, timeout time.Duration, try attempt) error {
 	if kept := n.pool.get(address); kept != nil {
-		err := tryOnce(ctx, kept, timeout, try)
+		err := tryOnce(ctx, kept, n.settings.CallTimeout, try)
 		if !connectionFailed(err) || ctx.Err() != nil {
 			return err
 		}
--- a/internal/peer/load.go
+++ b/internal/peer/load.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/membership"
 	"geraniumcroft/internal/peer/peerpb"
 )
@@ -20,6 +21,7 @@
 type loadExchange struct {
 	sink   LoadSink
 	expiry time.Duration
+	names  *targetNames
 
 	mu    sync.Mutex // guards the fields below
 	seq   uint64
@@ -38,14 +40,15 @@
 type peerLoad struct {
 	life     uint64
 	held     uint64
-	inFlight map[string]int
+	inFlight map[uint32]int // by hash of the target's name
 	heard    time.Time
 	// seen is how far the peer holds this VM's load.
 	seen uint64
 }
 
-func newLoadExchange(sink LoadSink, expiry time.Duration) *loadExchange {
-	return &loadExchange{sink: sink, expiry: expiry, own: map[string]loadEntry{}, peers: map[string]*peerLoad{}}
+func newLoadExchange(sink LoadSink, expiry time.Duration, source config.Source) *loadExchange {
+	names := &targetNames{source: source}
+	return &loadExchange{sink: sink, expiry: expiry, names: names, own: map[string]loadEntry{}, peers: map[string]*peerLoad{}}
 }
 
 // refresh reads this VM's load and numbers what changed.
@@ -105,22 +108,28 @@
 		load.Upto = l.own[changed[maxLoadPerMessage-1]].seq
 	}
 	for _, target := range changed {
-		load.Targets = append(load.Targets, &peerpb.TargetLoad{Target: target, InFlight: uint32(l.own[target].inFlight)})
+		load.Targets = append(load.Targets, hashName(target))
+		load.InFlight = append(load.InFlight, uint32(l.own[target].inFlight))
 	}
 	return load
 }
 
 // take records a peer's load and how far it holds this VM's.
 func (l *loadExchange) take(from *peerpb.Envelope, load *peerpb.Load, seen uint64) {
-	if l.sink == nil || load == nil || len(load.GetTargets()) > maxLoadPerMessage {
+	if l.sink == nil || load == nil || !wellFormed(load) {
 		return
 	}
 	if inFlight, changed := l.record(from, load, seen); changed {
-		l.sink.PeerLoad(from.GetVm(), inFlight)
+		l.sink.PeerLoad(from.GetVm(), l.names.resolve(inFlight))
 	}
 }
 
-func (l *loadExchange) record(from *peerpb.Envelope, load *peerpb.Load, seen uint64) (map[string]int, bool) {
+func wellFormed(load *peerpb.Load) bool {
+	count := len(load.GetTargets())
+	return count <= maxLoadPerMessage && count == len(load.GetInFlight())
+}
+
+func (l *loadExchange) record(from *peerpb.Envelope, load *peerpb.Load, seen uint64) (map[uint32]int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peerOf(from)
@@ -131,13 +140,13 @@
 		return nil, false
 	}
 	if load.GetAfter() == 0 {
-		p.inFlight = map[string]int{}
+		p.inFlight = map[uint32]int{}
 	}
 	p.held = load.GetUpto()
-	for _, t := range load.GetTargets() {
-		p.inFlight[t.GetTarget()] = int(t.GetInFlight())
-		if t.GetInFlight() == 0 {
-			delete(p.inFlight, t.GetTarget())
+	for i, target := range load.GetTargets() {
+		p.inFlight[target] = int(load.GetInFlight()[i])
+		if p.inFlight[target] == 0 {
+			delete(p.inFlight, target)
 		}
 	}
 	return maps.Clone(p.inFlight), load.GetAfter() == 0 || len(load.GetTargets()) > 0
@@ -147,7 +156,7 @@
 	life := membership.Incarnation(from.GetIncarnation()).Life()
 	p := l.peers[from.GetVm()]
 	if p == nil || p.life != life {
-		p = &peerLoad{life: life, inFlight: map[string]int{}}
+		p = &peerLoad{life: life, inFlight: map[uint32]int{}}
 		l.peers[from.GetVm()] = p
 	}
 	return p
--- a/internal/peer/load_test.go
+++ b/internal/peer/load_test.go
@@ -59,19 +59,21 @@
 		defer f.stop()
 		many := map[string]int{}
 		for i := range 2 * maxLoadPerMessage {
-			many[vmName(i)] = i + 1
+			many[targetName(i)] = i + 1
 		}
-		loads := []*loadTable{newLoadTable(many), newLoadTable(map[string]int{"t": 1})}
+		loads := []*loadTable{newLoadTable(many), newLoadTable(map[string]int{targetName(0): 1})}
 		for i, load := range loads {
-			f.startWith(vmName(i), newMemoryStore(), load, Settings{})
+			store := newMemoryStore()
+			fill(store, 1, len(many))
+			f.startWith(vmName(i), store, load, Settings{})
 		}
 		agree := func() bool { return maps.Equal(loads[1].peer(vmName(0)), nonZero(loads[0].InFlight())) }
 		f.within(joinBound, "the first load is known", agree)
-		loads[0].set("t", 9)
-		loads[0].set(vmName(3), 0)
+		loads[0].set(targetName(1), 9)
+		loads[0].set(targetName(3), 0)
 		f.within(joinBound, "the changes are known", agree)
 		f.network.setCut(func(from, to string) bool { return true })
-		loads[0].set("t", 4)
+		loads[0].set(targetName(1), 4)
 		f.within(deathBound, "the load is forgotten", func() bool { return loads[1].peer(vmName(0)) == nil })
 		f.network.setCut(func(string, string) bool { return false })
 		f.within(healBound, "the load is known again", agree)
@@ -82,10 +84,12 @@
 // what changed since. Taken as the whole, that would hide most of its load, so it
 // is refused and the peer starts anew.
 func TestForgottenLoadIsSentWhole(t *testing.T) {
-	own := newLoadTable(map[string]int{"a": 1})
-	sender := newLoadExchange(own, time.Minute)
+	store := newMemoryStore()
+	fill(store, 1, 2)
+	own := newLoadTable(map[string]int{targetName(0): 1})
+	sender := newLoadExchange(own, time.Minute, store)
 	sink := newLoadTable(map[string]int{})
-	receiver := newLoadExchange(sink, time.Minute)
+	receiver := newLoadExchange(sink, time.Minute, store)
 	exchange := func() {
 		sender.refresh()
 		load, seen := sender.give("receiver")
@@ -95,7 +99,7 @@
 	}
 	exchange()
 	receiver.expire(time.Now().Add(time.Hour), func(string) bool { return true })
-	own.set("b", 2)
+	own.set(targetName(1), 2)
 	exchange()
 	if got := sink.peer("sender"); got != nil {
 		t.Fatalf("changes were taken as the whole: %v", got)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,7 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.table = membership.New(n.identity(now), settings.Membership, n.rng, now)
 	n.pool = newPool(o, settings, n.traffic)
-	n.load = newLoadExchange(o.Load, settings.LoadExpiry)
+	n.load = newLoadExchange(o.Load, settings.LoadExpiry, o.Store)
 	n.server = newServer(o, settings)
 	peerpb.RegisterPeerServer(n.server, &service{node: n})
 	return n
@@ -107,6 +108,23 @@
 	return n.table.Fleet() - 1
 }
 
+// HasPeers reports whether there is, or may be, another VM that has not left. It
+// is true for a VM that was cut off so long that it holds all others dead, which
+// PeerCount does not tell from a fleet of one.
+func (n *Node) HasPeers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	left := map[string]bool{n.options.Address: true}
+	for _, m := range n.table.Members() {
+		if m.State == membership.Left {
+			left[m.Address] = true
+		} else if m.Name != n.options.VM {
+			return true
+		}
+	}
+	return slices.ContainsFunc(n.options.Seeds, func(seed string) bool { return !left[seed] })
+}
+
 // Reachable reports whether a peer answered within the bound.
 func (n *Node) Reachable() bool {
 	n.mu.Lock()
--- a/internal/peer/push.go
+++ b/internal/peer/push.go
@@ -34,6 +34,9 @@
 }
 
 func (n *Node) pushTargets(except string) []membership.Member {
+	if n.settings.PushFanout < 0 {
+		return nil
+	}
 	others := func(m *membership.Member) bool { return m.Name != except }
 	if n.wholeFleetInView() {
 		return n.table.Sample(n.settings.ViewSize, others)
@@ -97,7 +100,8 @@
 			n.suspect(m)
 			return
 		}
-		if version <= known && configuration.Snapshot != nil {
+		if version == known {
+			// The peer takes nothing; it says why in its own log.
 			return
 		}
 		known = version
--- a/internal/peer/settings.go
+++ b/internal/peer/settings.go
@@ -25,11 +25,15 @@
 	ViewSize int
 	// ViewSwapPeriod is how often a large fleet's view replaces one peer.
 	ViewSwapPeriod time.Duration
-	// PushFanout is how many peers a VM of a large fleet pushes a new change to.
+	// PushFanout is how many peers a VM of a large fleet pushes a new change to; a
+	// negative one leaves all to anti-entropy.
 	PushFanout int
-	// ReachableBound is how fresh the last answer of a peer must be for Reachable.
+	// ReachableBound is how fresh the last answer of a peer must be for Reachable. It
+	// is shorter than the suspicion timeout, so a VM that is cut off knows it before
+	// the others hold it dead and accept changes without it.
 	ReachableBound time.Duration
-	// LoadExpiry is how long a peer's load is believed.
+	// LoadExpiry is how long a peer's load is believed. A generation takes some
+	// twenty seconds, so what was in flight a few seconds ago mostly still is.
 	LoadExpiry time.Duration
 	// KeepAlivePeriod is the time between two pings on an idle kept connection.
 	KeepAlivePeriod time.Duration
@@ -49,8 +53,8 @@
 	DefaultViewSize         = 16
 	DefaultViewSwapPeriod   = 10 * time.Second
 	DefaultPushFanout       = 4
-	DefaultReachableBound   = 5 * time.Second
-	DefaultLoadExpiry       = 10 * time.Second
+	DefaultReachableBound   = 3 * time.Second
+	DefaultLoadExpiry       = 15 * time.Second
 	DefaultKeepAlivePeriod  = 10 * time.Second
 	DefaultKeepAliveTimeout = 3 * time.Second
 )
@@ -62,7 +66,7 @@
 	maxSyncUpdates       = 96
 	maxProbeUpdates      = 24
 	maxUpdatesAccepted   = 4096
-	maxLoadPerMessage    = 256
+	maxLoadPerMessage    = 128
 	maxTransfers         = 64
 	maxConcurrentProbes  = 8
 )
--- a/internal/peer/spreading_test.go
+++ b/internal/peer/spreading_test.go
@@ -112,7 +112,10 @@
 			_, missing := f.vm(0).node.InForce(version)
 			return len(missing) == 0
 		})
-		f.within(deathBound, "the silent VM knows that it is alone", func() bool { return !f.vm(3).node.Reachable() })
+		f.within(deathBound, "the silent VM holds all others dead", func() bool { return f.vm(3).node.PeerCount() == 0 })
+		if f.vm(3).node.Reachable() || !f.vm(3).node.HasPeers() {
+			t.Fatal("the silent VM takes itself for a fleet of one and would serve on")
+		}
 		f.network.setCut(func(string, string) bool { return false })
 		f.within(healBound, "in force on all", f.allAt(version))
 		f.within(healBound, "all know all", f.joined(6))
@@ -259,3 +262,24 @@
 		f.within(smallBound, "in force on the restarted VM", f.allAt(version))
 	})
 }
+
+// A VM that is cut off stops serving before the others accept a change without
+// it: otherwise a drained target would get new work from it after the operator
+// was told that the drain is in force everywhere.
+func TestCutOffVMKnowsItBeforeItIsHeldDead(t *testing.T) {
+	run(t, 6, Settings{}, func(t *testing.T, f *fleet) {
+		alone := vmName(3)
+		f.network.setCut(func(from, to string) bool { return from == alone || to == alone })
+		f.within(deathBound, "some VM does not wait for it any more", func() bool {
+			for name, vm := range f.vms {
+				if name != alone && vm.node.PeerCount() < 5 {
+					return true
+				}
+			}
+			return false
+		})
+		if f.vm(3).node.Reachable() {
+			t.Fatal("the VM was held dead while it still took itself for reachable")
+		}
+	})
+}
--- a/internal/peer/store_test.go
+++ b/internal/peer/store_test.go
@@ -74,6 +74,8 @@
 	return []config.Change{change}
 }
 
+func targetName(i int) string { return fmt.Sprintf("target-%04d", i) }
+
 // fill commits the configuration of the size that the system is designed for.
 func fill(s *memoryStore, workspaces, targets int) {
 	snapshot := config.NewSnapshot()
@@ -83,7 +85,7 @@
 		snapshot.Workspaces[name] = &config.Workspace{Name: name, Weight: 1}
 	}
 	for i := range targets {
-		name := fmt.Sprintf("target-%04d", i)
+		name := targetName(i)
 		snapshot.Targets[name] = &config.Target{
 			Name: name, Address: "10.0.0.1:9000", DataCentre: "hall-a", Kind: config.KindEngine,
 			Model: "model-a", Version: "1", Slots: 8, State: config.StateActive,
