--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -50,14 +50,14 @@
 
 // judge decides whether a whole response is the call's answer.
 func (d *Dispatcher) judge(job *Job, target string, response service.Response) (service.Response, *attemptError) {
-	if response.NotRun {
-		job.Boundary.DeclaredNotRun()
-		return response, &attemptError{target: target, reason: outcome.ReasonTargetFailed, cause: errors.New("the service did not run the call")}
-	}
 	own := response.RequestID == job.Call.RequestID
 	if !d.invariants.Check(own, invariant.AnswerToAsker, "request %s got the answer to %q from %s", job.Call.RequestID, response.RequestID, target) {
 		return response, &attemptError{target: target, reason: outcome.ReasonTargetFailed, mayHaveRun: true, cause: errors.New("answer to another request")}
 	}
+	if response.NotRun {
+		job.Boundary.DeclaredNotRun()
+		return response, &attemptError{target: target, reason: outcome.ReasonTargetFailed, cause: errors.New("the service did not run the call")}
+	}
 	if response.Status >= http.StatusInternalServerError {
 		return response, &attemptError{target: target, reason: outcome.ReasonTargetFailed, mayHaveRun: true, cause: fmt.Errorf("status %d", response.Status)}
 	}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -167,6 +167,8 @@
 			outcomeOf{outcome.Unknown, outcome.ReasonDeadline, []string{"a"}}},
 		{"declared as not run, it may go elsewhere", behaviour{response: service.Response{NotRun: true}}, false, config.Urgent,
 			outcomeOf{outcome.Complete, "", []string{"a", "b"}}},
+		{"another request's declaration proves nothing of this one", behaviour{wrongID: true, response: service.Response{NotRun: true}}, false, config.Urgent,
+			outcomeOf{outcome.Unknown, outcome.ReasonTargetFailed, []string{"a"}}},
 		{"another request's answer is not handed out", behaviour{wrongID: true}, false, config.Urgent,
 			outcomeOf{outcome.Unknown, outcome.ReasonTargetFailed, []string{"a"}}},
 		{"idempotent: a reset is retried elsewhere", behaviour{doErr: reset}, true, config.Normal,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,14 +34,15 @@
 // InHand returns how many requests have arrived and not ended.
 func (r *Router) InHand() int { return r.inHand.count() }
 
-// begin looks the request up and takes it in hand. The failure is always NotRun:
-// nothing has been spent on the request yet.
+// begin looks the request up and takes it in hand. Nothing has been spent on the
+// request yet, so the failure is NotRun unless the request carries a key that was
+// not looked up.
 func (r *Router) begin(id Identity, class config.RequestClass) (*entry, *outcome.Failure) {
-	if failure := r.Gate.Check(); failure != nil {
-		return nil, failure
-	}
 	snapshot := r.Source.Current()
 	profile, ok := snapshot.Profiles[id.Profile]
+	if failure := r.Gate.Check(); failure != nil {
+		return nil, unread(id, profile, failure)
+	}
 	if !ok || profile.Class != class {
 		return nil, outcome.Refuse(outcome.ReasonUnknownProfile, "there is no such profile of this class")
 	}
@@ -52,11 +53,24 @@
 	e := r.newEntry(id, profile)
 	if limit := r.inHand.add(e, maxInFlight(workspace)); limit != "" {
 		failure := outcome.Refuse(outcome.ReasonWorkspaceLimit, "too many requests of this "+limit+" are in hand")
-		return nil, failure.WithRetryAfter(time.Second)
+		return nil, unread(id, profile, failure.WithRetryAfter(time.Second))
 	}
 	return e, nil
 }
 
+// unread turns the refusal of a keyed request whose claim was not read into
+// Unknown: this arrival did not run, but an earlier one with the same key, here or
+// on another VM, may have, and a crew that reads "not run" would ask anew.
+func unread(id Identity, profile *config.Profile, refused *outcome.Failure) *outcome.Failure {
+	if id.IdempotencyKey == "" || profile != nil && profile.Idempotent {
+		return refused
+	}
+	unknown := *refused
+	unknown.Outcome = outcome.Unknown
+	unknown.Detail += "; an earlier request with this key may have run"
+	return &unknown
+}
+
 func (r *Router) checkCaller(id Identity, profile *config.Profile, workspace *config.Workspace) *outcome.Failure {
 	if workspace != nil && len(workspace.KeyDigests) > 0 && !r.Authorize(id.BearerKey, workspace.KeyDigests) {
 		if id.BearerKey == "" {
