Measure the router's own cost on a fleet in one process

There was no way to see what the router adds to a request. The command "experiment" starts a fleet on loopback addresses and repeats named measurements; the first one, overhead, calls a stand-in by turns through a router and directly.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"geraniumcroft/internal/cli/experimentcmd"
 )
 
 // Run executes the command line and returns the process's exit code.
@@ -28,4 +30,5 @@
 	c.Register(&checkCommand{}, "running")
 	c.Register(&dumpCommand{}, "running")
 	c.Register(&demoCommand{}, "trying")
+	experimentcmd.Register(c)
 }
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,48 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Experiment is one named measurement.
+type Experiment struct {
+	Name     string
+	Synopsis string
+	run      func(context.Context, *Trial) error
+}
+
+// All returns every experiment in the order of the measurements' page.
+func All() []Experiment {
+	return []Experiment{
+		{"overhead", "the router's own cost against calling the stand-in directly", overhead},
+	}
+}
+
+// Find returns the experiment of a name.
+func Find(name string) (Experiment, bool) {
+	for _, e := range All() {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return Experiment{}, false
+}
+
+// Run repeats the experiment and returns its figures.
+func (e Experiment) Run(ctx context.Context, o Options) (*Report, error) {
+	o = o.withDefaults()
+	report := newReport(e.Name, o)
+	started := time.Now()
+	for repeat := range o.Repeat {
+		trial := &Trial{Duration: o.Duration, Seed: o.Seed + uint64(repeat), report: report}
+		if err := e.run(ctx, trial); err != nil {
+			return report, errors.Wrapf(err, "%s, repeat %d", e.Name, repeat+1)
+		}
+		o.progress("%s: repeat %d of %d done", e.Name, repeat+1, o.Repeat)
+	}
+	report.TookSeconds = time.Since(started).Seconds()
+	return report, nil
+}
--- /dev/null
+++ b/internal/experiment/limit.go
@@ -0,0 +1,28 @@
+package experiment
+
+import "fmt"
+
+// Limit is what a figure has to meet.
+type Limit struct {
+	AtMost  *float64 `json:"atMost,omitempty"`
+	AtLeast *float64 `json:"atLeast,omitempty"`
+}
+
+func atMost(value float64) *Limit  { return &Limit{AtMost: &value} }
+func atLeast(value float64) *Limit { return &Limit{AtLeast: &value} }
+
+func (l *Limit) met(value float64) bool {
+	return (l.AtMost == nil || value <= *l.AtMost) && (l.AtLeast == nil || value >= *l.AtLeast)
+}
+
+// String writes the limit as it stands in reports.
+func (l *Limit) String() string {
+	switch {
+	case l == nil:
+		return ""
+	case l.AtMost != nil:
+		return fmt.Sprintf("<= %.4g", *l.AtMost)
+	default:
+		return fmt.Sprintf(">= %.4g", *l.AtLeast)
+	}
+}
