--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -7,6 +7,8 @@
 
 	"github.com/google/subcommands"
 
+	"geraniumcroft/internal/cli/admincmd"
+
 	"geraniumcroft/internal/cli/experimentcmd"
 )
 
@@ -30,5 +32,7 @@
 	c.Register(&checkCommand{}, "running")
 	c.Register(&dumpCommand{}, "running")
 	c.Register(&demoCommand{}, "trying")
+	c.Register(&standinCommand{}, "trying")
+	admincmd.Register(c)
 	experimentcmd.Register(c)
 }
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,64 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"geraniumcroft/internal/standin"
+)
+
+// standinCommand implements "standin".
+type standinCommand struct {
+	file string
+}
+
+// Name implements subcommands.Command.
+func (*standinCommand) Name() string { return "standin" }
+
+// Synopsis implements subcommands.Command.
+func (*standinCommand) Synopsis() string {
+	return "run stand-ins for the platform, engines and services"
+}
+
+// Usage implements subcommands.Command.
+func (*standinCommand) Usage() string {
+	return `standin -file FILE:
+  Runs the stand-ins that the INI file names, so that routers can be tried as
+  processes of their own, and prints the entities to apply with "model set",
+  "target set" and so on. For trials only; nothing of it is kept.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *standinCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "file", "", "INI file of stand-ins")
+}
+
+// Execute implements subcommands.Command.
+func (c *standinCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.file == "" {
+		return usage("-file FILE is needed")
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	park, err := standin.Load(c.file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "geraniumcroft:", err)
+		return subcommands.ExitUsageError
+	}
+	if err := park.Start(); err != nil {
+		return failed(err)
+	}
+	defer park.Close()
+	if err := park.PrintEntities(os.Stdout); err != nil {
+		return failed(err)
+	}
+	<-ctx.Done()
+	return subcommands.ExitSuccess
+}
