Divide each target's slots exactly among the VMs, and keep bulk off headroom

Cause: shares were rounded down, and what remained was borrowed by whoever saw it first, on counts that are late. Six VMs full of bulk together took slots that each of them meant to leave free for urgent requests.

Change: what cannot be divided goes to as many VMs, the next ones from target to target, by the same rule on each VM, so that the shares add up to the open slots. Bulk leaves 5% less than before beyond the urgent headroom: 12.5% of 16 slots are kept free in place of 25%.

--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -1,9 +1,8 @@
 package balance
 
 import (
-	"math"
-
 	"geraniumcroft/internal/config"
+	"math"
 )
 
 // headrooms returns, for each target of a group, how many of its slots each
@@ -37,7 +36,7 @@
 
 func headroom(slots int, s Settings) [config.UrgencyCount]int {
 	urgent := max(1, int(math.Round(s.UrgentShare*float64(slots))))
-	normal := int(math.Round(s.NormalShare * float64(slots)))
+	normal := int(s.NormalShare * float64(slots))
 	var room [config.UrgencyCount]int
 	room[config.Normal] = min(urgent, slots-1)
 	room[config.Bulk] = min(urgent+normal, slots-1)
--- a/internal/balance/in_flight.go
+++ b/internal/balance/in_flight.go
@@ -1,20 +1,13 @@
 package balance
 
 import (
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"geraniumcroft/internal/config"
 )
 
-const (
-	// claimTime is how long a VM claims its share of a pool after it found no slot.
-	claimTime = time.Second
-	// claimTerm is how long a target keeps its part of a share below one slot.
-	claimTerm = 2 * time.Second
-)
+// claimTime is how long a VM claims its share of a pool after it found no slot.
+const claimTime = time.Second
 
 // InFlight returns what this VM has in flight at each target that has any, for
 // the peers. In a pool where it lately found no slot it claims its share of each
@@ -42,23 +35,14 @@
 	return denied != 0 && now.Sub(time.Unix(0, denied)) < claimTime && b.peers() > 1 && !b.settings.faults.noClaims
 }
 
-// claim is this VM's share of the target's slots that bulk may take. What is left
-// of it below one slot is claimed on as large a part of the targets, which
-// changes from term to term.
+// claim is this VM's share of the target's slots that bulk may take.
 func (t *target) claim(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed(now) != "" {
 		return 0
 	}
-	open := t.open(config.Bulk, t.slots(now))
-	whole, rest := open/t.sharers, open%t.sharers
-	term := strconv.FormatInt(now.UnixNano()/int64(claimTerm), 10)
-	draw := xxhash.Sum64String(t.name + "/" + strconv.Itoa(t.balancer.vmIndex()) + "/" + term)
-	if draw%uint64(t.sharers) < uint64(rest) {
-		whole++
-	}
-	return whole
+	return t.part.share(t.open(config.Bulk, t.slots(now)))
 }
 
 // noteDenied records that a request found no slot on the target.
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -123,7 +123,7 @@
 func (t *target) isClosed() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.blocked() != "" || t.outside
+	return t.blocked() != "" || t.part.outside
 }
 
 func (b *Balancer) release(t *target, r Result, started time.Time) {
--- a/internal/balance/rebuild.go
+++ b/internal/balance/rebuild.go
@@ -23,17 +23,15 @@
 func (b *Balancer) rebuildGroup(next *view, key groupKey, members []*config.Target) {
 	p := b.poolIn(next, key.pool)
 	g := b.group(key)
-	chosen := inSubset(members, b.peers(), b.vmIndex(), b.settings)
-	sharers := sharersOf(members, b.peers(), b.settings)
-	rooms := headrooms(members, b.settings)
 	var used []*target
-	for i, c := range members {
+	for i, part := range b.allot(members) {
+		c := members[i]
 		t := b.state(c)
 		next.targets[c.Name] = t
 		t.group.Store(g)
 		t.prefixes.Store(p.prefixes)
-		b.configure(t, c, rooms[i], sharers, !chosen[c.Name])
-		if chosen[c.Name] {
+		b.configure(t, c, part)
+		if !part.outside {
 			used = append(used, t)
 		}
 	}
@@ -41,6 +39,24 @@
 	g.setTargets(used)
 }
 
+// allot works out this VM's part of each target of a group.
+func (b *Balancer) allot(members []*config.Target) []allotment {
+	parts := subsetParts(members, b.peers(), b.settings)
+	chosen := inSubset(members, b.peers(), b.vmIndex(), b.settings)
+	rooms := headrooms(members, b.settings)
+	allotted := make([]allotment, len(members))
+	for i, c := range members {
+		allotted[i] = allotment{
+			headroom: rooms[i],
+			sharers:  (b.peers() + parts - 1) / parts,
+			turn:     b.vmIndex() / parts,
+			place:    i,
+			outside:  !chosen[c.Name],
+		}
+	}
+	return allotted
+}
+
 func (b *Balancer) poolIn(v *view, name string) *pool {
 	if p := v.pools[name]; p != nil {
 		return p
@@ -63,21 +79,19 @@
 func (b *Balancer) state(c *config.Target) *target {
 	t := b.states[c.Name]
 	if t == nil {
-		t = &target{balancer: b, name: c.Name, sharers: 1}
+		t = &target{balancer: b, name: c.Name, part: allotment{sharers: 1}}
 		t.config.Store(c)
 		b.states[c.Name] = t
 	}
 	return t
 }
 
-func (b *Balancer) configure(t *target, c *config.Target, room [config.UrgencyCount]int, sharers int, outside bool) {
+func (b *Balancer) configure(t *target, c *config.Target, part allotment) {
 	t.changeQuietly(func(time.Time) {
 		t.config.Store(c)
-		t.headroom = room
-		t.sharers = sharers
+		t.part = part
 		t.removed = false
 		t.leaving = b.leaving[c.Name]
-		t.outside = outside
 	})
 }
 
--- a/internal/balance/refresh.go
+++ b/internal/balance/refresh.go
@@ -50,7 +50,7 @@
 func (t *target) limit(u config.Urgency, slots int, others float64, now time.Time) int {
 	open := t.open(u, slots)
 	borrowed := open - int(math.Round(others))
-	limit := max(borrowed, open/t.sharers)
+	limit := max(borrowed, t.part.share(open))
 	if t.busy.holds(now) {
 		limit = min(limit, t.busy.cap)
 	}
@@ -65,7 +65,7 @@
 	if t.balancer.settings.faults.noHeadroom {
 		return slots
 	}
-	return max(slots-t.headroom[u], 0)
+	return max(slots-t.part.headroom[u], 0)
 }
 
 // probeCap is what a half-open target may have in flight.
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -9,7 +9,7 @@
 const (
 	DefaultChoices          = 2
 	DefaultUrgentShare      = 0.1
-	DefaultNormalShare      = 0.1
+	DefaultNormalShare      = 0.05
 	DefaultMinSlotsPerVM    = 2
 	DefaultMinSubset        = 12
 	DefaultReportFresh      = time.Second
--- a/internal/balance/subset.go
+++ b/internal/balance/subset.go
@@ -26,12 +26,6 @@
 	return max(len(members)/subsetSize(members, peers, s), 1)
 }
 
-// sharersOf is the number of VMs that use each target of the group.
-func sharersOf(members []*config.Target, peers int, s Settings) int {
-	parts := subsetParts(members, peers, s)
-	return (peers + parts - 1) / parts
-}
-
 // inSubset returns the names of the group's targets that the VM with that index
 // uses. The VMs are taken in rounds. Within a round the targets are ranked by
 // rendezvous hash with the round's number and cut into one part for each VM, so
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -44,13 +44,10 @@
 	cacheTrust      atomic.Uint64
 	cacheHeard      atomic.Int64
 
-	mu       sync.Mutex // guards the fields below
-	headroom [config.UrgencyCount]int
-	// sharers is the number of VMs that have the target in their subset.
-	sharers int
+	mu      sync.Mutex // guards the fields below
+	part    allotment
 	removed bool
 	leaving bool
-	outside bool
 	load    loadView
 	health  health
 	cache   cacheView
@@ -101,7 +98,7 @@
 	if reason := t.blocked(); reason != "" {
 		return reason
 	}
-	if t.outside {
+	if t.part.outside {
 		return ReasonOutsideSubset
 	}
 	if t.health.ejected(now) {
