--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -28,6 +28,8 @@
 	settings = settings.withDefaults()
 	dialer := &net.Dialer{Timeout: settings.ConnectTimeout}
 	transport := &http.Transport{
+		TLSClientConfig:     settings.TLS,
+		TLSHandshakeTimeout: settings.ConnectTimeout,
 		DialContext:         dialer.DialContext,
 		IdleConnTimeout:     settings.IdleTimeout,
 		MaxIdleConns:        settings.MaxIdle,
--- a/internal/platform/httpplatform/settings.go
+++ b/internal/platform/httpplatform/settings.go
@@ -1,6 +1,9 @@
 package httpplatform
 
-import "time"
+import (
+	"crypto/tls"
+	"time"
+)
 
 // The defaults of Settings.
 const (
@@ -15,6 +18,8 @@
 type Settings struct {
 	// BaseURL is the service's, such as "http://10.0.0.1:7000".
 	BaseURL string
+	// TLS is used for an https BaseURL; nil takes the system's roots.
+	TLS *tls.Config
 	// ConnectTimeout bounds opening a connection.
 	ConnectTimeout time.Duration
 	// AttemptTimeout bounds one request from taking its connection to its last byte.
