--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -28,6 +28,8 @@
 	prefixes map[string]*prefixIndex
 	leaving  map[string]bool
 	peerLoad map[string]peerLoad
+	// expiring is set while a look for silent peers is due.
+	expiring bool
 }
 
 // New returns a balancer without targets.
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -351,3 +351,26 @@
 		}
 	}
 }
+
+// A peer says that it fills a target, then dies. Its slots come free here once its
+// word has expired, and what waits for a slot is told.
+func TestSilentPeerHoldsNoSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer(Settings{}, services(1, 4))
+		b.SetSubset(2, 0)
+		var freed atomic.Int64
+		b.OnFree(func(string) { freed.Add(1) })
+		b.PeerLoad("dead", map[string]int{"t000": 4})
+		if got := len(pickAll(b, config.Urgent)); got != 2 {
+			t.Errorf("%d slots beside a full peer, want the share of 2", got)
+		}
+		time.Sleep(2 * DefaultPeerExpiry)
+		synctest.Wait()
+		if freed.Load() != 1 {
+			t.Errorf("told %d times", freed.Load())
+		}
+		if got := len(pickAll(b, config.Urgent)); got != 2 {
+			t.Errorf("%d more slots after the peer expired, want 2", got)
+		}
+	})
+}
--- a/internal/balance/peer_load.go
+++ b/internal/balance/peer_load.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// peerSweeps is how often silent peers are looked for in PeerExpiry.
+const peerSweeps = 4
+
 // peerLoad is what one peer said last.
 type peerLoad struct {
 	received time.Time
@@ -19,15 +22,42 @@
 func (b *Balancer) takePeerLoad(vm string, inFlight map[string]int) (opened map[string]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
 	opened = map[string]bool{}
-	b.setPeer(vm, peerLoad{received: now, inFlight: inFlight}, opened)
-	for other, load := range b.peerLoad {
+	b.setPeer(vm, peerLoad{received: time.Now(), inFlight: inFlight}, opened)
+	b.scheduleExpiry()
+	return opened
+}
+
+// scheduleExpiry arms the timer that drops what silent peers said. A peer that
+// died holds no slots; without the timer its last counts would close them here
+// for good if no other peer is heard either. b.mu is held.
+func (b *Balancer) scheduleExpiry() {
+	if len(b.peerLoad) == 0 || b.expiring {
+		return
+	}
+	b.expiring = true
+	time.AfterFunc(b.settings.PeerExpiry/peerSweeps, b.expirePeers)
+}
+
+func (b *Balancer) expirePeers() {
+	for pool := range b.dropSilentPeers() {
+		b.freedPool(pool)
+	}
+}
+
+func (b *Balancer) dropSilentPeers() (opened map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	opened = map[string]bool{}
+	now := time.Now()
+	b.expiring = false
+	for vm, load := range b.peerLoad {
 		if now.Sub(load.received) >= b.settings.PeerExpiry {
-			b.setPeer(other, peerLoad{}, opened)
-			delete(b.peerLoad, other)
+			b.setPeer(vm, peerLoad{}, opened)
+			delete(b.peerLoad, vm)
 		}
 	}
+	b.scheduleExpiry()
 	return opened
 }
 
