Bound callers' connections, and run streams in virtual time

Cause: a tick that waited for a write to a caller that does not read piled up behind the stream's lock; a panic in an open stream wrote a problem body into it; connections were not bounded. Change: a tick that meets a write goes on; a broken stream ends with its error and outcome; connections above a limit are answered with a refusal and above twice the limit closed; TCP_USER_TIMEOUT beneath; HTTP/1.1 only. The tests of slow engines and slow callers run over pipes in virtual time. Own cancelling after a failed write is gone, since net/http does it. A test that an authority taken out of the file is refused on a resumed session as well.

--- a/internal/api/call.go
+++ b/internal/api/call.go
@@ -14,7 +14,7 @@
 		x.refuse(failure)
 		return
 	}
-	result, err := x.router.Call(x.ctx, request)
+	result, err := x.router.Call(x.r.Context(), request)
 	if err != nil {
 		x.fail(failureOf(err))
 		return
--- a/internal/api/exchange.go
+++ b/internal/api/exchange.go
@@ -1,7 +1,7 @@
 package api
 
 import (
-	"context"
+	"cmp"
 	"net/http"
 	"time"
 
@@ -18,23 +18,23 @@
 	r       *http.Request
 	w       http.ResponseWriter
 	control *http.ResponseController
-	ctx     context.Context
-	cancel  context.CancelFunc
 	id      string
 	arrival time.Time
 	// profile is known once the body or path has been read.
 	profile string
 	// param gives a parameter of the path.
 	param func(string) string
+	// broken answers when a bug broke the request off; a stream that is open sets
+	// its own.
+	broken func(*outcome.Failure)
 }
 
 // exchange returns the iris handler that answers by f.
 func (h *handler) exchange(f func(*exchange)) iris.Handler {
 	return func(c iris.Context) {
 		x := h.begin(c)
-		defer x.cancel()
 		defer x.recoverPanic()
-		if failure := x.checkHead(); failure != nil {
+		if failure := cmp.Or(x.checkConnection(), x.checkHead()); failure != nil {
 			x.refuse(failure)
 			return
 		}
@@ -52,7 +52,7 @@
 		arrival: time.Now(),
 		param:   c.Params().Get,
 	}
-	x.ctx, x.cancel = context.WithCancel(x.r.Context())
+	x.broken = x.fail
 	x.w.Header().Set(HeaderRequestID, x.id)
 	x.w.Header().Set("Cache-Control", "no-store")
 	x.leaveConnection()
@@ -76,7 +76,7 @@
 		return
 	}
 	x.options.Logger.Error("request panicked", zap.String("requestId", x.id), zap.Any("cause", cause), zap.Stack("stack"))
-	x.fail(outcome.Uncertain(outcome.ReasonInternal, "The router failed while it worked on the request."))
+	x.broken(outcome.Uncertain(outcome.ReasonInternal, "The router failed while it worked on the request."))
 }
 
 // boundWrite gives the next write to the caller a deadline. Without it a caller
--- a/internal/api/head.go
+++ b/internal/api/head.go
@@ -16,6 +16,15 @@
 	perHeaderBytes = 4
 )
 
+// checkConnection refuses the requests of a connection above the limit.
+func (x *exchange) checkConnection() *outcome.Failure {
+	if !aboveLimit(x.r.Context()) {
+		return nil
+	}
+	x.w.Header().Set("Connection", "close")
+	return outcome.Refuse(outcome.ReasonOverloaded, "Too many connections are open.").WithRetryAfter(time.Second)
+}
+
 // checkHead refuses a head that is too long. The server's own bound, which closes
 // the connection without a problem body, is far above this one.
 func (x *exchange) checkHead() *outcome.Failure {
--- /dev/null
+++ b/internal/api/listener.go
@@ -0,0 +1,108 @@
+package api
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	keepAliveIdle     = 15 * time.Second
+	keepAliveInterval = 5 * time.Second
+	keepAliveCount    = 3
+	// userTimeout bounds how long bytes that were sent may stay unacknowledged.
+	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
+	// closeFactor times the limit on connections is the count at which new ones are
+	// closed without an answer.
+	closeFactor = 2
+)
+
+// limitListener counts connections. Those above the limit are accepted and their
+// requests refused: to leave them waiting to be accepted would put urgent callers,
+// and the balancer's probes, in a line behind idle ones.
+type limitListener struct {
+	*net.TCPListener
+	limit int64
+	open  atomic.Int64
+}
+
+func listen(address string, limit int) (*limitListener, error) {
+	config := net.ListenConfig{
+		Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &limitListener{TCPListener: listener.(*net.TCPListener), limit: int64(limit)}, nil
+}
+
+// setUserTimeout ends connections to callers that have silently gone while bytes
+// are on the way to them, where keep-alive probes are not sent. Accepted
+// connections inherit it.
+func setUserTimeout(_, _ string, conn syscall.RawConn) error {
+	var failed error
+	err := conn.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		open := l.open.Add(1)
+		if open <= closeFactor*l.limit {
+			return &countedConn{TCPConn: conn, listener: l, above: open > l.limit}, nil
+		}
+		l.open.Add(-1)
+		_ = conn.Close()
+	}
+}
+
+// countedConn embeds the TCP connection, not net.Conn, since net/http looks for
+// CloseWrite: without it a caller that is refused while it still sends its body
+// would see a reset in place of the answer.
+type countedConn struct {
+	*net.TCPConn
+	listener *limitListener
+	above    bool
+	once     sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.listener.open.Add(-1) })
+	return c.TCPConn.Close()
+}
+
+type aboveLimitKey struct{}
+
+// connContext marks the requests of connections above the limit.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	if counted, ok := conn.(*countedConn); ok && counted.above {
+		return context.WithValue(ctx, aboveLimitKey{}, true)
+	}
+	return ctx
+}
+
+func aboveLimit(ctx context.Context) bool { return ctx.Value(aboveLimitKey{}) != nil }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
-	"time"
+
+	"go.uber.org/zap"
 )
 
 // headLimitFactor is how far the server's own bound on a head lies above the one
@@ -31,13 +33,33 @@
 			IdleTimeout:       o.IdleTimeout,
 			MaxHeaderBytes:    headLimitFactor * o.MaxHeaderBytes,
 			TLSConfig:         o.TLS,
+			Protocols:         onlyHTTP1(),
+			ConnContext:       connContext,
+			ErrorLog:          errorLog(o.Logger),
 		},
 	}
 }
 
+// onlyHTTP1 keeps each request on a connection of its own while it is in hand: on
+// one shared connection a caller's urgent answer would wait behind its slow ones.
+func onlyHTTP1() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	return protocols
+}
+
+// errorLog takes what net/http has to say of single connections.
+func errorLog(logger *zap.Logger) *log.Logger {
+	standard, err := zap.NewStdLogAt(logger.Named("callers"), zap.DebugLevel)
+	if err != nil {
+		panic(err) // the level is a constant that the library knows
+	}
+	return standard
+}
+
 // Start listens and serves in the background. It returns the address in use.
 func (s *Server) Start() (net.Addr, error) {
-	listener, err := s.listen()
+	listener, err := listen(s.address, s.options.MaxConnections)
 	if err != nil {
 		return nil, err
 	}
@@ -45,13 +67,6 @@
 	return listener.Addr(), nil
 }
 
-func (s *Server) listen() (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3,
-	}}
-	return config.Listen(context.Background(), "tcp", s.address)
-}
-
 func (s *Server) serve(listener net.Listener) {
 	var err error
 	if s.options.TLS != nil {
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -12,6 +12,7 @@
 type stream struct {
 	x       *exchange
 	encoder *encoder
+	ticker  *time.Timer
 
 	mu      sync.Mutex // guards the fields below
 	opened  bool
@@ -21,14 +22,14 @@
 	written time.Time
 	// bounded is when the write deadline was set.
 	bounded time.Time
-	ticker  *time.Timer
 }
 
 func (x *exchange) stream(g *generation) {
 	s := &stream{x: x, encoder: newEncoder(g)}
+	x.broken = s.fail
 	s.start()
 	defer s.stop()
-	result, err := x.router.Generate(x.ctx, g.GenerateRequest, s)
+	result, err := x.router.Generate(x.r.Context(), g.GenerateRequest, s)
 	if err != nil {
 		s.fail(failureOf(err))
 		return
@@ -36,10 +37,10 @@
 	s.complete(result.Finish)
 }
 
+// start sets the ticker before it can fire, so that tick may use it unlocked.
 func (s *stream) start() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ticker = time.AfterFunc(s.x.options.StreamHeadWait, s.tick)
+	s.ticker = time.AfterFunc(time.Hour, s.tick)
+	s.ticker.Reset(s.x.options.StreamHeadWait)
 }
 
 // Token implements router.TokenSink. Its error says that the caller has gone.
@@ -53,7 +54,10 @@
 // tick opens a stream whose first token is slow, and sends a comment on one that
 // has had nothing to send.
 func (s *stream) tick() {
-	s.mu.Lock()
+	if !s.mu.TryLock() { // a write is under way, so there is nothing to say
+		s.ticker.Reset(s.x.options.CommentInterval)
+		return
+	}
 	defer s.mu.Unlock()
 	if s.ended || s.err != nil {
 		return
@@ -67,8 +71,8 @@
 	s.ticker.Reset(s.x.options.CommentInterval - quiet)
 }
 
-// send writes the buffer out. Once a write has failed the request is cancelled,
-// for nobody reads what would come.
+// send writes the buffer out. When a write fails net/http cancels the request's
+// context as well.
 func (s *stream) send() error {
 	if s.err != nil {
 		return s.err
@@ -81,7 +85,6 @@
 	}
 	if err != nil {
 		s.err = err
-		s.x.cancel()
 	}
 	return err
 }
@@ -136,8 +139,8 @@
 	s.x.w.Header().Set(HeaderOutcome, o.String())
 }
 
-// stop ends the ticker. A tick that is under way holds the lock; after it the
-// writer is not touched again.
+// stop ends the ticker. After it the writer is not touched again, also by a tick
+// that is under way: it holds the lock, or finds the stream ended.
 func (s *stream) stop() {
 	s.ticker.Stop()
 	s.mu.Lock()
--- /dev/null
+++ b/internal/api/virtual_test.go
@@ -0,0 +1,215 @@
+package api
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/router"
+)
+
+// pipeListener accepts connections that are pipes within the process, so that
+// whole exchanges run in virtual time.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe", Net: "pipe"} }
+
+func (l *pipeListener) dial() net.Conn {
+	server, client := net.Pipe()
+	l.conns <- server
+	return client
+}
+
+// inVirtualTime runs test against a server over pipes.
+func inVirtualTime(t *testing.T, f *fakeRouter, o Options, test func(t *testing.T, l *pipeListener)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		server := NewServer("", f, o)
+		go server.serve(listener)
+		test(t, listener)
+		server.Close()
+		synctest.Wait()
+	})
+}
+
+const streamBody = `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`
+
+func send(t *testing.T, conn net.Conn, body string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://127.0.0.1"+pathChat, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func receive(t *testing.T, conn net.Conn) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+// The first token takes 17 s and the next one 17 s more, longer than all bounds on
+// reading and writing. The caller gets the status after 5 s and a comment for each
+// 5 s of silence, so that it can tell slow from silent, and then the whole answer:
+// no bound that is meant for a caller ends a request whose engine is slow.
+func TestSlowStreamCarriesComments(t *testing.T) {
+	f := &fakeRouter{generate: func(ctx context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		for i := range 2 {
+			select {
+			case <-ctx.Done():
+				return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonCallerGone, "Gone.")
+			case <-time.After(17 * time.Second):
+			}
+			if err := sink.Token(i, "t"); err != nil {
+				return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonCallerGone, "Gone.").WithCause(err)
+			}
+		}
+		return router.GenerateResult{Tokens: 2, Finish: "stop"}, nil
+	}}
+	inVirtualTime(t, f, Options{}, func(t *testing.T, l *pipeListener) {
+		conn := l.dial()
+		defer conn.Close()
+		began := time.Now()
+		send(t, conn, streamBody)
+		response := receive(t, conn)
+		if took := time.Since(began); took != 5*time.Second {
+			t.Errorf("the status came after %s", took)
+		}
+		events, comments := readEvents(t, response.Body)
+		if comments != 6 {
+			t.Errorf("%d comments, want those at 5, 10, 15, 22, 27 and 32 s", comments)
+		}
+		if len(events) != 5 || parseChunk(t, events[3].data).Outcome != "complete" {
+			t.Errorf("events %q", events)
+		}
+	})
+}
+
+// A caller opens a stream and never reads. A token's write ends at the deadline,
+// and the request with it; an unbounded write would hold the engines' slots for good.
+func TestWriteToSilentCallerEnds(t *testing.T) {
+	var failed error
+	var cancelled bool
+	f := &fakeRouter{generate: func(ctx context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		for i := 0; failed == nil && i < 100; i++ {
+			failed = sink.Token(i, strings.Repeat("x", 10000))
+		}
+		cancelled = ctx.Err() != nil
+		return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonCallerGone, "Gone.")
+	}}
+	inVirtualTime(t, f, Options{}, func(t *testing.T, l *pipeListener) {
+		conn := l.dial()
+		defer conn.Close()
+		send(t, conn, streamBody)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if failed == nil || !cancelled {
+			t.Errorf("write error %v, context cancelled %t", failed, cancelled)
+		}
+	})
+}
+
+// A caller sends half a body and no more. It is refused not-run at the bound and
+// its connection closed.
+func TestHalfBodyIsRefused(t *testing.T) {
+	inVirtualTime(t, &fakeRouter{}, Options{}, func(t *testing.T, l *pipeListener) {
+		conn := l.dial()
+		defer conn.Close()
+		if _, err := conn.Write([]byte("POST " + pathChat + " HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{")); err != nil {
+			t.Fatal(err)
+		}
+		response := receive(t, conn)
+		expectProblem(t, response, http.StatusBadRequest, outcome.NotRun, outcome.ReasonBadRequest)
+		if !response.Close {
+			t.Error("the connection is kept, with a body of unknown end on it")
+		}
+	})
+}
+
+// One connection carries a slow request and then, after a pause longer than the
+// write bound, another one. The deadline left over from the first must not break
+// the second one's answer.
+func TestDeadlineOfOneAnswerSparesTheNext(t *testing.T) {
+	f := &fakeRouter{generate: tokens("a")}
+	inVirtualTime(t, f, Options{}, func(t *testing.T, l *pipeListener) {
+		conn := l.dial()
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for i := range 2 {
+			send(t, conn, streamBody)
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatalf("request %d: %v", i, err)
+			}
+			if events, _ := readEvents(t, response.Body); len(events) != 4 {
+				t.Fatalf("request %d: events %q", i, events)
+			}
+			time.Sleep(30 * time.Second)
+		}
+	})
+}
+
+// A bug panics in the middle of a stream. The caller sees an error chunk and the
+// outcome, not an end of file that looks like an answer.
+func TestPanicInOpenStream(t *testing.T) {
+	f := &fakeRouter{generate: func(_ context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		_ = sink.Token(0, "a")
+		panic("bug")
+	}}
+	inVirtualTime(t, f, Options{}, func(t *testing.T, l *pipeListener) {
+		conn := l.dial()
+		defer conn.Close()
+		send(t, conn, streamBody)
+		events, _ := readEvents(t, receive(t, conn).Body)
+		if len(events) != 3 || parseChunk(t, events[2].data).Outcome != "unknown" {
+			t.Errorf("events %q", events)
+		}
+	})
+}
+
+// A VM is stopping. Requests on kept connections are still answered, and their
+// callers told to open new ones, which the balancer sends elsewhere.
+func TestUnreadyLeavesConnections(t *testing.T) {
+	f := &fakeRouter{generate: tokens("a")}
+	f.unready.Store(true)
+	inVirtualTime(t, f, Options{}, func(t *testing.T, l *pipeListener) {
+		conn := l.dial()
+		defer conn.Close()
+		send(t, conn, `{"model":"d","messages":[{"role":"user","content":"x"}]}`)
+		if response := receive(t, conn); response.StatusCode != 200 || !response.Close {
+			t.Errorf("status %d, close %t", response.StatusCode, response.Close)
+		}
+	})
+}
--- a/internal/api/whole.go
+++ b/internal/api/whole.go
@@ -51,7 +51,7 @@
 // whole answers once the last token is there.
 func (x *exchange) whole(g *generation) {
 	sink := &wholeSink{}
-	result, err := x.router.Generate(x.ctx, g.GenerateRequest, sink)
+	result, err := x.router.Generate(x.r.Context(), g.GenerateRequest, sink)
 	if err != nil {
 		x.fail(failureOf(err))
 		return
--- a/internal/security/tls_source.go
+++ b/internal/security/tls_source.go
@@ -24,10 +24,9 @@
 func (s *TLSSource) Close() { s.pair.close() }
 
 // ServerConfig returns the configuration of a listener. With a CA file it demands
-// a client certificate. Sessions are not resumed: a resumed one would let in a
-// client whose authority has been taken out of the file.
+// a client certificate.
 func (s *TLSSource) ServerConfig() *tls.Config {
-	base := &tls.Config{MinVersion: tls.VersionTLS13, SessionTicketsDisabled: true}
+	base := &tls.Config{MinVersion: tls.VersionTLS13}
 	if s.pair.get().authorities != nil {
 		base.ClientAuth = tls.RequireAndVerifyClientCert
 	}
--- a/internal/security/tls_test.go
+++ b/internal/security/tls_test.go
@@ -39,7 +39,7 @@
 		conn, err := listener.Accept()
 		if err == nil {
 			defer conn.Close()
-			err = tls.Server(conn, server).HandshakeContext(context.Background())
+			_, err = tls.Server(conn, server).Write([]byte{1})
 		}
 		served <- err
 	}()
@@ -51,13 +51,13 @@
 	err = conn.HandshakeContext(context.Background())
 	if err == nil {
 		serial = conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
-	} else {
-		raw.Close()
+		// The session that could be resumed comes before the first byte.
+		_, err = conn.Read(make([]byte, 1))
 	}
+	raw.Close()
 	if serverErr := <-served; err == nil {
 		err = serverErr
 	}
-	raw.Close()
 	return serial, err
 }
 
@@ -167,6 +167,29 @@
 	}
 }
 
+// An authority is taken out of the file, as after the loss of its key. A client
+// with a certificate of it is refused at its next connection, also when it has
+// kept a session that it could resume without showing the certificate again.
+func TestAuthorityIsTakenOut(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	directory := t.TempDir()
+	serverFiles, _ := ours.write(directory, "127.0.0.1")
+	clientFiles, _ := ours.write(t.TempDir(), "10.0.0.1")
+	results := make(chan error, 100)
+	source := newSource(t, serverFiles, Options{Reloaded: func(err error) { results <- err }})
+	server := source.ServerConfig()
+	client := newSource(t, clientFiles, Options{}).ClientConfig("127.0.0.1")
+	client.ClientSessionCache = tls.NewLRUClientSessionCache(1)
+	if _, err := handshake(t, server, client); err != nil {
+		t.Fatal(err)
+	}
+	ours.writePEM(serverFiles.CA, "CERTIFICATE", theirs.cert.Raw)
+	waitFor(t, results, true)
+	if _, err := handshake(t, server, client); err == nil {
+		t.Error("a client of the authority that was taken out is let in")
+	}
+}
+
 func waitFor(t *testing.T, results <-chan error, ok bool) {
 	t.Helper()
 	for range 100 {
