Write urgent claims ahead of bulk ones

Claims waited for a group in order of arrival, a line in which an urgent one could stand behind bulk. They wait by urgency now, and a quarter of the queue is for urgent ones alone.

--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/platform"
@@ -218,6 +220,39 @@
 	})
 }
 
+// A long line of bulk claims waits for a slow table, and has filled its part of the
+// queue. An urgent claim is written next, and not refused for the queue.
+func TestUrgentClaimGoesAheadOfBulk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		store.Faults.Set(platformsim.Order{SlowBy: config.Duration(100 * time.Millisecond)})
+		const queue = 16
+		v := newVM(t, store, "vm-1", Settings{MaxGroup: 1, MaxInFlight: 1, MaxQueued: queue, Timeout: time.Hour})
+		var bulk sync.WaitGroup
+		var won, refused atomic.Int64
+		for n := range 2 * queue {
+			bulk.Go(func() {
+				d := v.Claim(t.Context(), Key{Key: fmt.Sprint(n)}, fmt.Sprint("b", n), testDigest, time.Now().Add(testDeadline))
+				if d.Run {
+					won.Add(1)
+				} else {
+					refused.Add(1)
+				}
+			})
+			synctest.Wait()
+		}
+		if refused.Load() == 0 {
+			t.Fatal("the bulk claims do not fill their part of the queue")
+		}
+		urgent := WithUrgency(t.Context(), config.Urgent)
+		mustRun(t, v.Claim(urgent, testKey, "urgent", testDigest, time.Now().Add(testDeadline)))
+		if won.Load() > 2 {
+			t.Fatalf("%d bulk claims went first", won.Load())
+		}
+		bulk.Wait()
+	})
+}
+
 // The caller leaves while its request waits for a target. The request is refused, and
 // the tombstone is written all the same: a copy may still come.
 func TestTombstoneOfACallerWhoLeft(t *testing.T) {
--- a/internal/claim/group_writer.go
+++ b/internal/claim/group_writer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/platform"
 )
 
@@ -34,6 +35,7 @@
 // pendingRow is a row on its way into the table.
 type pendingRow struct {
 	newRow
+	urgency config.Urgency
 	// done takes the row's result once; it has room for it.
 	done chan error
 }
@@ -46,7 +48,7 @@
 	if !healthy(w.table) {
 		return &platform.UnavailableError{Operation: "claim", Cause: errTableOut}
 	}
-	pending := &pendingRow{newRow: row, done: make(chan error, 1)}
+	pending := &pendingRow{newRow: row, urgency: urgencyOf(ctx), done: make(chan error, 1)}
 	if !w.enqueue(pending) {
 		return &platform.UnavailableError{Operation: "claim", Cause: errQueueFull}
 	}
@@ -61,14 +63,32 @@
 func (w *groupWriter) enqueue(pending *pendingRow) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.queue) >= w.settings.MaxQueued {
+	if len(w.queue) >= w.room(pending.urgency) {
 		return false
 	}
-	w.queue = append(w.queue, pending)
+	w.queue = slices.Insert(w.queue, w.place(pending.urgency), pending)
 	w.collect()
 	return true
 }
 
+// room keeps the last quarter of the queue for urgent rows, so that a flood of others
+// cannot have them refused.
+func (w *groupWriter) room(urgency config.Urgency) int {
+	if urgency == config.Urgent {
+		return w.settings.MaxQueued
+	}
+	return w.settings.MaxQueued - w.settings.MaxQueued/4
+}
+
+// place is behind all rows that are at least as urgent.
+func (w *groupWriter) place(urgency config.Urgency) int {
+	at := len(w.queue)
+	for at > 0 && w.queue[at-1].urgency < urgency {
+		at--
+	}
+	return at
+}
+
 // abandon gives up a row. One that no group has taken was not and will not be sent;
 // any other may be written yet.
 func (w *groupWriter) abandon(ctx context.Context, pending *pendingRow) error {
