--- a/internal/plan/bound_test.go
+++ b/internal/plan/bound_test.go
@@ -62,7 +62,9 @@
 func checkSet(t rapid.TB, in Input, set *Set) {
 	t.Helper()
 	loads := map[limitKey]float64{}
+	weights := 0.0
 	for _, plan := range set.Plans {
+		weights += plan.Weight
 		if err := plan.Check(in.Model.Layers); err != nil {
 			t.Fatalf("%v: %v", plan, err)
 		}
@@ -74,6 +76,9 @@
 			t.Fatalf("%v carries %g of %g", key, load, limits[key])
 		}
 	}
+	if math.Abs(weights-set.Throughput()) > slack*weights {
+		t.Fatalf("weights sum to %g, not to %g", weights, set.Throughput())
+	}
 	if set.Throughput() > set.Bound*(1+slack) {
 		t.Fatalf("weights sum to %g above the bound %g", set.Throughput(), set.Bound)
 	}
--- a/internal/plan/chooser.go
+++ b/internal/plan/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"geraniumcroft/internal/config"
@@ -15,9 +16,12 @@
 // so that VMs with the same set do not all take the same plan at the same
 // moment. It is safe for concurrent use.
 type Chooser struct {
-	graph *graph
-	paths []weightedPath
-	total float64
+	graph   *graph
+	paths   []weightedPath
+	total   float64
+	latency prices
+	// eligible is set before the first Choose, or never.
+	eligible func(target string) bool
 
 	mu sync.Mutex // guards the fields below
 	// credit holds for each urgency what each path is owed; the levels have turns
@@ -36,6 +40,7 @@
 func NewChooser(set *Set, seed uint64) *Chooser {
 	random := rand.New(rand.NewPCG(seed, 0))
 	c := &Chooser{graph: set.graph, paths: set.paths, finder: newSearch(set.graph), tried: make([]bool, len(set.paths))}
+	c.latency = c.graph.latencyPrices()
 	for _, path := range c.paths {
 		c.total += path.weight
 	}
@@ -52,9 +57,15 @@
 	return c
 }
 
+// SetEligible tells the chooser which targets take work at all, busy or not. With
+// it, requests that are not urgent keep to the weights in a pool that is only
+// full. It must be called before the first Choose.
+func (c *Chooser) SetEligible(eligible func(target string) bool) { c.eligible = eligible }
+
 // Choose returns a plan whose targets are all usable and not excluded. It takes
-// the precomputed plan whose turn it is among those that are free; when none is,
-// it lays out the path of the least latency over what is usable.
+// the precomputed plan whose turn it is among those that are free. When none is,
+// it lays out the path of the least latency over what is usable, unless the
+// request had better wait; see SetEligible.
 func (c *Chooser) Choose(u config.Urgency, usable func(target string) bool, exclude map[string]bool) (Plan, bool) {
 	free := func(name string) bool { return !exclude[name] && usable(name) }
 	c.mu.Lock()
@@ -62,9 +73,36 @@
 	if plan, ok := c.chooseWeighted(u, free); ok {
 		return plan, true
 	}
+	if !c.mayLayOut(u, exclude) {
+		return Plan{}, false
+	}
 	return c.layOut(c.finder, c.graph.whole(), free)
 }
 
+// mayLayOut reports whether a request for which no precomputed path is free gets
+// one of its own. In a pool that is merely full, paths beside the weights take the
+// slots that the weighted ones wait for, and the pool as a whole makes fewer
+// tokens; so a request that is not urgent waits as long as some weighted path
+// stands and will come free. A request that comes back after a failure, and thus
+// excludes targets, does not wait.
+func (c *Chooser) mayLayOut(u config.Urgency, exclude map[string]bool) bool {
+	if u == config.Urgent || len(exclude) > 0 || c.eligible == nil {
+		return true
+	}
+	return !slices.ContainsFunc(c.paths, c.stands)
+}
+
+// stands reports whether every leg of the path has a member that takes work.
+func (c *Chooser) stands(p weightedPath) bool {
+	for _, l := range p.legs {
+		eligible := func(member *config.Target) bool { return c.eligible(member.Name) }
+		if !slices.ContainsFunc(c.graph.groups[l.group].members, eligible) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Chooser) chooseWeighted(u config.Urgency, free func(string) bool) (Plan, bool) {
 	credit := c.credit[u]
 	for i, path := range c.paths {
@@ -78,6 +116,7 @@
 		}
 		c.tried[best] = true
 		if plan, ok := c.graph.pick(c.paths[best].legs, free, c.turns); ok {
+			c.forgive(credit, credit[best])
 			credit[best] -= c.total
 			plan.Weight = c.paths[best].weight
 			return plan, true
@@ -87,6 +126,17 @@
 	return Plan{}, false
 }
 
+// forgive takes from the paths that were not free what they were owed above the
+// chosen one. Otherwise a path that was busy for long would get every request in
+// a row once it is free again.
+func (c *Chooser) forgive(credit []float64, most float64) {
+	for i, tried := range c.tried {
+		if tried {
+			credit[i] = min(credit[i], most)
+		}
+	}
+}
+
 func (c *Chooser) richest(credit []float64) int {
 	best := -1
 	for i, owed := range credit {
@@ -115,7 +165,7 @@
 		}
 		allowed[i] = count[i] > 0
 	}
-	legs, _, ok := finder.run(over, c.graph.latencyPrices(), allowed)
+	legs, _, ok := finder.run(over, c.latency, allowed)
 	if !ok {
 		return Plan{}, false
 	}
--- a/internal/plan/compute.go
+++ b/internal/plan/compute.go
@@ -1,5 +1,7 @@
 package plan
 
+import "slices"
+
 // Compute weighs plans for the input's model towards the bound. It returns a
 // *GapError when some layer has no usable target.
 func Compute(in Input) (*Set, error) {
@@ -9,19 +11,9 @@
 	}
 	s := newSolver(g)
 	s.solve()
-	set := &Set{Bound: s.bound * s.unit, graph: g, rows: s.rows, price: s.unitPrices()}
+	set := &Set{Bound: s.bound * s.unit, graph: g, rows: s.rows, price: slices.Clone(s.perUnit(s.proof))}
 	for _, c := range s.lp.columns() {
 		set.paths = append(set.paths, weightedPath{legs: c.legs, weight: c.weight * s.unit})
 	}
-	set.Plans = g.expand(set.paths)
-	return set, nil
-}
-
-// unitPrices returns the prices that prove the bound, for one unit of capacity.
-func (s *solver) unitPrices() []float64 {
-	price := make([]float64, len(s.proof))
-	for i, p := range s.proof {
-		price[i] = p * s.unit / s.rows.list[i].capacity
-	}
-	return price
+	return set.Expanded(), nil
 }
--- a/internal/plan/expand.go
+++ b/internal/plan/expand.go
@@ -10,8 +10,8 @@
 	plans []Plan
 	// stages is room for the plans' stages, taken at once.
 	stages []Stage
-	// turn is the member of each leg in the present piece.
-	turn []int
+	// legs are those of the present path.
+	legs []expandedLeg
 }
 
 func (g *graph) expand(paths []weightedPath) []Plan {
@@ -38,36 +38,63 @@
 }
 
 func (e *expansion) add(p weightedPath) {
-	e.turn = append(e.turn[:0], make([]int, len(p.legs))...)
+	e.start(p.legs)
 	for done := 0.0; done < 1; {
 		next := 1.0
-		for i, l := range p.legs {
-			next = min(next, e.end(i, l))
+		for i := range e.legs {
+			next = min(next, e.legs[i].end)
 		}
-		e.plans = append(e.plans, Plan{Stages: e.piece(p.legs), Weight: (next - done) * p.weight})
-		for i, l := range p.legs {
-			if e.end(i, l) == next {
-				e.turn[i]++
+		e.plans = append(e.plans, Plan{Stages: e.piece(), Weight: (next - done) * p.weight})
+		for i := range e.legs {
+			if e.legs[i].end == next {
+				e.legs[i].advance()
 			}
 		}
 		done = next
 	}
 }
 
-// end returns where the share of a leg's present member ends, as a part of the path.
-func (e *expansion) end(i int, l leg) float64 {
-	return float64(e.turn[i]+1) / float64(e.g.memberCount(l.group))
+// start puts each leg at its group's first member. A path that visits a group
+// again starts at the member after, so that no target has two stages.
+func (e *expansion) start(legs path) {
+	e.legs = e.legs[:0]
+	for i, l := range legs {
+		members := e.g.groups[l.group].members
+		e.legs = append(e.legs, expandedLeg{
+			layers: config.LayerRange{From: l.from, To: l.to}, members: members,
+			offset: legs[:i].uses(l.group), end: 1 / float64(len(members)),
+		})
+	}
 }
 
-// piece takes from each leg's group the member whose turn it is. A path that
-// visits a group again takes the member after, so that no target has two stages.
-func (e *expansion) piece(legs path) []Stage {
+// piece takes from each leg's group the member whose turn it is.
+func (e *expansion) piece() []Stage {
 	start := len(e.stages)
-	for i, l := range legs {
-		members := e.g.groups[l.group].members
-		at := (e.turn[i] + legs[:i].uses(l.group)) % len(members)
-		layers := config.LayerRange{From: l.from, To: l.to}
-		e.stages = append(e.stages, Stage{Target: members[at], Layers: layers})
+	for i := range e.legs {
+		e.stages = append(e.stages, Stage{Target: e.legs[i].member(), Layers: e.legs[i].layers})
 	}
 	return e.stages[start:len(e.stages):len(e.stages)]
 }
+
+// expandedLeg is a leg and how far its members have got their shares.
+type expandedLeg struct {
+	layers  config.LayerRange
+	members []*config.Target
+	// turn counts the members that have their share; offset shifts them all.
+	turn, offset int
+	// end is where the present member's share ends, as a part of the path.
+	end float64
+}
+
+func (l *expandedLeg) member() *config.Target {
+	at := l.turn + l.offset
+	if at >= len(l.members) {
+		at -= len(l.members)
+	}
+	return l.members[at]
+}
+
+func (l *expandedLeg) advance() {
+	l.turn++
+	l.end = float64(l.turn+1) / float64(len(l.members))
+}
--- a/internal/plan/path.go
+++ b/internal/plan/path.go
@@ -20,22 +20,6 @@
 	return count
 }
 
-// revisit returns the first and last leg of a group that the path visits more
-// often than the group has members; both are 0 when there is none.
-func (g *graph) revisit(p path) (first, last int) {
-	for first := range p {
-		if p.uses(p[first].group) <= g.memberCount(p[first].group) {
-			continue
-		}
-		for last := len(p) - 1; last > first; last-- {
-			if p[last].group == p[first].group {
-				return first, last
-			}
-		}
-	}
-	return 0, 0
-}
-
 // mergeRevisits joins the legs of a group that the path visits more often than
 // the group has members. An engine knows a request by its id and could not tell
 // two stages of it apart; the layers between lie within the engine's range, so
--- a/internal/plan/search.go
+++ b/internal/plan/search.go
@@ -4,16 +4,6 @@
 
 const noGroup = -1
 
-// prices are the cost of a path: for each group the cost of one layer, and for
-// each hop the cost of the link. All are zero or more.
-type prices struct {
-	layer []float64
-	// hop returns the cost of going from a group to a data centre.
-	hop func(from, zone int) float64
-	// namedHop returns the cost of going to a group that links name.
-	namedHop func(from, to int) float64
-}
-
 // span is what a path has to cover, and what it is joined to: the groups of the
 // stage before and the stage after, or noGroup.
 type span struct {
--- a/internal/plan/solve.go
+++ b/internal/plan/solve.go
@@ -1,7 +1,5 @@
 package plan
 
-import "slices"
-
 const (
 	// gapWanted ends the search when the weights reach this share below the bound.
 	gapWanted = 0.005
@@ -11,8 +9,6 @@
 	steadiness = 0.8
 	// minSteadiness ends the search for a path at mixed prices.
 	minSteadiness = 0.05
-	// maxDetours bounds the paths tried instead of one that visits an engine twice.
-	maxDetours = 3
 	// hopTie is spread over the links' prices, so that among paths of the same price
 	// the search prefers those that load links least.
 	hopTie = 1e-4
@@ -38,7 +34,9 @@
 	proof  []float64
 	steady []float64
 	mixed  []float64
-	pivots int
+	// unitPrice is mixed for one unit of capacity.
+	unitPrice []float64
+	pivots    int
 }
 
 func newSolver(g *graph) *solver {
@@ -46,6 +44,7 @@
 	s := &solver{
 		g: g, rows: r, lp: newPacking(len(r.list)), finder: newSearch(g), unit: g.layerBound(),
 		proof: make([]float64, len(r.list)), steady: make([]float64, len(r.list)), mixed: make([]float64, len(r.list)),
+		unitPrice: make([]float64, len(r.list)),
 	}
 	s.startBound()
 	copy(s.steady, s.proof)
@@ -110,7 +109,7 @@
 		if !ok || s.sum() >= s.bound*(1-gapWanted) {
 			return false
 		}
-		c := s.usable(legs, nil, maxDetours)
+		c := s.column(s.g.mergeRevisits(legs, s.g.memberCount))
 		if s.lp.cost(c) < 1-tolerance {
 			return s.lp.enterColumn(c)
 		}
@@ -129,47 +128,13 @@
 	for i := range links {
 		links[i] += hopTie / float64(len(links))
 	}
-	legs, cost, ok := s.finder.run(s.finder.g.whole(), s.g.rowPrices(s.rows, s.mixed, s.unit), nil)
+	legs, cost, ok := s.finder.run(s.finder.g.whole(), s.g.rowPrices(s.rows, s.perUnit(s.mixed)), nil)
 	if ok {
 		s.tighten(s.mixed, cost)
 	}
 	return legs, ok
 }
 
-// usable turns a path into one that visits no engine twice: the cheapest among
-// the path with the visits merged and the paths without the engine or without
-// those between its visits. The bound does not need this, for it holds for paths
-// with revisits too.
-func (s *solver) usable(legs path, banned []bool, detours int) *column {
-	first, last := s.g.revisit(legs)
-	merged := s.column(s.g.mergeRevisits(slices.Clone(legs), s.g.memberCount))
-	if first == last || detours == 0 {
-		return merged
-	}
-	best := s.detour(merged, legs[first:first+1], banned, detours)
-	return s.detour(best, legs[first+1:last], banned, detours)
-}
-
-// detour looks for a cheaper path than best without the groups of the legs.
-func (s *solver) detour(best *column, without path, banned []bool, detours int) *column {
-	allowed := slices.Clone(banned)
-	if allowed == nil {
-		allowed = slices.Repeat([]bool{true}, len(s.g.groups))
-	}
-	for _, l := range without {
-		allowed[l.group] = false
-	}
-	price := s.g.rowPrices(s.rows, s.mixed, s.unit)
-	legs, _, ok := s.finder.run(s.finder.g.whole(), price, allowed)
-	if !ok {
-		return best
-	}
-	if found := s.usable(legs, allowed, detours-1); s.lp.cost(found) < s.lp.cost(best) {
-		return found
-	}
-	return best
-}
-
 // tighten uses prices as a proof: scaled until every path costs at least 1, they
 // are a solution of the dual programme, and their sum is an upper bound. It holds
 // for every path, also for those that were never looked at.
@@ -198,23 +163,12 @@
 	return total
 }
 
-// rowPrices gives layers and hops the prices of the rows that they use.
-func (g *graph) rowPrices(r *rows, price []float64, unit float64) prices {
-	of := func(row int) float64 {
-		if row == noRow {
-			return 0
-		}
-		return price[row] * unit / r.list[row].capacity
-	}
-	layer := make([]float64, len(g.groups))
-	for i := range layer {
-		layer[i] = price[i] * unit / r.list[i].capacity
-	}
-	return prices{
-		layer:    layer,
-		hop:      func(from, zone int) float64 { return of(r.zoneRow[from][zone]) },
-		namedHop: func(from, to int) float64 { return of(r.namedRow[[2]int{from, to}]) },
+// perUnit turns prices of whole rows into prices of one unit of their capacity.
+func (s *solver) perUnit(price []float64) []float64 {
+	for i, p := range price {
+		s.unitPrice[i] = p * s.unit / s.rows.list[i].capacity
 	}
+	return s.unitPrice
 }
 
 func (s *solver) column(legs path) *column {
--- a/internal/plan/without.go
+++ b/internal/plan/without.go
@@ -19,8 +19,8 @@
 // Without returns a set that does without some targets, in much less time than a
 // Compute: weights are lowered where the rest of a group cannot carry them, and a
 // few paths are added over what lies idle. Its bound holds, but is proven with the
-// old set's prices and may be higher than that of a Compute. It returns a
-// *GapError when some layer has no target left.
+// old set's prices and may be higher than that of a Compute. The set has no Plans
+// until Expanded. It returns a *GapError when some layer has no target left.
 func (s *Set) Without(missing map[string]bool) (*Set, error) {
 	g := s.graph.without(missing)
 	if layer, ok := g.uncovered(); ok {
@@ -32,7 +32,6 @@
 	}
 	residual := next.keep(s.paths)
 	next.topUp(residual)
-	next.Plans = g.expand(next.paths)
 	return next, nil
 }
 
@@ -103,7 +102,7 @@
 	price := make([]float64, len(residual))
 	for range topUps {
 		s.priceResidual(residual, price, allowed)
-		legs, _, ok := finder.run(s.graph.whole(), s.graph.rowPrices(s.rows, price, 1), allowed)
+		legs, _, ok := finder.run(s.graph.whole(), s.graph.rowPrices(s.rows, price), allowed)
 		if !ok {
 			return
 		}
@@ -127,7 +126,7 @@
 		if limit.capacity > 0 {
 			left = max(0, residual[i]/limit.capacity)
 		}
-		price[i] = 1 / (left*left + spread*spread)
+		price[i] = 1 / (left*left + spread*spread) / max(limit.capacity, math.SmallestNonzeroFloat64)
 		if i < len(allowed) {
 			allowed[i] = left > leastResidual
 		}
