Believe a peer's counts until they change or the peer is gone

Cause: peers tell only changes, and membership reports a peer that is gone. The balancer's own expiry of 10 s dropped the counts of a peer with nothing but long streams, so this VM took its slots for free. A target that a peer knew of first started at zero and fell below it when the peer's work ended; it now starts with what peers have said.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,9 +28,7 @@
 	groups   map[groupKey]*group
 	prefixes map[string]*prefixIndex
 	leaving  map[string]bool
-	peerLoad map[string]peerLoad
-	// expiring is set while a look for silent peers is due.
-	expiring bool
+	peerLoad map[string]map[string]int
 }
 
 // New returns a balancer without targets.
@@ -41,7 +40,7 @@
 		states:     map[string]*target{},
 		groups:     map[groupKey]*group{},
 		prefixes:   map[string]*prefixIndex{},
-		peerLoad:   map[string]peerLoad{},
+		peerLoad:   map[string]map[string]int{},
 	}
 	b.peerCount.Store(1)
 	b.view.Store(&view{})
@@ -67,30 +66,44 @@
 // Update takes over a snapshot's targets. Targets that drain or are gone take no
 // new work when it returns.
 func (b *Balancer) Update(s *config.Snapshot) {
+	b.rebuildIf(func() bool {
+		b.snapshot = s
+		return true
+	})
+}
+
+// rebuildIf applies change under the lock and makes a new view if it says so. The
+// VM list and the membership are told again and again and seldom change.
+func (b *Balancer) rebuildIf(change func() bool) {
 	b.mu.Lock()
-	b.snapshot = s
-	b.rebuild()
+	changed := change()
+	if changed {
+		b.rebuild()
+	}
 	b.mu.Unlock()
-	b.freedAll()
+	if changed {
+		b.freedAll()
+	}
 }
 
 // SetSubset says how many VMs share the targets and which of them this one is.
 func (b *Balancer) SetSubset(peers, index int) {
-	b.mu.Lock()
-	b.peerCount.Store(int32(max(peers, 1)))
-	b.index.Store(int32(index))
-	b.rebuild()
-	b.mu.Unlock()
-	b.freedAll()
+	peers = max(peers, 1)
+	b.rebuildIf(func() bool {
+		changed := b.peers() != peers || b.vmIndex() != index
+		b.peerCount.Store(int32(peers))
+		b.index.Store(int32(index))
+		return changed
+	})
 }
 
 // SetLeaving says which targets the VM list shows as leaving.
 func (b *Balancer) SetLeaving(targets map[string]bool) {
-	b.mu.Lock()
-	b.leaving = targets
-	b.rebuild()
-	b.mu.Unlock()
-	b.freedAll()
+	b.rebuildIf(func() bool {
+		changed := !maps.Equal(b.leaving, targets)
+		b.leaving = maps.Clone(targets)
+		return changed
+	})
 }
 
 func (b *Balancer) freedAll() {
--- a/internal/balance/decision_bench_test.go
+++ b/internal/balance/decision_bench_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"geraniumcroft/internal/admission"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/engine"
 	"geraniumcroft/internal/invariant"
 )
 
@@ -105,7 +109,7 @@
 }
 
 // BenchmarkDecisionParallel measures decisions made by all processors at once, in
-// one pool, and urgent ones while all other processors decide bulk requests.
+// one pool.
 func BenchmarkDecisionParallel(b *testing.B) {
 	b.Run("one-pool", func(b *testing.B) {
 		d := newDecisions()
@@ -133,3 +137,36 @@
 		d.decide(config.Bulk, nil)
 	}
 }
+
+// BenchmarkControl measures what the view of 600 targets costs apart from
+// decisions: one report, one peer's counts of 60 targets that all changed, this
+// VM's own counts for the peers, and one change of the configuration.
+func BenchmarkControl(b *testing.B) {
+	d := newDecisions()
+	d.balancer.SetSubset(6, 0)
+	names := slices.Sorted(maps.Keys(d.balancer.snapshot.Targets))
+	b.Run("report", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			d.balancer.Report(names[i%benchTargets], engine.LoadReport{At: time.Now(), Active: i % benchSlots})
+		}
+	})
+	b.Run("peer-60-targets", func(b *testing.B) {
+		inFlight := map[string]int{}
+		for i := 0; b.Loop(); i++ {
+			for _, name := range names[:60] {
+				inFlight[name] = i % benchSlots
+			}
+			d.balancer.PeerLoad("peer", maps.Clone(inFlight))
+		}
+	})
+	b.Run("own-counts", func(b *testing.B) {
+		for b.Loop() {
+			d.balancer.InFlight()
+		}
+	})
+	b.Run("configuration", func(b *testing.B) {
+		for b.Loop() {
+			d.balancer.Update(d.balancer.snapshot)
+		}
+	})
+}
--- a/internal/balance/peer_load.go
+++ b/internal/balance/peer_load.go
@@ -1,17 +1,15 @@
 package balance
 
-import "time"
-
-// peerSweeps is how often silent peers are looked for in PeerExpiry.
-const peerSweeps = 4
-
-// peerLoad is what one peer said last.
-type peerLoad struct {
-	received time.Time
-	inFlight map[string]int
-}
-
-// PeerLoad takes what a peer has in flight at each target.
+import (
+	"maps"
+	"time"
+)
+
+// PeerLoad takes what a peer has in flight at each target. It holds until the next
+// call for that peer, however long that takes: a peer with nothing but long streams
+// has no change to tell. Whoever notices that the peer is gone says so with nil; a
+// peer that died holds no slots, and without that its last counts would close them
+// here for good.
 func (b *Balancer) PeerLoad(vm string, inFlight map[string]int) {
 	for pool := range b.takePeerLoad(vm, inFlight) {
 		b.freedPool(pool)
@@ -23,55 +21,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	opened = map[string]bool{}
-	b.setPeer(vm, peerLoad{received: time.Now(), inFlight: inFlight}, opened)
-	b.scheduleExpiry()
-	return opened
-}
-
-// scheduleExpiry arms the timer that drops what silent peers said. A peer that
-// died holds no slots; without the timer its last counts would close them here
-// for good if no other peer is heard either. b.mu is held.
-func (b *Balancer) scheduleExpiry() {
-	if len(b.peerLoad) == 0 || b.expiring {
-		return
-	}
-	b.expiring = true
-	time.AfterFunc(b.settings.PeerExpiry/peerSweeps, b.expirePeers)
-}
-
-func (b *Balancer) expirePeers() {
-	for pool := range b.dropSilentPeers() {
-		b.freedPool(pool)
-	}
-}
-
-func (b *Balancer) dropSilentPeers() (opened map[string]bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	opened = map[string]bool{}
-	now := time.Now()
-	b.expiring = false
-	for vm, load := range b.peerLoad {
-		if now.Sub(load.received) >= b.settings.PeerExpiry {
-			b.setPeer(vm, peerLoad{}, opened)
-			delete(b.peerLoad, vm)
-		}
-	}
-	b.scheduleExpiry()
-	return opened
-}
-
-func (b *Balancer) setPeer(vm string, load peerLoad, opened map[string]bool) {
 	before := b.peerLoad[vm]
-	b.peerLoad[vm] = load
-	for name, n := range load.inFlight {
-		b.addPeers(name, n-before.inFlight[name], opened)
+	for name, n := range inFlight {
+		b.addPeers(name, n-before[name], opened)
 	}
-	for name, n := range before.inFlight {
-		if _, still := load.inFlight[name]; !still {
+	for name, n := range before {
+		if _, still := inFlight[name]; !still {
 			b.addPeers(name, -n, opened)
 		}
 	}
+	if len(inFlight) == 0 {
+		delete(b.peerLoad, vm)
+	} else {
+		b.peerLoad[vm] = maps.Clone(inFlight)
+	}
+	return opened
 }
 
 func (b *Balancer) addPeers(name string, delta int, opened map[string]bool) {
--- a/internal/balance/rebuild.go
+++ b/internal/balance/rebuild.go
@@ -76,11 +76,16 @@
 	return b.groups[key]
 }
 
+// state returns the target's state. A new one starts with what peers have said,
+// as a peer may know the target, and send to it, before this VM does.
 func (b *Balancer) state(c *config.Target) *target {
 	t := b.states[c.Name]
 	if t == nil {
 		t = &target{balancer: b, name: c.Name, part: allotment{sharers: 1}}
 		t.config.Store(c)
+		for _, inFlight := range b.peerLoad {
+			t.load.peers += inFlight[c.Name]
+		}
 		b.states[c.Name] = t
 	}
 	return t
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -14,7 +14,6 @@
 	DefaultMinSubset        = 12
 	DefaultReportFresh      = time.Second
 	DefaultReportExpiry     = 10 * time.Second
-	DefaultPeerExpiry       = 10 * time.Second
 	DefaultBusyHold         = 250 * time.Millisecond
 	DefaultEjectAfter       = 3
 	DefaultEjectFor         = time.Second
@@ -44,8 +43,6 @@
 	// ReportExpiry the age from which it is not trusted at all.
 	ReportFresh  time.Duration
 	ReportExpiry time.Duration
-	// PeerExpiry is the age from which what a peer said is dropped.
-	PeerExpiry time.Duration
 	// BusyHold is how long a target that answered busy gets no more than it has.
 	BusyHold time.Duration
 	// EjectAfter failures in a row eject a target for EjectFor, doubled with each
@@ -92,7 +89,6 @@
 	setDefault(&s.MinSubset, DefaultMinSubset)
 	setDefault(&s.ReportFresh, DefaultReportFresh)
 	setDefault(&s.ReportExpiry, DefaultReportExpiry)
-	setDefault(&s.PeerExpiry, DefaultPeerExpiry)
 	setDefault(&s.BusyHold, DefaultBusyHold)
 	setDefault(&s.EjectAfter, DefaultEjectAfter)
 	setDefault(&s.EjectFor, DefaultEjectFor)
