--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -111,7 +111,7 @@
 	n.orders = orders.NewController(orders.Options{
 		Source: n.store, Leases: n.leases, Engines: n.clients.engines,
 		Drainer: &reloadDrainer{store: n.store, confirmer: n.roster},
-		Leaving: func(target string) bool { return n.tracker.Leaving()[target] != 0 },
+		Leaving: n.TargetLeaving,
 
 		Invariants: n.invariants, Logger: n.logger,
 	})
@@ -173,3 +173,6 @@
 func (n *Node) onRefused(_, _ string, f *outcome.Failure) {
 	n.recorder.RequestEnded(f.Outcome, f.Reason, config.Normal, "", 0)
 }
+
+// TargetLeaving reports whether this VM knows that the target is about to go.
+func (n *Node) TargetLeaving(target string) bool { return n.tracker.Leaving()[target] != 0 }
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,6 +107,7 @@
 plain = true
 [peers]
 address = %s
+seeds = %s
 plain = true
 [platform]
 table = %s
@@ -119,7 +121,7 @@
 [log]
 level = warn
 format = console
-`, name, f.started%3, loopback, loopback, loopback, f.Platform.URL(), f.Platform.URL(), f.Platform.URL())
+`, name, f.started%3, loopback, loopback, loopback, f.seeds(), f.Platform.URL(), f.Platform.URL(), f.Platform.URL())
 	parsed, findings := settings.Parse("rig.ini", []byte(text))
 	if len(findings) > 0 {
 		panic(fmt.Sprint("settings of the rig: ", findings))
@@ -127,6 +129,15 @@
 	return parsed
 }
 
+// seeds are the peers that a VM may ask while the platform's list cannot be read.
+func (f *Fleet) seeds() string {
+	var addresses []string
+	for _, n := range f.Nodes {
+		addresses = append(addresses, n.PeerAddress())
+	}
+	return strings.Join(addresses, ", ")
+}
+
 // AwaitReady waits until every router has read the configuration.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	for _, n := range f.Nodes {
