--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -141,6 +141,37 @@
 	}
 }
 
+// The VM that is asked lags behind: a key was revoked and a target taken back
+// through another VM. A workspace that is sent back without its digests keeps those
+// of the revision that was read, not the revoked one, and a drain is not answered
+// with "unchanged" from the old view.
+func TestLaggingVMCatchesUpBeforeItAnswers(t *testing.T) {
+	draining := engineTarget()
+	draining.Value = []byte(strings.Replace(string(draining.Value), `"slots":4`, `"slots":4,"state":"draining"`, 1))
+	store := newFakeStore(t, crews(), draftModel(), draining)
+	c := newClient(t, Options{Store: store})
+	store.onPoll = func() {
+		store.onPoll = nil
+		revoked := confstore.Proposal{ID: "c4", Kind: config.EntityWorkspace, Name: "crews", Value: []byte(`{}`), IfRevision: 1}
+		active := engineTarget()
+		active.IfRevision = 3
+		for _, p := range []confstore.Proposal{revoked, active} {
+			if _, err := store.Propose(context.Background(), p); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	lagging := store.Current()
+	c.want(c.send("PUT", "/admin/v1/workspaces/crews", `{"weight":3}`, `If-Match: "4"`), 200)
+	if w := store.Current().Workspaces["crews"]; w.Weight != 3 || len(w.KeyDigests) != 0 {
+		t.Fatalf("workspace %+v", w)
+	}
+	newest := store.Current()
+	store.Set(lagging)
+	store.onPoll = func() { store.Set(newest) }
+	c.want(c.send("POST", "/admin/v1/targets/gpu-1/drain", ""), 200, `"version":7`)
+}
+
 // An operator drains a target while another one changes its slots. Both changes
 // stand, and a drain that is repeated writes nothing.
 func TestDrainOverwritesNobodysChange(t *testing.T) {
--- a/internal/adminapi/fakes_test.go
+++ b/internal/adminapi/fakes_test.go
@@ -22,6 +22,7 @@
 	missing  []string
 	fail     error
 	before   func() // runs before a proposal, without the lock
+	onPoll   func() // what a poll brings; nil brings nothing
 	proposed []confstore.Proposal
 }
 
@@ -85,7 +86,12 @@
 	return s.changes[from:min(len(s.changes), from+limit)], nil
 }
 
-func (s *fakeStore) Poll(context.Context) error { return nil }
+func (s *fakeStore) Poll(context.Context) error {
+	if s.onPoll != nil {
+		s.onPoll()
+	}
+	return nil
+}
 
 func (s *fakeStore) Wait(_ context.Context, version uint64, _ confstore.Confirmer) confstore.Acceptance {
 	return confstore.Acceptance{
--- a/internal/config/address.go
+++ b/internal/config/address.go
@@ -6,13 +6,21 @@
 
 // ParseAddress parses IP:port and returns its one canonical form.
 func ParseAddress(address string) (string, bool) {
+	parsed, ok := parseAddrPort(address)
+	if !ok {
+		return "", false
+	}
+	return parsed.String(), true
+}
+
+func parseAddrPort(address string) (netip.AddrPort, bool) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil || parsed.Port() == 0 {
-		return "", false
+		return netip.AddrPort{}, false
 	}
 	ip := parsed.Addr().Unmap()
 	if ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "" {
-		return "", false
+		return netip.AddrPort{}, false
 	}
-	return netip.AddrPortFrom(ip, parsed.Port()).String(), true
+	return netip.AddrPortFrom(ip, parsed.Port()), true
 }
--- a/internal/config/findings.go
+++ b/internal/config/findings.go
@@ -34,6 +34,8 @@
 }
 
 func (f *findings) sorted() []Finding {
-	slices.SortStableFunc(f.list, func(a, b Finding) int { return cmp.Compare(a.Path, b.Path) })
+	slices.SortFunc(f.list, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Problem, b.Problem))
+	})
 	return f.list
 }
--- a/internal/config/validate_model.go
+++ b/internal/config/validate_model.go
@@ -43,8 +43,16 @@
 }
 
 func (v *validator) modelRef(ref ModelRef, m *Model, path string) {
-	v.require(slices.Contains(m.Versions, ref.Version), path+".version",
-		fmt.Sprintf("model %s has no version %q", m.Name, ref.Version), fmt.Sprint(m.Versions))
-	v.require(ref.Adapter == "" || slices.Contains(m.Adapters, ref.Adapter), path+".adapter",
-		fmt.Sprintf("model %s has no adapter %q", m.Name, ref.Adapter), fmt.Sprint(m.Adapters))
+	v.listed(m.Versions, ref.Version, m, "version", path+".version")
+	if ref.Adapter != "" {
+		v.listed(m.Adapters, ref.Adapter, m, "adapter", path+".adapter")
+	}
+}
+
+// listed demands that a model has a version or an adapter. It formats on failure
+// alone, as a change of a model checks all that refers to it.
+func (v *validator) listed(list []string, name string, m *Model, what, path string) {
+	if !slices.Contains(list, name) {
+		v.add(path, fmt.Sprintf("model %s has no %s %q", m.Name, what, name), fmt.Sprint(list))
+	}
 }
--- a/internal/config/validate_target.go
+++ b/internal/config/validate_target.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"math"
-	"slices"
+	"net/netip"
 )
 
 // MaxSlots bounds what one target works on at once.
@@ -32,19 +32,32 @@
 // address also refuses an address that is taken: two entries for one process
 // would each count its slots and hand out twice what it has.
 func (v *validator) address(t *Target, path string) {
-	canonical, ok := ParseAddress(t.Address)
+	address, ok := parseAddrPort(t.Address)
 	if !ok {
 		v.add(path, fmt.Sprintf("%q is not an address", t.Address), allowedAddresses)
 		return
 	}
-	for _, other := range v.snapshot.Targets {
-		if other == nil || other.Name == t.Name {
-			continue
+	for _, owner := range v.ownersOf(address) {
+		if owner != t.Name {
+			v.add(path, fmt.Sprintf("%s is the address of target %s", address, owner), "each address once")
 		}
-		if theirs, ok := ParseAddress(other.Address); ok && theirs == canonical {
-			v.add(path, fmt.Sprintf("%s is the address of target %s", canonical, other.Name), "each address once")
+	}
+}
+
+// ownersOf returns the names of the snapshot's targets at an address.
+func (v *validator) ownersOf(address netip.AddrPort) []string {
+	if v.owners == nil {
+		v.owners = make(map[netip.AddrPort][]string, len(v.snapshot.Targets))
+		for _, target := range v.snapshot.Targets {
+			if target == nil {
+				continue
+			}
+			if parsed, ok := parseAddrPort(target.Address); ok {
+				v.owners[parsed] = append(v.owners[parsed], target.Name)
+			}
 		}
 	}
+	return v.owners[address]
 }
 
 func (v *validator) rate(value float64, path string) {
@@ -81,16 +94,15 @@
 // holding checks what an engine is to hold of a model.
 func (v *validator) holding(t *Target, m *Model) {
 	path := "target." + t.Name
-	v.require(slices.Contains(m.Versions, t.Version), path+".version",
-		fmt.Sprintf("model %s has no version %q", m.Name, t.Version), fmt.Sprint(m.Versions))
+	v.listed(m.Versions, t.Version, m, "version", path+".version")
 	for i, adapter := range t.Adapters {
-		v.require(slices.Contains(m.Adapters, adapter), fmt.Sprintf("%s.adapters[%d]", path, i),
-			fmt.Sprintf("model %s has no adapter %q", m.Name, adapter), fmt.Sprint(m.Adapters))
+		v.listed(m.Adapters, adapter, m, "adapter", fmt.Sprintf("%s.adapters[%d]", path, i))
 	}
 	v.unique(t.Adapters, path+".adapters")
 	whole := LayerRange{From: 0, To: m.Layers}
-	v.require(t.Layers.Len() > 0 && whole.Contains(t.Layers), path+".layers",
-		fmt.Sprintf("%s is not a range of model %s", t.Layers, m.Name), "a range within "+whole.String())
+	if t.Layers.Len() <= 0 || !whole.Contains(t.Layers) {
+		v.add(path+".layers", fmt.Sprintf("%s is not a range of model %s", t.Layers, m.Name), "a range within "+whole.String())
+	}
 }
 
 func (v *validator) service(t *Target, path string) {
--- a/internal/config/validator.go
+++ b/internal/config/validator.go
@@ -1,11 +1,16 @@
 package config
 
-import "fmt"
+import (
+	"fmt"
+	"net/netip"
+)
 
 // validator checks entities against the snapshot that they are part of.
 type validator struct {
 	findings
 	snapshot *Snapshot
+	// owners are the targets at each address, once they were asked for.
+	owners map[netip.AddrPort][]string
 }
 
 func (v *validator) entity(entity any) {
--- a/internal/confstore/compact.go
+++ b/internal/confstore/compact.go
@@ -132,21 +132,19 @@
 			}
 			verified = true
 		}
-		if err := s.drop(ctx, pointer, rows); err != nil {
+		if err := s.drop(ctx, rows); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Store) drop(ctx context.Context, pointer snapshotPointer, rows []platform.Row) error {
+func (s *Store) drop(ctx context.Context, rows []platform.Row) error {
+	// Rows of changes are never written again, so a drop that comes late drops what
+	// is gone; the condition lets the client find out what became of it.
 	txn := platform.Txn{
-		ID: uuid.NewString(),
-		Conditions: []platform.Condition{
-			// Without it a delayed drop would go by a pointer that was taken back.
-			{Key: snapshotKey, Revision: pointer.rowRevision},
-			{Key: rows[0].Key, Revision: rows[0].Revision},
-		},
+		ID:         uuid.NewString(),
+		Conditions: []platform.Condition{{Key: rows[0].Key, Revision: rows[0].Revision}},
 	}
 	for _, row := range rows {
 		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
--- a/internal/confstore/compact_test.go
+++ b/internal/confstore/compact_test.go
@@ -129,6 +129,22 @@
 	}
 }
 
+// The object store takes a snapshot and keeps something else. Compaction reads it
+// back and leaves the pointer where it was, so a new VM still gets everything.
+func TestSnapshotIsReadBackBeforeItCounts(t *testing.T) {
+	f := newFixture(t)
+	s := f.storeWith("vm-1", compactSoon)
+	f.fill(s, 6)
+	f.objects.corrupt = true
+	if err := s.Compact(context.Background()); err == nil {
+		t.Fatal("compaction counts on a damaged snapshot")
+	}
+	fresh := f.store("vm-2")
+	if err := fresh.Load(context.Background()); err != nil || fresh.Current().Version != 6 {
+		t.Fatalf("version %d, %v", fresh.Current().Version, err)
+	}
+}
+
 // Two holders of the lease compact at once, one of them after a long pause: the
 // pointer never goes back to the older snapshot.
 func TestPausedCompactionDoesNotTakeThePointerBack(t *testing.T) {
--- a/internal/confstore/fake_table_test.go
+++ b/internal/confstore/fake_table_test.go
@@ -196,6 +196,8 @@
 	objects map[string][]byte
 	// onFetch runs before an object is read, without the lock.
 	onFetch func(name string)
+	// corrupt damages what is put.
+	corrupt bool
 }
 
 func newFakeObjects() *fakeObjects { return &fakeObjects{objects: map[string][]byte{}} }
@@ -204,6 +206,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.objects[name] = slices.Clone(body)
+	if o.corrupt {
+		o.objects[name][len(body)/2] ^= 1
+	}
 	return nil
 }
 
--- a/internal/confstore/propose_test.go
+++ b/internal/confstore/propose_test.go
@@ -54,6 +54,49 @@
 	})
 }
 
+// The operator's client gives up while the answer to the transaction is lost. The
+// store reads back all the same: what was sent has to be known and put in force,
+// though nobody waits for the answer.
+func TestChangeIsSettledAfterItsAuthorHasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		s := f.store("vm-1")
+		revision := f.withProfile(s)
+		ctx, leave := context.WithCancel(context.Background())
+		f.table.setFault(func(platform.Txn) fault {
+			leave()
+			return loseAnswer
+		})
+		change, err := s.Propose(ctx, permits("shorten", revision, 2*time.Second))
+		if err != nil || change.Version != revision+1 || deadlineOf(s) != 2*time.Second {
+			t.Fatalf("version %d, %v, deadline %s", change.Version, err, deadlineOf(s))
+		}
+	})
+}
+
+// The first copy of a transaction is under way for long; the second one meets a
+// table that is out. The second was certainly not taken, but the first may still
+// arrive, so the operator must not be told that nothing was written.
+func TestOutageOfTheSecondCopySaysNothingOfTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		s := f.store("vm-1")
+		revision := f.withProfile(s)
+		f.table.setFault(once(delayRequest))
+		sent := 0
+		f.table.onCommit = func(platform.Txn) {
+			if sent++; sent == 2 {
+				f.table.setOut(true)
+			}
+		}
+		_, err := s.Propose(context.Background(), permits("shorten", revision, 2*time.Second))
+		var pending *PendingError
+		if !errors.As(err, &pending) || sent != 2 {
+			t.Fatalf("got %v after %d copies, want pending", err, sent)
+		}
+	})
+}
+
 // The table goes out for good while a change is under way, so nobody can say
 // whether it was written. The operator is told so, with the id; once the table is
 // back, a lookup finds the change, or the certainty that it will never be written.
@@ -216,3 +259,29 @@
 		t.Fatal("the change that VMs have in force was written over")
 	}
 }
+
+// The table was restored from an older copy and another VM has written a change at
+// a version that means something else here. This VM reports it and neither follows
+// the other history nor writes to it.
+func TestTableThatWasWrittenOverIsNotFollowed(t *testing.T) {
+	f := newFixture(t)
+	s := f.store("vm-1")
+	revision := f.withProfile(s)
+	oldHead := f.table.rows[headKey]
+	f.mustPropose(s, permits("shorten", revision, 2*time.Second))
+	f.table.set(func() {
+		f.table.rows[headKey] = oldHead
+		delete(f.table.rows, changeKey(revision+1))
+	})
+	f.mustPropose(f.store("vm-2"), workspace("desk", 0, 1))
+	var fork *ForkError
+	if err := s.Poll(context.Background()); !errors.As(err, &fork) {
+		t.Fatalf("poll: %v", err)
+	}
+	if _, err := s.Propose(context.Background(), workspace("yard", 0, 1)); !errors.As(err, &fork) {
+		t.Fatalf("propose: %v", err)
+	}
+	if deadlineOf(s) != 2*time.Second {
+		t.Fatalf("deadline %s", deadlineOf(s))
+	}
+}
