--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -35,11 +35,11 @@
 				gate := &router.Gate{}
 				gate.SetLoaded()
 				go watchIsolation(ctx, reach{
-					storeHealthy:  func() bool { return row.store || back.Load() },
-					peerCount:     func() int { return row.peerCount },
-					peerReachable: func() bool { return row.peers },
+					storeReachable: func() bool { return row.store || back.Load() },
+					peerCount:      func() int { return row.peerCount },
+					peerReachable:  func() bool { return row.peers },
 				}, gate)
-				time.Sleep(isolationBound)
+				time.Sleep(isolationCheck)
 				synctest.Wait()
 				if !gate.Ready() {
 					t.Error("refused before the bound")
