--- a/internal/api/bench_test.go
+++ b/internal/api/bench_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -93,3 +95,55 @@
 		})
 	}
 }
+
+// BenchmarkOpenStreamMemory holds streams open after their first token and
+// reports the memory of each, with the caller's end of the connection.
+func BenchmarkOpenStreamMemory(b *testing.B) {
+	const streams = 1000
+	for b.Loop() {
+		b.ReportMetric(openStreamBytes(b, streams), "B/stream")
+	}
+}
+
+func openStreamBytes(b *testing.B, streams int) float64 {
+	release := make(chan struct{})
+	f := &fakeRouter{generate: func(_ context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+		err := sink.Token(0, "transformer ")
+		<-release
+		return router.GenerateResult{Tokens: 1, Finish: "stop"}, err
+	}}
+	server := NewServer("127.0.0.1:0", f, Options{})
+	address, err := server.Start()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer server.Close()
+	defer close(release)
+	before := memoryInUse()
+	conns := make([]net.Conn, streams)
+	for i := range conns {
+		conns[i] = openStream(b, address.String())
+		defer conns[i].Close()
+	}
+	return float64(memoryInUse()-before) / float64(streams)
+}
+
+func openStream(b *testing.B, address string) net.Conn {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", pathChat, len(streamBody), streamBody)
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		b.Fatal(err)
+	}
+	return conn
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse + stats.StackInuse)
+}
