Go by what others leave while the number of VMs is not told

Without SetSubset a VM counted as the only one, its share was all of each target, and what peers said had no effect on its limits. The dump shows busy targets, peers' counts and the trust in prefix hints.

--- a/internal/balance/allotment.go
+++ b/internal/balance/allotment.go
@@ -6,6 +6,9 @@
 type allotment struct {
 	// headroom is how many slots each urgency leaves free.
 	headroom [config.UrgencyCount]int
+	// shared says that the VMs that share the targets are known. Until then this VM
+	// has no share of its own and takes what others leave.
+	shared bool
 	// sharers is the number of VMs that have the target in their subset, turn this
 	// VM's place among them, and place the target's in its group.
 	sharers int
@@ -20,6 +23,9 @@
 // on each VM. So the shares of all add up to the open slots and never to more, and
 // VMs that keep to their shares leave the slots free that are for urgent requests.
 func (a allotment) share(open int) int {
+	if !a.shared {
+		return 0
+	}
 	whole, rest := open/a.sharers, open%a.sharers
 	first := a.place * rest % a.sharers
 	if (a.turn%a.sharers-first+a.sharers)%a.sharers < rest {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -42,12 +42,15 @@
 		prefixes:   map[string]*prefixIndex{},
 		peerLoad:   map[string]map[string]int{},
 	}
-	b.peerCount.Store(1)
 	b.view.Store(&view{})
 	return b
 }
 
-func (b *Balancer) peers() int { return int(b.peerCount.Load()) }
+// peers is the number of VMs that share the targets, 1 while it was not told.
+func (b *Balancer) peers() int { return max(int(b.peerCount.Load()), 1) }
+
+// knowsPeers reports whether SetSubset was called.
+func (b *Balancer) knowsPeers() bool { return b.peerCount.Load() > 0 }
 
 func (b *Balancer) vmIndex() int { return int(b.index.Load()) }
 
@@ -90,7 +93,7 @@
 func (b *Balancer) SetSubset(peers, index int) {
 	peers = max(peers, 1)
 	b.rebuildIf(func() bool {
-		changed := b.peers() != peers || b.vmIndex() != index
+		changed := int(b.peerCount.Load()) != peers || b.vmIndex() != index
 		b.peerCount.Store(int32(peers))
 		b.index.Store(int32(index))
 		return changed
--- a/internal/balance/dump.go
+++ b/internal/balance/dump.go
@@ -28,6 +28,12 @@
 	ReportAge time.Duration `json:"reportAgeNanoseconds,omitempty"`
 	Failures  int           `json:"failures,omitempty"`
 	HalfOpen  bool          `json:"halfOpen,omitempty"`
+	// Busy says that the target answered busy and is left alone for a while.
+	Busy bool `json:"busy,omitempty"`
+	// PeersInFlight is what peers say, claims included; CacheTrust is the trust in
+	// what is known of the target's cached prefixes.
+	PeersInFlight int     `json:"peersInFlight,omitempty"`
+	CacheTrust    float64 `json:"cacheTrust,omitempty"`
 }
 
 // Dump returns the state of all targets. It waits for no request.
@@ -56,6 +62,10 @@
 		Trust:    t.load.trust(now, t.balancer.settings),
 		Failures: t.health.failures,
 		HalfOpen: t.health.halfOpen(now),
+		Busy:     t.busy.holds(now),
+
+		PeersInFlight: t.load.peers,
+		CacheTrust:    t.hintTrust(now, &t.balancer.settings),
 	}
 	if !t.load.received.IsZero() {
 		dump.ReportAge = now.Sub(t.load.received)
--- a/internal/balance/rebuild.go
+++ b/internal/balance/rebuild.go
@@ -47,6 +47,7 @@
 	allotted := make([]allotment, len(members))
 	for i, c := range members {
 		allotted[i] = allotment{
+			shared:   b.knowsPeers(),
 			headroom: rooms[i],
 			sharers:  (b.peers() + parts - 1) / parts,
 			turn:     b.vmIndex() / parts,
--- a/internal/balance/saturation_test.go
+++ b/internal/balance/saturation_test.go
@@ -37,7 +37,9 @@
 	for vm := range vms {
 		b := New(Settings{random: s.random.IntN, faults: f}, invariant.Strict())
 		b.Update(services(herdTargets, saturationSlots))
-		b.SetSubset(vms, vm)
+		if vms > 1 {
+			b.SetSubset(vms, vm)
+		}
 		s.balancers = append(s.balancers, b)
 		s.choosers = append(s.choosers, &balancerChooser{b, true})
 	}
