--- a/internal/security/tls_source.go
+++ b/internal/security/tls_source.go
@@ -38,10 +38,6 @@
 		config.ClientCAs = pair.authorities
 		return config, nil
 	}
-	// net/http's ServeTLS looks for one of these before it lets a handshake in.
-	base.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-		return s.pair.get().certificate, nil
-	}
 	return base
 }
 
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -32,6 +32,7 @@
 // concurrent use, do not block and do not allocate.
 type Recorder struct {
 	requests   *boundedNames[requestKey, tally.Counter]
+	refused    *boundedNames[outcome.Reason, tally.Counter]
 	workspaces *boundedNames[string, *byOutcome]
 	targets    *boundedNames[string, *byResult]
 	retries    *boundedNames[string, tally.Counter]
@@ -69,6 +70,7 @@
 	}
 	return &Recorder{
 		requests:      newBoundedNames(maxReasons, requestKey{reason: other}, requestCounter(scope)),
+		refused:       newBoundedNames(maxReasons, other, taggedCounter[outcome.Reason](scope, "input_refused_total", "reason")),
 		workspaces:    newBoundedNames(o.MaxWorkspaces, other, workspaceCounters(scope)),
 		targets:       newBoundedNames(o.MaxTargets, other, targetCounters(scope)),
 		retries:       newBoundedNames(maxRetryKinds, other, taggedCounter[string](scope, "retries_total", "kind")),
@@ -90,6 +92,10 @@
 	r.whole[u].RecordDuration(took)
 }
 
+// InputRefused counts a request that the callers' API refused before it was one
+// of any profile or workspace.
+func (r *Recorder) InputRefused(reason outcome.Reason) { r.refused.get(reason).Inc(1) }
+
 // Queued records the time that a request waited in admission.
 func (r *Recorder) Queued(u config.Urgency, took time.Duration) { r.queued[u].RecordDuration(took) }
 
--- a/internal/telemetry/recorder_test.go
+++ b/internal/telemetry/recorder_test.go
@@ -34,6 +34,7 @@
 	r.TargetResult("bay_1", false)
 	r.Retry("hedge")
 	r.StaleEvent()
+	r.InputRefused(outcome.ReasonTooLarge)
 	r.Preempted()
 	r.Violation("no-token-gap-or-repeat")
 	text := scrape(t, m)
@@ -49,6 +50,7 @@
 		`gc_target_attempts_total{result="failed",target="bay_1"} 1`,
 		`gc_retries_total{kind="hedge"} 1`,
 		`gc_stale_events_total 1`,
+		`gc_input_refused_total{reason="too-large"} 1`,
 		`gc_preemptions_total 1`,
 		`gc_invariant_violations_total{invariant="no-token-gap-or-repeat"} 1`,
 	} {
