confstore: keep a late repetition from bringing back what was deleted

A creation that was repeated with the same id after the entity had been deleted made it again when the VM's memory did not reach back to it.

Creations now look for their id in the table; other changes demand a revision that never returns. The three have tests, and the fake table honours contexts.

A VM whose object store is out loads from the table when that has every change.

--- a/internal/confstore/compact_test.go
+++ b/internal/confstore/compact_test.go
@@ -145,6 +145,25 @@
 	}
 }
 
+// The object store is out when a VM starts, and the table still has every change.
+// The VM serves by them instead of waiting for the object store.
+func TestNewVMLoadsFromTheTableAlone(t *testing.T) {
+	f := newFixture(t)
+	writer := f.storeWith("vm-1", Options{CompactAfter: 4, RetainChanges: 100})
+	f.fill(writer, 9)
+	f.mustCompact(writer)
+	f.objects.mu.Lock()
+	clear(f.objects.objects)
+	f.objects.mu.Unlock()
+	s := f.store("vm-2")
+	if err := s.Load(context.Background()); err != nil || s.Current().Version != 9 {
+		t.Fatalf("version %d, %v", s.Current().Version, err)
+	}
+	if dump := s.Dump().(Dump); dump.Version != 9 || dump.InForce != 9 || dump.RecentFrom != 1 || dump.LastRead.IsZero() {
+		t.Fatalf("dump %+v", dump)
+	}
+}
+
 // Two holders of the lease compact at once, one of them after a long pause: the
 // pointer never goes back to the older snapshot.
 func TestPausedCompactionDoesNotTakeThePointerBack(t *testing.T) {
--- a/internal/confstore/fake_table_test.go
+++ b/internal/confstore/fake_table_test.go
@@ -46,13 +46,16 @@
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
 
-func (t *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
+func (t *fakeTable) Commit(ctx context.Context, txn platform.Txn) error {
 	if t.onCommit != nil {
 		t.onCommit(txn)
 	}
 	defer t.travel()()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if ctx.Err() != nil {
+		return errors.Mark(ctx.Err(), platform.ErrUnavailable)
+	}
 	t.commits++
 	if err := txn.Validate(); err != nil && !t.lenient {
 		return err
@@ -111,11 +114,11 @@
 	return answers
 }
 
-func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (t *fakeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
 	defer t.travel()()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.out {
+	if t.out || ctx.Err() != nil {
 		return nil, errors.Mark(errors.New("table is out"), platform.ErrUnavailable)
 	}
 	var rows []platform.Row
@@ -127,11 +130,11 @@
 	return rows, nil
 }
 
-func (t *fakeTable) Scan(_ context.Context, from, to string, limit int) ([]platform.Row, error) {
+func (t *fakeTable) Scan(ctx context.Context, from, to string, limit int) ([]platform.Row, error) {
 	defer t.travel()()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.out {
+	if t.out || ctx.Err() != nil {
 		return nil, errors.Mark(errors.New("table is out"), platform.ErrUnavailable)
 	}
 	var rows []platform.Row
--- a/internal/confstore/propose_test.go
+++ b/internal/confstore/propose_test.go
@@ -198,6 +198,24 @@
 	}
 }
 
+// One operator deletes a workspace while another adds a profile to it through a VM
+// that has not heard of the deletion. The second change is checked again against
+// what the table holds and refused; the profile would belong to nobody.
+func TestChangeIsValidatedAgainstTheNewest(t *testing.T) {
+	f := newFixture(t)
+	first, second := f.store("vm-1"), f.store("vm-2")
+	f.mustPropose(first, workspace("crews", 0, 1))
+	if err := second.Load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	f.mustPropose(first, Proposal{ID: "delete", Kind: config.EntityWorkspace, Name: "crews", IfRevision: 1})
+	_, err := second.Propose(context.Background(), permits("create", 0, time.Second))
+	var invalid *config.ValidationError
+	if !errors.As(err, &invalid) || invalid.Findings[0].Path != "profile.permits.workspace" {
+		t.Fatalf("got %v, want the workspace missing", err)
+	}
+}
+
 // The operator's client repeats a request whose answer it never saw, through
 // another VM. The same id answers the same change; another value with that id is
 // refused, as the operator would take the old change for the new one.
@@ -219,6 +237,35 @@
 	}
 }
 
+// A creation is repeated after somebody has deleted the entity, and a change after
+// somebody has changed it, through a VM whose memory does not reach back to them.
+// Both get the old answer: the entity that was deleted does not come back.
+func TestLateRepetitionBringsNothingBack(t *testing.T) {
+	f := newFixture(t)
+	writer := f.storeWith("vm-1", Options{CompactAfter: 2})
+	f.mustPropose(writer, workspace("crews", 0, 1))
+	f.mustPropose(writer, workspace("crews", 1, 2))
+	f.mustPropose(writer, Proposal{ID: "delete", Kind: config.EntityWorkspace, Name: "crews", IfRevision: 2})
+	f.mustCompact(writer)
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		s := f.store(vm)
+		if err := s.Load(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if _, known := s.recentWithID("delete"); known {
+			t.Fatal("the VM remembers the changes, so the test proves nothing")
+		}
+		created := f.mustPropose(s, workspace("crews", 0, 1))
+		changed := f.mustPropose(s, workspace("crews", 1, 2))
+		if created.Version != 1 || changed.Version != 2 || len(s.Current().Workspaces) != 0 {
+			t.Fatalf("versions %d and %d, workspaces %v", created.Version, changed.Version, s.Current().Workspaces)
+		}
+	}
+	if again := f.mustPropose(writer, workspace("crews", 0, 1)); again.Version != 1 {
+		t.Fatalf("version %d", again.Version)
+	}
+}
+
 // The store is out before the change: the operator is told at once that nothing
 // was written, and what was in force stays in force.
 func TestStoreOutBeforeTheChange(t *testing.T) {
--- a/internal/confstore/store.go
+++ b/internal/confstore/store.go
@@ -16,6 +16,7 @@
 	current  atomic.Pointer[config.Snapshot]
 	notifier notifier
 	pending  pendingChanges
+	reads    readRecord
 	hooks    hooks
 
 	mu     sync.Mutex // guards publishing and the field below
--- a/internal/confstore/writer.go
+++ b/internal/confstore/writer.go
@@ -97,8 +97,14 @@
 	if snapshot.Version != newest.Version {
 		return config.Change{}, errRaced
 	}
-	if err := w.check(ctx, snapshot); err != nil {
-		return w.knownInstead(ctx, err)
+	refusal := w.check(snapshot)
+	if refusal != nil || w.proposal.IfRevision == 0 {
+		if known, err := w.writtenBefore(ctx); err != nil || known != nil {
+			return w.sameOr(known, err)
+		}
+	}
+	if refusal != nil {
+		return config.Change{}, backoff.Permanent(refusal)
 	}
 	return w.commit(ctx, newest)
 }
@@ -123,7 +129,7 @@
 	return newest, nil
 }
 
-func (w *writer) check(ctx context.Context, snapshot *config.Snapshot) error {
+func (w *writer) check(snapshot *config.Snapshot) error {
 	_, revision := snapshot.Entity(w.proposal.Kind, w.proposal.Name)
 	if revision != w.proposal.IfRevision {
 		return &ConflictError{
@@ -140,18 +146,28 @@
 	return nil
 }
 
-// knownInstead looks whether the refusal comes from this very proposal: it was
-// committed through another VM, and its author asks again for a lost answer.
-func (w *writer) knownInstead(ctx context.Context, refusal error) (config.Change, error) {
+// writtenBefore looks in the table for this very proposal, nil when it is not
+// there: it was committed through another VM, and its author asks again for a lost
+// answer. A refusal would then be a conflict of the author with itself, and a
+// creation would bring back what was deleted since. Other changes are safe without
+// the look, as the revision that they demand never returns.
+func (w *writer) writtenBefore(ctx context.Context) (*config.Change, error) {
 	known, err := w.store.findInTable(ctx, w.proposal.ID)
 	var unknown *UnknownChangeError
 	switch {
 	case err == nil:
-		return w.same(known)
+		return &known, nil
 	case errors.As(err, &unknown):
-		return config.Change{}, backoff.Permanent(refusal)
+		return nil, nil
+	}
+	return nil, err
+}
+
+func (w *writer) sameOr(known *config.Change, err error) (config.Change, error) {
+	if err != nil {
+		return config.Change{}, backoff.Permanent(err)
 	}
-	return config.Change{}, backoff.Permanent(err)
+	return w.same(*known)
 }
 
 func (w *writer) same(known config.Change) (config.Change, error) {
