Write ends of keyed requests after an outage

An end that lands after its claim was swept is told by its request id and says nothing about the key's next request.

The history checks run with it.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -77,6 +77,11 @@
 	if err := json.Unmarshal(rows[0].Value, &end); err != nil {
 		return c.storeFailed(err)
 	}
+	// An end that was written so late that its claim had been swept is not about the
+	// request that has the key now.
+	if end.RequestID != record.RequestID {
+		return c.unended(record)
+	}
 	return decideByEnd(end)
 }
 
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -37,6 +37,7 @@
 	writer   writer
 	counters counters
 	cursor   sweepCursor
+	late     lateEnds
 
 	mu    sync.Mutex // guards owned
 	owned map[string]ownedClaim
@@ -105,8 +106,10 @@
 	Refused  uint64 `json:"refused"`
 	Unknown  uint64 `json:"unknown"`
 	Finished uint64 `json:"finished"`
-	// Unended counts requests whose end could not be written.
+	// Unended counts requests whose end could not be written at once; Waiting is how
+	// many of them are still to be written.
 	Unended uint64 `json:"unended"`
+	Waiting int    `json:"waiting"`
 	Swept   uint64 `json:"swept"`
 	// Grouping is nil when claims are written one by one.
 	Grouping *GroupState `json:"grouping,omitempty"`
@@ -125,6 +128,7 @@
 		Unknown:  c.counters.unknown.Load(),
 		Finished: c.counters.finished.Load(),
 		Unended:  c.counters.unended.Load(),
+		Waiting:  c.late.len(),
 		Swept:    c.counters.swept.Load(),
 	}
 	if grouped, ok := c.writer.(*groupWriter); ok {
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -285,6 +285,66 @@
 	})
 }
 
+// The store is out when a request is refused, and its caller told unknown. Once the
+// store is back the tombstone is written after all, and the caller's retry learns that
+// the request did not run. The same holds when it was written in the outage and only
+// the answer lost: it is found and not tried for ever.
+func TestTombstoneIsWrittenAfterTheOutage(t *testing.T) {
+	commits := map[string]platformsim.ActionKind{
+		"refused":     platformsim.ActUnavailable,
+		"answer lost": platformsim.ActLoseAnswer,
+	}
+	for name, commit := range commits {
+		t.Run(name, func(t *testing.T) { testTombstoneAfterOutage(t, commit) })
+	}
+}
+
+func testTombstoneAfterOutage(t *testing.T, commit platformsim.ActionKind) {
+	inVirtualTime(t, func(t *testing.T, settings Settings) {
+		store := platformsim.NewStore()
+		first, second := newVM(t, store, "vm-1", settings), newVM(t, store, "vm-2", settings)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go first.Run(ctx)
+		mustRun(t, first.claim(t, "r1"))
+		store.Faults.Choose(func(op platformsim.Operation) platformsim.Action {
+			if op == platformsim.OpCommit {
+				return platformsim.Action{Kind: commit}
+			}
+			return platformsim.Action{Kind: platformsim.ActUnavailable}
+		})
+		if first.Finish(t.Context(), testKey, "r1", outcome.NotRun, nil) == nil {
+			t.Fatal("finished in an outage")
+		}
+		time.Sleep(10 * time.Second)
+		store.Faults.Choose(nil)
+		time.Sleep(10 * time.Second)
+		mustFail(t, second.claim(t, "r2"), outcome.NotRun, outcome.ReasonKeySpent)
+		if state := first.Dump(); state.Waiting != 0 || state.Finished != 1 {
+			t.Fatalf("%+v", state)
+		}
+	})
+}
+
+// A tombstone lands after its claim was swept, and the key is used anew. The tombstone
+// is not about the new request, which may have run: its copy is told unknown.
+func TestTombstoneOfASweptClaimSaysNothing(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, settings Settings) {
+		store := platformsim.NewStore()
+		first, second := newVM(t, store, "vm-1", settings), newVM(t, store, "vm-2", settings)
+		mustRun(t, first.claim(t, "r1"))
+		time.Sleep(DefaultRetention + 2*testDeadline)
+		if result, err := second.Sweep(t.Context(), time.Now(), 10); err != nil || result.Deleted != 1 {
+			t.Fatalf("%+v, %v", result, err)
+		}
+		mustRun(t, second.claim(t, "r2"))
+		if err := first.Finish(t.Context(), testKey, "r1", outcome.NotRun, nil); err != nil {
+			t.Fatal(err)
+		}
+		mustFail(t, first.claim(t, "r3"), outcome.Unknown, outcome.ReasonKeyInProgress)
+	})
+}
+
 // Copies of one request reach one VM in the same moment and wait for the same group.
 // One runs. Were both in one transaction, each would hold the other's condition, both
 // would be told that they won, and the request would run twice.
--- a/internal/claim/finish.go
+++ b/internal/claim/finish.go
@@ -15,7 +15,7 @@
 //
 // After NotRun it writes a tombstone. Only when it returns nil may the caller be
 // told not-run; otherwise the request did not run, but a later one with the same key
-// cannot know that, and the caller must be told unknown.
+// cannot know that yet, and the caller must be told unknown. Run goes on trying.
 func (c *Claims) Finish(ctx context.Context, k Key, requestID string, o outcome.Outcome, a *Answer) error {
 	claim, ok := c.disown(k, requestID)
 	if !ok {
@@ -48,7 +48,12 @@
 	ctx = platform.WithLane(context.WithoutCancel(ctx), platform.LaneUrgent)
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
 	defer cancel()
-	return c.writer.write(ctx, newRow{key: claim.key.endRow(), value: value})
+	row := newRow{key: claim.key.endRow(), value: value}
+	err = c.writer.write(ctx, row)
+	if err != nil {
+		c.late.add(row)
+	}
+	return err
 }
 
 // keepEndUntil keeps the end at least as long as its claim, and a tombstone longer
--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -103,6 +104,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := platformsim.NewStore()
 		store.Faults.Choose(randomFaults(seed))
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
 		var vms []*Claims
 		for n := range historyVMs {
 			limits := resilient.Settings{VMs: 1, WritesPerSecond: 1e4, ReadsPerSecond: 1e4, FailuresToOpen: 5}
@@ -112,6 +115,7 @@
 			if plant != nil {
 				plant(v)
 			}
+			go v.Run(ctx)
 			vms = append(vms, v)
 		}
 		var clients sync.WaitGroup
@@ -119,6 +123,7 @@
 			clients.Go(func() { runClient(t, seed, client, vms, &collected) })
 		}
 		clients.Wait()
+		stop()
 		time.Sleep(time.Hour) // late writes land before the bubble ends
 	})
 	return collected.ops
