Let other profiles pass a request whose own targets are full

Cause: the profiles of one pool can need different targets, as their adapters are loaded on some only. The first in line, with its targets full, held up all others of its level while theirs were idle.

Less urgent requests still wait behind it.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/outcome"
 )
 
@@ -264,3 +265,40 @@
 		t.Errorf("reason %s", reason)
 	}
 }
+
+// Two profiles of one pool need different targets, and those of the first in line
+// are full. The other profile's requests pass it, but not without end: it may need
+// more slots at once than these leave free.
+func TestRequestPassesOneWhoseTargetsAreFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Settings{}, invariant.Strict())
+		var open, started, asked int
+		admit := func(profile string, try func() bool) {
+			go c.Admit(context.Background(), &Request{Pool: testPool, Profile: profile, Workspace: profile}, try)
+			synctest.Wait()
+		}
+		admit("full", func() bool { asked++; return open > 1 })
+		for range maxPassed + 10 {
+			admit("other", func() bool {
+				if open == 0 {
+					return false
+				}
+				started++
+				return true
+			})
+		}
+		open = 1
+		for range 2 * maxPassed {
+			c.Wake(testPool)
+		}
+		if started != maxPassed || asked < maxPassed {
+			t.Errorf("%d passed, want %d", started, maxPassed)
+		}
+		open = 2
+		c.Wake(testPool)
+		c.Wake(testPool)
+		if started != maxPassed+10 {
+			t.Errorf("%d started in the end, want all", started)
+		}
+	})
+}
--- a/internal/admission/starting.go
+++ b/internal/admission/starting.go
@@ -28,9 +28,8 @@
 	return p.queued > 0
 }
 
-// startNext starts the request whose turn it is. When it cannot start, nothing
-// behind it is tried: a less urgent request finds no more room than a more urgent
-// one, and a stream of small ones must not keep passing a large one.
+// startNext starts the request whose turn it is, or one of its level that may pass
+// it. Less urgent ones are not tried then: they find no more room.
 func (p *pool) startNext(now time.Time) bool {
 	if p.bulkTurn() && p.startBulkTurn(now) {
 		return true
@@ -41,7 +40,7 @@
 			u = i
 		}
 		if w := p.live(p.levels[u], now); w != nil {
-			return p.start(w, now)
+			return p.start(w, now) || p.startPast(w, now)
 		}
 	}
 	return false
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -16,6 +16,8 @@
 	class     int
 	flow      *flow
 
+	// passed counts the requests that started before it out of their turn.
+	passed  int
 	settled bool
 	done    chan struct{}
 	failure *outcome.Failure
