Give the claims their urgency, their retries and the fleet's budget

Cause: node started the claims without the loop that retries unwritten ends, so a claim whose end met an outage stayed unknown; each VM's budget of the table was a constant of the settings, 15 writes a second, which at 320 VMs would be 4,800. Change: node runs claims.Run, the router passes the profile's urgency, and the settings name the fleet's budget, which each VM divides by the VMs it knows. Conclusion: figures of the claims are in docs/design/claims.md; this wiring was tested, not measured.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -46,9 +46,9 @@
 	service := func(url string) *httpplatform.Client {
 		return httpplatform.New(httpplatform.Settings{BaseURL: url, AttemptTimeout: s.Timeout})
 	}
-	// The settings name this VM's own share of the fleet's budget.
-	share := resilient.Settings{VMs: 1, WritesPerSecond: s.WritesPerSecond, ReadsPerSecond: s.ReadsPerSecond, AttemptTimeout: s.Timeout}
-	n.platform = resilient.New(service(s.Table), service(s.Objects), service(s.VMList), share)
+	// The settings name the fleet's budget; followVMList divides it by the VMs.
+	budget := resilient.Settings{WritesPerSecond: s.WritesPerSecond, ReadsPerSecond: s.ReadsPerSecond, AttemptTimeout: s.Timeout}
+	n.platform = resilient.New(service(s.Table), service(s.Objects), service(s.VMList), budget)
 	n.store = confstore.New(confstore.Options{
 		Table: n.platform, Objects: n.platform, VM: n.settings.VM.Name, Invariants: n.invariants, Logger: n.logger,
 	})
@@ -66,7 +66,7 @@
 	n.plans = router.NewPlanCache(s.VM.Name, n.balancer, n.logger)
 	n.buildClients()
 	n.runner = generation.New(n.clients.engines, n.options.Generation, n.invariants)
-	n.claims = claim.New(n.platform, s.VM.Name, claim.Settings{}, n.invariants)
+	n.claims = claim.New(n.platform, s.VM.Name, claim.Settings{LongestDeadline: config.MaxDeadline}, n.invariants)
 	n.gate = &router.Gate{}
 	n.router = router.New(router.Options{
 		VM: s.VM.Name, DataCentre: s.VM.DataCentre, Source: n.store,
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -35,6 +35,7 @@
 	n.spawn(func() { n.orders.Run(n.ctx) })
 	n.spawn(n.pollStore)
 	n.spawn(n.doDuties)
+	n.spawn(func() { n.claims.Run(n.ctx) })
 	n.spawn(func() {
 		watchIsolation(n.ctx, reach{(&storeProbe{table: n.platform}).reachable, n.peers.PeerCount, n.peers.Reachable}, n.gate)
 	})
@@ -110,6 +111,7 @@
 		if err == nil {
 			n.peers.UpdateVMs(vms)
 			n.tracker.SetVMs(vms)
+			n.platform.SetVMs(n.peers.PeerCount() + 1)
 		}
 		pause(n.ctx, vmListInterval)
 	}
--- a/internal/router/claiming.go
+++ b/internal/router/claiming.go
@@ -33,7 +33,7 @@
 	if r.Claims == nil {
 		return nil, outcome.Uncertain(outcome.ReasonStoreUnavailable, "the claim could not be read; an earlier request with this key may have run")
 	}
-	decision := r.Claims.Claim(ctx, e.claimKey(), e.id.RequestID, e.id.Digest, e.deadline.Add(claimGrace))
+	decision := r.Claims.Claim(claim.WithUrgency(ctx, e.profile.Urgency), e.claimKey(), e.id.RequestID, e.id.Digest, e.deadline.Add(claimGrace))
 	if decision.Run {
 		return nil, nil
 	}
@@ -54,7 +54,7 @@
 	if failure != nil {
 		result = failure.Outcome
 	}
-	err := r.Claims.Finish(bounded, e.claimKey(), e.id.RequestID, result, answer)
+	err := r.Claims.Finish(claim.WithUrgency(bounded, e.profile.Urgency), e.claimKey(), e.id.RequestID, result, answer)
 	if err != nil && result == outcome.NotRun {
 		return outcome.Uncertain(failure.Reason, "it did not run, but that could not be recorded, so a delayed copy may run").WithCause(err)
 	}
