Bring the tests of slow callers wholly into virtual time

Cause: two tests over real connections said again what the ones in virtual time say, with more bytes and a real deadline; the one of a deadline left over between two answers could not fail, since net/http clears it; and nothing failed when a whole answer's write was unbounded. Change: the two are gone, for TestSlowStreamCarriesComments and TestWriteToSilentCallerEnds, which are stricter (exact times, the context's end). In place of the third, a whole answer to a caller that does not read. Conclusion: taking out any one bound on a write now fails a test.

--- a/internal/api/generation_test.go
+++ b/internal/api/generation_test.go
@@ -214,31 +214,6 @@
 	}
 }
 
-// The first token is slow. After the bound the caller gets the status and
-// comments, so that it can tell slow from silent, and then the tokens.
-func TestStreamOpensWithCommentsWhenSlow(t *testing.T) {
-	f := &fakeRouter{}
-	server := newTestServer(t, f, Options{StreamHeadWait: time.Millisecond, CommentInterval: time.Millisecond})
-	seen := make(chan struct{})
-	f.generate = func(ctx context.Context, r router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
-		<-seen
-		return tokens("late")(ctx, r, sink)
-	}
-	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
-	reader := bufio.NewReader(response.Body)
-	for range 4 { // two comments, each with its blank line
-		line, err := reader.ReadString('\n')
-		if err != nil || line != "\n" && line != ": waiting\n" {
-			t.Fatalf("line %q, %v", line, err)
-		}
-	}
-	close(seen)
-	events, _ := readEvents(t, reader)
-	if len(events) != 4 || parseChunk(t, events[2].data).Outcome != "complete" {
-		t.Fatalf("events %q", events)
-	}
-}
-
 // A caller closes its stream. The request's context ends, so the engines' streams
 // are cancelled, though no token is due that would fail to be written.
 func TestCallerGoneCancels(t *testing.T) {
@@ -257,26 +232,3 @@
 	response.Body.Close()
 	<-gone
 }
-
-// A caller stops reading while its connection stands. The write deadline makes
-// the token's write fail, the sink reports the caller as gone and the request's
-// context ends; without it the stream would hold its engines' slots for good.
-func TestSlowCallerIsBounded(t *testing.T) {
-	refused := make(chan error, 1)
-	f := &fakeRouter{generate: func(ctx context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
-		text := strings.Repeat("x", 1<<20)
-		var err error
-		for i := 0; err == nil && i < 1000; i++ {
-			err = sink.Token(i, text)
-		}
-		<-ctx.Done()
-		refused <- err
-		return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonCallerGone, "Gone.")
-	}}
-	server := newTestServer(t, f, Options{WriteTimeout: 50 * time.Millisecond})
-	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
-	if err := <-refused; err == nil {
-		t.Error("a thousand megabytes were written to a caller that reads nothing")
-	}
-	response.Body.Close()
-}
--- a/internal/api/virtual_test.go
+++ b/internal/api/virtual_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -158,25 +159,18 @@
 	})
 }
 
-// One connection carries a slow request and then, after a pause longer than the
-// write bound, another one. The deadline left over from the first must not break
-// the second one's answer.
-func TestDeadlineOfOneAnswerSparesTheNext(t *testing.T) {
-	f := &fakeRouter{generate: tokens("a")}
+// A caller asks for a whole answer and does not read it. The write ends at the
+// deadline and the connection is closed: the caller that comes back later finds
+// half an answer, and meanwhile nothing on the VM was held for it.
+func TestWholeAnswerToSilentCallerEnds(t *testing.T) {
+	f := &fakeRouter{generate: tokens(strings.Repeat("x", 100000))}
 	inVirtualTime(t, f, Options{}, func(t *testing.T, l *pipeListener) {
 		conn := l.dial()
 		defer conn.Close()
-		reader := bufio.NewReader(conn)
-		for i := range 2 {
-			send(t, conn, streamBody)
-			response, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				t.Fatalf("request %d: %v", i, err)
-			}
-			if events, _ := readEvents(t, response.Body); len(events) != 4 {
-				t.Fatalf("request %d: events %q", i, events)
-			}
-			time.Sleep(30 * time.Second)
+		send(t, conn, strings.Replace(streamBody, "true", "false", 1))
+		time.Sleep(time.Minute)
+		if answer, err := io.ReadAll(conn); err != nil || len(answer) > 50000 {
+			t.Errorf("%d bytes, %v", len(answer), err)
 		}
 	})
 }
