--- a/internal/orders/engine_test.go
+++ b/internal/orders/engine_test.go
@@ -11,7 +11,7 @@
 	"geraniumcroft/internal/engine"
 )
 
-const loadTime = 2 * time.Second
+const defaultLoadTime = 2 * time.Second
 
 var errOldFencing = errors.New("a higher fencing number was seen")
 
@@ -26,8 +26,9 @@
 
 // fakeEngine obeys orders as its kind does and counts the work that a reload cut off.
 type fakeEngine struct {
-	target *config.Target
-	log    *history
+	target   *config.Target
+	log      *history
+	loadTime time.Duration
 
 	mu       sync.Mutex // guards the fields below
 	state    engine.State
@@ -39,9 +40,10 @@
 
 func newFakeEngine(target *config.Target, log *history) *fakeEngine {
 	return &fakeEngine{
-		target: target,
-		log:    log,
-		ids:    map[string]bool{},
+		target:   target,
+		log:      log,
+		loadTime: defaultLoadTime,
+		ids:      map[string]bool{},
 		state: engine.State{
 			Model:    target.Model,
 			Version:  target.Version,
@@ -90,7 +92,7 @@
 	if same {
 		return false
 	}
-	e.loadedAt = time.Now().Add(loadTime)
+	e.loadedAt = time.Now().Add(e.loadTime)
 	e.cutOff += e.state.Active
 	e.state.Active = 0
 	return true
--- a/internal/orders/failure_test.go
+++ b/internal/orders/failure_test.go
@@ -162,6 +162,29 @@
 	})
 }
 
+// Callers keep what is in hand, also when the engine's answer is slow: a request that
+// was on its way when the drain was confirmed arrives after the engine wrote that
+// nothing is in hand and before the answer is read.
+func TestNoReloadOnAnOldReading(t *testing.T) {
+	for late := 50 * time.Millisecond; late < testSettings().Settle; late += 25 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(1, hooks{}, ignoringTarget(ignoring))
+			defer f.stop()
+			f.awaitHolder(t).link.slowState = 450 * time.Millisecond
+			e := f.engines[ignoring]
+			f.change(ignoring, "v2")
+			await(t, 10*time.Second, "the drain", func() bool { return f.drains.confirmed(ignoring) })
+			time.Sleep(late)
+			e.addWork(1)
+			time.Sleep(10 * time.Second)
+			e.addWork(-1)
+			f.awaitVersion(t, ignoring, "v2")
+			_, _, _, cutOff := e.counts()
+			must(t, cutOff == 0, "%d requests cut off, sent %s after the drain", cutOff, late)
+		})
+	}
+}
+
 // The operator sees no order while the store is out, and the change in force after
 // it. Without the table nobody can hold the lease for longer than its duration.
 func TestNoOrdersWhileTheStoreIsOutForLong(t *testing.T) {
@@ -210,7 +233,9 @@
 		f := newFleet(1, hooks{}, targets...)
 		defer f.stop()
 		f.awaitHolder(t)
+		const loadTime = 5 * time.Second
 		for _, name := range names {
+			f.engines[name].loadTime = loadTime
 			f.change(name, "v2")
 		}
 		var loads []time.Time
--- a/internal/orders/link_test.go
+++ b/internal/orders/link_test.go
@@ -26,6 +26,8 @@
 type link struct {
 	vm      *vmsim.VM
 	engines map[string]*fakeEngine
+	// slowState is how long the answer to a reading is on its way.
+	slowState time.Duration
 
 	mu   sync.Mutex // guards next
 	next func() orderFault
@@ -58,7 +60,9 @@
 func (l *link) State(_ context.Context, address string) (engine.State, error) {
 	l.vm.Running()
 	defer l.vm.Running()
-	return l.engines[address].read(), nil
+	state := l.engines[address].read()
+	time.Sleep(l.slowState)
+	return state, nil
 }
 
 // Order sends the order even when ctx ended during the stall: between a check and
