--- a/internal/generation/doc.go
+++ b/internal/generation/doc.go
@@ -31,5 +31,6 @@
 // the caller gets each token of one answer once. What must not happen is a start
 // from nothing by somebody who does not hold the committed tokens; a run that
 // cannot go on therefore ends as not-run only if no engine can have started, and
-// as unknown otherwise, and it is never started again.
+// as unknown otherwise, and it is never started again. Whether one can have started
+// is up to the first stage: the others get their work from it.
 package generation
--- a/internal/generation/epoch.go
+++ b/internal/generation/epoch.go
@@ -24,7 +24,8 @@
 	// imported says that a stage was asked to import KV cache, and progressed that
 	// a token was committed; both belong to the run's goroutine.
 	imported, progressed bool
-	// started says that some engine may have begun.
+	// started says that the first stage may have begun. The others have nothing to
+	// work on before that, so without it no layer has run.
 	started atomic.Bool
 
 	mu      sync.Mutex // guards the fields below
@@ -132,7 +133,9 @@
 		e.openFailed(stage, err)
 		return nil
 	}
-	e.started.Store(true)
+	if stage == 0 {
+		e.started.Store(true)
+	}
 	if !e.add(&ownedStream{Stream: stream, cancel: cancel}) {
 		cancel()
 		return nil
@@ -142,7 +145,7 @@
 
 func (e *epoch) openFailed(stage int, err error) {
 	f, started := openFault(stage, err)
-	if started {
+	if started && stage == 0 {
 		e.started.Store(true)
 	}
 	e.fail(f)
--- a/internal/generation/failure_test.go
+++ b/internal/generation/failure_test.go
@@ -53,6 +53,9 @@
 		if len(reopened) != 1 || len(reopened[0].Committed) != 6 || reopened[0].Epoch != 2 || reopened[0].ImportKVFrom != "" {
 			t.Errorf("opened at a2: %+v", reopened)
 		}
+		if kept := r.cluster.opensOf("b1"); kept[1].ImportKVFrom != "" {
+			t.Errorf("b1 was asked to import from %s what it holds itself", kept[1].ImportKVFrom)
+		}
 		if r.released[0]["a1"] != balance.ResultFailed || len(r.released[0]) != 1 {
 			t.Errorf("released %v", r.released)
 		}
@@ -61,8 +64,7 @@
 
 // The connection to the first stage is forgotten by something on the way: no
 // event comes and no reset. The run notices after the silence bound and opens the
-// same stage on a new connection; the engine works, so it keeps its place, and the
-// engine's half of the old stream is cancelled, which a close could not reach.
+// same stage on a new connection; the engine works, so it keeps its place.
 func TestStageSilentIsProvenAgainAtItsTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, twoHalves...)
@@ -101,6 +103,60 @@
 	})
 }
 
+// A stage goes silent and its engine, which is leaving, takes no new connection.
+// A close cannot reach the old stage there. The run moves on, and its cancel, on a
+// connection of its own, frees what the engine works on for nobody.
+func TestSilentStageIsCancelledAtItsEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, twoHalves...)
+		r.cluster.update("a1", func(e *fakeEngine) {
+			e.onOpen = func(open engine.StageOpen) {
+				if open.Epoch == 2 {
+					r.cluster.update("a1", func(e *fakeEngine) { e.refuse++ })
+				}
+			}
+		})
+		sink := at("q", 5, func() { r.cluster.silence("a1") })
+		runWhole(t, r, r.job("q", 200, r.stages("a1:0-6", "b1:6-12")), sink)
+		if !slices.Equal(r.excluded[0], []string{"a1"}) || r.released[0]["a1"] != balance.ResultNeutral {
+			t.Errorf("excluded %v, released %v", r.excluded, r.released)
+		}
+	})
+}
+
+// Every connection to an engine goes silent, also the new ones, though they open.
+// One new proof is all that it gets; the caller is answered by another engine.
+func TestSilentAgainAfterTheProofIsExcluded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, twoHalves...)
+		r.cluster.update("b1", func(e *fakeEngine) { e.mute = true })
+		result := runWhole(t, r, r.job("q", 12, r.stages("a1:0-6", "b1:6-12")), &checkedSink{id: "q"})
+		if result.Epochs != 3 || !slices.Equal(r.excluded[0], []string{"b1"}) {
+			t.Errorf("%d epochs, excluded %v", result.Epochs, r.excluded)
+		}
+	})
+}
+
+// The last stage reports an error. It may blame the stage before it, whose
+// activations stopped: then that one is replaced. A blame that names no stage is
+// taken as its own.
+func TestBlameNamesTheStageToReplace(t *testing.T) {
+	for blame, want := range map[int]string{0: "a1", 1: "b1", 7: "b1", -1: "b1"} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, twoHalves...)
+			r.cluster.corrupt = func(target string, e *engine.Event) {
+				if target == "b1" && e.Epoch == 1 && e.Position == 5 {
+					e.Kind, e.Blame = engine.EventError, blame
+				}
+			}
+			runWhole(t, r, r.job("q", 12, r.stages("a1:0-6", "b1:6-12")), &checkedSink{id: "q"})
+			if !slices.Equal(r.excluded[0], []string{want}) {
+				t.Errorf("blame %d excluded %v", blame, r.excluded)
+			}
+		})
+	}
+}
+
 // The first stage dies, and the engine that replaces it dies while it replays. The
 // second failure is like the first: the epoch rises again, both are left out, and
 // the third engine gets the same committed tokens.
@@ -217,6 +273,54 @@
 	})
 }
 
+// A draft is preempted again before its second engine made a token. That engine
+// has no KV cache of it worth importing; the third imports from the first.
+func TestImportComesFromAnEngineThatMadeTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, "w1:0-12", "w2:0-12", "w3:0-12")
+		preempt := make(chan struct{}, 1)
+		r.cluster.update("w2", func(e *fakeEngine) {
+			e.onOpen = func(engine.StageOpen) { preempt <- struct{}{} }
+		})
+		next := []string{"w2:0-12", "w3:0-12"}
+		job := r.job("q", 12, r.stages("w1:0-12"))
+		job.Preempt = preempt
+		job.Replace = func(context.Context, []string) (Placement, error) {
+			placement := r.stages(next[0])
+			next = next[1:]
+			return placement, nil
+		}
+		runWhole(t, r, job, at("q", 5, func() { preempt <- struct{}{} }))
+		if source := r.cluster.opensOf("w3")[0].ImportKVFrom; source != "w1" {
+			t.Errorf("w3 imports from %q", source)
+		}
+	})
+}
+
+// A draft is preempted over and over. It ends after a bounded number of epochs;
+// the caller is told unknown, because it ran in part.
+func TestPreemptionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, twoHalves...)
+		r.runner = New(r.cluster, Settings{MaxEpochs: 4}, r.inv)
+		preempt := make(chan struct{}, 1)
+		sink := &checkedSink{id: "q", onToken: func(int) error {
+			preempt <- struct{}{}
+			return nil
+		}}
+		job := r.job("q", 12, r.stages("a1:0-6", "b1:6-12"))
+		job.Preempt = preempt
+		result, err := r.runner.Run(t.Context(), job, sink)
+		expectFailure(t, err, outcome.Unknown, outcome.ReasonOverloaded)
+		if result.Epochs != 4 {
+			t.Errorf("%d epochs", result.Epochs)
+		}
+		if wrong := r.verdict(sink, result, err, 12); wrong != nil {
+			t.Error(wrong)
+		}
+	})
+}
+
 // Both stages live and send heartbeats, but no token comes: one of them is stuck,
 // and nothing tells which. After the bound between tokens neither is used again.
 func TestSlowStagesCountAsFailed(t *testing.T) {
@@ -270,9 +374,13 @@
 		r := newRig(t, twoHalves...)
 		sink := at("q", 5, func() { r.cluster.update("a1", func(e *fakeEngine) { e.stalled = true }) })
 		job := r.job("q", 12, r.stages("a1:0-6", "b1:6-12"))
-		job.Deadline = time.Now().Add(time.Second)
+		started := time.Now()
+		job.Deadline = started.Add(time.Second)
 		result, err := r.runner.Run(t.Context(), job, sink)
 		expectFailure(t, err, outcome.Unknown, outcome.ReasonDeadline)
+		if took := time.Since(started); took > time.Second {
+			t.Errorf("ended after %v of virtual time", took)
+		}
 		if wrong := r.verdict(sink, result, err, 12); wrong != nil {
 			t.Error(wrong)
 		}
@@ -384,6 +492,74 @@
 	}
 }
 
+// A second preemption comes while the slots are being given up for the first. It
+// asks for what is done already, and must not take the next placement as well.
+func TestReleaseSatisfiesPreemptionsUntilThen(t *testing.T) {
+	r := newRig(t, twoHalves...)
+	preempt := make(chan struct{}, 1)
+	job := r.job("q", 12, r.stages("a1:0-6", "b1:6-12"))
+	job.Preempt = preempt
+	state := newRun(t.Context(), r.runner, job, &checkedSink{id: "q"})
+	preempt <- struct{}{}
+	state.release(nil)
+	if len(preempt) != 0 {
+		t.Error("the preemption waits for the next placement")
+	}
+}
+
+// A stage opens at the very moment at which another one fails. Its stream must be
+// closed all the same, or its engine works for nobody.
+func TestStreamOpenedAfterTheEndIsClosed(t *testing.T) {
+	r := newRig(t, twoHalves...)
+	e := newEpoch(t.Context(), 1, r.stages("a1:0-6", "b1:6-12").Stages())
+	e.close()
+	stream := &instantStream{closed: make(chan struct{})}
+	if e.add(stream) {
+		t.Error("the epoch took the stream")
+	}
+	select {
+	case <-stream.closed:
+	default:
+		t.Error("the stream stays open")
+	}
+}
+
+// Other VMs fill an engine that this one believed to be free. Being busy is no
+// failure: the run queues again as often as it takes, excludes nothing, and the
+// caller gets the whole answer later.
+func TestBusyEngineIsNotAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, "a1:0-6", "b1:6-12")
+		r.cluster.update("a1", func(e *fakeEngine) { e.busy = 3 * DefaultMaxRecoveries })
+		result := runWhole(t, r, r.job("q", 12, r.stages("a1:0-6", "b1:6-12")), &checkedSink{id: "q"})
+		if result.Epochs != 3*DefaultMaxRecoveries+1 || slices.ContainsFunc(r.excluded, func(names []string) bool { return len(names) > 0 }) {
+			t.Errorf("%d epochs, excluded %v", result.Epochs, r.excluded)
+		}
+		if r.released[0]["a1"] != balance.ResultBusy {
+			t.Errorf("released %v", r.released[0])
+		}
+	})
+}
+
+// The last stage was taken and the first refused. No layer has run, for the last
+// stage had nothing to work on, so the caller is rightly told not-run.
+func TestLastStageAloneDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, "a1:0-6", "b1:6-12")
+		r.cluster.update("a1", func(e *fakeEngine) {
+			e.refuse = 1
+			e.onOpen = func(engine.StageOpen) { time.Sleep(time.Second) }
+		})
+		r.onReplace = func(context.Context) error { return outcome.Refuse(outcome.ReasonOverloaded, "full") }
+		sink := &checkedSink{id: "q"}
+		result, err := r.runner.Run(t.Context(), r.job("q", 12, r.stages("a1:0-6", "b1:6-12")), sink)
+		expectFailure(t, err, outcome.NotRun, outcome.ReasonOverloaded)
+		if wrong := r.verdict(sink, result, err, 12); wrong != nil {
+			t.Error(wrong)
+		}
+	})
+}
+
 // Hundreds of drafts lose the same hung engine at once. The cancels to it are
 // bounded; those beyond the bound are skipped and counted, and no run waits.
 func TestCancelsAreBounded(t *testing.T) {
--- a/internal/generation/fake_cluster_test.go
+++ b/internal/generation/fake_cluster_test.go
@@ -42,7 +42,7 @@
 	mu      sync.Mutex // guards the fields below and the engines' and streams'
 	engines map[string]*fakeEngine
 	opens   []fakeOpen
-	// started holds the ids of requests that some engine began on.
+	// started holds the ids of requests whose first stage some engine took.
 	started map[string]bool
 }
 
@@ -55,9 +55,10 @@
 type fakeEngine struct {
 	name string
 	// dead engines refuse connections; hung ones answer nothing; stalled ones send
-	// heartbeats and make no tokens; refuse counts opens to refuse as busy.
-	dead, hung, stalled bool
-	refuse              int
+	// heartbeats and make no tokens; mute ones open streams that bring nothing;
+	// refuse counts opens to refuse as leaving, busy those to refuse for a slot.
+	dead, hung, stalled, mute bool
+	refuse, busy              int
 	// onOpen runs, without the lock, when the engine is asked to open a stage.
 	onOpen func(open engine.StageOpen)
 	// stages are the present epochs by request.
@@ -147,17 +148,22 @@
 		return nil, errHung
 	case e.refuse > 0:
 		e.refuse--
-		return nil, &engine.OpenError{Address: address, Sent: true, Status: 409, Cause: errors.New("busy")}
+		return nil, &engine.OpenError{Address: address, Sent: true, Status: 410, Cause: errors.New("leaving")}
+	case e.busy > 0:
+		e.busy--
+		return nil, &engine.OpenError{Address: address, Sent: true, Status: 409, Busy: true, Cause: errors.New("busy")}
 	}
 	if before := e.stages[open.RequestID]; before != nil {
 		before.breakLocked()
 	}
 	stream := &fakeStream{
-		cluster: c, engine: e, open: open,
+		cluster: c, engine: e, open: open, silent: e.mute,
 		events: make(chan engine.Event, 1024), closed: make(chan struct{}), broken: make(chan struct{}), gone: make(chan struct{}),
 	}
 	e.stages[open.RequestID] = stream
-	c.started[open.RequestID] = true
+	if open.Index == 0 {
+		c.started[open.RequestID] = true
+	}
 	return stream, nil
 }
 
--- a/internal/generation/fake_stream_test.go
+++ b/internal/generation/fake_stream_test.go
@@ -64,6 +64,9 @@
 // work is the engine's side: heartbeats, and tokens when it is the last stage.
 func (s *fakeStream) work() {
 	s.send(engine.Event{Kind: engine.EventReady})
+	if s.cluster.staleEvents && s.open.Epoch > 1 {
+		s.sendStale(len(s.open.Committed))
+	}
 	if s.open.Index == len(s.open.Hops)-1 {
 		s.generate()
 		return
@@ -76,9 +79,6 @@
 
 func (s *fakeStream) generate() {
 	position := len(s.open.Committed)
-	if s.cluster.staleEvents && s.open.Epoch > 1 {
-		s.sendStale(position)
-	}
 	beat := time.Now()
 	for position < s.open.MaxTokens {
 		if !s.sleep(fakeTokenTime) {
--- a/internal/generation/protocol_test.go
+++ b/internal/generation/protocol_test.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// An engine goes on after the last token that was asked for. The caller gets no
+// more than that, and the answer counts as whole.
+func TestTokensPastTheLengthAreNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, twoHalves...)
+		var last engine.Event
+		r.cluster.corrupt = func(target string, e *engine.Event) {
+			switch e.Kind {
+			case engine.EventToken:
+				last = *e
+			case engine.EventDone:
+				if target == "b1" {
+					*e = last
+					e.Position++
+					e.Text = tokenText("q", e.Position)
+				}
+			}
+		}
+		sink := &checkedSink{id: "q"}
+		result, err := r.runner.Run(t.Context(), r.job("q", 12, r.stages("a1:0-6", "b1:6-12")), sink)
+		if err != nil || sink.next != 12 || result.Finish != finishLength {
+			t.Errorf("%+v, %v, %d tokens", result, err, sink.next)
+		}
+		r.runner.Wait()
+	})
+}
+
 // A placement that leaves out layers, or runs some of them twice, is refused
 // before any engine is asked; the caller is told not-run, which is true.
 func TestPlacementThatDoesNotCoverIsRefused(t *testing.T) {
--- a/internal/generation/random_test.go
+++ b/internal/generation/random_test.go
@@ -26,7 +26,9 @@
 
 // scenario is what one randomised run does; all of it is drawn beforehand.
 type scenario struct {
-	tokens             []int
+	tokens []int
+	// deadlines are the callers' bounds, 0 for none.
+	deadlines          []time.Duration
 	orders             []faultOrder
 	stale, duplicates  bool
 	replaceTakes       time.Duration
@@ -39,12 +41,13 @@
 	orderSilence = "silence"
 	orderStall   = "stall"
 	orderRefuse  = "refuse"
+	orderBusy    = "busy"
 	orderPreempt = "preempt"
 	orderTwice   = "kill two"
 )
 
 func drawScenario(t *rapid.T) scenario {
-	kinds := []string{orderKill, orderHang, orderSilence, orderStall, orderRefuse, orderPreempt, orderTwice}
+	kinds := []string{orderKill, orderHang, orderSilence, orderStall, orderRefuse, orderBusy, orderPreempt, orderTwice}
 	s := scenario{
 		stale: rapid.Bool().Draw(t, "stale"), duplicates: rapid.Bool().Draw(t, "duplicates"),
 		replaceTakes:       time.Duration(rapid.IntRange(0, 300).Draw(t, "replaceTakes")) * time.Millisecond,
@@ -52,6 +55,8 @@
 	}
 	for range rapid.IntRange(1, 3).Draw(t, "runs") {
 		s.tokens = append(s.tokens, rapid.IntRange(1, 150).Draw(t, "tokens"))
+		deadline := rapid.SampledFrom([]int{0, 0, 0, 1, 30, 900, 2000}).Draw(t, "deadline")
+		s.deadlines = append(s.deadlines, time.Duration(deadline)*time.Millisecond)
 	}
 	after := 0
 	for range rapid.IntRange(0, 5).Draw(t, "orders") {
@@ -80,6 +85,8 @@
 		r.cluster.update(name, func(e *fakeEngine) { e.stalled = true })
 	case orderRefuse:
 		r.cluster.update(name, func(e *fakeEngine) { e.refuse += 2 })
+	case orderBusy:
+		r.cluster.update(name, func(e *fakeEngine) { e.busy += 20 })
 	case orderPreempt:
 		select {
 		case preempt[o.run] <- struct{}{}:
@@ -98,7 +105,7 @@
 		if e.hung {
 			e.restartLocked()
 		}
-		e.dead, e.hung, e.stalled, e.refuse = false, false, false, 0
+		e.dead, e.hung, e.stalled, e.refuse, e.busy = false, false, false, 0, 0
 	}
 }
 
@@ -123,6 +130,9 @@
 		first, _ := r.choose(nil)
 		job := r.job(sinks[i].id, tokens, first)
 		job.Layers, job.Preempt = 12, preempt[i]
+		if s.deadlines[i] > 0 {
+			job.Deadline = time.Now().Add(s.deadlines[i])
+		}
 		runs.Go(func() { results[i], errs[i] = r.runner.Run(ctx, job, sinks[i]) })
 	}
 	var orders sync.WaitGroup
@@ -144,6 +154,9 @@
 		if err := r.verdict(sinks[i], results[i], errs[i], s.tokens[i]); err != nil {
 			wrong = append(wrong, fmt.Errorf("run %d: %w", i, err))
 		}
+		if errs[i] != nil && s.deadlines[i] == 0 {
+			wrong = append(wrong, fmt.Errorf("run %d failed although the engines were mended: %w", i, errs[i]))
+		}
 		if errs[i] != nil {
 			failed++
 		}
@@ -167,7 +180,7 @@
 		runs, failures = runs+len(s.tokens), failures+failed
 	})
 	t.Logf("%d runs, %d ended with a failure", runs, failures)
-	if failures*20 > runs {
-		t.Errorf("%d of %d runs failed although the engines were mended", failures, runs)
+	if failures == 0 {
+		t.Error("no run failed, so no failure was looked at")
 	}
 }
--- a/internal/generation/recover.go
+++ b/internal/generation/recover.go
@@ -117,7 +117,6 @@
 	if noTarget(err) && len(r.excluded) > 0 {
 		r.wait()
 		clear(r.excluded)
-		clear(r.suspected)
 		err = r.place()
 	}
 	if err == nil {
@@ -187,7 +186,7 @@
 	}
 }
 
-// fail says not-run only if no engine can have begun.
+// fail says not-run only if no layer can have run.
 func (r *run) fail(reason outcome.Reason, detail string) *outcome.Failure {
 	if !r.started && len(r.committed) == 0 {
 		return outcome.Refuse(reason, detail)
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -21,7 +21,7 @@
 	committed []string
 	finish    string
 	sinkErr   error
-	// started says that some engine may have begun on the request.
+	// started says that some layer of the request may have run.
 	started bool
 
 	holders   kvHolders
--- a/internal/generation/settings.go
+++ b/internal/generation/settings.go
@@ -5,7 +5,7 @@
 // The defaults of Settings.
 const (
 	DefaultOpenTimeout    = 2 * time.Second
-	DefaultReproveTimeout = 300 * time.Millisecond
+	DefaultReproveTimeout = 200 * time.Millisecond
 	DefaultFirstToken     = 10 * time.Second
 	DefaultBetweenTokens  = 2 * time.Second
 	DefaultCancelTimeout  = time.Second
