Log and count every refusal, and failed reloads of keys

Cause: a request refused before it was in hand (unknown profile, wrong key, limit, stopping VM) was neither counted nor logged; input that the API refused was counted with a time of zero in the histogram of whole requests and not logged; a tokens or certificate file that failed to reload was logged nowhere. Change: the router records such refusals, the node logs each refused or unknown request in one place, serve hands its logger to the files it follows, and the dump counts the log lines that were lost.

--- /dev/null
+++ b/internal/cli/node_options.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"crypto/tls"
+	"os"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/adminapi"
+	"geraniumcroft/internal/node"
+	"geraniumcroft/internal/security"
+	"geraniumcroft/internal/settings"
+	"geraniumcroft/internal/version"
+)
+
+// nodeFiles are the files that the settings name, followed as they change.
+type nodeFiles struct {
+	logger  *zap.Logger
+	closers []func()
+}
+
+// options reads the files and returns what a node is made from. After an error
+// what was opened still has to be closed.
+func (f *nodeFiles) options(s *settings.Settings) (node.Options, error) {
+	o := node.Options{Settings: s, Version: version.String(), LogOut: os.Stderr}
+	authenticator, err := security.NewAuthenticator(s.Admin.TokensFile, security.Options{Logger: f.logger})
+	if err != nil {
+		return o, err
+	}
+	f.closers = append(f.closers, authenticator.Close)
+	o.Authenticator = operators{authenticator}
+	if o.CallersTLS, err = f.serverTLS(s.Callers.TLS); err != nil {
+		return o, err
+	}
+	if o.AdminTLS, err = f.serverTLS(s.Admin.TLS); err != nil {
+		return o, err
+	}
+	return o, f.peersTLS(s.Peers.TLS, &o)
+}
+
+func (f *nodeFiles) peersTLS(t settings.TLS, o *node.Options) error {
+	source, err := f.source(t)
+	if err != nil || source == nil {
+		return err
+	}
+	o.PeersTLS = source.ServerConfig()
+	o.PeersClientTLS = source.ClientConfig
+	return nil
+}
+
+func (f *nodeFiles) serverTLS(t settings.TLS) (*tls.Config, error) {
+	source, err := f.source(t)
+	if err != nil || source == nil {
+		return nil, err
+	}
+	return source.ServerConfig(), nil
+}
+
+// source is nil for plain connections.
+func (f *nodeFiles) source(t settings.TLS) (*security.TLSSource, error) {
+	if t.Plain {
+		return nil, nil
+	}
+	files := security.TLSFiles{Cert: t.Cert, Key: t.Key, CA: t.CA}
+	source, err := security.NewTLSSource(files, security.Options{Logger: f.logger})
+	if err == nil {
+		f.closers = append(f.closers, source.Close)
+	}
+	return source, err
+}
+
+func (f *nodeFiles) close() {
+	for _, c := range f.closers {
+		c()
+	}
+}
+
+// operators lets the admin API ask package security.
+type operators struct {
+	*security.Authenticator
+}
+
+// Authenticate implements adminapi.Authenticator.
+func (o operators) Authenticate(token string) (string, adminapi.Role, bool) {
+	author, role, ok := o.Authenticator.Authenticate(token)
+	return author, adminapi.Role(role), ok
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -8,13 +8,10 @@
 	"syscall"
 
 	"github.com/google/subcommands"
-	"go.uber.org/zap"
 
-	"geraniumcroft/internal/adminapi"
 	"geraniumcroft/internal/node"
-	"geraniumcroft/internal/security"
 	"geraniumcroft/internal/settings"
-	"geraniumcroft/internal/version"
+	"geraniumcroft/internal/telemetry"
 )
 
 // serveCommand implements "serve".
@@ -47,18 +44,17 @@
 	if !ok {
 		return subcommands.ExitUsageError
 	}
-	options, closeSecurity, err := nodeOptions(loaded)
+	log, err := telemetry.NewLog(telemetry.LogOptions{Level: loaded.Log.Level, Format: loaded.Log.Format, Out: os.Stderr})
 	if err != nil {
 		return failed(err)
 	}
-	defer closeSecurity()
-	n, err := node.New(options)
+	defer func() { _ = log.Close() }()
+	files := &nodeFiles{logger: log.Logger}
+	defer files.close()
+	n, err := startNode(files, loaded)
 	if err != nil {
 		return failed(err)
 	}
-	if err := n.Start(); err != nil {
-		return failed(err)
-	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	<-signals
@@ -66,64 +62,14 @@
 	return subcommands.ExitSuccess
 }
 
-// nodeOptions reads the files that the settings name. The function returned
-// stops following their changes.
-func nodeOptions(s *settings.Settings) (node.Options, func(), error) {
-	options := node.Options{Settings: s, Version: version.String(), LogOut: os.Stderr}
-	var closers []func()
-	closeAll := func() {
-		for _, c := range closers {
-			c()
-		}
-	}
-	authenticator, err := security.NewAuthenticator(s.Admin.TokensFile, security.Options{Logger: zap.NewNop()})
-	if err != nil {
-		return options, closeAll, err
-	}
-	closers = append(closers, authenticator.Close)
-	options.Authenticator = operators{authenticator}
-	callers, err := tlsSource(s.Callers.TLS, &closers)
-	if err != nil {
-		return options, closeAll, err
-	}
-	admin, err := tlsSource(s.Admin.TLS, &closers)
+func startNode(files *nodeFiles, s *settings.Settings) (*node.Node, error) {
+	options, err := files.options(s)
 	if err != nil {
-		return options, closeAll, err
+		return nil, err
 	}
-	peers, err := tlsSource(s.Peers.TLS, &closers)
+	n, err := node.New(options)
 	if err != nil {
-		return options, closeAll, err
-	}
-	if callers != nil {
-		options.CallersTLS = callers.ServerConfig()
+		return nil, err
 	}
-	if admin != nil {
-		options.AdminTLS = admin.ServerConfig()
-	}
-	if peers != nil {
-		options.PeersTLS, options.PeersClientTLS = peers.ServerConfig(), peers.ClientConfig
-	}
-	return options, closeAll, nil
-}
-
-func tlsSource(t settings.TLS, closers *[]func()) (*security.TLSSource, error) {
-	if t.Plain {
-		return nil, nil
-	}
-	source, err := security.NewTLSSource(security.TLSFiles{Cert: t.Cert, Key: t.Key, CA: t.CA}, security.Options{})
-	if err == nil {
-		*closers = append(*closers, source.Close)
-	}
-	return source, err
-}
-
-// operators lets the admin API ask package security.
-type operators struct {
-	*security.Authenticator
-}
-
-// Authenticate implements adminapi.Authenticator.
-func (o operators) Authenticate(token string) (string, adminapi.Role, bool) {
-	author, role, ok := o.Authenticator.Authenticate(token)
-	return author, adminapi.Role(role), ok
+	return n, n.Start()
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -24,6 +24,7 @@
 	"geraniumcroft/internal/router"
 	"geraniumcroft/internal/security"
 	"geraniumcroft/internal/service/httpservice"
+	"geraniumcroft/internal/telemetry"
 	"geraniumcroft/internal/transport"
 	"geraniumcroft/internal/watch"
 )
@@ -72,7 +73,7 @@
 		VM: s.VM.Name, DataCentre: s.VM.DataCentre, Source: n.store,
 		Admission: n.admission, Balancer: n.balancer, Plans: n.plans, Runner: n.runner,
 		Dispatcher: dispatch.New(n.clients.services, n.dispatchSettings(), n.invariants, n.recorder),
-		Claims:     n.claims, Gate: n.gate, Authorize: security.CheckKey, Observer: observer{n.recorder},
+		Claims:     n.claims, Gate: n.gate, Authorize: security.CheckKey, Observer: observer{n.recorder, n.logger},
 		Invariants: n.invariants, Logger: n.logger, Limits: n.limits(),
 	})
 }
@@ -170,8 +171,11 @@
 	return mux
 }
 
-func (n *Node) onRefused(_, _ string, f *outcome.Failure) {
-	n.recorder.RequestEnded(f.Outcome, f.Reason, config.Normal, "", 0)
+func (n *Node) onRefused(requestID, profile string, f *outcome.Failure) {
+	n.recorder.InputRefused(f.Reason)
+	telemetry.LogEnd(n.logger, telemetry.RequestEnd{
+		RequestID: requestID, Profile: profile, Outcome: f.Outcome, Reason: f.Reason, Detail: f.Detail, Cause: f.Cause,
+	})
 }
 
 // TargetLeaving reports whether this VM knows that the target is about to go.
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -25,6 +25,8 @@
 	Orders        any                       `json:"orders"`
 	Leaving       any                       `json:"leavingTargets"`
 	Invariants    invariant.Report          `json:"invariants"`
+	// LogLinesDropped counts lines that a stalled log writer lost.
+	LogLinesDropped uint64 `json:"logLinesDropped"`
 }
 
 // Dump returns the process's state. Every part answers from memory under short
@@ -47,5 +49,7 @@
 		Orders:        n.orders.Dump(),
 		Leaving:       n.tracker.Dump(),
 		Invariants:    n.invariants.Report(),
+
+		LogLinesDropped: n.logDropped(),
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	started    time.Time
 	logger     *zap.Logger
 	closeLog   func() error
+	logDropped func() uint64
 	metrics    *telemetry.Metrics
 	recorder   *telemetry.Recorder
 	invariants *invariant.Registry
@@ -96,6 +97,7 @@
 func (n *Node) openLog() error {
 	if n.options.Logger != nil {
 		n.logger, n.closeLog = n.options.Logger, func() error { return nil }
+		n.logDropped = func() uint64 { return 0 }
 		return nil
 	}
 	out := n.options.LogOut
@@ -107,6 +109,7 @@
 		return err
 	}
 	n.logger, n.closeLog = log.Logger.With(zap.String("vm", n.settings.VM.Name)), log.Close
+	n.logDropped = log.Dropped
 	return nil
 }
 
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -19,7 +19,7 @@
 func (r *Router) Call(ctx context.Context, request CallRequest) (CallResult, error) {
 	e, failure := r.begin(request.Identity, config.ClassCall)
 	if failure != nil {
-		return CallResult{}, failure
+		return CallResult{}, r.refused(request.Identity, failure)
 	}
 	e.pool = e.profile.Service
 	ctx, cancel := withDeadline(ctx, e)
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -25,7 +25,7 @@
 func (r *Router) Generate(ctx context.Context, request GenerateRequest, sink TokenSink) (GenerateResult, error) {
 	e, failure := r.begin(request.Identity, config.ClassGeneration)
 	if failure != nil {
-		return GenerateResult{}, failure
+		return GenerateResult{}, r.refused(request.Identity, failure)
 	}
 	ctx, cancel := withDeadline(ctx, e)
 	defer cancel()
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -21,4 +21,6 @@
 	Took      time.Duration   `json:"tookNanoseconds"`
 	Tokens    int             `json:"tokens,omitempty"`
 	Epochs    int             `json:"epochs,omitempty"`
+	// Cause is for the log alone; it may be nil.
+	Cause error `json:"-"`
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/dispatch"
@@ -109,17 +108,32 @@
 		Urgency: e.profile.Urgency, Outcome: outcome.Complete, Arrival: e.id.Arrival,
 		Took: time.Since(e.id.Arrival), Tokens: int(e.tokens.Load()), Epochs: epochs,
 	}
-	if failure != nil {
-		record.Outcome, record.Reason, record.Detail = failure.Outcome, failure.Reason, failure.Detail
-		r.inHand.keepFailure(record)
-		r.Logger.Info("request not completed", zap.String("request", e.id.RequestID), zap.String("profile", e.profile.Name),
-			zap.Stringer("outcome", failure.Outcome), zap.String("reason", string(failure.Reason)), zap.NamedError("cause", failure.Cause))
-	}
+	r.keep(&record, failure)
 	e.end(record.Outcome, r.Invariants)
 	r.inHand.remove(e)
 	r.Observer.Ended(record)
 }
 
+func (r *Router) keep(record *Record, failure *outcome.Failure) {
+	if failure == nil {
+		return
+	}
+	record.Outcome, record.Reason = failure.Outcome, failure.Reason
+	record.Detail, record.Cause = failure.Detail, failure.Cause
+	r.inHand.keepFailure(*record)
+}
+
+// refused records a request that was never in hand.
+func (r *Router) refused(id Identity, failure *outcome.Failure) *outcome.Failure {
+	record := Record{RequestID: id.RequestID, Profile: id.Profile, Arrival: id.Arrival, Took: time.Since(id.Arrival)}
+	if profile := r.Source.Current().Profiles[id.Profile]; profile != nil {
+		record.Workspace, record.Urgency = profile.Workspace, profile.Urgency
+	}
+	r.keep(&record, failure)
+	r.Observer.Ended(record)
+	return failure
+}
+
 // asFailure turns any error into a failure; one that nobody typed is Unknown,
 // which claims least.
 func asFailure(err error) *outcome.Failure {
