Wake pools without waiting for their lock

Cause: a wake-up waited for the pool's lock. One that came from within try, as when a request gives back the first of several slots, would have waited for itself and stopped the pool for good; and each release of a slot stood in line behind the starts of others.

Change: a wake-up that finds the lock taken leaves a mark, and whoever holds the lock serves it after giving it up.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -302,3 +302,22 @@
 		}
 	})
 }
+
+// A try function takes one slot of the two that it needs, gives it back, and with
+// that wakes its own pool. The pool goes on: the next request is admitted.
+func TestWakeFromWithinTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{}, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			ended <- f.controller.Admit(ctx, &Request{Pool: testPool}, func() bool { f.controller.Wake(testPool); return false })
+		}()
+		synctest.Wait()
+		if err := f.admit(context.Background(), &Request{Urgency: config.Urgent}); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		reasonOf(t, <-ended)
+	})
+}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -103,17 +103,16 @@
 	c.profiles.leave(r.Profile, r.ProfileMaxInFlight)
 }
 
-// Wake starts queued requests of the pool after capacity may have come free.
+// Wake starts queued requests of the pool after capacity may have come free. It
+// waits for no lock and may be called from anywhere, from within try too.
 func (c *Controller) Wake(name string) {
 	found, ok := c.pools.Load(name)
 	if !ok {
 		return
 	}
-	p := found.(*pool)
-	for p.interested.Load() > 0 && p.woken.CompareAndSwap(false, true) {
-		if !p.wake() {
-			return
-		}
+	if p := found.(*pool); p.interested.Load() > 0 {
+		p.woken.Store(true)
+		p.serveWakes()
 	}
 }
 
--- a/internal/admission/dump.go
+++ b/internal/admission/dump.go
@@ -55,7 +55,7 @@
 	if !p.lockSoon() {
 		return PoolDump{Stuck: true}
 	}
-	defer p.mu.Unlock()
+	defer p.release()
 	now := time.Now()
 	dump := PoolDump{Queued: p.queued, Levels: map[string]LevelDump{}, Counts: p.counts}
 	for urgency, l := range p.levels {
--- a/internal/admission/finished.go
+++ b/internal/admission/finished.go
@@ -10,7 +10,7 @@
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.release()
 	if p.queued == 0 {
 		return
 	}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -20,7 +20,7 @@
 	gates [config.UrgencyCount]sync.Mutex
 	// interested counts the requests that wait or are about to.
 	interested atomic.Int64
-	// woken is set while a wake-up is due, so that wake-ups do not pile up.
+	// woken is set while a wake-up is to be served.
 	woken atomic.Bool
 
 	mu         sync.Mutex // guards the fields below
@@ -51,7 +51,7 @@
 }
 
 func (p *pool) unlock(u config.Urgency) {
-	p.mu.Unlock()
+	p.release()
 	if !p.settings.faults.noGates {
 		p.gates[u].Unlock()
 	}
--- a/internal/admission/review.go
+++ b/internal/admission/review.go
@@ -21,7 +21,7 @@
 // starts what can be started in case a wake-up was missed.
 func (p *pool) review() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.release()
 	if p.queued == 0 {
 		return
 	}
--- a/internal/admission/starting.go
+++ b/internal/admission/starting.go
@@ -10,15 +10,8 @@
 // an arriving urgent request waits for a few starts at most.
 const startsPerTurn = 8
 
-// wake starts what can be started, at most startsPerTurn requests, and reports
+// startSome starts what can be started, at most startsPerTurn requests, and reports
 // whether it stopped at that bound.
-func (p *pool) wake() (more bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.woken.Store(false)
-	return p.startSome(time.Now())
-}
-
 func (p *pool) startSome(now time.Time) (more bool) {
 	for range startsPerTurn {
 		if !p.startNext(now) {
