generation: two engines that hang at once cost one short proof each

Change: a stage that had not opened although there was time for it has the short bound in the next epoch.

--- a/internal/generation/epoch.go
+++ b/internal/generation/epoch.go
@@ -20,6 +20,7 @@
 	hops   []engine.Hop
 	ctx    context.Context
 	cancel context.CancelFunc
+	began  time.Time
 	work   sync.WaitGroup
 	// imported says that a stage was asked to import KV cache, and progressed that
 	// a token was committed; both belong to the run's goroutine.
@@ -31,6 +32,8 @@
 	mu      sync.Mutex // guards the fields below
 	closed  bool
 	streams []engine.Stream
+	// opened says which stages were.
+	opened []bool
 	// fault is the first failure; the failures that closing itself brings about are
 	// not recorded.
 	fault     *fault
@@ -42,7 +45,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	return &epoch{
 		number: number, stages: stages, hops: hopsOf(stages),
-		ctx: ctx, cancel: cancel, streams: make([]engine.Stream, 0, len(stages)),
+		ctx: ctx, cancel: cancel, began: time.Now(),
+		streams: make([]engine.Stream, 0, len(stages)), opened: make([]bool, len(stages)),
 	}
 }
 
@@ -72,10 +76,11 @@
 
 // add keeps a stream so that it is closed with the epoch. It reports false, and
 // closes the stream, when the epoch has ended meanwhile.
-func (e *epoch) add(stream engine.Stream) bool {
+func (e *epoch) add(stage int, stream engine.Stream) bool {
 	e.mu.Lock()
 	closed := e.closed
 	if !closed {
+		e.opened[stage] = true
 		e.streams = append(e.streams, stream)
 	}
 	e.mu.Unlock()
@@ -136,7 +141,7 @@
 	if stage == 0 {
 		e.started.Store(true)
 	}
-	if !e.add(&ownedStream{Stream: stream, cancel: cancel}) {
+	if !e.add(stage, &ownedStream{Stream: stream, cancel: cancel}) {
 		cancel()
 		return nil
 	}
--- a/internal/generation/failure_test.go
+++ b/internal/generation/failure_test.go
@@ -124,6 +124,31 @@
 	})
 }
 
+// Both engines of a draft hang at the same moment, as when a rack loses its switch.
+// The run learns of them one after the other, but gives each only the short bound
+// of a new proof: the second had not opened either while the first was proven.
+func TestTwoHungStagesCostOneProofEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, twoHalves...)
+		var hung, next time.Time
+		sink := &checkedSink{id: "q", onToken: func(p int) error {
+			switch p {
+			case 5:
+				r.cluster.hang("a1")
+				r.cluster.hang("b1")
+				hung = time.Now()
+			case 6:
+				next = time.Now()
+			}
+			return nil
+		}}
+		runWhole(t, r, r.job("q", 12, r.stages("a1:0-6", "b1:6-12")), sink)
+		if took := next.Sub(hung); took > fakeIdle+2*DefaultReproveTimeout+100*time.Millisecond {
+			t.Errorf("recovered after %v of virtual time", took)
+		}
+	})
+}
+
 // Every connection to an engine goes silent, also the new ones, though they open.
 // One new proof is all that it gets; the caller is answered by another engine.
 func TestSilentAgainAfterTheProofIsExcluded(t *testing.T) {
@@ -514,7 +539,7 @@
 	e := newEpoch(t.Context(), 1, r.stages("a1:0-6", "b1:6-12").Stages())
 	e.close()
 	stream := &instantStream{closed: make(chan struct{})}
-	if e.add(stream) {
+	if e.add(0, stream) {
 		t.Error("the epoch took the stream")
 	}
 	select {
--- a/internal/generation/recover.go
+++ b/internal/generation/recover.go
@@ -17,7 +17,7 @@
 // next prepares the epoch after e: it sets a placement, or returns why the run
 // cannot go on.
 func (r *run) next(e *epoch) *outcome.Failure {
-	r.reproving = ""
+	r.noteUnproven(e)
 	if failure := r.ended(); failure != nil {
 		return failure
 	}
@@ -39,6 +39,21 @@
 	return r.recover(e)
 }
 
+// noteUnproven notes the stages that had not opened although there was time for
+// it. When several engines hang at once only the first is found by its fault; the
+// others would cost a whole open bound each.
+func (r *run) noteUnproven(e *epoch) {
+	clear(r.unproven)
+	if time.Since(e.began) < r.runner.settings.ReproveTimeout {
+		return
+	}
+	for i, opened := range e.opened {
+		if !opened {
+			r.unproven[e.stages[i].Target.Name] = true
+		}
+	}
+}
+
 // ended tells whether the caller or the deadline ended the run.
 func (r *run) ended() *outcome.Failure {
 	switch {
@@ -81,7 +96,7 @@
 	r.runner.counters.recoveries.Add(1)
 	target := e.stages[e.fault.stage].Target.Name
 	if e.fault.kind == faultSilent && !r.suspected[target] && !e.preempted {
-		r.suspected[target], r.reproving = true, target
+		r.suspected[target], r.unproven[target] = true, true
 		r.runner.counters.reproved.Add(1)
 		return nil
 	}
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -26,10 +26,11 @@
 
 	holders   kvHolders
 	suspected map[string]bool
-	// reproving is the target that the next epoch opens again after a silence.
-	reproving string
-	excluded  map[string]bool
-	faults    int
+	// unproven are targets of which it is not known whether they answer at all: the
+	// next epoch gives them little time.
+	unproven map[string]bool
+	excluded map[string]bool
+	faults   int
 	// busy counts the epochs that an engine without a free slot ended.
 	busy  int
 	pause time.Duration
@@ -40,7 +41,7 @@
 func newRun(ctx context.Context, r *Runner, j Job, sink Sink) *run {
 	return &run{
 		ctx: ctx, runner: r, job: j, sink: sink, placement: j.First, layers: j.Layers,
-		suspected: map[string]bool{}, excluded: map[string]bool{}, pause: r.settings.RetryPause,
+		suspected: map[string]bool{}, unproven: map[string]bool{}, excluded: map[string]bool{}, pause: r.settings.RetryPause,
 	}
 }
 
@@ -108,9 +109,9 @@
 	}
 }
 
-// openBound is short for a target that is only being proven again.
+// openBound is short for a target that must prove first that it answers.
 func (r *run) openBound(e *epoch, stage int) time.Duration {
-	if e.stages[stage].Target.Name == r.reproving {
+	if r.unproven[e.stages[stage].Target.Name] {
 		return r.runner.settings.ReproveTimeout
 	}
 	return r.runner.settings.OpenTimeout
--- a/internal/generation/settings.go
+++ b/internal/generation/settings.go
@@ -20,7 +20,8 @@
 type Settings struct {
 	// OpenTimeout bounds the opening of one stage.
 	OpenTimeout time.Duration
-	// ReproveTimeout bounds the opening of a stage whose last stream went silent.
+	// ReproveTimeout bounds the opening of a stage whose last stream went silent, or
+	// which had as much time already and did not open.
 	ReproveTimeout time.Duration
 	// FirstToken bounds the wait for an epoch's first token, replay included.
 	FirstToken time.Duration
