Add the load tool

Open-loop Poisson arrivals from a fixed seed, latency from the intended time, a mix of profiles with heavy-tailed lengths and Zipf-sized workspaces, and a check of every answer: one outcome, own answer, no token gap or repeat. HDR histograms, reports as text and JSON, a plot, and a comparison of two reports as ratios.

--- /dev/null
+++ b/internal/cli/loadcmd/loadcmd.go
@@ -0,0 +1,164 @@
+// Package loadcmd is the subcommand "load".
+package loadcmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"geraniumcroft/internal/loadgen"
+)
+
+// LoadCommand implements "load".
+type LoadCommand struct {
+	options  loadgen.Options
+	routers  string
+	keyFile  string
+	jsonFile string
+	plotFile string
+	compare  bool
+}
+
+// Register adds the command.
+func Register(c *subcommands.Commander) {
+	c.Register(&LoadCommand{}, "trying")
+}
+
+// Name implements subcommands.Command.
+func (*LoadCommand) Name() string { return "load" }
+
+// Synopsis implements subcommands.Command.
+func (*LoadCommand) Synopsis() string { return "send load to routers, check and time the answers" }
+
+// Usage implements subcommands.Command.
+func (*LoadCommand) Usage() string {
+	return `load -routers IP:PORT[,IP:PORT...] -profile SPEC [-profile SPEC...] [flags]
+load -compare FIRST.json SECOND.json:
+  Sends requests at the given rate whether or not earlier ones were answered, and
+  counts latency from the intended time of sending. A SPEC is
+  name=NAME[,kind=chat|call][,share=N][,prompt=N][,tokens=N]; a %d in the name takes
+  the number of a workspace. Exits 1 if an answer fails a check.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *LoadCommand) SetFlags(f *flag.FlagSet) {
+	o := &c.options
+	f.StringVar(&c.routers, "routers", "", "callers' addresses of the routers, IP:port, separated by commas")
+	f.Func("profile", "a part of the mix (may be repeated)", c.addProfile)
+	f.Float64Var(&o.Rate, "rate", loadgen.DefaultRate, "arrivals a second")
+	f.IntVar(&o.Count, "count", 0, "end after this many arrivals")
+	f.DurationVar(&o.Duration, "duration", loadgen.DefaultDuration, "end after this time")
+	f.DurationVar(&o.Timeout, "timeout", loadgen.DefaultTimeout, "give a request up after this time")
+	f.IntVar(&o.MaxInFlight, "max-in-flight", loadgen.DefaultMaxInFlight, "bound on requests in hand")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of arrivals, mix and lengths")
+	f.IntVar(&o.Workspaces, "workspaces", loadgen.DefaultWorkspaces, "number of workspaces, for a %d in a profile's name")
+	f.Float64Var(&o.Skew, "skew", loadgen.DefaultSkew, "exponent of the Zipf distribution of the workspaces' sizes")
+	f.StringVar(&c.keyFile, "key-file", "", "file with the bearer key to send")
+	f.BoolVar(&o.AnyText, "any-text", false, "do not check the tokens' text, which only the stand-in numbers")
+	f.BoolVar(&o.AllowRemote, "allow-remote", false, "allow routers that are not on a loopback address")
+	f.StringVar(&c.jsonFile, "json", "", "write the report as JSON to this file")
+	f.StringVar(&c.plotFile, "plot", "", "draw the latencies to this file, .svg or .png")
+	f.BoolVar(&c.compare, "compare", false, "compare two reports instead of sending load")
+}
+
+func (c *LoadCommand) addProfile(text string) error {
+	profile, err := loadgen.ParseProfile(text)
+	if err == nil {
+		c.options.Profiles = append(c.options.Profiles, profile)
+	}
+	return err
+}
+
+// Execute implements subcommands.Command.
+func (c *LoadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.compare {
+		return compare(f.Args())
+	}
+	if err := c.prepare(f.Args()); err != nil {
+		return report(err, subcommands.ExitUsageError)
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	result, err := loadgen.Run(ctx, c.options)
+	if err != nil {
+		return report(err, subcommands.ExitFailure)
+	}
+	if err := c.write(result); err != nil {
+		return report(err, subcommands.ExitFailure)
+	}
+	if result.FaultCount() > 0 || result.Requests == 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *LoadCommand) prepare(args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("load takes no arguments without -compare: %v", args)
+	}
+	if c.routers != "" {
+		c.options.Routers = strings.Split(c.routers, ",")
+	}
+	if c.keyFile != "" {
+		key, err := os.ReadFile(c.keyFile)
+		if err != nil {
+			return err
+		}
+		c.options.BearerKey = strings.TrimSpace(string(key))
+	}
+	return c.options.Check()
+}
+
+func (c *LoadCommand) write(result *loadgen.Report) error {
+	if err := result.WriteText(os.Stdout); err != nil {
+		return err
+	}
+	if c.plotFile != "" {
+		if err := result.SavePlot(c.plotFile); err != nil {
+			return err
+		}
+	}
+	if c.jsonFile == "" {
+		return nil
+	}
+	file, err := os.Create(c.jsonFile)
+	if err != nil {
+		return err
+	}
+	if err := result.WriteJSON(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+func compare(files []string) subcommands.ExitStatus {
+	const wanted = 2
+	if len(files) != wanted {
+		return report(fmt.Errorf("load -compare needs two reports, got %d", len(files)), subcommands.ExitUsageError)
+	}
+	var reports [wanted]*loadgen.Report
+	for i, file := range files {
+		read, err := loadgen.ReadJSON(file)
+		if err != nil {
+			return report(err, subcommands.ExitUsageError)
+		}
+		reports[i] = read
+	}
+	if err := loadgen.Compare(os.Stdout, reports[0], reports[1]); err != nil {
+		return report(err, subcommands.ExitFailure)
+	}
+	return subcommands.ExitSuccess
+}
+
+func report(err error, status subcommands.ExitStatus) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "geraniumcroft:", err)
+	return status
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -10,6 +10,7 @@
 	"geraniumcroft/internal/cli/admincmd"
 
 	"geraniumcroft/internal/cli/experimentcmd"
+	"geraniumcroft/internal/cli/loadcmd"
 )
 
 // Run executes the command line and returns the process's exit code.
@@ -35,4 +36,5 @@
 	c.Register(&standinCommand{}, "trying")
 	admincmd.Register(c)
 	experimentcmd.Register(c)
+	loadcmd.Register(c)
 }
--- /dev/null
+++ b/internal/loadgen/run.go
@@ -0,0 +1,57 @@
+package loadgen
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Run sends the load and returns the report. When ctx ends, no more is sent and what
+// is in hand is given up.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	return run(ctx, &o, newRecorder(&o)), nil
+}
+
+func run(ctx context.Context, o *Options, recorder *recorder) *Report {
+	s := newSender(o)
+	defer s.close()
+	slots := make(chan struct{}, o.MaxInFlight)
+	var requests sync.WaitGroup
+	start := time.Now()
+	schedule := NewSchedule(o)
+	for a, ok := schedule.Next(); ok && waitUntil(ctx, start.Add(a.At)); a, ok = schedule.Next() {
+		select {
+		case slots <- struct{}{}:
+		default:
+			recorder.notSent()
+			continue
+		}
+		requests.Go(func() {
+			defer func() { <-slots }()
+			recorder.add(s.send(ctx, a, start.Add(a.At)))
+		})
+	}
+	sending := time.Since(start)
+	requests.Wait()
+	return recorder.report(start, sending, time.Since(start))
+}
+
+// waitUntil reports whether the time came before ctx ended. A time that has passed
+// is not waited for: a late tool catches up, and the requests count as late.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
