--- /dev/null
+++ b/internal/node/subset_test.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"testing"
+
+	"geraniumcroft/internal/membership"
+)
+
+// Each VM takes its own share of each target's slots. Two VMs that took the same
+// place would leave a share unused and overfill another; a VM that is dead or on
+// its way out would hold a share that nobody uses.
+func TestPlaceInFleet(t *testing.T) {
+	members := []membership.Member{
+		{Name: "a", State: membership.Alive},
+		{Name: "b", State: membership.Dead},
+		{Name: "c", State: membership.Suspected},
+		{Name: "d", State: membership.Alive, Leaving: true},
+		{Name: "e", State: membership.Alive},
+	}
+	for self, want := range map[string][2]int{"a": {3, 0}, "c": {3, 1}, "e": {3, 2}, "d": {4, 2}} {
+		count, index := placeInFleet(self, members)
+		if got := [2]int{count, index}; got != want {
+			t.Errorf("%s: %v, want %v", self, got, want)
+		}
+	}
+}
