peer: repair what rumours missed by comparing digests of the members

320 nodes in one process over the loopback, each rumour passed on once per doubling of the fleet: in one of two starts the fleet did not come together within a minute. Rumours had died out, and the rotation of two members a message brings the last of 320 only after minutes.

A VM that is quiet now adds a digest of its members to a comparison of versions each 5 s at most; a receiver whose digest differs answers with all members. Rumours are passed on twice per doubling again, and up to 160 in a message. TestLostRumoursAreRepaired fails without the repair.

Also tested now: a comparison on a silent connection comes through soon, and a change that a peer does not take is not pushed in a loop.

--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -27,7 +27,7 @@
 	DefaultSuspicionTimeout = 5 * time.Second
 	DefaultRetention        = 3 * time.Hour
 	DefaultRetryDeadEvery   = 3
-	DefaultTransmitFactor   = 1
+	DefaultTransmitFactor   = 2
 	DefaultRotation         = 2
 )
 
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -64,14 +64,13 @@
 		b.Cleanup(func() { cancel(); vm.node.cancel(); vm.node.server.Stop() })
 		vms[i] = vm
 	}
-	poll(b, func() bool {
-		for _, vm := range vms {
-			if vm.node.PeerCount() != size-1 {
-				return false
-			}
+	started := time.Now()
+	for ok, why := joined(vms); !ok; ok, why = joined(vms) {
+		if time.Since(started) > benchBound {
+			b.Fatal("the fleet does not come together: ", why)
 		}
-		return true
-	})
+		time.Sleep(10 * pollStep)
+	}
 	return vms
 }
 
@@ -113,6 +112,16 @@
 	return 0
 }
 
+// joined reports whether all know all, and otherwise who does not.
+func joined(vms []*benchVM) (bool, string) {
+	for _, vm := range vms {
+		if count := vm.node.PeerCount(); count != len(vms)-1 {
+			return false, fmt.Sprintf("%s knows %d peers, counters %+v", vm.node.options.VM, count, vm.node.Counters())
+		}
+	}
+	return true, ""
+}
+
 // BenchmarkChangeInForce gives the time until a change is in force on all VMs,
 // and until the VM that took it knows that it is.
 func BenchmarkChangeInForce(b *testing.B) {
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -19,7 +19,7 @@
 
 type testVM struct {
 	name  string
-	store *memoryStore
+	store ConfigStore
 	node  *Node
 	stop  context.CancelFunc
 	done  chan struct{}
@@ -48,7 +48,7 @@
 	return f.launch(name, address, newMemoryStore(), nil, Settings{})
 }
 
-func (f *fleet) launch(name, address string, store *memoryStore, load LoadSink, s Settings) *testVM {
+func (f *fleet) launch(name, address string, store ConfigStore, load LoadSink, s Settings) *testVM {
 	vm := &testVM{name: name, store: store, done: make(chan struct{})}
 	vm.node = New(Options{
 		VM: name, DataCentre: "hall-a", Address: address, Seeds: []string{vmName(0), vmName(1)},
@@ -125,7 +125,7 @@
 }
 
 func (vm *testVM) change(name string) uint64 {
-	changes := vm.store.commit(name)
+	changes := vm.store.(*memoryStore).commit(name)
 	vm.node.Announce(changes)
 	return changes[0].Version
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -37,6 +37,7 @@
 	table      *membership.Table
 	view       map[string]string // name to address
 	swapped    time.Time
+	repaired   time.Time
 	nextSeed   int
 	lastAnswer time.Time
 	pushes     map[string]*push
--- a/internal/peer/random_test.go
+++ b/internal/peer/random_test.go
@@ -115,7 +115,7 @@
 	if _, err := vm.store.ApplyChanges(r.history); err != nil {
 		panic(err)
 	}
-	changes := vm.store.commit(fmt.Sprint("change-", len(r.history)))
+	changes := vm.store.(*memoryStore).commit(fmt.Sprint("change-", len(r.history)))
 	r.history = append(r.history, changes...)
 	vm.node.Announce(changes)
 }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -39,7 +39,7 @@
 	if worthCompressing(answer.Configuration) {
 		_ = grpc.SetSendCompressor(ctx, gzip.Name)
 	}
-	if r.GetJoining() {
+	if r.GetJoining() || n.differs(r.GetDigest()) {
 		answer.Envelope = n.sealForJoiner()
 	} else {
 		answer.Envelope = n.seal(from.GetVm(), maxSyncUpdates)
--- a/internal/peer/settings.go
+++ b/internal/peer/settings.go
@@ -25,6 +25,9 @@
 	ViewSize int
 	// ViewSwapPeriod is how often a large fleet's view replaces one peer.
 	ViewSwapPeriod time.Duration
+	// RepairPeriod is the least time between two exchanges of all members, which
+	// repair what rumours missed.
+	RepairPeriod time.Duration
 	// PushFanout is how many peers a VM of a large fleet pushes a new change to; a
 	// negative one leaves all to anti-entropy.
 	PushFanout int
@@ -52,6 +55,7 @@
 	DefaultIndirectProbes   = 3
 	DefaultViewSize         = 16
 	DefaultViewSwapPeriod   = 10 * time.Second
+	DefaultRepairPeriod     = 5 * time.Second
 	DefaultPushFanout       = 4
 	DefaultReachableBound   = 3 * time.Second
 	DefaultLoadExpiry       = 15 * time.Second
@@ -63,7 +67,7 @@
 const (
 	maxMessageBytes      = 64 << 20
 	maxChangesPerMessage = 512
-	maxSyncUpdates       = 96
+	maxSyncUpdates       = 160
 	maxProbeUpdates      = 24
 	maxUpdatesAccepted   = 4096
 	maxLoadPerMessage    = 128
@@ -80,6 +84,7 @@
 	setDefault(&s.IndirectProbes, DefaultIndirectProbes)
 	setDefault(&s.ViewSize, DefaultViewSize)
 	setDefault(&s.ViewSwapPeriod, DefaultViewSwapPeriod)
+	setDefault(&s.RepairPeriod, DefaultRepairPeriod)
 	setDefault(&s.PushFanout, DefaultPushFanout)
 	setDefault(&s.ReachableBound, DefaultReachableBound)
 	setDefault(&s.LoadExpiry, DefaultLoadExpiry)
--- a/internal/peer/spreading_test.go
+++ b/internal/peer/spreading_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -8,6 +9,7 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/membership"
 	"geraniumcroft/internal/peer/peerpb"
 )
 
@@ -144,7 +146,7 @@
 // before it takes requests, so Join brings a snapshot and what followed it.
 func TestJoinerGetsTheNewestFromPeers(t *testing.T) {
 	run(t, 4, Settings{}, func(t *testing.T, f *fleet) {
-		fill(f.vm(0).store, 100, 20)
+		fill(f.vm(0).store.(*memoryStore), 100, 20)
 		version := f.vm(0).change("a")
 		f.within(smallBound, "in force on all", f.allAt(version))
 		store := newMemoryStore()
@@ -171,7 +173,7 @@
 func TestDelayedMessagesChangeNothing(t *testing.T) {
 	run(t, 2, Settings{}, func(t *testing.T, f *fleet) {
 		target := &service{node: f.vm(1).node}
-		first := f.vm(0).store.commit("a")
+		first := f.vm(0).store.(*memoryStore).commit("a")
 		delayed := &peerpb.PushRequest{Envelope: f.vm(0).node.seal(vmName(1), 0), Configuration: f.vm(0).node.encodeChanges(first)}
 		old := config.NewSnapshot()
 		old.Version = 1
@@ -283,3 +285,57 @@
 		}
 	})
 }
+
+// Operators see the same VMs on every VM though rumours died out before they had
+// reached all, as they may when many VMs start at once. Here each rumour is passed
+// on once and nothing rotates; comparing digests brings what is missing.
+func TestLostRumoursAreRepaired(t *testing.T) {
+	s := Settings{Membership: membership.Settings{TransmitFactor: -1, Rotation: -1}}
+	run(t, 40, s, func(t *testing.T, f *fleet) {
+		version := f.vm(7).change("a")
+		f.within(joinBound, "the origin knows", func() bool {
+			confirmed, _ := f.vm(7).node.InForce(version)
+			return len(confirmed) == 40
+		})
+	})
+}
+
+// A VM's kept connection is silent when it compares versions. The comparison may
+// carry a snapshot and so may take long, but a silent connection must not use that
+// time up: the second try, on a new connection, comes soon.
+func TestSyncOnSilentConnectionComesThroughSoon(t *testing.T) {
+	run(t, 2, Settings{}, func(t *testing.T, f *fleet) {
+		f.network.silence(func(string, string) bool { return true })
+		ctx, cancel := context.WithTimeout(t.Context(), smallBound)
+		defer cancel()
+		if err := f.vm(0).node.syncWith(ctx, vmName(1), vmName(1)); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// refusingStore takes no change, as one that does not know a new kind of entity.
+type refusingStore struct{ *memoryStore }
+
+func (refusingStore) ApplyChanges([]config.Change) (uint64, error) {
+	return 0, &config.VersionGapError{}
+}
+
+// One VM cannot apply a change. It stays named as missing; the others do not send
+// it the change over and over at the speed of the network.
+func TestChangeThatIsNotTakenIsNotPushedInALoop(t *testing.T) {
+	run(t, 1, Settings{}, func(t *testing.T, f *fleet) {
+		f.launch("refusing", "refusing", refusingStore{newMemoryStore()}, nil, Settings{})
+		f.within(joinBound, "the two know each other", func() bool { return f.vm(0).node.PeerCount() == 1 })
+		before := f.vm(0).node.Counters().Pushes
+		version := f.vm(0).change("a")
+		time.Sleep(pushBound)
+		const tolerated = 4 // the push itself and what rounds of anti-entropy add
+		if pushes := f.vm(0).node.Counters().Pushes - before; pushes > tolerated {
+			t.Fatalf("pushed %d times", pushes)
+		}
+		if _, missing := f.vm(0).node.InForce(version); !slices.Equal(missing, []string{"refusing"}) {
+			t.Fatalf("missing %v, want the refusing VM", missing)
+		}
+	})
+}
--- a/internal/peer/sync.go
+++ b/internal/peer/sync.go
@@ -111,9 +111,33 @@
 		Load:     load,
 		LoadSeen: seen,
 		Joining:  !n.Reachable(),
+		Digest:   n.digestToCompare(),
 	}
 }
 
+// digestToCompare returns the digest of this VM's members now and then, once it
+// is quiet. Rumours die out and the rotation takes minutes to bring a large
+// fleet's every member; a difference of digests brings all at once.
+func (n *Node) digestToCompare() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Since(n.repaired) < n.settings.RepairPeriod || !n.table.Quiet() {
+		return 0
+	}
+	n.repaired = time.Now()
+	return n.table.Digest()
+}
+
+// differs reports whether a peer's members are not this VM's.
+func (n *Node) differs(digest uint64) bool {
+	if digest == 0 {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return digest != n.table.Digest()
+}
+
 // offerNewer pushes to a peer whose answer showed that it lacks something.
 func (n *Node) offerNewer(e *peerpb.Envelope) {
 	if e.GetVersion() >= n.options.Store.Current().Version {
