Give plans the prompt's cached prefixes, and mend a race in preemption

Randomised runs under the race detector showed that a request was in the registry before its pool and its preemption channel were set: a preemption could miss it or signal nothing.

--- a/internal/plan/chooser.go
+++ b/internal/plan/chooser.go
@@ -66,14 +66,14 @@
 // the precomputed plan whose turn it is among those that are free. When none is,
 // it lays out the path of the least latency over what is usable, unless the
 // request had better wait; see SetEligible.
-func (c *Chooser) Choose(u config.Urgency, usable func(target string) bool, exclude map[string]bool) (Plan, bool) {
-	free := func(name string) bool { return !exclude[name] && usable(name) }
+func (c *Chooser) Choose(w Wish) (Plan, bool) {
+	free := func(name string) bool { return !w.Exclude[name] && w.Usable(name) }
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if plan, ok := c.chooseWeighted(u, free); ok {
+	if plan, ok := c.chooseWeighted(w, free); ok {
 		return plan, true
 	}
-	if !c.mayLayOut(u, exclude) {
+	if !c.mayLayOut(w.Urgency, w.Exclude) {
 		return Plan{}, false
 	}
 	return c.layOut(c.finder, c.graph.whole(), free)
@@ -103,8 +103,8 @@
 	return true
 }
 
-func (c *Chooser) chooseWeighted(u config.Urgency, free func(string) bool) (Plan, bool) {
-	credit := c.credit[u]
+func (c *Chooser) chooseWeighted(w Wish, free func(string) bool) (Plan, bool) {
+	credit := c.credit[w.Urgency]
 	for i, path := range c.paths {
 		credit[i] += path.weight
 		c.tried[i] = false
@@ -115,7 +115,7 @@
 			break
 		}
 		c.tried[best] = true
-		if plan, ok := c.graph.pick(c.paths[best].legs, free, c.turns); ok {
+		if plan, ok := c.graph.pick(c.paths[best].legs, free, c.turns, w.Prefer); ok {
 			c.forgive(credit, credit[best])
 			credit[best] -= c.total
 			plan.Weight = c.paths[best].weight
@@ -170,5 +170,5 @@
 		return Plan{}, false
 	}
 	legs = c.graph.mergeRevisits(legs, func(group int) int { return count[group] })
-	return c.graph.pick(legs, free, c.turns)
+	return c.graph.pick(legs, free, c.turns, nil)
 }
--- a/internal/plan/chooser_test.go
+++ b/internal/plan/chooser_test.go
@@ -55,7 +55,7 @@
 		for range 5 {
 			busy, exclude := drawNames(t, in, "busy"), drawNames(t, in, "exclude")
 			usable := func(name string) bool { return !busy[name] }
-			chosen, ok := chooser.Choose(config.Normal, usable, exclude)
+			chosen, ok := chooser.Choose(Wish{Urgency: config.Normal, Usable: usable, Exclude: exclude})
 			free := func(name string) bool { return usable(name) && !exclude[name] }
 			if possible := covers(in, config.LayerRange{To: in.Model.Layers}, free); ok != possible {
 				t.Fatalf("chose %v, a plan exists: %v", ok, possible)
@@ -86,7 +86,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		in := drawInput(t, rapid.IntRange(1, 16).Draw(t, "layers"), rapid.IntRange(0, 12).Draw(t, "targets"))
 		chooser := NewChooser(compute(t, in), 1)
-		current, _ := chooser.Choose(config.Normal, always, nil)
+		current, _ := chooser.Choose(Wish{Urgency: config.Normal, Usable: always})
 		busy := drawNames(t, in, "busy")
 		failed := map[string]bool{}
 		for range rapid.IntRange(1, 2).Draw(t, "deaths") {
@@ -154,11 +154,11 @@
 	}
 	chooser := NewChooser(compute(t, in), 1)
 	for range 1000 {
-		chooser.Choose(config.Bulk, func(name string) bool { return name != "t0" }, nil)
+		chooser.Choose(Wish{Urgency: config.Bulk, Usable: func(name string) bool { return name != "t0" }})
 	}
 	got := 0
 	for range 16 {
-		if chosen, _ := chooser.Choose(config.Bulk, always, nil); chosen.Uses("t0") {
+		if chosen, _ := chooser.Choose(Wish{Urgency: config.Bulk, Usable: always}); chosen.Uses("t0") {
 			got++
 		}
 	}
@@ -227,7 +227,7 @@
 	got := map[string]float64{}
 	chooser := NewChooser(set, 1)
 	for range choices {
-		chosen, _ := chooser.Choose(config.Bulk, always, nil)
+		chosen, _ := chooser.Choose(Wish{Urgency: config.Bulk, Usable: always})
 		for _, stage := range chosen.Stages {
 			got[stage.Target.Name] += 1.0 / choices
 		}
@@ -239,10 +239,39 @@
 	}
 	first := map[string]bool{}
 	for seed := range uint64(6) {
-		chosen, _ := NewChooser(set, seed).Choose(config.Bulk, always, nil)
+		chosen, _ := NewChooser(set, seed).Choose(Wish{Urgency: config.Bulk, Usable: always})
 		first[fmt.Sprint(chosen.Stages)] = true
 	}
 	if len(first) < 4 {
 		t.Errorf("6 VMs began with only %d plans", len(first))
 	}
 }
+
+// A request whose prompt is cached at one of several like engines goes there while
+// that engine has room, and elsewhere when it has none: a hint never waits.
+func TestPreferredTargetGoesFirstWhileItHasRoom(t *testing.T) {
+	model := &config.Model{Name: "m", Layers: 4, Versions: []string{"1"}}
+	var targets []*config.Target
+	for _, name := range []string{"a", "b", "c"} {
+		targets = append(targets, &config.Target{
+			Name: name, Kind: config.KindEngine, Model: "m", Version: "1", Layers: config.LayerRange{From: 0, To: 4},
+			LayerTokensPerSecond: 100, Slots: 2, State: config.StateActive,
+		})
+	}
+	set, err := Compute(Input{Model: model, Version: "1", Targets: targets})
+	if err != nil {
+		t.Fatal(err)
+	}
+	chooser := NewChooser(set, 1)
+	prefer := map[string]bool{"b": true}
+	for range 5 {
+		chosen, _ := chooser.Choose(Wish{Usable: always, Prefer: prefer})
+		if !chosen.Uses("b") {
+			t.Errorf("went to %s", chosen.Stages[0].Target.Name)
+		}
+	}
+	full := func(name string) bool { return name != "b" }
+	if chosen, ok := chooser.Choose(Wish{Usable: full, Prefer: prefer}); !ok || chosen.Uses("b") {
+		t.Errorf("with b full: %t, %+v", ok, chosen)
+	}
+}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -21,7 +21,6 @@
 	if failure != nil {
 		return CallResult{}, r.refused(request.Identity, failure)
 	}
-	e.pool = e.profile.Service
 	ctx, cancel := withDeadline(ctx, e)
 	defer cancel()
 	result, failure := r.call(ctx, e, request)
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -13,9 +13,11 @@
 
 // entry is one request in hand.
 type entry struct {
-	id       Identity
-	profile  *config.Profile
-	pool     string
+	id      Identity
+	profile *config.Profile
+	pool    string
+	// model is what serves a generation.
+	model    config.ModelRef
 	deadline time.Time
 	boundary *dispatch.Boundary
 	// preempt takes a signal to give the engines back; it is nil for requests that
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -11,6 +11,7 @@
 	"geraniumcroft/internal/balance"
 	"geraniumcroft/internal/claim"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/engine"
 	"geraniumcroft/internal/generation"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/plan"
@@ -85,16 +86,12 @@
 }
 
 func (r *Router) runGeneration(ctx context.Context, e *entry, request GenerateRequest, sink generation.Sink) (GenerateResult, *outcome.Failure) {
-	ref := chooseModel(e.profile.Models, e.id.RequestID)
-	e.pool = PoolOfModel(ref)
-	if e.profile.Urgency == config.Bulk {
-		e.preempt = make(chan struct{}, 1)
-	}
+	ref := e.model
 	tokens := request.MaxTokens
 	if tokens == 0 {
 		tokens = lowest(e.profile.Limits.MaxTokens, r.Limits.MaxTokens)
 	}
-	first, err := r.placeGeneration(ctx, e, ref, admissionCost{tokens: len(request.Prompt) + tokens})
+	first, err := r.placeGeneration(ctx, e, ref, request.Prompt, admissionCost{tokens: len(request.Prompt) + tokens})
 	if err != nil {
 		return GenerateResult{}, asFailure(err)
 	}
@@ -122,7 +119,7 @@
 	return generation.Job{
 		RequestID: e.id.RequestID, Model: ref.Model, Version: ref.Version, Adapter: ref.Adapter,
 		Prompt: prompt, MaxTokens: tokens, Idempotent: e.profile.Idempotent, Priority: int(e.profile.Urgency), Deadline: e.deadline,
-		First:   first,
+		Layers: r.Plans.Layers(ref), First: first,
 		Preempt: e.preempt,
 		Replace: func(ctx context.Context, exclude []string) (generation.Placement, error) {
 			remaining := max(1, tokens-int(e.tokens.Load()))
@@ -138,13 +135,15 @@
 }
 
 // placeGeneration waits in admission for a plan with a slot on each target.
-func (r *Router) placeGeneration(ctx context.Context, e *entry, ref config.ModelRef, cost admissionCost) (*placement, error) {
+func (r *Router) placeGeneration(ctx context.Context, e *entry, ref config.ModelRef, prompt []string, cost admissionCost) (*placement, error) {
 	if !r.Plans.Covered(ref, nil) {
 		return nil, noEngines()
 	}
+	prefixes := engine.PrefixHashes(ref.Model, ref.Version, ref.Adapter, prompt)
 	var placed *placement
 	err := r.admit(ctx, e, cost, func(u config.Urgency) bool {
-		placed = r.tryPlan(u, ref, nil)
+		prefer := r.Balancer.PrefixHolders(e.pool, prefixes)
+		placed = r.tryPlan(u, ref, nil, prefer)
 		return placed != nil
 	})
 	return placed, err
@@ -160,7 +159,7 @@
 	err := r.admit(ctx, e, admissionCost{tokens: tokens, resume: true}, func(u config.Urgency) bool {
 		placed = r.tryRepair(u, ref, current, exclude)
 		if placed == nil {
-			placed = r.tryPlan(u, ref, exclude)
+			placed = r.tryPlan(u, ref, exclude, nil)
 		}
 		return placed != nil
 	})
@@ -189,10 +188,10 @@
 }
 
 // tryPlan chooses a plan and takes its slots, all or none.
-func (r *Router) tryPlan(u config.Urgency, ref config.ModelRef, exclude []string) *placement {
+func (r *Router) tryPlan(u config.Urgency, ref config.ModelRef, exclude []string, prefer map[string]bool) *placement {
 	excluded := asSet(exclude)
 	for range planAttempts {
-		chosen, ok := r.Plans.Choose(ref, u, excluded)
+		chosen, ok := r.Plans.Choose(ref, u, excluded, prefer)
 		if !ok {
 			return nil
 		}
--- a/internal/router/plan_cache.go
+++ b/internal/router/plan_cache.go
@@ -102,6 +102,7 @@
 	}
 	next.set = set
 	next.chooser = plan.NewChooser(set, c.seed)
+	next.chooser.SetEligible(c.eligible)
 	return next
 }
 
@@ -125,13 +126,14 @@
 	return c.plans.Load().byRef[ref]
 }
 
-// Choose returns a plan whose targets all have room now.
-func (c *PlanCache) Choose(ref config.ModelRef, u config.Urgency, exclude map[string]bool) (plan.Plan, bool) {
+// Choose returns a plan whose targets all have room now. Targets in prefer are
+// said to hold part of the prompt's KV cache.
+func (c *PlanCache) Choose(ref config.ModelRef, u config.Urgency, exclude, prefer map[string]bool) (plan.Plan, bool) {
 	planned := c.of(ref)
 	if planned == nil || planned.chooser == nil {
 		return plan.Plan{}, false
 	}
-	return planned.chooser.Choose(u, c.room(u), exclude)
+	return planned.chooser.Choose(plan.Wish{Urgency: u, Usable: c.room(u), Exclude: exclude, Prefer: prefer})
 }
 
 // Repair replaces the failed targets of a plan and keeps the others.
@@ -143,6 +145,19 @@
 	return planned.chooser.Repair(current, failed, c.room(u))
 }
 
+func (c *PlanCache) eligible(target string) bool {
+	usable, _ := c.capacity.Usable(target)
+	return usable
+}
+
+// Layers returns the number of layers of the model.
+func (c *PlanCache) Layers(ref config.ModelRef) int {
+	if planned := c.of(ref); planned != nil {
+		return planned.layers
+	}
+	return 0
+}
+
 func (c *PlanCache) room(u config.Urgency) func(string) bool {
 	return func(target string) bool { return c.capacity.HasRoom(target, u) }
 }
@@ -155,8 +170,7 @@
 		return false
 	}
 	return covers(planned.layers, planned.holders, func(name string) bool {
-		usable, _ := c.capacity.Usable(name)
-		return usable && !slices.Contains(exclude, name)
+		return c.eligible(name) && !slices.Contains(exclude, name)
 	})
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,14 +91,23 @@
 	if id.Deadline > 0 {
 		deadline = min(deadline, id.Deadline)
 	}
-	return &entry{
+	e := &entry{
 		id:       id,
 		profile:  profile,
+		pool:     profile.Service,
 		deadline: id.Arrival.Add(deadline),
 		boundary: dispatch.NewBoundary(id.RequestID, profile.Idempotent, r.Invariants),
 		stage:    StageArrived,
 		since:    id.Arrival,
 	}
+	if profile.Class == config.ClassGeneration {
+		e.model = chooseModel(profile.Models, id.RequestID)
+		e.pool = PoolOfModel(e.model)
+	}
+	if profile.Class == config.ClassGeneration && profile.Urgency == config.Bulk {
+		e.preempt = make(chan struct{}, 1)
+	}
+	return e
 }
 
 // finish gives the request its one outcome and lets it go.
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -116,7 +116,7 @@
 // report gives the VM load reports, as the watcher does.
 func (w *world) report(ctx context.Context, vm *worldVM, client *enginesim.DirectClient) {
 	for ctx.Err() == nil {
-		for name, target := range w.snapshot.Targets {
+		for name, target := range vm.source.Current().Targets {
 			if report, err := client.Load(ctx, target.Address); err == nil && target.Kind == config.KindEngine {
 				vm.balancer.Report(name, report)
 			}
--- a/internal/standin/enginesim/direct_client.go
+++ b/internal/standin/enginesim/direct_client.go
@@ -47,7 +47,7 @@
 		return nil, &engine.OpenError{Address: address, Sent: true, Status: no.status, Busy: no.Code == httpengine.CodeBusy, Cause: no.asError()}
 	}
 	s := &directStream{client: c, engine: e, stage: st, address: address, ctx: ctx, closed: make(chan struct{})}
-	s.release = context.AfterFunc(ctx, s.Close)
+	s.follow(ctx)
 	return s, nil
 }
 
--- a/internal/standin/enginesim/direct_stream.go
+++ b/internal/standin/enginesim/direct_stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"geraniumcroft/internal/engine"
@@ -16,6 +17,8 @@
 	address string
 	ctx     context.Context
 	closed  chan struct{}
+
+	mu      sync.Mutex // guards release
 	release func() bool
 	events  []engine.Event // used by Recv alone
 }
@@ -89,10 +92,23 @@
 	}
 	close(s.closed)
 	s.engine.mu.Unlock()
-	if s.release != nil {
-		s.release()
-	}
+	s.unfollow()
 	if !s.stage.silent.Load() {
 		s.engine.leave(s.stage)
 	}
 }
+
+// follow closes the stream when ctx ends, which may be at once.
+func (s *directStream) follow(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release = context.AfterFunc(ctx, s.Close)
+}
+
+func (s *directStream) unfollow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.release != nil {
+		s.release()
+	}
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -34,7 +34,11 @@
 // Sink takes what was read.
 type Sink interface {
 	Report(target string, r engine.LoadReport)
+	// CacheCursor says from which event on to ask, and whether the answer is the
+	// engine's whole view, for CacheView, or a continuation, for CacheEvents.
+	CacheCursor(target string) (after uint64, whole bool)
 	CacheEvents(target string, e engine.CacheEvents)
+	CacheView(target string, e engine.CacheEvents)
 }
 
 // Options configure a Watcher.
@@ -52,9 +56,6 @@
 // Watcher reads all targets of the configuration in force.
 type Watcher struct {
 	options Options
-	// seen is the newest sequence number of each engine's cache events. Only the
-	// goroutine of Run touches it, between rounds.
-	seen map[string]uint64
 }
 
 // New returns a watcher; Run makes it read.
@@ -62,7 +63,7 @@
 	if o.Watched == nil {
 		o.Watched = func(string) bool { return true }
 	}
-	return &Watcher{options: o, seen: map[string]uint64{}}
+	return &Watcher{options: o}
 }
 
 // Run reads until ctx ends.
@@ -79,20 +80,18 @@
 	}
 }
 
-// round reads each target once; a target that has gone is forgotten.
+// round reads each target once.
 func (w *Watcher) round(ctx context.Context) {
 	targets := w.watched()
 	if len(targets) == 0 {
 		return
 	}
 	pace := w.options.Interval / time.Duration(2*len(targets))
-	newest := make([]uint64, len(targets))
 	var group errgroup.Group
 	group.SetLimit(maxConcurrent)
-	for i, target := range targets {
-		newest[i] = w.seen[target.Name]
+	for _, target := range targets {
 		group.Go(func() error {
-			newest[i] = w.read(ctx, target, newest[i])
+			w.read(ctx, target)
 			return nil
 		})
 		if !pause(ctx, pace) {
@@ -100,10 +99,6 @@
 		}
 	}
 	_ = group.Wait()
-	w.seen = make(map[string]uint64, len(targets))
-	for i, target := range targets {
-		w.seen[target.Name] = newest[i]
-	}
 }
 
 func (w *Watcher) watched() []*config.Target {
@@ -116,28 +111,32 @@
 	return targets
 }
 
-// read returns the newest sequence number of cache events.
-func (w *Watcher) read(ctx context.Context, target *config.Target, after uint64) uint64 {
+func (w *Watcher) read(ctx context.Context, target *config.Target) {
 	ctx, cancel := context.WithTimeout(ctx, 2*w.options.Interval)
 	defer cancel()
 	if target.Kind == config.KindService {
 		if report, err := w.options.Services.Load(ctx, target.Address); err == nil {
 			w.options.Sink.Report(target.Name, report)
 		}
-		return 0
+		return
 	}
 	if report, err := w.options.Engines.Load(ctx, target.Address); err == nil {
 		w.options.Sink.Report(target.Name, report)
 	}
+	w.readCache(ctx, target)
+}
+
+func (w *Watcher) readCache(ctx context.Context, target *config.Target) {
+	after, whole := w.options.Sink.CacheCursor(target.Name)
 	events, err := w.options.Engines.CacheEvents(ctx, target.Address, after)
-	if err != nil || len(events.Events) == 0 && !events.Gap {
-		return after
+	if err != nil {
+		return
 	}
-	w.options.Sink.CacheEvents(target.Name, events)
-	if len(events.Events) == 0 {
-		return after
+	if whole {
+		w.options.Sink.CacheView(target.Name, events)
+		return
 	}
-	return events.Events[len(events.Events)-1].Seq
+	w.options.Sink.CacheEvents(target.Name, events)
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
