--- a/internal/adminapi/answer_change.go
+++ b/internal/adminapi/answer_change.go
@@ -13,7 +13,15 @@
 	"geraniumcroft/internal/confstore"
 )
 
+// acceptance waits for a version to be in force. Waiting costs a goroutine and a
+// look at every VM each 100 ms, so a few careless scripts must not add up.
 func (a *API) acceptance(ctx iris.Context, version uint64, wait time.Duration) confstore.Acceptance {
+	select {
+	case a.waits <- struct{}{}:
+		defer func() { <-a.waits }()
+	default:
+		wait = 0
+	}
 	bounded, cancel := context.WithTimeout(ctx.Request().Context(), wait)
 	defer cancel()
 	return a.options.Store.Wait(bounded, version, a.options.Confirmer)
--- a/internal/adminapi/api.go
+++ b/internal/adminapi/api.go
@@ -1,11 +1,13 @@
 package adminapi
 
 import (
+	"log"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
+	"go.uber.org/zap"
 
 	"geraniumcroft/internal/config"
 )
@@ -23,12 +25,15 @@
 	options Options
 	app     *iris.Application
 	dumper  *dumper
+	// waits has a place for each request that waits for a change to be in force.
+	waits chan struct{}
 }
 
 // New returns the API.
 func New(o Options) (*API, error) {
 	o = o.withDefaults()
 	a := &API{options: o, app: iris.New(), dumper: newDumper(o.Dump, o.DumpBound)}
+	a.waits = make(chan struct{}, maxWaits)
 	a.app.Logger().SetLevel("disable")
 	a.app.Configure(iris.WithoutPathCorrection, iris.WithoutStartupLog)
 	a.routes()
@@ -47,9 +52,19 @@
 		WriteTimeout:      MaxWait + writeSlack,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    MaxHeaderBytes,
+		ErrorLog:          a.errorLog(),
 	}
 }
 
+// errorLog takes what net/http has to say, such as failed handshakes.
+func (a *API) errorLog() *log.Logger {
+	errorLog, err := zap.NewStdLogAt(a.options.Logger, zap.WarnLevel)
+	if err != nil {
+		return nil // only for an unknown level
+	}
+	return errorLog
+}
+
 // ServeHTTP implements http.Handler. Unknown paths need a token as well, so that
 // nobody without one learns what there is.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -232,3 +233,20 @@
 	}
 	c.want(c.send("GET", "/admin/v1/changes/1?wait=1h", ""), 400)
 }
+
+// Scripts that wait for long take all places. A further request is answered at once
+// with what is in force; it would otherwise add to the load without a bound.
+func TestWaitsAreBounded(t *testing.T) {
+	store := newFakeStore(t, crews())
+	store.missing, store.waiting = []string{"vm-5"}, make(chan struct{})
+	c := newClient(t, Options{Store: store})
+	ctx, leave := context.WithCancel(context.Background())
+	var waiting sync.WaitGroup
+	for range maxWaits {
+		waiting.Go(func() { c.sendIn(ctx, "GET", "/admin/v1/changes/1?wait=30s") })
+		<-store.waiting
+	}
+	c.want(c.send("GET", "/admin/v1/changes/1?wait=30s", ""), 200, `"missing":["vm-5"]`)
+	leave()
+	waiting.Wait()
+}
--- a/internal/adminapi/fakes_test.go
+++ b/internal/adminapi/fakes_test.go
@@ -21,8 +21,9 @@
 	changes  []config.Change
 	missing  []string
 	fail     error
-	before   func() // runs before a proposal, without the lock
-	onPoll   func() // what a poll brings; nil brings nothing
+	before   func()        // runs before a proposal, without the lock
+	onPoll   func()        // what a poll brings; nil brings nothing
+	waiting  chan struct{} // gets an element for each wait that lasts; nil lasts none
 	proposed []confstore.Proposal
 }
 
@@ -93,7 +94,11 @@
 	return nil
 }
 
-func (s *fakeStore) Wait(_ context.Context, version uint64, _ confstore.Confirmer) confstore.Acceptance {
+func (s *fakeStore) Wait(ctx context.Context, version uint64, _ confstore.Confirmer) confstore.Acceptance {
+	if s.waiting != nil && ctx.Err() == nil {
+		s.waiting <- struct{}{}
+		<-ctx.Done()
+	}
 	return confstore.Acceptance{
 		Version: version, Accepted: len(s.missing) == 0, Confirmed: []string{"vm-1"}, Missing: s.missing,
 	}
@@ -132,6 +137,19 @@
 	return &client{t: t, server: server}
 }
 
+// sendIn sends a GET that ends with ctx and ignores the answer.
+func (c *client) sendIn(ctx context.Context, method, path string) {
+	request, err := http.NewRequestWithContext(ctx, method, c.server.URL+path, nil)
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	request.Header.Set("Authorization", "Bearer operator")
+	if response, err := c.server.Client().Do(request); err == nil {
+		response.Body.Close()
+	}
+}
+
 // reply is a whole answer.
 type reply struct {
 	status int
--- a/internal/adminapi/options.go
+++ b/internal/adminapi/options.go
@@ -17,6 +17,9 @@
 	// the longest that a caller may ask for.
 	DefaultWait = 2 * time.Second
 	MaxWait     = 30 * time.Second
+	// maxWaits bounds the requests that wait for a change at one time; those beyond
+	// it are told at once what is in force, and may ask again.
+	maxWaits = 64
 	// DefaultDumpBound is how long the dump may take before the stacks are shown.
 	DefaultDumpBound = 2 * time.Second
 )
--- a/internal/cli/admincmd/change.go
+++ b/internal/cli/admincmd/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,10 +15,8 @@
 	"geraniumcroft/internal/adminapi"
 )
 
-const (
-	// lookupInterval is the time between two looks for a change whose answer was lost.
-	lookupInterval = 500 * time.Millisecond
-)
+// lookupInterval is the time between two looks for a change whose answer was lost.
+const lookupInterval = 500 * time.Millisecond
 
 // change sends a change and follows it until it is in force everywhere.
 func (s *session) change(ctx context.Context, r request) subcommands.ExitStatus {
@@ -121,9 +120,9 @@
 	case s.json:
 		s.printJSON(got.body)
 	case state.Status == adminapi.StatusAccepted && state.Unchanged:
-		s.complain("unchanged: it was so already, in force everywhere")
+		fmt.Fprintln(s.out, "unchanged: it was so already, in force everywhere")
 	case state.Status == adminapi.StatusAccepted:
-		s.complain("accepted: version %d is in force everywhere", state.Version)
+		fmt.Fprintf(s.out, "accepted: version %d is in force everywhere\n", state.Version)
 	case !state.Committed:
 		s.complain("pending: the change may or may not have been written, its id is %s", state.ID)
 	default:
