generation: give up after failures in a row, not after failures in all

Cause: a run ended as unknown after its eighth failure, however many tokens lay between and however much of its deadline was left; with all engines of a range dead for up to 2 s the eight were used up in about one. Change: a token in between starts the count anew, and the bound is 32 in a row, some ten seconds with the pauses.

--- a/internal/generation/recover.go
+++ b/internal/generation/recover.go
@@ -23,6 +23,7 @@
 	}
 	if e.progressed {
 		r.holders.keep(e.stages)
+		r.faults = 0
 	}
 	if e.fault == nil {
 		return r.resumeLater()
--- a/internal/generation/settings.go
+++ b/internal/generation/settings.go
@@ -11,7 +11,7 @@
 	DefaultCancelTimeout  = time.Second
 	DefaultRetryPause     = 50 * time.Millisecond
 	DefaultMaxRetryPause  = time.Second
-	DefaultMaxRecoveries  = 8
+	DefaultMaxRecoveries  = 32
 	DefaultMaxEpochs      = 64
 	DefaultMaxCancels     = 256
 )
@@ -33,7 +33,9 @@
 	// MaxRetryPause.
 	RetryPause    time.Duration
 	MaxRetryPause time.Duration
-	// MaxRecoveries bounds the failures that one run gets over.
+	// MaxRecoveries bounds the failures in a row that one run gets over without a
+	// token in between. With the pauses between them a range of layers may be without
+	// any engine for some ten seconds; the deadline bounds the wait as well.
 	MaxRecoveries int
 	// MaxEpochs bounds failures and preemptions together.
 	MaxEpochs int
