Read the table's configuration before each order

Cause: a VM that becomes the holder with an old configuration could see a target as drained that an earlier holder had reloaded and given work again, and reload it to the older version. Change: directly before an order the controller brings its configuration up to the table's head and starts over if the entry changed. The test fails without it. An order is rare, so this costs one read each.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -113,6 +113,7 @@
 		Source: n.store, Leases: n.leases, Engines: n.clients.engines,
 		Drainer: &reloadDrainer{store: n.store, confirmer: n.roster},
 		Leaving: n.TargetLeaving,
+		Refresh: n.store.Poll,
 
 		Invariants: n.invariants, Logger: n.logger,
 	})
--- a/internal/orders/engine_test.go
+++ b/internal/orders/engine_test.go
@@ -98,6 +98,12 @@
 	return true
 }
 
+func (e *fakeEngine) setState(state engine.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = state
+}
+
 func (e *fakeEngine) addWork(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/orders/failure_test.go
+++ b/internal/orders/failure_test.go
@@ -213,6 +213,28 @@
 	}
 }
 
+// Callers keep what is in hand. The new holder's configuration is old: there the
+// target is drained and to hold v2, while an earlier holder has loaded v3 meanwhile and
+// let work in. Before its order it reads what the table holds, and sends none.
+func TestHolderWithAnOldConfigurationSendsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, hooks{}, fencingTarget(fencing))
+		defer f.stop()
+		refresh := func() {
+			if f.source.Current().Targets[fencing].Version != "v3" {
+				f.change(fencing, "v3")
+			}
+		}
+		f.refresh.Store(&refresh)
+		f.engines[fencing].setState(engine.State{Model: "writer", Version: "v3", Layers: config.LayerRange{To: modelLayers}})
+		f.change(fencing, "v2")
+		time.Sleep(time.Minute)
+		for _, got := range f.engines[fencing].allReceived() {
+			must(t, !got.reloaded, "reloaded to %s", got.order.Version)
+		}
+	})
+}
+
 // The operator sees no order while the store is out, and the change in force after
 // it. Without the table nobody can hold the lease for longer than its duration.
 func TestNoOrdersWhileTheStoreIsOutForLong(t *testing.T) {
@@ -295,7 +317,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(1, hooks{}, fencingTarget(fencing))
 		defer f.stop()
-		f.engines[fencing].state = engine.State{}
+		f.engines[fencing].setState(engine.State{})
 		f.awaitVersion(t, fencing, "v1")
 		must(t, len(f.drains.list()) == 0, "drained for nothing")
 		dump := f.members[0].controller.Dump().(Dump)
--- a/internal/orders/fleet_test.go
+++ b/internal/orders/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,7 +50,9 @@
 	violations *invariant.Registry
 	members    []*member
 	settings   Settings
-	done       sync.WaitGroup
+	// refresh is what the table knows more than source.
+	refresh atomic.Pointer[func()]
+	done    sync.WaitGroup
 }
 
 func fencingTarget(name string) *config.Target {
@@ -115,6 +118,7 @@
 		Engines:    m.link,
 		Drainer:    fakeDrainer{vm: m.vm, drains: f.drains},
 		Settings:   f.settings,
+		Refresh:    f.bringUp,
 		Invariants: f.violations,
 		hooks:      planted,
 	})
@@ -125,6 +129,13 @@
 	return m
 }
 
+func (f *fleet) bringUp(context.Context) error {
+	if refresh := f.refresh.Load(); refresh != nil {
+		(*refresh)()
+	}
+	return nil
+}
+
 func (f *fleet) stop() {
 	for _, m := range f.members {
 		m.stop()
--- a/internal/orders/options.go
+++ b/internal/orders/options.go
@@ -1,6 +1,8 @@
 package orders
 
 import (
+	"context"
+
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/config"
@@ -14,6 +16,9 @@
 	Engines  Engines
 	Drainer  Drainer
 	Settings Settings
+	// Refresh brings Source up to what the table holds, before each order. It may be
+	// nil where Source is always that.
+	Refresh func(ctx context.Context) error
 	// Leaving tells which targets are about to go and are not worth a load; it may
 	// be nil.
 	Leaving func(target string) bool
@@ -49,6 +54,9 @@
 
 func (o *Options) setDefaults() {
 	o.Settings.setDefaults()
+	if o.Refresh == nil {
+		o.Refresh = func(context.Context) error { return nil }
+	}
 	if o.Leaving == nil {
 		o.Leaving = func(string) bool { return false }
 	}
--- a/internal/orders/phase.go
+++ b/internal/orders/phase.go
@@ -17,5 +17,6 @@
 	PhaseRefused     Phase = "refused"
 	PhaseSuperseded  Phase = "newer-holder"
 	PhaseLeaving     Phase = "leaving"
+	PhaseOutdated    Phase = "configuration-outdated"
 	PhaseNoLease     Phase = "lease-not-held"
 )
--- a/internal/orders/step.go
+++ b/internal/orders/step.go
@@ -42,6 +42,12 @@
 	return c.options.Engines.State(ctx, target.Address)
 }
 
+func (c *Controller) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Settings.CallTimeout)
+	defer cancel()
+	return c.options.Refresh(ctx)
+}
+
 // unresolved reports whether an order of this tenure may yet change the engine in a
 // way that the state does not show. An order that asks for what the engine holds
 // already changes nothing more.
@@ -137,13 +143,21 @@
 	return loading < c.options.Settings.MaxLoading && t.loads.Allow()
 }
 
-// lastLook reads the engine once more directly before the order: the earlier
-// reading is from before the drain was seen confirmed, and work or another order
-// may have come since.
+// lastLook reads the entry and the engine once more directly before the order. A VM
+// that has just become the holder may not have the newest configuration, in which an
+// earlier holder has already reloaded the engine and let work in again. And the
+// earlier reading of the engine is from before the drain was seen confirmed: work or
+// another order may have come since.
 func (c *Controller) lastLook(ctx context.Context, l lease.Lease, target *config.Target, task *task) (verdict, bool) {
 	if c.options.hooks.skipDrain {
 		return verdict{}, true
 	}
+	if err := c.refresh(ctx); err != nil {
+		return c.slower(task, PhaseOutdated, err.Error()), false
+	}
+	if now := c.options.Source.Current().Targets[target.Name]; now == nil || now.Revision != target.Revision {
+		return c.again(PhaseOutdated), false
+	}
 	state, err := c.read(ctx, target)
 	if err != nil {
 		return c.slower(task, PhaseUnreachable, err.Error()), false
