confstore: take a row for one's own by the change, not by the transaction's id

Over the platform's client, two operators who used one id for different values at the same moment left two VMs with different values at one version: the client takes rows with the transaction's id for proof, and that id was made of the change's.

--- a/internal/confstore/decide.go
+++ b/internal/confstore/decide.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/platform"
 )
 
 // fate is what has become of an attempt.
@@ -36,7 +37,8 @@
 	}
 	switch became {
 	case fateWritten:
-		return w.committed(change)
+		_, _ = w.store.ApplyChanges([]config.Change{change})
+		return w.same(change)
 	case fateLost:
 		w.undecided = nil
 		return config.Change{}, errRaced
@@ -92,7 +94,7 @@
 	key := changeKey(a.version)
 	for _, write := range a.txn.Writes {
 		if write.Key == key {
-			return decodeChange(writtenRow(write))
+			return decodeChange(platform.Row{Key: write.Key, Value: write.Value})
 		}
 	}
 	return config.Change{}, errors.Newf("the attempt does not write %s", key)
--- a/internal/confstore/lookup.go
+++ b/internal/confstore/lookup.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/config"
-	"geraniumcroft/internal/platform"
 )
 
 // maxLookupPages bounds a search of the table: more rows than compaction keeps.
@@ -75,7 +74,3 @@
 	}
 	return config.Change{}, &UnknownChangeError{ID: id}
 }
-
-func writtenRow(w platform.Write) platform.Row {
-	return platform.Row{Key: w.Key, Value: w.Value}
-}
--- a/internal/confstore/propose.go
+++ b/internal/confstore/propose.go
@@ -66,9 +66,25 @@
 		version:      change.Version,
 		headRevision: newest.rowRevision,
 		txn: platform.Txn{
-			ID:         changeKey(change.Version) + "/" + change.ID,
+			// Not the change's id: a client takes rows with the transaction's id for
+			// proof that it was written, and another VM may write that change's id with
+			// another value.
+			ID:         uuid.NewString(),
 			Conditions: conditions,
+			Witness:    writtenRow(changeKey(change.Version)),
 			Writes:     []platform.Write{{Key: changeKey(change.Version), Value: row}, {Key: headKey, Value: newHead}},
 		},
 	}, nil
 }
+
+// writtenRow is the witness of a proposal: a row of the version that another
+// transaction wrote proves that this one was refused, as it is never written again.
+func writtenRow(key string) platform.Witness {
+	return func(rows []platform.Row) platform.Verdict {
+		row, err := rowOf(rows, key)
+		if err != nil || row.Revision == 0 {
+			return platform.VerdictUnknown
+		}
+		return platform.VerdictRefused
+	}
+}
