--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -101,21 +101,25 @@
 		return true
 	}
 	now := read(m.options.Clock)
-	if m.readErr == nil && m.anyTakeable(now) {
+	if m.readErr == nil && m.anyWrite(now) {
 		return true
 	}
 	return now.certainSince(m.lastTry) >= m.interval()-m.options.tick()/2
 }
 
-func (m *Manager) anyTakeable(now Reading) bool {
+func (m *Manager) anyWrite(now Reading) bool {
 	for _, d := range m.duties {
-		if d.known && d.tenure == nil && m.takeable(d, now) {
+		if d.known && (m.renewable(d, now) || d.tenure == nil && m.takeable(d, now)) {
 			return true
 		}
 	}
 	return false
 }
 
+func (m *Manager) renewable(d *duty, now Reading) bool {
+	return d.tenure != nil && now.longestSince(d.tenure.renewed) >= m.options.renewEvery()-m.options.tick()/2
+}
+
 func (m *Manager) interval() time.Duration {
 	for _, d := range m.duties {
 		if d.tenure != nil {
@@ -180,7 +184,7 @@
 		switch {
 		case !d.known:
 		case d.tenure != nil:
-			if now.longestSince(d.tenure.renewed) >= m.options.renewEvery()-m.options.tick()/2 {
+			if m.renewable(d, now) {
 				writes = append(writes, m.prepare(d, d.record, now))
 			}
 		case !acquiring && m.takeable(d, now):
--- a/internal/lease/options.go
+++ b/internal/lease/options.go
@@ -19,7 +19,8 @@
 	// marginFraction of the TTL is kept off the holder's view. It covers clocks that
 	// run at different rates and the time from Check to the act.
 	marginFraction = 5
-	// renewFraction: a holder renews four times in a TTL, so two may be lost.
+	// renewFraction: a holder renews three times before its view ends, so that one lost
+	// renewal ends no view, and two do not if the third is answered at once.
 	renewFraction = 4
 	// penaltyFraction: a VM that holds a lease leaves the others this much time for
 	// each, which is three ticks, so that one that lost a race can try for another.
