peer: make the tests of silence test kept connections

The fleets of the tests were tested the moment they knew each other, before they kept any connection, so silence had nothing to fall on. They now run three seconds first, and the test fails if no connection was found silent. The bound on a kept connection has a test that fails without it; probes are off in it, as they find the silence as well.

--- a/internal/peer/spreading_test.go
+++ b/internal/peer/spreading_test.go
@@ -15,6 +15,7 @@
 
 const (
 	joinBound   = 30 * time.Second
+	settleTime  = 3 * time.Second
 	smallBound  = 2 * time.Second
 	pushBound   = 200 * time.Millisecond
 	deathBound  = time.Minute
@@ -22,12 +23,14 @@
 	spreadBound = 16 * time.Second
 )
 
-// run tests a fleet in virtual time, once all its VMs know each other.
+// run tests a fleet in virtual time, once all its VMs know each other and keep
+// connections.
 func run(t *testing.T, size int, s Settings, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, size, s)
 		defer f.stop()
 		f.within(joinBound, "all know all", f.joined(size))
+		time.Sleep(settleTime)
 		test(t, f)
 	})
 }
@@ -95,6 +98,9 @@
 				t.Fatalf("%s suspected a VM %d times for silent connections", vm.name, s)
 			}
 		}
+		if f.vm(0).node.Counters().Reconnects == 0 {
+			t.Fatal("no connection was silent, so nothing is tested")
+		}
 	})
 }
 
@@ -304,7 +310,8 @@
 // carry a snapshot and so may take long, but a silent connection must not use that
 // time up: the second try, on a new connection, comes soon.
 func TestSyncOnSilentConnectionComesThroughSoon(t *testing.T) {
-	run(t, 2, Settings{}, func(t *testing.T, f *fleet) {
+	noProbes := Settings{ProbePeriod: time.Hour} // they would find the silence first
+	run(t, 2, noProbes, func(t *testing.T, f *fleet) {
 		f.network.silence(func(string, string) bool { return true })
 		ctx, cancel := context.WithTimeout(t.Context(), smallBound)
 		defer cancel()
