roster: read the rows for each change, and test peers with mutual TLS

Cause: a test with a VM that no peer can reach, because its certificate is another authority's, found its change accepted. The roster answered from rows read up to 200 ms before for an earlier change, so a VM that had registered in between was not waited for. Change: rows count only for versions that they were read after; the pause holds back failed readings alone. The drain for a reload is pushed to peers at once, and the dump shows the configuration store.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net"
 	"net/http"
 
 	"geraniumcroft/internal/adminapi"
@@ -12,20 +13,16 @@
 	"geraniumcroft/internal/confstore"
 	"geraniumcroft/internal/dispatch"
 	"geraniumcroft/internal/drain"
-	"geraniumcroft/internal/engine/httpengine"
 	"geraniumcroft/internal/generation"
 	"geraniumcroft/internal/lease"
 	"geraniumcroft/internal/orders"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/peer"
-	"geraniumcroft/internal/platform/httpplatform"
 	"geraniumcroft/internal/platform/resilient"
 	"geraniumcroft/internal/roster"
 	"geraniumcroft/internal/router"
 	"geraniumcroft/internal/security"
-	"geraniumcroft/internal/service/httpservice"
 	"geraniumcroft/internal/telemetry"
-	"geraniumcroft/internal/transport"
 	"geraniumcroft/internal/watch"
 )
 
@@ -35,21 +32,11 @@
 	dutyCompact = "compact"
 )
 
-// clients are the connections to targets.
-type clients struct {
-	pool     *transport.Pool
-	engines  *httpengine.Client
-	services *httpservice.Client
-}
-
 func (n *Node) buildPlatform() {
 	s := n.settings.Platform
-	service := func(url string) *httpplatform.Client {
-		return httpplatform.New(httpplatform.Settings{BaseURL: url, AttemptTimeout: s.Timeout})
-	}
 	// The settings name the fleet's budget; followVMList divides it by the VMs.
 	budget := resilient.Settings{WritesPerSecond: s.WritesPerSecond, ReadsPerSecond: s.ReadsPerSecond, AttemptTimeout: s.Timeout}
-	n.platform = resilient.New(service(s.Table), service(s.Objects), service(s.VMList), budget)
+	n.platform = resilient.New(n.wiring.Table, n.wiring.Objects, n.wiring.VMList, budget)
 	n.store = confstore.New(confstore.Options{
 		Table: n.platform, Objects: n.platform, VM: n.settings.VM.Name, Invariants: n.invariants, Logger: n.logger,
 	})
@@ -65,14 +52,13 @@
 		EjectFor: s.Targets.EjectionTime, MaxEjectedShare: s.Targets.EjectionMaxShare,
 	}, n.invariants)
 	n.plans = router.NewPlanCache(s.VM.Name, n.balancer, n.logger)
-	n.buildClients()
-	n.runner = generation.New(n.clients.engines, n.options.Generation, n.invariants)
+	n.runner = generation.New(n.wiring.Engines, n.options.Generation, n.invariants)
 	n.claims = claim.New(n.platform, s.VM.Name, claim.Settings{LongestDeadline: config.MaxDeadline}, n.invariants)
 	n.gate = &router.Gate{}
 	n.router = router.New(router.Options{
 		VM: s.VM.Name, DataCentre: s.VM.DataCentre, Source: n.store,
 		Admission: n.admission, Balancer: n.balancer, Plans: n.plans, Runner: n.runner,
-		Dispatcher: dispatch.New(n.clients.services, n.dispatchSettings(), n.invariants, n.recorder),
+		Dispatcher: dispatch.New(n.wiring.Services, n.dispatchSettings(), n.invariants, n.recorder),
 		Claims:     n.claims, Gate: n.gate, Authorize: security.CheckKey, Observer: observer{n.recorder, n.logger},
 		Invariants: n.invariants, Logger: n.logger, Limits: n.limits(),
 	})
@@ -84,24 +70,17 @@
 	return limits
 }
 
-func (n *Node) buildClients() {
-	t := n.settings.Targets
-	base := transport.Settings{ConnectTimeout: t.ConnectTimeout}
-	n.clients.pool = transport.NewPool(base, transport.NewDialer(base.WithDefaults()))
-	n.clients.engines = httpengine.New(n.clients.pool, httpengine.Settings{Idle: t.SilenceTimeout})
-	n.clients.services = httpservice.New(n.clients.pool, httpservice.Settings{})
-}
-
 func (n *Node) buildControl() {
 	s := n.settings
 	n.tracker = drain.New(drain.Options{Source: n.store, OnChange: n.onLeaving, Logger: n.logger})
 	n.watcher = watch.New(watch.Options{
-		Source: n.store, Engines: n.clients.engines, Services: n.clients.services,
+		Source: n.store, Engines: n.wiring.Engines, Services: n.wiring.Services,
 		Sink: reports{n.balancer, n.tracker}, Watched: n.watched, Interval: s.Targets.ReportInterval,
 	})
 	n.peers = peer.New(peer.Options{
 		VM: s.VM.Name, DataCentre: s.VM.DataCentre, Address: n.PeerAddress(), Seeds: s.Peers.Seeds,
 		Store: n.store, Load: n.balancer, Invariants: n.invariants, Logger: n.logger, TLS: n.options.PeersTLS, ClientTLS: n.options.PeersClientTLS,
+		Dial: n.wiring.DialPeer,
 	})
 	n.roster = roster.New(n.platform, s.VM.Name, n.peers, n.logger)
 	n.leases = lease.NewManager(lease.Options{
@@ -110,8 +89,8 @@
 		Invariants: n.invariants, Logger: n.logger,
 	})
 	n.orders = orders.NewController(orders.Options{
-		Source: n.store, Leases: n.leases, Engines: n.clients.engines,
-		Drainer: &reloadDrainer{store: n.store, confirmer: n.roster},
+		Source: n.store, Leases: n.leases, Engines: n.wiring.Engines,
+		Drainer: &reloadDrainer{store: announcingStore{n.store, n.peers}, confirmer: n.roster},
 		Leaving: n.TargetLeaving,
 		Refresh: n.store.Poll,
 
@@ -158,11 +137,19 @@
 		MaxBodyBytes: c.MaxBodyBytes, MaxHeaderBytes: c.MaxHeaderBytes, MaxConnections: c.MaxConnections,
 		ReadTimeout: c.ReadTimeout, WriteTimeout: c.WriteTimeout, IdleTimeout: c.IdleTimeout,
 		StreamHeadWait: c.StreamHeadWait, CommentInterval: c.CommentInterval,
-		TLS: n.options.CallersTLS, Logger: n.logger, OnRefused: n.onRefused,
+		TLS: n.options.CallersTLS, Logger: n.logger, OnRefused: n.onRefused, Listen: n.callersListen(),
 	})
 	return nil
 }
 
+// callersListen is nil over TCP, where the API counts connections itself.
+func (n *Node) callersListen() func(string) (net.Listener, error) {
+	if n.options.Wiring == nil {
+		return nil
+	}
+	return n.wiring.Listen
+}
+
 // withMetrics serves the metrics beside the admin API. They name workspaces and
 // targets and hold no secret, so a scraper needs no token.
 func (n *Node) withMetrics(admin http.Handler) http.Handler {
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -19,6 +19,7 @@
 	Router        router.Dump               `json:"router"`
 	Generation    any                       `json:"generation"`
 	Claims        any                       `json:"claims"`
+	Configuration any                       `json:"configuration"`
 	Platform      any                       `json:"platform"`
 	Peers         any                       `json:"peers"`
 	Leases        any                       `json:"leases"`
@@ -44,6 +45,7 @@
 		Generation:    n.runner.Dump(),
 		Claims:        n.claims.Dump(),
 		Platform:      n.platform.Dump(),
+		Configuration: n.store.Dump(),
 		Peers:         n.peers.Dump(),
 		Leases:        n.leases.Dump(),
 		Orders:        n.orders.Dump(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,7 @@
 	admission *admission.Controller
 	balancer  *balance.Balancer
 	plans     *router.PlanCache
-	clients   clients
+	wiring    Wiring
 	runner    *generation.Runner
 	claims    *claim.Claims
 	gate      *router.Gate
@@ -85,6 +85,7 @@
 	n.metrics = telemetry.NewMetrics(o.Settings.Metrics.Prefix)
 	n.recorder = telemetry.NewRecorder(n.metrics.Scope, telemetry.RecorderOptions{})
 	n.invariants = invariant.NewRegistry(n.onViolation)
+	n.wire()
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -122,11 +123,11 @@
 }
 
 func (n *Node) listen() error {
-	peers, err := net.Listen("tcp", n.settings.Peers.Address)
+	peers, err := n.wiring.Listen(n.settings.Peers.Address)
 	if err != nil {
 		return errors.Wrap(err, "peers' listener")
 	}
-	admin, err := net.Listen("tcp", n.settings.Admin.Address)
+	admin, err := n.wiring.Listen(n.settings.Admin.Address)
 	if err != nil {
 		_ = peers.Close()
 		return errors.Wrap(err, "operators' listener")
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -34,6 +34,8 @@
 	// OnViolation, when not nil, is called on each violated invariant besides the
 	// log and the metrics; tests make it fatal.
 	OnViolation func(invariant.Violation)
+	// Wiring replaces TCP and HTTP, for tests; nil leaves them.
+	Wiring *Wiring
 	// Logger replaces the log made from the settings, for tests.
 	Logger *zap.Logger
 }
--- a/internal/node/reload_drainer.go
+++ b/internal/node/reload_drainer.go
@@ -19,7 +19,7 @@
 // target's entry says that it is reloading, so the state outlives this VM and is
 // in force on every VM like any other change.
 type reloadDrainer struct {
-	store     *confstore.Store
+	store     announcingStore
 	confirmer confstore.Confirmer
 }
 
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -112,26 +111,12 @@
 		if err == nil {
 			n.peers.UpdateVMs(vms)
 			n.tracker.SetVMs(vms)
-			n.shareOut()
 		}
+		n.shareOut()
 		pause(n.ctx, vmListInterval)
 	}
 }
 
-// shareOut divides the table's budget and the targets' slots by the VMs that may
-// serve. Every VM ranks them by name, so that all agree on who has which subset.
-func (n *Node) shareOut() {
-	names := []string{n.settings.VM.Name}
-	for _, member := range n.peers.Members() {
-		if member.MayServe() && member.Name != n.settings.VM.Name {
-			names = append(names, member.Name)
-		}
-	}
-	slices.Sort(names)
-	n.platform.SetVMs(len(names))
-	n.balancer.SetSubset(len(names), slices.Index(names, n.settings.VM.Name))
-}
-
 func (n *Node) pollStore() {
 	for n.ctx.Err() == nil {
 		pause(n.ctx, pollInterval)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -70,7 +70,7 @@
 	n.peers.Stop()
 	n.runner.Wait()
 	n.platform.Close()
-	n.clients.pool.Close()
+	n.wiring.Close()
 	n.work.Wait()
 	_ = n.metrics.Close()
 }
--- a/internal/node/subset.go
+++ b/internal/node/subset.go
@@ -2,12 +2,15 @@
 
 import "geraniumcroft/internal/membership"
 
-// shareTargets tells the balancer how many VMs share the targets and which of them
-// this one is. Without it each VM takes what the others left when it last heard of
-// them: under overload all of them do so at once, targets get more than their
-// slots, and urgent calls wait in the targets' own queues behind bulk.
-func (n *Node) shareTargets() {
+// shareOut divides the table's budget and the targets' slots by the VMs that take
+// new requests. It goes by the membership also while the platform's list is out: a
+// VM that dies meanwhile would hold its share for nothing. Without shares each VM
+// takes what the others left when it last heard of them: under overload all of them
+// do so at once, targets get more than their slots, and urgent calls wait in the
+// targets' own queues behind bulk.
+func (n *Node) shareOut() {
 	count, index := placeInFleet(n.settings.VM.Name, n.peers.Members())
+	n.platform.SetVMs(count)
 	n.balancer.SetSubset(count, index)
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -43,9 +43,10 @@
 
 	mu sync.Mutex // guards the fields below
 	// scanned is the newest version for which the rows were read after its commit.
-	scanned  uint64
-	rows     []string
-	lastScan time.Time
+	scanned uint64
+	rows    []string
+	// failed is when the rows could last not be read.
+	failed time.Time
 	// doubted is since when a row's VM was seen dead or unknown.
 	doubted map[string]time.Time
 }
@@ -120,14 +121,17 @@
 func (r *Roster) registered(version uint64) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.scanned >= version || time.Since(r.lastScan) < scanPause {
+	if r.scanned >= version {
 		return r.rows
 	}
+	if time.Since(r.failed) < scanPause {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), scanTimeout)
 	defer cancel()
-	r.lastScan = time.Now()
 	rows, err := r.scan(ctx)
 	if err != nil {
+		r.failed = time.Now()
 		r.logger.Debug("rows of VMs cannot be read", zap.Error(err))
 		return nil
 	}
--- a/internal/security/tls_test.go
+++ b/internal/security/tls_test.go
@@ -167,7 +167,7 @@
 	if _, err := handshake(t, server, client); err != nil {
 		t.Fatal(err)
 	}
-	ours.writePEM(serverFiles.CA, "CERTIFICATE", theirs.cert.Raw)
+	ours.WritePEM(serverFiles.CA, "CERTIFICATE", theirs.Cert.Raw)
 	waitFor(t, results, true)
 	if _, err := handshake(t, server, client); err == nil {
 		t.Error("a client of the authority that was taken out is let in")
