--- a/internal/api/options.go
+++ b/internal/api/options.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"crypto/tls"
+	"net"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,8 @@
 	CommentInterval time.Duration
 	// TLS is nil for plain connections.
 	TLS *tls.Config
+	// Listen replaces TCP and its limit on connections, for tests; it may be nil.
+	Listen func(address string) (net.Listener, error)
 	// Logger may be nil.
 	Logger *zap.Logger
 	// OnRefused, when not nil, is told of requests that the API refused itself; the
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -59,7 +59,7 @@
 
 // Start listens and serves in the background. It returns the address in use.
 func (s *Server) Start() (net.Addr, error) {
-	listener, err := listen(s.address, s.options.MaxConnections)
+	listener, err := s.listen()
 	if err != nil {
 		return nil, err
 	}
@@ -67,6 +67,13 @@
 	return listener.Addr(), nil
 }
 
+func (s *Server) listen() (net.Listener, error) {
+	if s.options.Listen != nil {
+		return s.options.Listen(s.address)
+	}
+	return listen(s.address, s.options.MaxConnections)
+}
+
 func (s *Server) serve(listener net.Listener) {
 	var err error
 	if s.options.TLS != nil {
