Measure urgent work beside bulk against a plain router

The baseline is what a plain proxy does: targets by turns, first come first served, one retry anywhere, no resume of a stream. It runs on the same clients and targets as the product. The experiment urgent offers bulk of twice the capacity to both and compares urgent requests with those on an idle system.

--- a/internal/experiment/counter.go
+++ b/internal/experiment/counter.go
@@ -16,5 +16,3 @@
 	}
 	return err
 }
-
-const outcomeComplete = "complete"
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -18,6 +18,8 @@
 func All() []Experiment {
 	return []Experiment{
 		{"overhead", "the router's own cost against calling the stand-in directly", overhead},
+		{"urgent", "urgent requests beside bulk of twice the capacity, against an idle system and the baseline", urgent},
+		{"recovery", "stages and instances that die or fall silent in the middle of work, and lost answers", recovery},
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/pools.go
@@ -0,0 +1,72 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/standin/enginesim"
+	"geraniumcroft/internal/standin/servicesim"
+)
+
+// pool describes engines that hold a model in halves, and instances of a service.
+type pool struct {
+	layers int
+	// copies is the number of engines that hold each half.
+	copies       int
+	slots        int
+	layerRate    float64
+	tokenLatency time.Duration
+	instances    int
+	serviceSlots int
+	serviceTime  time.Duration
+}
+
+// perToken is what one token takes when its engines have nothing else to do.
+func (p pool) perToken() time.Duration {
+	compute := time.Duration(float64(p.layers) / p.layerRate * float64(time.Second))
+	return compute + 2*p.tokenLatency
+}
+
+// tokensPerSecond is the rate with every slot in use.
+func (p pool) tokensPerSecond() float64 {
+	return float64(p.copies*p.slots) / p.perToken().Seconds()
+}
+
+// callsPerSecond is the service's rate with every slot in use.
+func (p pool) callsPerSecond() float64 {
+	return float64(p.instances*p.serviceSlots) / p.serviceTime.Seconds()
+}
+
+func (s *scene) addPool(ctx context.Context, p pool) error {
+	model := &config.Model{Name: modelName, Layers: p.layers, Versions: []string{modelVersion}, ActivationBytes: 16 << 10}
+	if err := s.applyModel(ctx, model); err != nil {
+		return err
+	}
+	halves := []config.LayerRange{{From: 0, To: p.layers / 2}, {From: p.layers / 2, To: p.layers}}
+	for half, held := range halves {
+		for number := range p.copies {
+			_, err := s.AddEngine(ctx, enginesim.Options{
+				Name: engineName(half, number), Model: model, Version: modelVersion, Layers: held, Slots: p.slots,
+				LayerTokensPerSecond: p.layerRate, TokenLatency: p.tokenLatency,
+			}, dataCentre(number), "a100")
+			if err != nil {
+				return err
+			}
+		}
+	}
+	for number := range p.instances {
+		_, err := s.AddService(ctx, servicesim.Options{
+			Name: fmt.Sprintf("permits-%d", number), Service: serviceName, Slots: p.serviceSlots, ServiceTime: p.serviceTime,
+		}, dataCentre(number))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func engineName(half, number int) string { return fmt.Sprintf("engine-%d-%02d", half, number) }
+
+func dataCentre(number int) string { return fmt.Sprintf("dc-%d", number%3) }
