--- /dev/null
+++ b/internal/fleettest/incidents_test.go
@@ -0,0 +1,211 @@
+package fleettest
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/standin/enginesim"
+	"geraniumcroft/internal/standin/platformsim"
+)
+
+const (
+	slowdown  = 20
+	slowStore = 400 * time.Millisecond
+)
+
+// faults are those in force that overlap.
+type faults struct {
+	cuts []*cut
+}
+
+// cut separates VMs from each other.
+type cut struct {
+	apart func(from, to string) bool
+}
+
+func (w *world) setStore(change func(*platformsim.Order)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	order := w.store.Faults.Current()
+	change(&order)
+	w.store.Faults.Set(order)
+}
+
+func (w *world) addCut(apart func(from, to string) bool) (end func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := &cut{apart}
+	w.faults.cuts = append(w.faults.cuts, c)
+	w.applyCuts()
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.faults.cuts = slices.DeleteFunc(w.faults.cuts, func(other *cut) bool { return other == c })
+		w.applyCuts()
+	}
+}
+
+// applyCuts is called with the lock held.
+func (w *world) applyCuts() {
+	cuts := slices.Clone(w.faults.cuts)
+	w.network.setCut(func(from, to string) bool {
+		return slices.ContainsFunc(cuts, func(c *cut) bool { return c.apart(from, to) })
+	})
+}
+
+// happen makes one incident happen and end.
+func (w *world) happen(i incident) {
+	time.Sleep(i.at)
+	switch i.kind {
+	case "engine-die", "engine-silent", "engine-slow", "engine-mute":
+		w.engineFails(i)
+	case "service":
+		w.services.order(i.name, i.fault)
+	case "halves":
+		half := hostOfVM(i.vm)
+		end := w.addCut(func(from, to string) bool { return (from < half) != (to < half) })
+		time.Sleep(i.lasts)
+		end()
+	case "cut-peers", "cut-store", "cut-both":
+		w.cutOff(i)
+	case "kill", "restart", "stop", "join":
+		w.lifecycle(i)
+	default:
+		w.storeFails(i)
+	}
+}
+
+func (w *world) engineFails(i incident) {
+	e := w.engines[i.name]
+	slow := func(factor float64, mute bool) {
+		e.SetFaults(func(f *enginesim.Faults) { f.Slowdown, f.Mute = factor, mute })
+	}
+	switch i.kind {
+	case "engine-die":
+		e.Die()
+		time.Sleep(i.lasts)
+		_ = e.Revive()
+	case "engine-silent":
+		e.GoSilent()
+	case "engine-slow":
+		slow(slowdown, false)
+		time.Sleep(i.lasts)
+		slow(1, false)
+	case "engine-mute":
+		slow(1, true)
+		time.Sleep(i.lasts)
+		slow(1, false)
+	}
+}
+
+func (w *world) storeFails(i incident) {
+	outage := func(o platformsim.Outage) {
+		w.setStore(func(order *platformsim.Order) { order.Outage = o })
+	}
+	switch i.kind {
+	case "store-refuse":
+		outage(platformsim.OutageRefuse)
+		time.Sleep(i.lasts)
+		outage(platformsim.OutageNone)
+	case "store-hang":
+		outage(platformsim.OutageHang)
+		time.Sleep(i.lasts)
+		outage(platformsim.OutageNone)
+	case "store-slow":
+		w.setStore(func(o *platformsim.Order) { o.SlowBy = config.Duration(slowStore) })
+		time.Sleep(i.lasts)
+		w.setStore(func(o *platformsim.Order) { o.SlowBy = 0 })
+	case "store-lose":
+		w.setStore(func(o *platformsim.Order) { o.LoseAnswers = 3 })
+	case "store-delay":
+		w.setStore(func(o *platformsim.Order) { o.DelayCommits, o.DelayBy = 3, config.Duration(i.lasts) })
+	case "list-freeze":
+		w.setStore(func(o *platformsim.Order) { o.FreezeVMs = true })
+		time.Sleep(i.lasts)
+		w.setStore(func(o *platformsim.Order) { o.FreezeVMs = false })
+	case "list-lag":
+		w.setStore(func(o *platformsim.Order) { o.VMLag = config.Duration(i.lasts) })
+	}
+}
+
+// cutOff cuts one VM off its peers, the store, or both.
+func (w *world) cutOff(i incident) {
+	host, v := hostOfVM(i.vm), w.vm(i.vm)
+	if v == nil {
+		return
+	}
+	if i.kind != "cut-peers" {
+		v.storeCut.Store(true)
+		defer v.storeCut.Store(false)
+	}
+	if i.kind != "cut-store" {
+		defer w.addCut(func(from, to string) bool { return from == host || to == host })()
+	}
+	time.Sleep(i.lasts)
+}
+
+func (w *world) lifecycle(i incident) {
+	v := w.vm(i.vm)
+	switch {
+	case i.kind == "join" && v == nil:
+		w.startAgain(i.vm)
+	case v == nil || i.kind == "join" || !w.lifecycleOf(v):
+	case i.kind == "stop":
+		w.stopVM(v)
+	default:
+		w.killVM(v)
+		if i.kind == "restart" {
+			time.Sleep(i.lasts)
+			w.startAgain(i.vm)
+		}
+	}
+}
+
+// startAgain starts a VM unless it runs.
+func (w *world) startAgain(number int) {
+	w.mu.Lock()
+	taken := w.starting[number]
+	w.starting[number] = true
+	w.mu.Unlock()
+	if !taken && w.vm(number) == nil {
+		w.start(number)
+	}
+	if !taken {
+		w.mu.Lock()
+		delete(w.starting, number)
+		w.mu.Unlock()
+	}
+}
+
+// lifecycleOf takes a process for its end; it has one.
+func (w *world) lifecycleOf(v *vm) bool { return v.ending.CompareAndSwap(false, true) }
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.mu.Lock()
+	w.faults.cuts = nil
+	w.applyCuts()
+	w.mu.Unlock()
+	w.store.Faults.Set(platformsim.Order{})
+	w.services.healAll()
+	for _, v := range w.running() {
+		v.storeCut.Store(false)
+	}
+	for _, e := range w.engines {
+		e.SetFaults(func(f *enginesim.Faults) { f.Slowdown, f.Mute, f.Leaving = 1, false, false })
+		if w.fabric.Engine(e.Addr()) == nil {
+			_ = e.Revive()
+		}
+	}
+}
+
+func (v *vm) waitReady(ctx context.Context) bool {
+	select {
+	case <-v.Ready():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
