--- a/internal/lease/release.go
+++ b/internal/lease/release.go
@@ -10,8 +10,9 @@
 )
 
 // Release hands all leases back, so that other VMs need not wait for them to
-// expire, and ends the manager's competing for good. Acts under the leases must
-// have ended. When the table does not answer, the leases expire by themselves.
+// expire, and ends the manager's competing for good. Acts under the leases should
+// have ended before; one that has not is to its targets like that of a holder which
+// was paused. When the table does not answer, the leases expire by themselves.
 func (m *Manager) Release(ctx context.Context) {
 	m.stepping.Lock()
 	defer m.stepping.Unlock()
