Notice a silent stream after 750 ms by default

A stage whose open connection went silent was noticed after the second that the settings had as their default, although the engines' client has 750 ms. Engines send heartbeats each 200 ms, so 750 ms are three missed ones.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -125,7 +125,7 @@
 	{Section: "targets", Name: "connect_timeout", Kind: KindDuration, Default: "500ms", Min: "10ms", Max: "30s",
 		Doc:   "Bound on opening a connection to a target.",
 		field: func(s *Settings) any { return &s.Targets.ConnectTimeout }},
-	{Section: "targets", Name: "silence_timeout", Kind: KindDuration, Default: "1s", Min: "50ms", Max: "1m",
+	{Section: "targets", Name: "silence_timeout", Kind: KindDuration, Default: "750ms", Min: "50ms", Max: "1m",
 		Doc:   "A stream on which not even a heartbeat arrives for this time counts as silent.",
 		field: func(s *Settings) any { return &s.Targets.SilenceTimeout }},
 	{Section: "targets", Name: "ejection_failures", Kind: KindInt, Default: "3", Min: "1", Max: "1000",
