--- a/internal/adminapi/options.go
+++ b/internal/adminapi/options.go
@@ -1,6 +1,7 @@
 package adminapi
 
 import (
+	"cmp"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,9 +44,7 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	if o.DumpBound == 0 {
-		o.DumpBound = DefaultDumpBound
-	}
+	o.DumpBound = cmp.Or(o.DumpBound, DefaultDumpBound)
 	o.VMs = orNull(o.VMs)
 	o.Leases = orNull(o.Leases)
 	o.Dump = orNull(o.Dump)
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The values that a zero field of Settings takes.
 const (
@@ -42,23 +45,11 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	if s.MaxQueued <= 0 {
-		s.MaxQueued = DefaultMaxQueued
-	}
-	if s.MaxQueuedPerWorkspace <= 0 {
-		s.MaxQueuedPerWorkspace = DefaultMaxQueuedPerWorkspace
-	}
-	if s.MaxWait <= 0 {
-		s.MaxWait = DefaultMaxWait
-	}
-	if s.BulkTurn <= 0 {
-		s.BulkTurn = DefaultBulkTurn
-	}
-	if s.StarvedInterval <= 0 {
-		s.StarvedInterval = DefaultStarvedInterval
-	}
-	if s.ReviewInterval <= 0 {
-		s.ReviewInterval = DefaultReviewInterval
-	}
+	s.MaxQueued = cmp.Or(max(s.MaxQueued, 0), DefaultMaxQueued)
+	s.MaxQueuedPerWorkspace = cmp.Or(max(s.MaxQueuedPerWorkspace, 0), DefaultMaxQueuedPerWorkspace)
+	s.MaxWait = cmp.Or(max(s.MaxWait, 0), DefaultMaxWait)
+	s.BulkTurn = cmp.Or(max(s.BulkTurn, 0), DefaultBulkTurn)
+	s.StarvedInterval = cmp.Or(max(s.StarvedInterval, 0), DefaultStarvedInterval)
+	s.ReviewInterval = cmp.Or(max(s.ReviewInterval, 0), DefaultReviewInterval)
 	return s
 }
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -82,33 +83,26 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Choices, DefaultChoices)
-	setDefault(&s.UrgentShare, DefaultUrgentShare)
-	setDefault(&s.NormalShare, DefaultNormalShare)
-	setDefault(&s.MinSlotsPerVM, DefaultMinSlotsPerVM)
-	setDefault(&s.MinSubset, DefaultMinSubset)
-	setDefault(&s.ReportFresh, DefaultReportFresh)
-	setDefault(&s.ReportExpiry, DefaultReportExpiry)
-	setDefault(&s.BusyHold, DefaultBusyHold)
-	setDefault(&s.EjectAfter, DefaultEjectAfter)
-	setDefault(&s.EjectFor, DefaultEjectFor)
-	setDefault(&s.MaxEjectFor, DefaultMaxEjectFor)
-	setDefault(&s.MaxEjectedShare, DefaultMaxEjectedShare)
-	setDefault(&s.SlowFactor, DefaultSlowFactor)
-	setDefault(&s.DrainBound, DefaultDrainBound)
-	setDefault(&s.PrefixesPerPool, DefaultPrefixesPerPool)
-	setDefault(&s.PrefixBonus, DefaultPrefixBonus)
-	setDefault(&s.PrefixTrustDecay, DefaultPrefixTrustDecay)
-	setDefault(&s.RemotePenalty, DefaultRemotePenalty)
+	s.Choices = cmp.Or(s.Choices, DefaultChoices)
+	s.UrgentShare = cmp.Or(s.UrgentShare, DefaultUrgentShare)
+	s.NormalShare = cmp.Or(s.NormalShare, DefaultNormalShare)
+	s.MinSlotsPerVM = cmp.Or(s.MinSlotsPerVM, DefaultMinSlotsPerVM)
+	s.MinSubset = cmp.Or(s.MinSubset, DefaultMinSubset)
+	s.ReportFresh = cmp.Or(s.ReportFresh, DefaultReportFresh)
+	s.ReportExpiry = cmp.Or(s.ReportExpiry, DefaultReportExpiry)
+	s.BusyHold = cmp.Or(s.BusyHold, DefaultBusyHold)
+	s.EjectAfter = cmp.Or(s.EjectAfter, DefaultEjectAfter)
+	s.EjectFor = cmp.Or(s.EjectFor, DefaultEjectFor)
+	s.MaxEjectFor = cmp.Or(s.MaxEjectFor, DefaultMaxEjectFor)
+	s.MaxEjectedShare = cmp.Or(s.MaxEjectedShare, DefaultMaxEjectedShare)
+	s.SlowFactor = cmp.Or(s.SlowFactor, DefaultSlowFactor)
+	s.DrainBound = cmp.Or(s.DrainBound, DefaultDrainBound)
+	s.PrefixesPerPool = cmp.Or(s.PrefixesPerPool, DefaultPrefixesPerPool)
+	s.PrefixBonus = cmp.Or(s.PrefixBonus, DefaultPrefixBonus)
+	s.PrefixTrustDecay = cmp.Or(s.PrefixTrustDecay, DefaultPrefixTrustDecay)
+	s.RemotePenalty = cmp.Or(s.RemotePenalty, DefaultRemotePenalty)
 	if s.random == nil {
 		s.random = rand.IntN
 	}
 	return s
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/claim/settings.go
+++ b/internal/claim/settings.go
@@ -1,6 +1,9 @@
 package claim
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The defaults of Settings.
 const (
@@ -40,20 +43,14 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	defaultTo(&s.LongestDeadline, DefaultLongestDeadline)
-	defaultTo(&s.Retention, DefaultRetention)
+	s.LongestDeadline = cmp.Or(max(s.LongestDeadline, 0), DefaultLongestDeadline)
+	s.Retention = cmp.Or(max(s.Retention, 0), DefaultRetention)
 	s.Retention = max(s.Retention, s.LongestDeadline)
-	defaultTo(&s.Timeout, DefaultTimeout)
-	defaultTo(&s.RetryAfter, DefaultRetryAfter)
-	defaultTo(&s.MaxGroup, DefaultMaxGroup)
-	defaultTo(&s.MaxGroupBytes, DefaultMaxGroupBytes)
-	defaultTo(&s.MaxInFlight, DefaultMaxInFlight)
-	defaultTo(&s.MaxQueued, DefaultMaxQueued)
+	s.Timeout = cmp.Or(max(s.Timeout, 0), DefaultTimeout)
+	s.RetryAfter = cmp.Or(max(s.RetryAfter, 0), DefaultRetryAfter)
+	s.MaxGroup = cmp.Or(max(s.MaxGroup, 0), DefaultMaxGroup)
+	s.MaxGroupBytes = cmp.Or(max(s.MaxGroupBytes, 0), DefaultMaxGroupBytes)
+	s.MaxInFlight = cmp.Or(max(s.MaxInFlight, 0), DefaultMaxInFlight)
+	s.MaxQueued = cmp.Or(max(s.MaxQueued, 0), DefaultMaxQueued)
 	return s
 }
-
-func defaultTo[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/internal/confstore/options.go
+++ b/internal/confstore/options.go
@@ -1,6 +1,7 @@
 package confstore
 
 import (
+	"cmp"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,21 +47,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ProposeTimeout, DefaultProposeTimeout)
-	setDefault(&o.SettleTimeout, DefaultSettleTimeout)
-	setDefault(&o.RecentChanges, DefaultRecentChanges)
-	setDefault(&o.RecentBytes, DefaultRecentBytes)
-	setDefault(&o.RetainChanges, DefaultRetainChanges)
-	setDefault(&o.CompactAfter, DefaultCompactAfter)
+	o.ProposeTimeout = cmp.Or(o.ProposeTimeout, DefaultProposeTimeout)
+	o.SettleTimeout = cmp.Or(o.SettleTimeout, DefaultSettleTimeout)
+	o.RecentChanges = cmp.Or(o.RecentChanges, DefaultRecentChanges)
+	o.RecentBytes = cmp.Or(o.RecentBytes, DefaultRecentBytes)
+	o.RetainChanges = cmp.Or(o.RetainChanges, DefaultRetainChanges)
+	o.CompactAfter = cmp.Or(o.CompactAfter, DefaultCompactAfter)
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/engine/httpengine/settings.go
+++ b/internal/engine/httpengine/settings.go
@@ -1,6 +1,9 @@
 package httpengine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings bound the waits. A zero field takes its default.
 type Settings struct {
@@ -24,17 +27,9 @@
 
 // WithDefaults returns s with its zero fields filled in.
 func (s Settings) WithDefaults() Settings {
-	if s.OpenTimeout == 0 {
-		s.OpenTimeout = DefaultOpenTimeout
-	}
-	if s.Idle == 0 {
-		s.Idle = DefaultIdle
-	}
-	if s.ControlTimeout == 0 {
-		s.ControlTimeout = DefaultControlTimeout
-	}
-	if s.MaxEventBytes == 0 {
-		s.MaxEventBytes = DefaultMaxEventBytes
-	}
+	s.OpenTimeout = cmp.Or(s.OpenTimeout, DefaultOpenTimeout)
+	s.Idle = cmp.Or(s.Idle, DefaultIdle)
+	s.ControlTimeout = cmp.Or(s.ControlTimeout, DefaultControlTimeout)
+	s.MaxEventBytes = cmp.Or(s.MaxEventBytes, DefaultMaxEventBytes)
 	return s
 }
--- a/internal/generation/settings.go
+++ b/internal/generation/settings.go
@@ -1,6 +1,9 @@
 package generation
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The defaults of Settings.
 const (
@@ -48,22 +51,15 @@
 
 // WithDefaults returns s with its zero fields filled in.
 func (s Settings) WithDefaults() Settings {
-	orDefault(&s.OpenTimeout, DefaultOpenTimeout)
-	orDefault(&s.ReproveTimeout, DefaultReproveTimeout)
-	orDefault(&s.FirstToken, DefaultFirstToken)
-	orDefault(&s.BetweenTokens, DefaultBetweenTokens)
-	orDefault(&s.CancelTimeout, DefaultCancelTimeout)
-	orDefault(&s.RetryPause, DefaultRetryPause)
-	orDefault(&s.MaxRetryPause, DefaultMaxRetryPause)
-	orDefault(&s.MaxRecoveries, DefaultMaxRecoveries)
-	orDefault(&s.MaxEpochs, DefaultMaxEpochs)
-	orDefault(&s.MaxCancels, DefaultMaxCancels)
+	s.OpenTimeout = cmp.Or(s.OpenTimeout, DefaultOpenTimeout)
+	s.ReproveTimeout = cmp.Or(s.ReproveTimeout, DefaultReproveTimeout)
+	s.FirstToken = cmp.Or(s.FirstToken, DefaultFirstToken)
+	s.BetweenTokens = cmp.Or(s.BetweenTokens, DefaultBetweenTokens)
+	s.CancelTimeout = cmp.Or(s.CancelTimeout, DefaultCancelTimeout)
+	s.RetryPause = cmp.Or(s.RetryPause, DefaultRetryPause)
+	s.MaxRetryPause = cmp.Or(s.MaxRetryPause, DefaultMaxRetryPause)
+	s.MaxRecoveries = cmp.Or(s.MaxRecoveries, DefaultMaxRecoveries)
+	s.MaxEpochs = cmp.Or(s.MaxEpochs, DefaultMaxEpochs)
+	s.MaxCancels = cmp.Or(s.MaxCancels, DefaultMaxCancels)
 	return s
 }
-
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/platform/httpplatform/settings.go
+++ b/internal/platform/httpplatform/settings.go
@@ -1,6 +1,7 @@
 package httpplatform
 
 import (
+	"cmp"
 	"crypto/tls"
 	"time"
 )
@@ -34,20 +35,10 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	if s.ConnectTimeout <= 0 {
-		s.ConnectTimeout = DefaultConnectTimeout
-	}
-	if s.AttemptTimeout <= 0 {
-		s.AttemptTimeout = DefaultAttemptTimeout
-	}
-	if s.IdleTimeout <= 0 {
-		s.IdleTimeout = DefaultIdleTimeout
-	}
-	if s.MaxIdle <= 0 {
-		s.MaxIdle = DefaultMaxIdle
-	}
-	if s.MaxResponseBytes <= 0 {
-		s.MaxResponseBytes = DefaultMaxResponseBytes
-	}
+	s.ConnectTimeout = cmp.Or(max(s.ConnectTimeout, 0), DefaultConnectTimeout)
+	s.AttemptTimeout = cmp.Or(max(s.AttemptTimeout, 0), DefaultAttemptTimeout)
+	s.IdleTimeout = cmp.Or(max(s.IdleTimeout, 0), DefaultIdleTimeout)
+	s.MaxIdle = cmp.Or(max(s.MaxIdle, 0), DefaultMaxIdle)
+	s.MaxResponseBytes = cmp.Or(max(s.MaxResponseBytes, 0), DefaultMaxResponseBytes)
 	return s
 }
--- a/internal/platform/resilient/settings.go
+++ b/internal/platform/resilient/settings.go
@@ -1,6 +1,9 @@
 package resilient
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // What the whole fleet may ask of the table: a third of the 300 writes and 2,000
 // reads a second that it takes.
@@ -56,24 +59,18 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	defaultTo(&s.VMs, DefaultVMs)
-	defaultTo(&s.WritesPerSecond, FleetWritesPerSecond)
-	defaultTo(&s.ReadsPerSecond, FleetReadsPerSecond)
-	defaultTo(&s.UrgentWriteShare, DefaultUrgentWriteShare)
-	defaultTo(&s.UrgentReadShare, DefaultUrgentReadShare)
-	defaultTo(&s.Burst, DefaultBurst)
-	defaultTo(&s.Timeout, DefaultTimeout)
-	defaultTo(&s.AttemptTimeout, DefaultAttemptTimeout)
-	defaultTo(&s.FailuresToOpen, DefaultFailuresToOpen)
-	defaultTo(&s.ProbeInterval, DefaultProbeInterval)
-	defaultTo(&s.ProbeTimeout, DefaultProbeTimeout)
-	defaultTo(&s.RetryPause, DefaultRetryPause)
-	defaultTo(&s.MaxRetryPause, DefaultMaxRetryPause)
+	s.VMs = cmp.Or(max(s.VMs, 0), DefaultVMs)
+	s.WritesPerSecond = cmp.Or(max(s.WritesPerSecond, 0), FleetWritesPerSecond)
+	s.ReadsPerSecond = cmp.Or(max(s.ReadsPerSecond, 0), FleetReadsPerSecond)
+	s.UrgentWriteShare = cmp.Or(max(s.UrgentWriteShare, 0), DefaultUrgentWriteShare)
+	s.UrgentReadShare = cmp.Or(max(s.UrgentReadShare, 0), DefaultUrgentReadShare)
+	s.Burst = cmp.Or(max(s.Burst, 0), DefaultBurst)
+	s.Timeout = cmp.Or(max(s.Timeout, 0), DefaultTimeout)
+	s.AttemptTimeout = cmp.Or(max(s.AttemptTimeout, 0), DefaultAttemptTimeout)
+	s.FailuresToOpen = cmp.Or(max(s.FailuresToOpen, 0), DefaultFailuresToOpen)
+	s.ProbeInterval = cmp.Or(max(s.ProbeInterval, 0), DefaultProbeInterval)
+	s.ProbeTimeout = cmp.Or(max(s.ProbeTimeout, 0), DefaultProbeTimeout)
+	s.RetryPause = cmp.Or(max(s.RetryPause, 0), DefaultRetryPause)
+	s.MaxRetryPause = cmp.Or(max(s.MaxRetryPause, 0), DefaultMaxRetryPause)
 	return s
 }
-
-func defaultTo[T int | float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/internal/service/httpservice/settings.go
+++ b/internal/service/httpservice/settings.go
@@ -1,6 +1,9 @@
 package httpservice
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings bound calls. A zero field takes its default.
 type Settings struct {
@@ -27,20 +30,10 @@
 
 // WithDefaults returns s with its zero fields filled in.
 func (s Settings) WithDefaults() Settings {
-	if s.Silence == 0 {
-		s.Silence = DefaultSilence
-	}
-	if s.ProvenFor == 0 {
-		s.ProvenFor = DefaultProvenFor
-	}
-	if s.MaxKeptPerPeer == 0 {
-		s.MaxKeptPerPeer = DefaultMaxKeptPerPeer
-	}
-	if s.MaxBody == 0 {
-		s.MaxBody = DefaultMaxBody
-	}
-	if s.LoadTimeout == 0 {
-		s.LoadTimeout = DefaultLoadTimeout
-	}
+	s.Silence = cmp.Or(s.Silence, DefaultSilence)
+	s.ProvenFor = cmp.Or(s.ProvenFor, DefaultProvenFor)
+	s.MaxKeptPerPeer = cmp.Or(s.MaxKeptPerPeer, DefaultMaxKeptPerPeer)
+	s.MaxBody = cmp.Or(s.MaxBody, DefaultMaxBody)
+	s.LoadTimeout = cmp.Or(s.LoadTimeout, DefaultLoadTimeout)
 	return s
 }
--- a/internal/standin/enginesim/options.go
+++ b/internal/standin/enginesim/options.go
@@ -1,6 +1,7 @@
 package enginesim
 
 import (
+	"cmp"
 	"time"
 
 	"geraniumcroft/internal/config"
@@ -55,20 +56,13 @@
 var sharedFabric = NewFabric(nil)
 
 func (o Options) withDefaults() Options {
-	fill(&o.Slots, DefaultSlots)
-	fill(&o.LayerTokensPerSecond, DefaultLayerRate)
-	fill(&o.PrefillFactor, DefaultPrefillFactor)
-	fill(&o.Heartbeat, DefaultHeartbeat)
-	fill(&o.KeepKVFor, DefaultKeepKVFor)
-	fill(&o.KVBytesPerToken, DefaultKVBytes)
-	fill(&o.CacheBlocks, DefaultCacheBlocks)
-	fill(&o.Fabric, sharedFabric)
+	o.Slots = cmp.Or(o.Slots, DefaultSlots)
+	o.LayerTokensPerSecond = cmp.Or(o.LayerTokensPerSecond, DefaultLayerRate)
+	o.PrefillFactor = cmp.Or(o.PrefillFactor, DefaultPrefillFactor)
+	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
+	o.KeepKVFor = cmp.Or(o.KeepKVFor, DefaultKeepKVFor)
+	o.KVBytesPerToken = cmp.Or(o.KVBytesPerToken, DefaultKVBytes)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, DefaultCacheBlocks)
+	o.Fabric = cmp.Or(o.Fabric, sharedFabric)
 	return o
 }
-
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/standin/servicesim/options.go
+++ b/internal/standin/servicesim/options.go
@@ -1,6 +1,9 @@
 package servicesim
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options describe a Service. A zero field takes its default.
 type Options struct {
@@ -19,8 +22,6 @@
 const DefaultSlots = 16
 
 func (o Options) withDefaults() Options {
-	if o.Slots == 0 {
-		o.Slots = DefaultSlots
-	}
+	o.Slots = cmp.Or(o.Slots, DefaultSlots)
 	return o
 }
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -62,12 +63,8 @@
 
 // NewRecorder returns a recorder whose metrics are below scope.
 func NewRecorder(scope tally.Scope, o RecorderOptions) *Recorder {
-	if o.MaxWorkspaces == 0 {
-		o.MaxWorkspaces = defaultMaxWorkspaces
-	}
-	if o.MaxTargets == 0 {
-		o.MaxTargets = defaultMaxTargets
-	}
+	o.MaxWorkspaces = cmp.Or(o.MaxWorkspaces, defaultMaxWorkspaces)
+	o.MaxTargets = cmp.Or(o.MaxTargets, defaultMaxTargets)
 	return &Recorder{
 		requests:      newBoundedNames(maxReasons, requestKey{reason: other}, requestCounter(scope)),
 		refused:       newBoundedNames(maxReasons, other, taggedCounter[outcome.Reason](scope, "input_refused_total", "reason")),
--- a/internal/transport/settings.go
+++ b/internal/transport/settings.go
@@ -1,6 +1,9 @@
 package transport
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings bound connections. A zero field takes its default.
 type Settings struct {
@@ -36,20 +39,13 @@
 
 // WithDefaults returns s with its zero fields filled in.
 func (s Settings) WithDefaults() Settings {
-	fill(&s.ConnectTimeout, DefaultConnectTimeout)
-	fill(&s.UserTimeout, DefaultUserTimeout)
-	fill(&s.KeepAlive, DefaultKeepAlive)
-	fill(&s.IdleLifetime, DefaultIdleLifetime)
-	fill(&s.MaxIdlePerPeer, DefaultMaxIdlePerPeer)
-	fill(&s.MaxPeers, DefaultMaxPeers)
-	fill(&s.ReadBuffer, DefaultReadBuffer)
-	fill(&s.WriteBuffer, DefaultWriteBuffer)
+	s.ConnectTimeout = cmp.Or(s.ConnectTimeout, DefaultConnectTimeout)
+	s.UserTimeout = cmp.Or(s.UserTimeout, DefaultUserTimeout)
+	s.KeepAlive = cmp.Or(s.KeepAlive, DefaultKeepAlive)
+	s.IdleLifetime = cmp.Or(s.IdleLifetime, DefaultIdleLifetime)
+	s.MaxIdlePerPeer = cmp.Or(s.MaxIdlePerPeer, DefaultMaxIdlePerPeer)
+	s.MaxPeers = cmp.Or(s.MaxPeers, DefaultMaxPeers)
+	s.ReadBuffer = cmp.Or(s.ReadBuffer, DefaultReadBuffer)
+	s.WriteBuffer = cmp.Or(s.WriteBuffer, DefaultWriteBuffer)
 	return s
 }
-
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
