admission: leave the limits on requests in hand to the router

Cause: admission counted requests in hand by workspace and profile, sharded, with a Leave that each caller had to remember, and nothing set the limits: the router checks the same two on arrival, before a claim is written and before a request queues.

Conclusion: behaviour unchanged for callers; one place for these limits.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -161,24 +161,6 @@
 	})
 }
 
-// A workspace at its limit is refused; the end of one of its requests, not its
-// start, makes room for the next.
-func TestWorkspaceLimitCountsUntilLeave(t *testing.T) {
-	f := newFakeTargets(Settings{}, 10)
-	request := func() *Request { return &Request{Workspace: "a", MaxInFlight: 1} }
-	first := request()
-	if err := f.admit(context.Background(), first); err != nil {
-		t.Fatal(err)
-	}
-	if reason := reasonOf(t, f.admit(context.Background(), request())); reason != outcome.ReasonWorkspaceLimit {
-		t.Fatalf("reason %s", reason)
-	}
-	f.controller.Leave(first)
-	if err := f.admit(context.Background(), request()); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // An urgent request finds no slot. The router hears of it at once and again while
 // it waits, so that it can preempt a bulk stream.
 func TestStarvedIsToldUntilTheUrgentRequestStarts(t *testing.T) {
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -15,8 +15,6 @@
 type Controller struct {
 	settings   Settings
 	invariants *invariant.Registry
-	workspaces *inHand
-	profiles   *inHand
 	starved    atomic.Pointer[func(pool string, r *Request)]
 
 	pools sync.Map // string to *pool
@@ -24,12 +22,7 @@
 
 // New returns a controller without pools; they come with their first request.
 func New(s Settings, inv *invariant.Registry) *Controller {
-	return &Controller{
-		settings:   s.withDefaults(),
-		invariants: inv,
-		workspaces: newInHand(),
-		profiles:   newInHand(),
-	}
+	return &Controller{settings: s.withDefaults(), invariants: inv}
 }
 
 // OnStarved sets the function that is called, outside of any lock, when an
@@ -40,14 +33,9 @@
 // under the pool's lock and reports whether it took capacity. Admit returns nil
 // when try returned true, else an *outcome.Failure: NotRun, and try is not
 // called again.
-//
-// A request with an in-flight limit that was admitted is counted until Leave.
 func (c *Controller) Admit(ctx context.Context, r *Request, try func() bool) error {
-	if failure := c.enterLimits(r); failure != nil {
-		return failure
-	}
+	// A nil *outcome.Failure in an error would not be equal to nil.
 	if failure := c.admit(ctx, r, try); failure != nil {
-		c.Leave(r)
 		return failure
 	}
 	return nil
@@ -78,31 +66,6 @@
 	return func() { (*f)(r.Pool, r) }
 }
 
-func (c *Controller) enterLimits(r *Request) *outcome.Failure {
-	if r.Resume {
-		return nil
-	}
-	if !c.workspaces.enter(r.Workspace, r.MaxInFlight) {
-		return refuseLimit("workspace")
-	}
-	if !c.profiles.enter(r.Profile, r.ProfileMaxInFlight) {
-		c.workspaces.leave(r.Workspace, r.MaxInFlight)
-		return refuseLimit("profile")
-	}
-	return nil
-}
-
-// Leave takes an admitted request out of its workspace's and profile's in-flight
-// counts. It is called once for each request that Admit returned nil for, when
-// the request has ended; a resumed one stays counted from its first Admit.
-func (c *Controller) Leave(r *Request) {
-	if r.Resume {
-		return
-	}
-	c.workspaces.leave(r.Workspace, r.MaxInFlight)
-	c.profiles.leave(r.Profile, r.ProfileMaxInFlight)
-}
-
 // Wake starts queued requests of the pool after capacity may have come free. It
 // waits for no lock and may be called from anywhere, from within try too.
 func (c *Controller) Wake(name string) {
--- a/internal/admission/dump.go
+++ b/internal/admission/dump.go
@@ -8,9 +8,7 @@
 
 // Dump is the controller's state.
 type Dump struct {
-	Pools      map[string]PoolDump `json:"pools"`
-	Workspaces map[string]int      `json:"workspacesInFlight"`
-	Profiles   map[string]int      `json:"profilesInFlight"`
+	Pools map[string]PoolDump `json:"pools"`
 }
 
 // PoolDump is one pool's state.
@@ -46,8 +44,6 @@
 		dump.Pools[name.(string)] = found.(*pool).dump()
 		return true
 	})
-	dump.Workspaces = c.workspaces.snapshot()
-	dump.Profiles = c.profiles.snapshot()
 	return dump
 }
 
--- a/internal/admission/fake_test.go
+++ b/internal/admission/fake_test.go
@@ -72,7 +72,6 @@
 	err := f.admit(context.Background(), r)
 	if err == nil {
 		time.Sleep(took)
-		f.controller.Leave(r)
 		f.end(took)
 	}
 	return err
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -28,11 +28,6 @@
 		WithRetryAfter(retryAfter(drain))
 }
 
-func refuseLimit(what string) *outcome.Failure {
-	return outcome.Refuse(outcome.ReasonWorkspaceLimit, "the "+what+" has too many requests in hand").
-		WithRetryAfter(minRetryAfter)
-}
-
 func refuseDeadline(drain time.Duration) *outcome.Failure {
 	return outcome.Refuse(outcome.ReasonDeadline, "the request cannot be answered before its deadline").
 		WithRetryAfter(retryAfter(drain))
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -26,13 +26,8 @@
 	Expected time.Duration
 	// MaxQueueWait bounds the time in the queue; 0 leaves the deadline.
 	MaxQueueWait time.Duration
-	// MaxInFlight bounds the workspace's requests in hand on this VM, queued ones
-	// included; 0 is unbounded.
-	MaxInFlight int
-	// ProfileMaxInFlight bounds the profile's requests in the same way.
-	ProfileMaxInFlight int
 	// Resume marks a stream that was preempted and comes back: it goes ahead of
-	// its level, and neither a full queue nor an in-flight limit refuses it.
+	// its level, and a full queue does not refuse it.
 	Resume bool
 
 	// turn is set while try is called in bulk's turn; guarded by the pool's lock.
--- a/internal/balance/decision_bench_test.go
+++ b/internal/balance/decision_bench_test.go
@@ -46,7 +46,7 @@
 // decide makes one decision and returns the slot.
 func (d *decisions) decide(u config.Urgency, prefixes []uint64) *Slot {
 	n := d.next.Add(1)
-	r := &admission.Request{Workspace: d.workspaces[n%benchWorkspaces], Pool: "svc", Urgency: u, Cost: 355, MaxInFlight: 100}
+	r := &admission.Request{Workspace: d.workspaces[n%benchWorkspaces], Pool: "svc", Urgency: u, Cost: 355}
 	var slot *Slot
 	err := d.admission.Admit(context.Background(), r, func() bool {
 		slot, _ = d.balancer.Pick(Query{Pool: "svc", Urgency: r.TakeAs(), Prefixes: prefixes})
@@ -55,7 +55,6 @@
 	if err != nil {
 		return nil
 	}
-	d.admission.Leave(r)
 	return slot
 }
 
