Let an order follow the one that told the fencing number

Change: an accepted order that the engine already satisfied is resolved at once. The test fails without it.

--- a/internal/orders/failure_test.go
+++ b/internal/orders/failure_test.go
@@ -101,6 +101,20 @@
 	})
 }
 
+// The operator sees a change in force a few seconds after a change of holder. The order
+// that told the engine the new number was answered and had nothing to change, so the
+// next one need not wait until it can no longer be under way.
+func TestNewNumberDoesNotDelayTheNextOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, hooks{}, fencingTarget(fencing))
+		defer f.stop()
+		e := f.engines[fencing]
+		await(t, 20*time.Second, "the engine has the number", func() bool { return e.read().Fencing > 0 })
+		f.change(fencing, "v2")
+		await(t, testSettings().MaxUnderWay/2, "v2", func() bool { return e.read().Version == "v2" })
+	})
+}
+
 // The operator sees v3, for some seconds v2, and v3 again. The old holder was paused
 // between check and order for longer than any wait covers, and the engine obeys
 // anyone: reading back finds the old order and repairs it.
--- a/internal/orders/step.go
+++ b/internal/orders/step.go
@@ -99,6 +99,9 @@
 	order := newOrder(target, task.state, l.Fencing)
 	v, ok := c.order(ctx, l, target, task, order)
 	task.stamped = ok
+	if ok {
+		task.pending = nil // its effect was there before
+	}
 	return v, ok
 }
 
