--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -114,9 +114,7 @@
 	var again <-chan time.Time
 	if starved != nil {
 		starved()
-		ticker := time.NewTicker(p.settings.StarvedInterval)
-		defer ticker.Stop()
-		again = ticker.C
+		again = time.After(p.settings.StarvedInterval)
 	}
 	for {
 		select {
@@ -124,6 +122,7 @@
 			return w.failure
 		case <-again:
 			starved()
+			again = time.After(p.settings.StarvedInterval)
 		case <-late.C:
 			p.abandon(w, func() *outcome.Failure { return refuseDeadline(p.drain(time.Now())) })
 			<-w.done
--- a/internal/claim/late_ends.go
+++ b/internal/claim/late_ends.go
@@ -52,13 +52,11 @@
 
 // Run writes ends that could not be written before, until the context ends.
 func (c *Claims) Run(ctx context.Context) {
-	ticker := time.NewTicker(retryEndsInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(retryEndsInterval):
 			c.retryEnds(ctx)
 		}
 	}
--- a/internal/node/isolation.go
+++ b/internal/node/isolation.go
@@ -56,14 +56,12 @@
 // watchIsolation closes the gate once this VM has been cut off from the store and
 // all peers for the bound, and opens it when either is back.
 func watchIsolation(ctx context.Context, r reach, gate *router.Gate) {
-	ticker := time.NewTicker(isolationCheck)
-	defer ticker.Stop()
 	var since time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case now := <-time.After(isolationCheck):
 			if !r.cutOff() {
 				since = time.Time{}
 			} else if since.IsZero() {
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -68,14 +68,12 @@
 
 // Run reads until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	ticker := time.NewTicker(w.options.Interval)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
+		next := time.After(w.options.Interval)
 		w.round(ctx)
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-next:
 		}
 	}
 }
