Write the tests that read as steps with Convey

Cause: goconvey is the test library of the house style and was used nowhere; a dozen tests of operators' work ran through ten steps in one breath, where a failure stopped at the first step and the name said little of it.

Change: adminapi, admincmd, roster and parts of confstore, dispatch and security say their steps with Convey and So, each step from a set-up of its own. Tests in virtual time, tables and randomised tests stay as they were.

Conclusion: behaviour unchanged.

--- a/internal/adminapi/fakes_test.go
+++ b/internal/adminapi/fakes_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 
+	. "github.com/smartystreets/goconvey/convey"
+
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/confstore"
 )
@@ -32,13 +34,18 @@
 	s := &fakeStore{}
 	s.Set(config.NewSnapshot())
 	for _, p := range proposals {
-		if _, err := s.Propose(context.Background(), p); err != nil {
-			t.Fatal(err)
-		}
+		s.mustPropose(t, p)
 	}
 	return s
 }
 
+func (s *fakeStore) mustPropose(t *testing.T, p confstore.Proposal) {
+	t.Helper()
+	if _, err := s.Propose(context.Background(), p); err != nil {
+		t.Error(err)
+	}
+}
+
 func (s *fakeStore) Propose(_ context.Context, p confstore.Proposal) (config.Change, error) {
 	if before := s.before; before != nil {
 		s.before = nil
@@ -181,14 +188,11 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(text)}
 }
 
+// want checks an answer within a Convey; its body holds all the parts.
 func (c *client) want(r reply, status int, parts ...string) {
 	c.t.Helper()
-	if r.status != status {
-		c.t.Fatalf("status %d, want %d: %s", r.status, status, r.body)
-	}
+	SoMsg(r.body, r.status, ShouldEqual, status)
 	for _, part := range parts {
-		if !strings.Contains(r.body, part) {
-			c.t.Fatalf("answer lacks %s: %s", part, r.body)
-		}
+		So(r.body, ShouldContainSubstring, part)
 	}
 }
--- a/internal/cli/admincmd/admincmd_test.go
+++ b/internal/cli/admincmd/admincmd_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/google/subcommands"
+	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumcroft/internal/adminapi"
 	"geraniumcroft/internal/confstore"
@@ -94,18 +95,16 @@
 	return code, stdout.String(), stderr.String()
 }
 
-// want runs a command against the API and checks its exit code and its output.
+// want runs a command against the API within a Convey and checks its exit code and
+// its output, in which the token never stands.
 func (b *bench) want(code int, part string, line ...string) string {
 	b.t.Helper()
 	line = append(line, "-admin", b.url, "-token-file", filepath.Join(b.dir, "token"))
 	got, out, errs := b.run(line...)
 	all := out + errs
-	if got != code || !strings.Contains(all, part) {
-		b.t.Fatalf("%v: exit %d, want %d with %q:\n%s", line, got, code, part, all)
-	}
-	if strings.Contains(all, token) {
-		b.t.Fatalf("%v shows the token:\n%s", line, all)
-	}
+	SoMsg(all, got, ShouldEqual, code)
+	So(all, ShouldContainSubstring, part)
+	So(all, ShouldNotContainSubstring, token)
 	return out
 }
 
@@ -121,65 +120,99 @@
 // another operator who still has the old file gets a conflict, exit code 3, and
 // the present target.
 func TestSetShowAndConflict(t *testing.T) {
-	b := newBench(t)
-	b.withEngine()
-	shown := b.want(0, `"slots": 4`, "target", "show", "gpu-1")
-	edited := b.file("edited", strings.Replace(shown, `"slots": 4`, `"slots": 6`, 1))
-	b.want(0, "version 3 is in force everywhere", "target", "set", "gpu-1", "-f", edited)
-	b.want(3, `"slots":6`, "target", "set", "gpu-1", "-f", edited)
-	b.want(3, "present revision 3", "target", "set", "gpu-1", "-f", filepath.Join(b.dir, "t"))
-	b.want(0, "version 4", "target", "drain", "gpu-1")
-	b.want(0, "unchanged", "target", "drain", "gpu-1")
-	list := b.want(0, "draining", "target", "list")
-	for _, part := range []string{"NAME", "draft@v1 0-8", "do not check their callers: gpu-1", "old fencing number: gpu-1"} {
-		if !strings.Contains(list, part) {
-			t.Errorf("list lacks %q:\n%s", part, list)
-		}
-	}
-	b.want(0, `"uncheckedCallers"`, "target", "list", "-json")
-	b.want(1, "is held by target gpu-1", "model", "delete", "draft")
-	b.want(3, "is at revision 4, not 3", "target", "delete", "gpu-1", "-revision", "3")
-	b.want(0, "version 5", "target", "delete", "gpu-1")
-	b.want(1, "There is no target", "target", "show", "gpu-1")
-	b.want(0, "delete", "change", "list", "-after", "4")
-	b.want(0, `"name": "gpu-1"`, "change", "show", "2")
-	b.want(0, "version 2", "change", "wait", "2")
-	b.want(0, "hall-a", "vm", "list")
-	b.want(0, "orders", "vm", "leases")
+	Convey("Given a target that was read, edited and set again", t, func() {
+		b := newBench(t)
+		b.withEngine()
+		shown := b.want(0, `"slots": 4`, "target", "show", "gpu-1")
+		edited := b.file("edited", strings.Replace(shown, `"slots": 4`, `"slots": 6`, 1))
+		b.want(0, "version 3 is in force everywhere", "target", "set", "gpu-1", "-f", edited)
+
+		Convey("an old file gets a conflict with the present target", func() {
+			b.want(3, `"slots":6`, "target", "set", "gpu-1", "-f", edited)
+			b.want(3, "present revision 3", "target", "set", "gpu-1", "-f", filepath.Join(b.dir, "t"))
+		})
+
+		Convey("a drain is shown, and a repeated one changes nothing", func() {
+			b.want(0, "version 4", "target", "drain", "gpu-1")
+			b.want(0, "unchanged", "target", "drain", "gpu-1")
+			b.want(0, "draining", "target", "list")
+		})
+
+		Convey("the list shows what it holds, and whom it does not check", func() {
+			list := b.want(0, "active", "target", "list")
+			for _, part := range []string{"NAME", "draft@v1 0-8", "do not check their callers: gpu-1", "old fencing number: gpu-1"} {
+				So(list, ShouldContainSubstring, part)
+			}
+			b.want(0, `"uncheckedCallers"`, "target", "list", "-json")
+		})
+
+		Convey("its model cannot go before it, nor it at an old revision", func() {
+			b.want(1, "is held by target gpu-1", "model", "delete", "draft")
+			b.want(3, "is at revision 3, not 2", "target", "delete", "gpu-1", "-revision", "2")
+			b.want(0, "version 4", "target", "delete", "gpu-1")
+			b.want(1, "There is no target", "target", "show", "gpu-1")
+			b.want(0, "delete", "change", "list", "-after", "3")
+		})
+
+		Convey("its changes, the VMs and the leases can be read", func() {
+			b.want(0, `"name": "gpu-1"`, "change", "show", "2")
+			b.want(0, "version 2", "change", "wait", "2")
+			b.want(0, "hall-a", "vm", "list")
+			b.want(0, "orders", "vm", "leases")
+		})
+	})
 }
 
 // Everything that is wrong with a file is printed, one line each.
 func TestFindingsArePrinted(t *testing.T) {
-	b := newBench(t)
-	file := b.file("p", `{"workspace":"x","class":"call","urgency":"bulk","deadline":"0s","limits":{},"path":"/","service":"s"}`)
-	b.want(1, "profile.permits.workspace: unknown workspace", "profile", "set", "permits", "-f", file)
-	b.want(1, "profile.permits.deadline: 0s is out of range", "profile", "set", "permits", "-f", file)
+	Convey("A profile with two faults is refused with both", t, func() {
+		b := newBench(t)
+		file := b.file("p", `{"workspace":"x","class":"call","urgency":"bulk","deadline":"0s","limits":{},"path":"/","service":"s"}`)
+		b.want(1, "profile.permits.workspace: unknown workspace", "profile", "set", "permits", "-f", file)
+		b.want(1, "profile.permits.deadline: 0s is out of range", "profile", "set", "permits", "-f", file)
+	})
 }
 
 // A VM has not confirmed the change when the wait ends: the command fails and
 // names it, so that a script does not go on as if the change were in force.
 func TestPendingChangeFailsWithNames(t *testing.T) {
-	b := newBench(t)
-	b.confirmer.missing = []string{"vm-5"}
-	file := b.file("w", `{"weight":2}`)
-	b.want(1, "version 1 is committed, not yet in force on vm-5", "workspace", "set", "crews", "-f", file, "-wait", "1ms")
-	b.want(1, "vm-5", "change", "wait", "1", "-wait", "1ms")
-	b.confirmer.missing = nil
-	b.want(0, "version 1", "change", "wait", "1")
+	Convey("Given a VM that does not confirm a change", t, func() {
+		b := newBench(t)
+		b.confirmer.missing = []string{"vm-5"}
+		file := b.file("w", `{"weight":2}`)
+		b.want(1, "version 1 is committed, not yet in force on vm-5", "workspace", "set", "crews", "-f", file, "-wait", "1ms")
+
+		Convey("a wait for the change fails with its name", func() {
+			b.want(1, "vm-5", "change", "wait", "1", "-wait", "1ms")
+		})
+
+		Convey("a wait succeeds once it has confirmed", func() {
+			b.confirmer.missing = nil
+			b.want(0, "version 1", "change", "wait", "1")
+		})
+	})
 }
 
 // The answer to a change is lost on the way to the operator. The command asks
 // again with the same id and learns that its change is in force; with another id
 // it would report a conflict with its own change.
 func TestLostAnswerIsAskedForAgain(t *testing.T) {
-	b := newBench(t)
-	b.loseAnswers = 1
-	b.want(0, "version 1 is in force", "workspace", "set", "crews", "-f", b.file("w", `{"weight":2}`))
-	if lines := strings.Count(b.want(0, "crews", "change", "list"), "\n"); lines != 2 {
-		t.Fatalf("%d lines of changes", lines)
-	}
-	b.platform.Faults.Set(platformsim.Order{Outage: platformsim.OutageRefuse})
-	b.want(1, "Nothing was written", "workspace", "set", "desk", "-f", b.file("d", `{}`))
+	Convey("Given a workspace", t, func() {
+		b := newBench(t)
+		file := b.file("w", `{"weight":2}`)
+
+		Convey("a change whose answer is lost is made once and reported as in force", func() {
+			b.loseAnswers = 1
+			b.want(0, "version 1 is in force", "workspace", "set", "crews", "-f", file)
+			So(b.loseAnswers, ShouldEqual, 0)
+			So(strings.Count(b.want(0, "crews", "change", "list"), "\n"), ShouldEqual, 2)
+		})
+
+		Convey("a change that the store refuses for an outage is reported as not written", func() {
+			b.platform.Faults.Set(platformsim.Order{Outage: platformsim.OutageRefuse})
+			b.want(1, "Nothing was written", "workspace", "set", "crews", "-f", file)
+		})
+	})
 }
 
 // Bad usage has its own exit code and says what is allowed.
--- a/internal/confstore/compact_test.go
+++ b/internal/confstore/compact_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumcroft/internal/platform"
 )
@@ -90,78 +91,82 @@
 // A VM that has fallen behind for longer than rows are kept finds a gap after its
 // own version, takes the snapshot and goes on.
 func TestPollAfterCompactionTakesTheSnapshot(t *testing.T) {
-	f := newFixture(t)
-	writer, s := f.storeWith("vm-1", compactSoon), f.store("vm-2")
-	f.fill(writer, 1)
-	if err := s.Load(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	f.fill(writer, 12)
-	f.mustCompact(writer)
-	f.fill(writer, 2)
-	if err := s.Poll(context.Background()); err != nil || s.Current().Version != writer.Current().Version {
-		t.Fatalf("version %d, %v", s.Current().Version, err)
-	}
+	Convey("Given a VM whose next row was compacted away", t, func() {
+		f := newFixture(t)
+		writer, s := f.storeWith("vm-1", compactSoon), f.store("vm-2")
+		f.fill(writer, 1)
+		So(s.Load(t.Context()), ShouldBeNil)
+		f.fill(writer, 12)
+		f.mustCompact(writer)
+		f.fill(writer, 2)
+
+		Convey("a poll brings it to the newest version", func() {
+			So(s.Poll(t.Context()), ShouldBeNil)
+			So(s.Current().Version, ShouldEqual, 15)
+		})
+	})
 }
 
 // The object store loses or damages the snapshot. Compaction notices before it
 // drops a row, so the table still has the whole history; a row that was dropped
 // first would be a change that reverts on every VM that starts.
 func TestNoRowIsDroppedWithoutItsSnapshot(t *testing.T) {
-	f := newFixture(t)
-	writer := f.storeWith("vm-1", compactSoon)
-	f.fill(writer, 6)
-	f.mustCompact(writer)
-	f.fill(writer, 3)
-	rows := f.changeRows()
-	// The pointer stands, its rows are still there, its object is damaged.
-	f.objects.mu.Lock()
-	for name := range f.objects.objects {
-		f.objects.objects[name] = []byte("damaged")
-	}
-	f.objects.mu.Unlock()
-	lazy := f.storeWith("vm-2", Options{CompactAfter: 1000, RetainChanges: 1})
-	if err := lazy.Compact(context.Background()); err == nil {
-		t.Fatal("compaction took a damaged snapshot for good")
-	}
-	if f.changeRows() != rows {
-		t.Fatalf("%d rows, were %d", f.changeRows(), rows)
-	}
+	Convey("Given a snapshot that counts, was damaged since, and whose rows still stand", t, func() {
+		f := newFixture(t)
+		writer := f.storeWith("vm-1", compactSoon)
+		f.fill(writer, 6)
+		f.mustCompact(writer)
+		f.fill(writer, 3)
+		rows := f.changeRows()
+		f.objects.damage()
+
+		Convey("compaction that would drop them fails and drops none", func() {
+			lazy := f.storeWith("vm-2", Options{CompactAfter: 1000, RetainChanges: 1})
+			So(lazy.Compact(t.Context()), ShouldNotBeNil)
+			So(f.changeRows(), ShouldEqual, rows)
+		})
+	})
 }
 
 // The object store takes a snapshot and keeps something else. Compaction reads it
 // back and leaves the pointer where it was, so a new VM still gets everything.
 func TestSnapshotIsReadBackBeforeItCounts(t *testing.T) {
-	f := newFixture(t)
-	s := f.storeWith("vm-1", compactSoon)
-	f.fill(s, 6)
-	f.objects.corrupt = true
-	if err := s.Compact(context.Background()); err == nil {
-		t.Fatal("compaction counts on a damaged snapshot")
-	}
-	fresh := f.store("vm-2")
-	if err := fresh.Load(context.Background()); err != nil || fresh.Current().Version != 6 {
-		t.Fatalf("version %d, %v", fresh.Current().Version, err)
-	}
+	Convey("Given an object store that damages what it takes", t, func() {
+		f := newFixture(t)
+		s := f.storeWith("vm-1", compactSoon)
+		f.fill(s, 6)
+		f.objects.corrupt = true
+
+		Convey("compaction fails, and a new VM still gets everything", func() {
+			So(s.Compact(t.Context()), ShouldNotBeNil)
+			fresh := f.store("vm-2")
+			So(fresh.Load(t.Context()), ShouldBeNil)
+			So(fresh.Current().Version, ShouldEqual, 6)
+		})
+	})
 }
 
 // The object store is out when a VM starts, and the table still has every change.
 // The VM serves by them instead of waiting for the object store.
 func TestNewVMLoadsFromTheTableAlone(t *testing.T) {
-	f := newFixture(t)
-	writer := f.storeWith("vm-1", Options{CompactAfter: 4, RetainChanges: 100})
-	f.fill(writer, 9)
-	f.mustCompact(writer)
-	f.objects.mu.Lock()
-	clear(f.objects.objects)
-	f.objects.mu.Unlock()
-	s := f.store("vm-2")
-	if err := s.Load(context.Background()); err != nil || s.Current().Version != 9 {
-		t.Fatalf("version %d, %v", s.Current().Version, err)
-	}
-	if dump := s.Dump().(Dump); dump.Version != 9 || dump.InForce != 9 || dump.RecentFrom != 1 || dump.LastRead.IsZero() {
-		t.Fatalf("dump %+v", dump)
-	}
+	Convey("Given a table with every change, and an object store without the snapshot", t, func() {
+		f := newFixture(t)
+		writer := f.storeWith("vm-1", Options{CompactAfter: 4, RetainChanges: 100})
+		f.fill(writer, 9)
+		f.mustCompact(writer)
+		f.objects.lose()
+
+		Convey("a VM that starts has everything, and its dump says so", func() {
+			s := f.store("vm-2")
+			So(s.Load(t.Context()), ShouldBeNil)
+			So(s.Current().Version, ShouldEqual, 9)
+			dump := s.Dump().(Dump)
+			So(dump.Version, ShouldEqual, 9)
+			So(dump.InForce, ShouldEqual, 9)
+			So(dump.RecentFrom, ShouldEqual, 1)
+			So(dump.LastRead.IsZero(), ShouldBeFalse)
+		})
+	})
 }
 
 // Two holders of the lease compact at once, one of them after a long pause: the
@@ -245,24 +250,24 @@
 // The lease holder compacts while the table goes out: compaction fails, and the
 // next one goes on from what is there.
 func TestCompactionDuringAnOutage(t *testing.T) {
-	f := newFixture(t)
-	s := f.storeWith("vm-1", compactSoon)
-	f.fill(s, 8)
-	for _, what := range []fault{loseAnswer, loseRequest} {
-		f.table.setFault(once(what))
-		if err := s.Compact(context.Background()); err == nil {
-			t.Fatal("compaction took a lost answer for success")
+	Convey("Given a lease holder whose transactions are lost", t, func() {
+		f := newFixture(t)
+		s := f.storeWith("vm-1", compactSoon)
+		f.fill(s, 8)
+		for _, what := range []fault{loseAnswer, loseRequest} {
+			f.table.setFault(once(what))
+			So(s.Compact(t.Context()), ShouldNotBeNil)
+			f.fill(s, 4)
 		}
-		f.fill(s, 4)
-	}
-	f.mustCompact(s)
-	if rows := f.changeRows(); rows > int(compactSoon.CompactAfter+compactSoon.RetainChanges) {
-		t.Fatalf("%d rows are left", rows)
-	}
-	fresh := f.store("vm-2")
-	if err := fresh.Load(context.Background()); err != nil || fresh.Current().Version != s.Current().Version {
-		t.Fatalf("version %d, %v", fresh.Current().Version, err)
-	}
+
+		Convey("the next compaction drops what it may, and a new VM gets everything", func() {
+			f.mustCompact(s)
+			So(f.changeRows(), ShouldBeLessThanOrEqualTo, int(compactSoon.CompactAfter+compactSoon.RetainChanges))
+			fresh := f.store("vm-2")
+			So(fresh.Load(t.Context()), ShouldBeNil)
+			So(fresh.Current().Version, ShouldEqual, s.Current().Version)
+		})
+	})
 }
 
 // fakeConfirmer says that a VM confirms once it was asked a few times.
--- a/internal/confstore/fake_table_test.go
+++ b/internal/confstore/fake_table_test.go
@@ -234,3 +234,19 @@
 	delete(o.objects, name)
 	return nil
 }
+
+// damage changes every object that is kept.
+func (o *fakeObjects) damage() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name := range o.objects {
+		o.objects[name] = []byte("damaged")
+	}
+}
+
+// lose drops every object.
+func (o *fakeObjects) lose() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.objects)
+}
--- a/internal/confstore/peers_test.go
+++ b/internal/confstore/peers_test.go
@@ -1,12 +1,12 @@
 package confstore
 
 import (
-	"context"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumcroft/internal/config"
 )
@@ -15,72 +15,89 @@
 // the other: what is old changes nothing, what leaves a gap waits for the rest, and
 // an old snapshot never replaces a newer configuration.
 func TestLateMessagesFromPeersChangeNothing(t *testing.T) {
-	f := newFixture(t)
-	writer, s := f.store("vm-1"), f.store("vm-2")
-	revision := f.withProfile(writer)
-	old := writer.Current()
-	f.mustPropose(writer, permits("second", revision, 2*time.Second))
-	f.mustPropose(writer, permits("third", revision+1, 3*time.Second))
-	all, ok := writer.ChangesAfter(0, 10)
-	if !ok || len(all) != 4 {
-		t.Fatalf("%d changes, %v", len(all), ok)
-	}
-	if applied, err := s.ApplyChanges(all[2:]); applied != 0 || err != nil {
-		t.Fatalf("applied over a gap: %d, %v", applied, err)
-	}
-	reversed := slices.Clone(all)
-	slices.Reverse(reversed)
-	if applied, err := s.ApplyChanges(reversed); applied != 4 || err != nil {
-		t.Fatalf("out of order: %d, %v", applied, err)
-	}
-	if applied, err := s.ApplyChanges(all[:3]); applied != 4 || err != nil {
-		t.Fatalf("old changes: %d, %v", applied, err)
-	}
-	if s.InstallSnapshot(old) || deadlineOf(s) != 3*time.Second {
-		t.Fatalf("an old snapshot was installed, deadline %s", deadlineOf(s))
-	}
+	Convey("Given four changes, and a VM that has none of them", t, func() {
+		f := newFixture(t)
+		writer, s := f.store("vm-1"), f.store("vm-2")
+		revision := f.withProfile(writer)
+		old := writer.Current()
+		f.mustPropose(writer, permits("second", revision, 2*time.Second))
+		f.mustPropose(writer, permits("third", revision+1, 3*time.Second))
+		all, ok := writer.ChangesAfter(0, 10)
+		So(ok, ShouldBeTrue)
+		So(all, ShouldHaveLength, 4)
+
+		Convey("changes after a gap wait for the rest", func() {
+			applied, err := s.ApplyChanges(all[2:])
+			So(err, ShouldBeNil)
+			So(applied, ShouldEqual, 0)
+			So(s.Current().Version, ShouldEqual, 0)
+		})
+
+		Convey("changes in the wrong order are applied in the right one", func() {
+			reversed := slices.Clone(all)
+			slices.Reverse(reversed)
+			applied, err := s.ApplyChanges(reversed)
+			So(err, ShouldBeNil)
+			So(applied, ShouldEqual, 4)
+
+			Convey("after which neither old changes nor an old snapshot take anything back", func() {
+				applied, err := s.ApplyChanges(all[:3])
+				So(err, ShouldBeNil)
+				So(applied, ShouldEqual, 4)
+				So(s.InstallSnapshot(old), ShouldBeFalse)
+				So(deadlineOf(s), ShouldEqual, 3*time.Second)
+			})
+		})
+	})
 }
 
 // A peer of another system, or of a table that was restored from an old copy, has
 // another change at a version that is in force here. It is reported, and what is in
 // force stays.
 func TestForkedHistoryIsNotMixedIn(t *testing.T) {
-	f, g := newFixture(t), newFixture(t)
-	here, there := f.store("vm-1"), g.store("vm-2")
-	f.withProfile(here)
-	g.mustPropose(there, workspace("other", 0, 1))
-	foreign, _ := there.ChangesAfter(0, 10)
-	var fork *ForkError
-	if _, err := here.ApplyChanges(foreign); !errors.As(err, &fork) || fork.Version != 1 {
-		t.Fatalf("got %v, want a fork at version 1", err)
-	}
-	if here.Current().Workspaces["other"] != nil {
-		t.Fatal("the foreign change is in force")
-	}
+	Convey("Given two histories that differ at their first version", t, func() {
+		f, g := newFixture(t), newFixture(t)
+		here, there := f.store("vm-1"), g.store("vm-2")
+		f.withProfile(here)
+		g.mustPropose(there, workspace("other", 0, 1))
+
+		Convey("the other one's change is reported and not applied", func() {
+			foreign, _ := there.ChangesAfter(0, 10)
+			_, err := here.ApplyChanges(foreign)
+			var fork *ForkError
+			So(errors.As(err, &fork), ShouldBeTrue)
+			So(fork.Version, ShouldEqual, 1)
+			So(here.Current().Workspaces, ShouldNotContainKey, "other")
+		})
+	})
 }
 
 // The store goes out right after a change is committed, before the other VMs could
 // read it. They get it from the VM that committed it.
 func TestStoreOutAfterTheChange(t *testing.T) {
-	f := newFixture(t)
-	writer, s := f.store("vm-1"), f.store("vm-2")
-	revision := f.withProfile(writer)
-	if err := s.Load(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	f.mustPropose(writer, permits("shorten", revision, 2*time.Second))
-	f.table.setOut(true)
-	if err := s.Poll(context.Background()); err == nil || deadlineOf(s) != time.Second {
-		t.Fatalf("poll: %v, deadline %s", err, deadlineOf(s))
-	}
-	news, _ := writer.ChangesAfter(s.Current().Version, 10)
-	if _, err := s.ApplyChanges(news); err != nil || deadlineOf(s) != 2*time.Second {
-		t.Fatalf("apply: %v, deadline %s", err, deadlineOf(s))
-	}
-	f.table.setOut(false)
-	if err := s.Poll(context.Background()); err != nil {
-		t.Fatal(err)
-	}
+	Convey("Given a change that a VM has not heard of when the table goes out", t, func() {
+		f := newFixture(t)
+		writer, s := f.store("vm-1"), f.store("vm-2")
+		revision := f.withProfile(writer)
+		So(s.Load(t.Context()), ShouldBeNil)
+		f.mustPropose(writer, permits("shorten", revision, 2*time.Second))
+		f.table.setOut(true)
+
+		Convey("it cannot poll it and keeps what is in force", func() {
+			So(s.Poll(t.Context()), ShouldNotBeNil)
+			So(deadlineOf(s), ShouldEqual, time.Second)
+		})
+
+		Convey("it takes it from the VM that committed it, and the table agrees when it is back", func() {
+			news, _ := writer.ChangesAfter(s.Current().Version, 10)
+			_, err := s.ApplyChanges(news)
+			So(err, ShouldBeNil)
+			So(deadlineOf(s), ShouldEqual, 2*time.Second)
+			f.table.setOut(false)
+			So(s.Poll(t.Context()), ShouldBeNil)
+			So(deadlineOf(s), ShouldEqual, 2*time.Second)
+		})
+	})
 }
 
 // A peer that was away for long asks for more than is kept: it is told to take the
--- a/internal/confstore/propose_test.go
+++ b/internal/confstore/propose_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/platform"
@@ -149,25 +150,23 @@
 // stands; the second is told of the conflict and gets the present profile.
 // Without the check the first one's change would be silently lost.
 func TestTwoOperatorsOnOneProfile(t *testing.T) {
-	f := newFixture(t)
-	first, second := f.store("vm-1"), f.store("vm-2")
-	revision := f.withProfile(first)
-	f.mustPropose(first, permits("first", revision, 2*time.Second))
-	_, err := second.Propose(context.Background(), permits("second", revision, 3*time.Second))
-	var conflict *ConflictError
-	if !errors.As(err, &conflict) {
-		t.Fatalf("got %v, want a conflict", err)
-	}
-	var current config.Profile
-	if err := json.Unmarshal(conflict.Current, &current); err != nil {
-		t.Fatal(err)
-	}
-	if conflict.Revision != revision+1 || time.Duration(current.Deadline) != 2*time.Second {
-		t.Fatalf("conflict shows revision %d, deadline %s", conflict.Revision, time.Duration(current.Deadline))
-	}
-	if deadlineOf(second) != 2*time.Second {
-		t.Fatalf("the loser's VM serves %s", deadlineOf(second))
-	}
+	Convey("Given a profile that two operators have read and one has changed", t, func() {
+		f := newFixture(t)
+		first, second := f.store("vm-1"), f.store("vm-2")
+		revision := f.withProfile(first)
+		f.mustPropose(first, permits("first", revision, 2*time.Second))
+
+		Convey("the second one's change is a conflict that shows the present profile", func() {
+			_, err := second.Propose(t.Context(), permits("second", revision, 3*time.Second))
+			var conflict *ConflictError
+			So(errors.As(err, &conflict), ShouldBeTrue)
+			So(conflict.Revision, ShouldEqual, revision+1)
+			var current config.Profile
+			So(json.Unmarshal(conflict.Current, &current), ShouldBeNil)
+			So(time.Duration(current.Deadline), ShouldEqual, 2*time.Second)
+			So(deadlineOf(second), ShouldEqual, 2*time.Second)
+		})
+	})
 }
 
 // Operators change different entities at the same moment through two VMs. The
@@ -202,39 +201,45 @@
 // that has not heard of the deletion. The second change is checked again against
 // what the table holds and refused; the profile would belong to nobody.
 func TestChangeIsValidatedAgainstTheNewest(t *testing.T) {
-	f := newFixture(t)
-	first, second := f.store("vm-1"), f.store("vm-2")
-	f.mustPropose(first, workspace("crews", 0, 1))
-	if err := second.Load(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	f.mustPropose(first, Proposal{ID: "delete", Kind: config.EntityWorkspace, Name: "crews", IfRevision: 1})
-	_, err := second.Propose(context.Background(), permits("create", 0, time.Second))
-	var invalid *config.ValidationError
-	if !errors.As(err, &invalid) || invalid.Findings[0].Path != "profile.permits.workspace" {
-		t.Fatalf("got %v, want the workspace missing", err)
-	}
+	Convey("Given a workspace whose deletion one VM has not heard of", t, func() {
+		f := newFixture(t)
+		first, second := f.store("vm-1"), f.store("vm-2")
+		f.mustPropose(first, workspace("crews", 0, 1))
+		So(second.Load(t.Context()), ShouldBeNil)
+		f.mustPropose(first, Proposal{ID: "delete", Kind: config.EntityWorkspace, Name: "crews", IfRevision: 1})
+		So(second.Current().Workspaces, ShouldContainKey, "crews")
+
+		Convey("a profile of it is refused there", func() {
+			_, err := second.Propose(t.Context(), permits("create", 0, time.Second))
+			var invalid *config.ValidationError
+			So(errors.As(err, &invalid), ShouldBeTrue)
+			So(invalid.Findings[0].Path, ShouldEqual, "profile.permits.workspace")
+		})
+	})
 }
 
 // The operator's client repeats a request whose answer it never saw, through
 // another VM. The same id answers the same change; another value with that id is
 // refused, as the operator would take the old change for the new one.
 func TestSameIDIsIdempotent(t *testing.T) {
-	f := newFixture(t)
-	first := f.store("vm-1")
-	revision := f.withProfile(first)
-	change := f.mustPropose(first, permits("shorten", revision, 2*time.Second))
-	for _, s := range []*Store{first, f.store("vm-2")} {
-		again := f.mustPropose(s, permits("shorten", revision, 2*time.Second))
-		if again.Version != change.Version {
-			t.Fatalf("version %d, then %d", change.Version, again.Version)
-		}
-	}
-	_, err := first.Propose(context.Background(), permits("shorten", revision, 3*time.Second))
-	var reused *IDReusedError
-	if !errors.As(err, &reused) {
-		t.Fatalf("got %v, want the id refused", err)
-	}
+	Convey("Given a change", t, func() {
+		f := newFixture(t)
+		first := f.store("vm-1")
+		revision := f.withProfile(first)
+		change := f.mustPropose(first, permits("shorten", revision, 2*time.Second))
+
+		Convey("its repetition gets the same answer, on its VM and on another", func() {
+			So(f.mustPropose(first, permits("shorten", revision, 2*time.Second)).Version, ShouldEqual, change.Version)
+			So(f.mustPropose(f.store("vm-2"), permits("shorten", revision, 2*time.Second)).Version, ShouldEqual, change.Version)
+			So(f.changeRows(), ShouldEqual, change.Version)
+		})
+
+		Convey("another value with its id is refused", func() {
+			_, err := first.Propose(t.Context(), permits("shorten", revision, 3*time.Second))
+			var reused *IDReusedError
+			So(errors.As(err, &reused), ShouldBeTrue)
+		})
+	})
 }
 
 // A creation is repeated after somebody has deleted the entity, and a change after
@@ -294,19 +299,19 @@
 // The store is out before the change: the operator is told at once that nothing
 // was written, and what was in force stays in force.
 func TestStoreOutBeforeTheChange(t *testing.T) {
-	f := newFixture(t)
-	s := f.store("vm-1")
-	revision := f.withProfile(s)
-	f.table.setOut(true)
-	commits := f.table.commits
-	_, err := s.Propose(context.Background(), permits("shorten", revision, 2*time.Second))
-	var notWritten *NotWrittenError
-	if !errors.As(err, &notWritten) || !errors.Is(err, platform.ErrUnavailable) {
-		t.Fatalf("got %v, want not written", err)
-	}
-	if f.table.commits != commits || deadlineOf(s) != time.Second {
-		t.Fatalf("%d commits, deadline %s", f.table.commits-commits, deadlineOf(s))
-	}
+	Convey("Given a table that is out, a change is refused and what is in force stays", t, func() {
+		f := newFixture(t)
+		s := f.store("vm-1")
+		revision := f.withProfile(s)
+		f.table.setOut(true)
+		commits := f.table.commits
+		_, err := s.Propose(t.Context(), permits("shorten", revision, 2*time.Second))
+		var notWritten *NotWrittenError
+		So(errors.As(err, &notWritten), ShouldBeTrue)
+		So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+		So(f.table.commits, ShouldEqual, commits)
+		So(deadlineOf(s), ShouldEqual, time.Second)
+	})
 }
 
 // The table was restored from an older copy. This VM has newer versions in force,
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
+
 	"geraniumcroft/internal/balance"
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
@@ -209,31 +211,38 @@
 // Every first attempt fails. Without a budget each request would be sent twice
 // and an overload would feed itself; with it the extra attempts stay a share.
 func TestRetriesStayWithinTheirShare(t *testing.T) {
-	budget := NewRetryBudget(0.1, 20, 0)
-	taken := 0
-	for range 1000 {
-		budget.Fresh(config.Normal)
-		if budget.Take(config.Normal) {
-			taken++
+	Convey("Given a budget of a tenth, and a thousand requests that would all retry", t, func() {
+		budget := NewRetryBudget(0.1, 20, 0)
+		taken := 0
+		for range 1000 {
+			budget.Fresh(config.Normal)
+			if budget.Take(config.Normal) {
+				taken++
+			}
 		}
-	}
-	if taken > 100 || taken < 90 {
-		t.Errorf("%d retries for 1000 requests, want a tenth", taken)
-	}
-	if budget.Take(config.Urgent) {
-		t.Error("urgent drew on what normal requests had earned")
-	}
+
+		Convey("a tenth of them does", func() {
+			So(taken, ShouldBeBetweenOrEqual, 90, 100)
+		})
+
+		Convey("urgent requests draw on nothing that normal ones have earned", func() {
+			So(budget.Take(config.Urgent), ShouldBeFalse)
+		})
+	})
 }
 
-// Two attempts of a call that may not be repeated race to be sent, as a mistake
-// in the attempts' logic would have them. Only one passes, and it is reported.
+// Two attempts of a call that is not idempotent race to be sent, as a mistake in
+// the attempts' logic would have them. Only one passes, and it is reported.
 func TestSecondCrossingIsStoppedAndReported(t *testing.T) {
-	violations := invariant.NewRegistry(nil)
-	boundary := NewBoundary("r1", false, violations)
-	if !boundary.Cross() || boundary.Cross() {
-		t.Error("the boundary let a second attempt through")
-	}
-	if got := violations.Report().Counts[invariant.OneDispatch]; got != 1 {
-		t.Errorf("%d violations reported, want 1", got)
-	}
+	Convey("Given a boundary that one attempt has crossed", t, func() {
+		violations := invariant.NewRegistry(nil)
+		boundary := NewBoundary("r1", false, violations)
+		So(boundary.Cross(), ShouldBeTrue)
+		So(violations.Total(), ShouldEqual, 0)
+
+		Convey("a second attempt is stopped and reported", func() {
+			So(boundary.Cross(), ShouldBeFalse)
+			So(violations.Report().Counts[invariant.OneDispatch], ShouldEqual, 1)
+		})
+	})
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,11 +1,10 @@
 package roster
 
 import (
-	"context"
-	"slices"
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/membership"
@@ -37,62 +36,60 @@
 // is named as missing, also when the rows were read a moment ago for another
 // change. The first version trusted rows that were up to 200 ms old and accepted.
 func TestUnknownVMWithARowIsMissing(t *testing.T) {
-	ctx := context.Background()
-	table := platformsim.NewStore()
-	accepting := newRoster(table, "entry-1")
-	if _, missing := accepting.InForce(1); len(missing) != 0 {
-		t.Fatalf("missing %v in an empty fleet", missing)
-	}
-	if err := newRoster(table, "entry-2").Register(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if _, missing := accepting.InForce(2); !slices.Equal(missing, []string{"entry-2"}) {
-		t.Errorf("missing %v", missing)
-	}
-	if _, missing := accepting.InForce(1); !slices.Equal(missing, []string{"entry-2"}) {
-		t.Errorf("missing %v of the older change", missing)
-	}
+	Convey("Given a VM that accepts a change in an empty fleet", t, func() {
+		table := platformsim.NewStore()
+		accepting := newRoster(table, "entry-1")
+		_, missing := accepting.InForce(1)
+		So(missing, ShouldBeEmpty)
+
+		Convey("a VM that registers a moment later is missing from the next change and from the older one", func() {
+			So(newRoster(table, "entry-2").Register(t.Context()), ShouldBeNil)
+			_, missing := accepting.InForce(2)
+			So(missing, ShouldResemble, []string{"entry-2"})
+			_, missing = accepting.InForce(1)
+			So(missing, ShouldResemble, []string{"entry-2"})
+		})
+	})
 }
 
 // The store goes out between the commit and the reading of the rows. Nobody can
 // have read an older configuration from it since, so membership alone answers and
 // the operator is not kept waiting for the store.
 func TestStoreOutageLeavesTheAnswerToMembership(t *testing.T) {
-	table := platformsim.NewStore()
-	accepting := newRoster(table, "entry-1", "entry-3")
-	table.Faults.Set(platformsim.Order{Outage: platformsim.OutageUnavailable})
-	confirmed, missing := accepting.InForce(1)
-	if !slices.Equal(confirmed, []string{"entry-3"}) || len(missing) != 0 {
-		t.Errorf("confirmed %v, missing %v", confirmed, missing)
-	}
+	Convey("Given a store that is out, membership alone says who has confirmed", t, func() {
+		table := platformsim.NewStore()
+		accepting := newRoster(table, "entry-1", "entry-3")
+		table.Faults.Set(platformsim.Order{Outage: platformsim.OutageUnavailable})
+		confirmed, missing := accepting.InForce(1)
+		So(confirmed, ShouldResemble, []string{"entry-3"})
+		So(missing, ShouldBeEmpty)
+	})
 }
 
 // A VM died without deleting its row. It holds up operators' changes until the
 // sweep has seen it dead or unknown for long enough, and not longer; the rows of
 // VMs that serve stay.
 func TestSweepDeletesRowsOfTheDeadAlone(t *testing.T) {
-	ctx := context.Background()
-	table := platformsim.NewStore()
-	for _, vm := range []string{"entry-1", "entry-2", "entry-3"} {
-		if err := newRoster(table, vm).Register(ctx); err != nil {
-			t.Fatal(err)
-		}
-	}
-	sweeping := newRoster(table, "entry-1", "entry-3")
-	start := time.Now()
-	for _, after := range []time.Duration{0, forgetAfter - time.Second} {
-		if err := sweeping.Sweep(ctx, start.Add(after)); err != nil {
-			t.Fatal(err)
+	Convey("Given three VMs with rows, of which membership knows two", t, func() {
+		table := platformsim.NewStore()
+		for _, vm := range []string{"entry-1", "entry-2", "entry-3"} {
+			So(newRoster(table, vm).Register(t.Context()), ShouldBeNil)
 		}
-	}
-	if _, missing := sweeping.InForce(1); !slices.Equal(missing, []string{"entry-2"}) {
-		t.Errorf("missing %v before the bound", missing)
-	}
-	if err := sweeping.Sweep(ctx, start.Add(forgetAfter)); err != nil {
-		t.Fatal(err)
-	}
-	rows, err := table.Scan(ctx, rowPrefix, rowEnd, scanLimit)
-	if err != nil || !slices.Equal(names(rows), []string{"entry-1", "entry-3"}) {
-		t.Errorf("left are %v, %v", names(rows), err)
-	}
+		sweeping := newRoster(table, "entry-1", "entry-3")
+		start := time.Now()
+		So(sweeping.Sweep(t.Context(), start), ShouldBeNil)
+
+		Convey("the third one still holds up changes just before the bound", func() {
+			So(sweeping.Sweep(t.Context(), start.Add(forgetAfter-time.Second)), ShouldBeNil)
+			_, missing := sweeping.InForce(1)
+			So(missing, ShouldResemble, []string{"entry-2"})
+		})
+
+		Convey("its row alone is deleted at the bound", func() {
+			So(sweeping.Sweep(t.Context(), start.Add(forgetAfter)), ShouldBeNil)
+			rows, err := table.Scan(t.Context(), rowPrefix, rowEnd, scanLimit)
+			So(err, ShouldBeNil)
+			So(names(rows), ShouldResemble, []string{"entry-1", "entry-3"})
+		})
+	})
 }
--- a/internal/security/tokens_test.go
+++ b/internal/security/tokens_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
 )
 
 func TestTokensFile(t *testing.T) {
@@ -32,26 +34,26 @@
 // An operator's file has several faults, among them a token where its digest
 // belongs. All are reported with their lines, and no finding repeats the token.
 func TestTokensFindings(t *testing.T) {
-	digest := DigestOf("x")
-	file := "ana operate " + digest + "\nben admin " + digest + "\ncat read secret-token\nonly two\n-x read " + digest + "\n" + "dan read " + digest + "\n"
-	tokens, findings := ParseTokens("t", []byte(file))
-	text := (&FindingsError{Findings: findings}).Error()
-	want := []string{
-		"t:2: the role is not known, allowed: read, operate",
-		"t:3: the digest is not a SHA-256, allowed: 64 hexadecimal digits",
-		"t:4: the line has not three parts, allowed: " + tokenLineShape,
-		"t:5: the author is not a name, allowed: 1 to 63 letters, digits, '.', '_', '@' and '-'",
-		"t:6: the token is given twice, allowed: a token of its own on each line",
-	}
-	if tokens != nil || text != strings.Join(want, "\n") {
-		t.Errorf("findings\n%s", text)
-	}
-	if strings.Contains(text, "secret-token") {
-		t.Error("a finding shows a token")
-	}
-	if _, findings := ParseTokens("t", []byte("# none\n")); len(findings) != 1 {
-		t.Errorf("an empty file has the findings %v", findings)
-	}
+	Convey("A file with faults has a finding for each, and no tokens", t, func() {
+		digest := DigestOf("x")
+		file := "ana operate " + digest + "\nben admin " + digest + "\ncat read secret-token\nonly two\n-x read " + digest + "\n" + "dan read " + digest + "\n"
+		tokens, findings := ParseTokens("t", []byte(file))
+		text := (&FindingsError{Findings: findings}).Error()
+		So(tokens, ShouldBeNil)
+		So(strings.Split(text, "\n"), ShouldResemble, []string{
+			"t:2: the role is not known, allowed: read, operate",
+			"t:3: the digest is not a SHA-256, allowed: 64 hexadecimal digits",
+			"t:4: the line has not three parts, allowed: " + tokenLineShape,
+			"t:5: the author is not a name, allowed: 1 to 63 letters, digits, '.', '_', '@' and '-'",
+			"t:6: the token is given twice, allowed: a token of its own on each line",
+		})
+		So(text, ShouldNotContainSubstring, "secret-token")
+	})
+
+	Convey("A file without a token has a finding", t, func() {
+		_, findings := ParseTokens("t", []byte("# none\n"))
+		So(findings, ShouldHaveLength, 1)
+	})
 }
 
 func TestCheckKey(t *testing.T) {
@@ -67,9 +69,20 @@
 }
 
 func TestRoleAllows(t *testing.T) {
-	if !RoleOperate.Allows(RoleRead) || !RoleOperate.Allows(RoleOperate) || !RoleRead.Allows(RoleRead) || RoleRead.Allows(RoleOperate) || Role("").Allows(RoleRead) {
-		t.Error("a role allows what it must not, or not what it must")
-	}
+	Convey("An operator may operate and read", t, func() {
+		So(RoleOperate.Allows(RoleOperate), ShouldBeTrue)
+		So(RoleOperate.Allows(RoleRead), ShouldBeTrue)
+	})
+
+	Convey("A reader may read and not operate", t, func() {
+		So(RoleRead.Allows(RoleRead), ShouldBeTrue)
+		So(RoleRead.Allows(RoleOperate), ShouldBeFalse)
+	})
+
+	Convey("No role allows nothing", t, func() {
+		So(Role("").Allows(RoleRead), ShouldBeFalse)
+		So(Role("").Allows(RoleOperate), ShouldBeFalse)
+	})
 }
 
 func FuzzParseTokens(f *testing.F) {
