Measure what a relayed token and a stream in hand cost the router

Callers, stand-ins and the router share one process, so the experiment relay labels the goroutines of each and splits a CPU profile by label; memory is what a stream through the router holds above one straight to the engine.

--- a/internal/experiment/direct.go
+++ b/internal/experiment/direct.go
@@ -36,6 +36,28 @@
 	return firstToken(response.Body, started)
 }
 
+// hold asks an engine for a generation without an end and reads it until ctx ends.
+func (d direct) hold(ctx context.Context, hop engine.Hop, id string, first func()) error {
+	body, err := json.Marshal(engine.StageOpen{
+		RequestID: id, Model: modelName, Version: modelVersion, Hops: []engine.Hop{hop}, Prompt: []string{id}, MaxTokens: endlessTokens,
+	})
+	if err != nil {
+		return err
+	}
+	response, err := d.post(ctx, "http://"+hop.Address+"/v1/stages", id, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if bytes.Contains(lines.Bytes(), []byte(engine.EventToken)) {
+			first()
+		}
+	}
+	return lines.Err()
+}
+
 // firstToken reads the stream to its end.
 func firstToken(body io.Reader, started time.Time) (first time.Duration, err error) {
 	lines := bufio.NewScanner(body)
@@ -66,6 +88,7 @@
 	return time.Since(started), err
 }
 
+// post sends a request as the router would.
 func (d direct) post(ctx context.Context, url, id string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
