--- a/internal/api/bad_input_test.go
+++ b/internal/api/bad_input_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	. "github.com/smartystreets/goconvey/convey"
+
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/router"
 )
@@ -138,56 +140,69 @@
 }
 
 func TestCallPassesOn(t *testing.T) {
-	var got router.CallRequest
-	f := &fakeRouter{call: func(_ context.Context, r router.CallRequest) (router.CallResult, error) {
-		got = r
-		return router.CallResult{Status: 409, ContentType: "text/x", Body: []byte("held"), Replayed: true}, nil
-	}}
-	server := newTestServer(t, f, Options{})
-	response := post(t, server.URL+"/v1/profiles/holds/calls", "body", map[string]string{"Content-Type": "text/y", "Idempotency-Key": "k"})
-	if got.Profile != "holds" || string(got.Body) != "body" || got.ContentType != "text/y" || got.IdempotencyKey != "k" || got.BodyBytes != 4 {
-		t.Errorf("request %+v", got)
-	}
-	if body := readAll(t, response); response.StatusCode != 409 || body != "held" || response.Header.Get("Content-Type") != "text/x" {
-		t.Errorf("answer %d %q %v", response.StatusCode, body, response.Header)
-	}
-	if response.Header.Get(HeaderOutcome) != "complete" || response.Header.Get(HeaderReplayed) != "true" {
-		t.Errorf("headers %v", response.Header)
-	}
+	Convey("Given a call that was answered before with a status of the service's own", t, func() {
+		var got router.CallRequest
+		f := &fakeRouter{call: func(_ context.Context, r router.CallRequest) (router.CallResult, error) {
+			got = r
+			return router.CallResult{Status: 409, ContentType: "text/x", Body: []byte("held"), Replayed: true}, nil
+		}}
+		server := newTestServer(t, f, Options{})
+		header := map[string]string{"Content-Type": "text/y", "Idempotency-Key": "k"}
+		response := post(t, server.URL+"/v1/profiles/holds/calls", "body", header)
+
+		Convey("the router gets the request as it was sent", func() {
+			So(got.Profile, ShouldEqual, "holds")
+			So(string(got.Body), ShouldEqual, "body")
+			So(got.BodyBytes, ShouldEqual, 4)
+			So(got.ContentType, ShouldEqual, "text/y")
+			So(got.IdempotencyKey, ShouldEqual, "k")
+		})
+
+		Convey("the caller gets the answer as the service gave it, marked as a replay", func() {
+			So(response.StatusCode, ShouldEqual, 409)
+			So(readAll(t, response), ShouldEqual, "held")
+			So(response.Header.Get("Content-Type"), ShouldEqual, "text/x")
+			So(response.Header.Get(HeaderOutcome), ShouldEqual, "complete")
+			So(response.Header.Get(HeaderReplayed), ShouldEqual, "true")
+		})
+	})
 }
 
 // A bug makes the router panic, or return an error that is not an outcome. The
 // caller is told unknown, and its client library is told not to repeat it.
 func TestBugIsUnknown(t *testing.T) {
 	calls := map[string]func(context.Context, router.CallRequest) (router.CallResult, error){
-		"panic": func(context.Context, router.CallRequest) (router.CallResult, error) { panic("bug") },
-		"error": func(context.Context, router.CallRequest) (router.CallResult, error) {
+		"panics": func(context.Context, router.CallRequest) (router.CallResult, error) { panic("bug") },
+		"returns an untyped error": func(context.Context, router.CallRequest) (router.CallResult, error) {
 			return router.CallResult{}, io.ErrUnexpectedEOF
 		},
 	}
 	for name, call := range calls {
-		server := newTestServer(t, &fakeRouter{call: call}, Options{})
-		response := post(t, server.URL+"/v1/profiles/p/calls", "", nil)
-		expectProblem(t, response, http.StatusInternalServerError, outcome.Unknown, outcome.ReasonInternal)
-		if response.Header.Get(headerShouldRetry) != "false" {
-			t.Errorf("%s: headers %v", name, response.Header)
-		}
+		Convey("A router that "+name+" is answered as unknown, not to be repeated", t, func() {
+			server := newTestServer(t, &fakeRouter{call: call}, Options{})
+			response := post(t, server.URL+"/v1/profiles/p/calls", "", nil)
+			expectProblem(t, response, http.StatusInternalServerError, outcome.Unknown, outcome.ReasonInternal)
+			So(response.Header.Get(headerShouldRetry), ShouldEqual, "false")
+		})
 	}
 }
 
 func TestHealthAndReady(t *testing.T) {
-	f := &fakeRouter{}
-	handler := NewHandler(f, Options{})
-	status := func(path string) int {
-		recorder := httptest.NewRecorder()
-		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
-		return recorder.Code
-	}
-	if live, ready := status(pathHealth), status(pathReady); live != 200 || ready != 200 {
-		t.Errorf("live %d, ready %d", live, ready)
-	}
-	f.unready.Store(true)
-	if live, ready := status(pathHealth), status(pathReady); live != 200 || ready != 503 {
-		t.Errorf("stopping: live %d, ready %d", live, ready)
-	}
+	Convey("Given a VM that serves", t, func() {
+		f := &fakeRouter{}
+		handler := NewHandler(f, Options{})
+		status := func(path string) int {
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+			return recorder.Code
+		}
+		So(status(pathHealth), ShouldEqual, 200)
+		So(status(pathReady), ShouldEqual, 200)
+
+		Convey("it is healthy and not ready when it is about to stop", func() {
+			f.unready.Store(true)
+			So(status(pathHealth), ShouldEqual, 200)
+			So(status(pathReady), ShouldEqual, 503)
+		})
+	})
 }
--- a/internal/api/generation_test.go
+++ b/internal/api/generation_test.go
@@ -7,15 +7,18 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
+
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/router"
 )
 
+const shortStream = `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`
+
 func post(t *testing.T, url, body string, header map[string]string) *http.Response {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
@@ -50,37 +53,37 @@
 }
 
 func TestChatWhole(t *testing.T) {
-	var got router.GenerateRequest
-	f := &fakeRouter{generate: func(ctx context.Context, r router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
-		got = r
-		return tokens("Bay ", "\"3\"\n", "é")(ctx, r, sink)
-	}}
-	server := newTestServer(t, f, Options{})
-	response := post(t, server.URL+pathChat, `{"model":"drafts","max_tokens":7,"temperature":0.2,"user":"u",
-		"messages":[{"role":"system","content":"be brief"},{"role":"user","content":[{"type":"text","text":"what  now "}]}]}`,
-		map[string]string{"Idempotency-Key": "k-1", HeaderDeadline: "1500ms", "Authorization": "Bearer secret"})
-	var answer wholeAnswer
-	if err := json.Unmarshal([]byte(readAll(t, response)), &answer); err != nil {
-		t.Fatal(err)
-	}
-	if want := []string{"be ", "brief", "what ", " ", "now "}; !reflect.DeepEqual(got.Prompt, want) {
-		t.Errorf("prompt %q, want %q", got.Prompt, want)
-	}
-	if got.Profile != "drafts" || got.MaxTokens != 7 || got.IdempotencyKey != "k-1" || got.Deadline != 1500*time.Millisecond || got.BearerKey != "secret" {
-		t.Errorf("request %+v", got)
-	}
-	if answer.Choices[0].Message.Content != "Bay \"3\"\né" || answer.Choices[0].FinishReason != "stop" {
-		t.Errorf("answer %+v", answer)
-	}
-	if answer.Usage != (usage{PromptTokens: 5, CompletionTokens: 3, TotalTokens: 8}) {
-		t.Errorf("usage %+v", answer.Usage)
-	}
-	if answer.ID != "chatcmpl-"+response.Header.Get(HeaderRequestID) || answer.Object != "chat.completion" {
-		t.Errorf("id %q object %q", answer.ID, answer.Object)
-	}
-	if response.Header.Get(HeaderOutcome) != "complete" {
-		t.Errorf("outcome %q", response.Header.Get(HeaderOutcome))
-	}
+	Convey("Given a chat with two messages, of which one comes in parts", t, func() {
+		var got router.GenerateRequest
+		f := &fakeRouter{generate: func(ctx context.Context, r router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+			got = r
+			return tokens("Bay ", "\"3\"\n", "é")(ctx, r, sink)
+		}}
+		server := newTestServer(t, f, Options{})
+		response := post(t, server.URL+pathChat, `{"model":"drafts","max_tokens":7,"temperature":0.2,"user":"u",
+			"messages":[{"role":"system","content":"be brief"},{"role":"user","content":[{"type":"text","text":"what  now "}]}]}`,
+			map[string]string{"Idempotency-Key": "k-1", HeaderDeadline: "1500ms", "Authorization": "Bearer secret"})
+
+		Convey("the router gets the profile, the prompt in pieces and the caller's bounds", func() {
+			So(got.Profile, ShouldEqual, "drafts")
+			So(got.Prompt, ShouldResemble, []string{"be ", "brief", "what ", " ", "now "})
+			So(got.MaxTokens, ShouldEqual, 7)
+			So(got.IdempotencyKey, ShouldEqual, "k-1")
+			So(got.Deadline, ShouldEqual, 1500*time.Millisecond)
+			So(got.BearerKey, ShouldEqual, "secret")
+		})
+
+		Convey("the caller gets the whole answer, its usage and its outcome", func() {
+			var answer wholeAnswer
+			So(json.Unmarshal([]byte(readAll(t, response)), &answer), ShouldBeNil)
+			So(answer.ID, ShouldEqual, "chatcmpl-"+response.Header.Get(HeaderRequestID))
+			So(answer.Object, ShouldEqual, "chat.completion")
+			So(answer.Choices[0].Message.Content, ShouldEqual, "Bay \"3\"\né")
+			So(answer.Choices[0].FinishReason, ShouldEqual, "stop")
+			So(answer.Usage, ShouldResemble, usage{PromptTokens: 5, CompletionTokens: 3, TotalTokens: 8})
+			So(response.Header.Get(HeaderOutcome), ShouldEqual, "complete")
+		})
+	})
 }
 
 // sseEvent is one event of a stream.
@@ -179,39 +182,45 @@
 // and a problem body of their own, not a 200 and a broken stream: the status is
 // held back until the first token is there.
 func TestStreamRefusedBeforeFirstToken(t *testing.T) {
-	f := &fakeRouter{generate: func(context.Context, router.GenerateRequest, router.TokenSink) (router.GenerateResult, error) {
-		return router.GenerateResult{}, outcome.Refuse(outcome.ReasonOverloaded, "Full.").WithRetryAfter(1200 * time.Millisecond)
-	}}
-	server := newTestServer(t, f, Options{})
-	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
-	expectProblem(t, response, http.StatusServiceUnavailable, outcome.NotRun, outcome.ReasonOverloaded)
-	if got := response.Header.Get("Retry-After"); got != "2" {
-		t.Errorf("Retry-After %q, want 2", got)
-	}
+	Convey("A stream that is refused before its first token is answered with a problem", t, func() {
+		f := &fakeRouter{generate: func(context.Context, router.GenerateRequest, router.TokenSink) (router.GenerateResult, error) {
+			return router.GenerateResult{}, outcome.Refuse(outcome.ReasonOverloaded, "Full.").WithRetryAfter(1200 * time.Millisecond)
+		}}
+		server := newTestServer(t, f, Options{})
+		response := post(t, server.URL+pathChat, shortStream, nil)
+		expectProblem(t, response, http.StatusServiceUnavailable, outcome.NotRun, outcome.ReasonOverloaded)
+		So(response.Header.Get("Retry-After"), ShouldEqual, "2")
+	})
 }
 
 // The caller of a stream that fails after some tokens sees an error chunk and the
 // outcome, and no [DONE], which clients take for a whole answer.
 func TestStreamFailsAfterTokens(t *testing.T) {
-	f := &fakeRouter{generate: func(_ context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
-		_ = sink.Token(0, "a")
-		return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonTargetFailed, "Died.")
-	}}
-	server := newTestServer(t, f, Options{})
-	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
-	events, _ := readEvents(t, response.Body)
-	if len(events) != 3 {
-		t.Fatalf("events %q", events)
-	}
-	if c := parseChunk(t, events[1].data); c.Error == nil || c.Error.Code != "target-failed" || c.Error.Status != 502 {
-		t.Errorf("error chunk %q", events[1].data)
-	}
-	if c := parseChunk(t, events[2].data); c.Outcome != "unknown" || c.Tokens != 1 || c.Reason != "target-failed" {
-		t.Errorf("outcome event %q", events[2].data)
-	}
-	if response.Trailer.Get(HeaderOutcome) != "unknown" {
-		t.Errorf("trailer %v", response.Trailer)
-	}
+	Convey("Given a stream that fails after a token", t, func() {
+		f := &fakeRouter{generate: func(_ context.Context, _ router.GenerateRequest, sink router.TokenSink) (router.GenerateResult, error) {
+			_ = sink.Token(0, "a")
+			return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonTargetFailed, "Died.")
+		}}
+		server := newTestServer(t, f, Options{})
+		response := post(t, server.URL+pathChat, shortStream, nil)
+		events, _ := readEvents(t, response.Body)
+		So(events, ShouldHaveLength, 3)
+
+		Convey("an error chunk follows the token", func() {
+			c := parseChunk(t, events[1].data)
+			So(c.Error, ShouldNotBeNil)
+			So(c.Error.Code, ShouldEqual, "target-failed")
+			So(c.Error.Status, ShouldEqual, 502)
+		})
+
+		Convey("the last event and the trailer carry the outcome", func() {
+			c := parseChunk(t, events[2].data)
+			So(c.Outcome, ShouldEqual, "unknown")
+			So(c.Reason, ShouldEqual, "target-failed")
+			So(c.Tokens, ShouldEqual, 1)
+			So(response.Trailer.Get(HeaderOutcome), ShouldEqual, "unknown")
+		})
+	})
 }
 
 // A caller closes its stream. The request's context ends, so the engines' streams
@@ -225,7 +234,7 @@
 		return router.GenerateResult{}, outcome.Uncertain(outcome.ReasonCallerGone, "Gone.")
 	}}
 	server := newTestServer(t, f, Options{ReadTimeout: time.Hour})
-	response := post(t, server.URL+pathChat, `{"model":"d","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
+	response := post(t, server.URL+pathChat, shortStream, nil)
 	if _, err := bufio.NewReader(response.Body).ReadString('\n'); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
 )
 
 const minimal = `[vm]
@@ -29,14 +31,16 @@
 `
 
 func TestMinimalFileTakesDefaults(t *testing.T) {
-	s, findings := Parse("f.ini", []byte(minimal))
-	if len(findings) > 0 {
-		t.Fatal(findings)
-	}
-	if s.VM.DataCentre != "lima-surco" || !s.Peers.TLS.Plain || s.Callers.MaxBodyBytes != 1<<20 ||
-		s.Targets.ReportInterval != 500*time.Millisecond || s.Admission.UrgentHeadroom != 0.1 || s.Log.Format != "json" {
-		t.Errorf("settings %+v", s)
-	}
+	Convey("A file with no more than what is needed takes the defaults for the rest", t, func() {
+		s, findings := Parse("f.ini", []byte(minimal))
+		So(findings, ShouldBeEmpty)
+		So(s.VM.DataCentre, ShouldEqual, "lima-surco")
+		So(s.Peers.TLS.Plain, ShouldBeTrue)
+		So(s.Callers.MaxBodyBytes, ShouldEqual, 1<<20)
+		So(s.Targets.ReportInterval, ShouldEqual, 500*time.Millisecond)
+		So(s.Admission.UrgentHeadroom, ShouldEqual, 0.1)
+		So(s.Log.Format, ShouldEqual, "json")
+	})
 }
 
 // An operator's file has many faults at once. All are reported in one run, each
@@ -123,33 +127,38 @@
 // token file's path is not cut at # or ;, not joined to the next line at a
 // backslash, and not filled in from other keys at %(name)s.
 func TestValuesAreTakenAsWritten(t *testing.T) {
-	file := strings.Replace(minimal, "tokens_file = tokens", `tokens_file = /a;b#c%(name)s\`, 1)
-	s, findings := Parse("f.ini", []byte(file))
-	if len(findings) > 0 {
-		t.Fatal(findings)
-	}
-	if s.Admin.TokensFile != `/a;b#c%(name)s\` || !s.Admin.TLS.Plain {
-		t.Errorf("admin %+v", s.Admin)
-	}
+	Convey("Given a path of signs that INI files give a meaning to", t, func() {
+		file := strings.Replace(minimal, "tokens_file = tokens", `tokens_file = /a;b#c%(name)s\`, 1)
+		s, findings := Parse("f.ini", []byte(file))
+		So(findings, ShouldBeEmpty)
+
+		Convey("it is taken as written, and so is the line after it", func() {
+			So(s.Admin.TokensFile, ShouldEqual, `/a;b#c%(name)s\`)
+			So(s.Admin.TLS.Plain, ShouldBeTrue)
+		})
+	})
 }
 
 // Two listeners on one port, one of them on all addresses: the second could not
 // be opened, or on some systems would silently take the first one's connections.
 func TestUnspecifiedAddressTakesThePort(t *testing.T) {
-	file := strings.Replace(minimal, "address = 127.0.0.1:8080", "address = 0.0.0.0:8081", 1)
-	if _, findings := Parse("f.ini", []byte(file)); len(findings) != 1 || findings[0].Section != "admin" {
-		t.Errorf("findings %v", findings)
-	}
-	file = strings.Replace(minimal, "address = 127.0.0.1:8082", "address = 0.0.0.0:8082", 1)
-	if _, findings := Parse("f.ini", []byte(file)); len(findings) != 1 || findings[0].Section != "peers" {
-		t.Errorf("findings %v", findings)
+	for section, change := range map[string][2]string{
+		"admin": {"address = 127.0.0.1:8080", "address = 0.0.0.0:8081"},
+		"peers": {"address = 127.0.0.1:8082", "address = 0.0.0.0:8082"},
+	} {
+		_, findings := Parse("f.ini", []byte(strings.Replace(minimal, change[0], change[1], 1)))
+		if len(findings) != 1 || findings[0].Section != section {
+			t.Errorf("%s: findings %v", section, findings)
+		}
 	}
 }
 
 func TestUnreadableFile(t *testing.T) {
-	if _, findings := Load(filepath.Join(t.TempDir(), "none.ini")); len(findings) != 1 || !strings.Contains(findings[0].String(), ":0: file: cannot be read") {
-		t.Errorf("findings %v", findings)
-	}
+	Convey("A file that cannot be read is a finding at line 0", t, func() {
+		_, findings := Load(filepath.Join(t.TempDir(), "none.ini"))
+		So(findings, ShouldHaveLength, 1)
+		So(findings[0].String(), ShouldContainSubstring, ":0: file: cannot be read")
+	})
 }
 
 // The table of keys and the struct must name the same fields: a field that no key
@@ -191,12 +200,12 @@
 }
 
 func TestRedactedShowsSettingsNotFiles(t *testing.T) {
-	s, findings := Parse("f.ini", []byte(minimal))
-	if len(findings) > 0 {
-		t.Fatal(findings)
-	}
-	shown := s.Redacted()
-	if shown["admin"]["tokens_file"] != "tokens" || shown["callers"]["read_timeout"] != "10s" || shown["admission"]["max_queued"] != 1024 {
-		t.Errorf("shown %v", shown)
-	}
+	Convey("The dump's view shows values and the names of files", t, func() {
+		s, findings := Parse("f.ini", []byte(minimal))
+		So(findings, ShouldBeEmpty)
+		shown := s.Redacted()
+		So(shown["admin"]["tokens_file"], ShouldEqual, "tokens")
+		So(shown["callers"]["read_timeout"], ShouldEqual, "10s")
+		So(shown["admission"]["max_queued"], ShouldEqual, 1024)
+	})
 }
