--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -160,6 +160,7 @@
 	}
 	report(b, "inforce", inForce)
 	report(b, "known", known)
+	reportFaults(b, vms)
 	b.ReportMetric(0, "ns/op")
 }
 
@@ -169,6 +170,18 @@
 	b.ReportMetric(float64(times[len(times)-1])/1e6, what+"-max-ms")
 }
 
+// reportFaults tells how far the machine itself was too slow for the timeouts.
+func reportFaults(b *testing.B, vms []*benchVM) {
+	var reconnects, suspicions float64
+	for _, vm := range vms {
+		counters := vm.node.Counters()
+		reconnects += float64(counters.Reconnects)
+		suspicions += float64(counters.Suspicions)
+	}
+	b.ReportMetric(reconnects/float64(len(vms)), "reconnects/node")
+	b.ReportMetric(suspicions/float64(len(vms)), "suspicions/node")
+}
+
 // BenchmarkCost gives what a node spends with the whole configuration and its
 // load changing, without changes of the configuration and with one a second.
 func BenchmarkCost(b *testing.B) {
