Measure a full mixed graph of engines against its bound

The experiment saturation keeps more drafts waiting than 16 engines of three kinds, with ranges that do not line up and links that differ a hundredfold, have slots, and says what their time went into.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -20,6 +20,7 @@
 		{"overhead", "the router's own cost against calling the stand-in directly", overhead},
 		{"relay", "processor time a relayed token, and memory of a stream in hand", relay},
 		{"urgent", "urgent requests beside bulk of twice the capacity, against an idle system and the baseline", urgent},
+		{"saturation", "tokens a second of a full mixed graph against its max-flow bound", saturation},
 		{"recovery", "stages and instances that die or fall silent in the middle of work, and lost answers", recovery},
 		{"change", "changes and drains until they are in force on 6 VMs, past outages and silence", change},
 		{"takeover", "the duties of a VM that is killed, or stopped in order", takeover},
--- /dev/null
+++ b/internal/experiment/saturation.go
@@ -0,0 +1,159 @@
+package experiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/standin/enginesim"
+)
+
+const (
+	saturationDrafts = 260
+	saturationLead   = 4 * time.Second
+	shortDraft       = 40
+	longDraft        = 400
+	longShare        = 0.1
+	wantedOfBound    = 0.85
+	sampleEvery      = 50 * time.Millisecond
+)
+
+// saturation keeps more drafts waiting than a mixed graph of engines has slots, and
+// compares the tokens that come with what the graph can carry at most.
+func saturation(ctx context.Context, t *Trial) error {
+	s, err := newScene(ctx, 2, nil)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	if err := s.addMixedGraph(ctx); err != nil {
+		return err
+	}
+	if err := s.applyProfiles(ctx, generationProfile("summary", config.Bulk, 10*time.Minute)); err != nil {
+		return err
+	}
+	set, err := s.planned()
+	if err != nil {
+		return err
+	}
+	got := s.saturate(ctx, t)
+	t.figure("bound", "tokens/s", set.Bound)
+	t.figure("plans' throughput of the bound", "ratio", set.Throughput()/set.Bound)
+	t.limited("tokens/s of the bound", "ratio", got.tokensPerSecond/set.Bound, atLeast(wantedOfBound))
+	t.figure("engines' time on prompts", "share", got.onPrompts)
+	t.figure("tokens/s of the bound without the time on prompts", "ratio", got.tokensPerSecond/set.Bound/(1-got.onPrompts))
+	t.figure("slots in use", "share", got.slotsInUse)
+	for _, kind := range []accelerator{large, middle, small} {
+		t.figure("busy: "+kind.name, "share", got.busy[kind.name])
+	}
+	t.figure("drafts that failed", "", float64(got.failed))
+	s.finish(t)
+	return nil
+}
+
+// saturated is what a saturated graph gave.
+type saturated struct {
+	tokensPerSecond float64
+	onPrompts       float64
+	slotsInUse      float64
+	busy            map[string]float64
+	failed          int64
+}
+
+func (s *scene) saturate(ctx context.Context, t *Trial) saturated {
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var tokens, failed counter
+	var wait sync.WaitGroup
+	for worker := range saturationDrafts {
+		wait.Go(func() { s.draftOnAndOn(load, worker, t.Seed, &tokens, &failed) })
+	}
+	sleepUntil(ctx, time.Now().Add(saturationLead))
+	before, work := tokens.Load(), s.engineWork()
+	started := time.Now()
+	slots := s.sampleSlots(ctx, t.Duration)
+	took := time.Since(started).Seconds()
+	got := s.workSince(work, took)
+	got.tokensPerSecond = float64(tokens.Load()-before) / took
+	got.slotsInUse = slots
+	stop()
+	wait.Wait()
+	got.failed = failed.Load()
+	return got
+}
+
+// draftOnAndOn sends the next draft when one has ended; a tenth of them are ten
+// times as long as the others.
+func (s *scene) draftOnAndOn(ctx context.Context, worker int, seed uint64, tokens, failed *counter) {
+	random := rand.New(rand.NewPCG(seed, uint64(worker)))
+	for number := 0; ctx.Err() == nil; number++ {
+		length := shortDraft
+		if random.Float64() < longShare {
+			length = longDraft
+		}
+		answer, err := s.client(worker).Draft(ctx, "summary", promptOf("summary", worker*1_000_000+number), length, func(int) { tokens.Add(1) })
+		if ctx.Err() == nil && orIncomplete(err, answer) != nil {
+			failed.Add(1)
+		}
+	}
+}
+
+// sampleSlots returns the mean share of slots in use.
+func (s *scene) sampleSlots(ctx context.Context, duration time.Duration) float64 {
+	ends := time.Now().Add(duration)
+	used, all := 0, 0
+	for time.Now().Before(ends) && sleepUntil(ctx, time.Now().Add(sampleEvery)) {
+		for _, e := range mixedEngines {
+			used += s.Engines[e.name].Active()
+			all += e.kind.slots
+		}
+	}
+	return float64(used) / float64(max(1, all))
+}
+
+// work is what one engine has done, in layers times tokens.
+type work struct{ prompts, tokens float64 }
+
+func (s *scene) engineWork() map[string]work {
+	done := map[string]work{}
+	for name, e := range s.Engines {
+		sum := work{}
+		for _, x := range e.Executed() {
+			sum.tokens += float64(x.Count * x.Layers.Len())
+			sum.prompts += float64(x.Replayed*x.Layers.Len()) / enginesim.DefaultPrefillFactor
+		}
+		done[name] = sum
+	}
+	return done
+}
+
+func (s *scene) workSince(before map[string]work, seconds float64) saturated {
+	got := saturated{busy: map[string]float64{}}
+	rates := map[string]float64{}
+	prompts, all := 0.0, 0.0
+	for name, now := range s.engineWork() {
+		kind := s.kindOf(name)
+		onPrompts := now.prompts - before[name].prompts
+		both := onPrompts + now.tokens - before[name].tokens
+		prompts += onPrompts
+		all += both
+		got.busy[kind.name] += both / seconds
+		rates[kind.name] += kind.rate
+	}
+	for name := range got.busy {
+		got.busy[name] /= rates[name]
+	}
+	got.onPrompts = prompts / max(all, 1)
+	return got
+}
+
+func (s *scene) kindOf(engine string) accelerator {
+	for _, e := range mixedEngines {
+		if e.name == engine {
+			return e.kind
+		}
+	}
+	return accelerator{}
+}
