--- a/internal/adminapi/change_answer.go
+++ b/internal/adminapi/change_answer.go
@@ -1,15 +1,5 @@
 package adminapi
 
-// Status says whether a change is in force.
-type Status string
-
-const (
-	// StatusAccepted: in force on every VM that may serve.
-	StatusAccepted Status = "accepted"
-	// StatusPending: not, or not known to be, in force everywhere.
-	StatusPending Status = "pending"
-)
-
 // ChangeAnswer says what became of a change.
 type ChangeAnswer struct {
 	Status Status `json:"status"`
--- a/internal/adminapi/dumper.go
+++ b/internal/adminapi/dumper.go
@@ -25,13 +25,6 @@
 	running *dumpRun
 }
 
-type dumpRun struct {
-	since time.Time
-	done  chan struct{}
-	body  []byte
-	err   error
-}
-
 func newDumper(take func() any, bound time.Duration) *dumper {
 	return &dumper{take: take, bound: bound}
 }
--- a/internal/adminapi/role.go
+++ b/internal/adminapi/role.go
@@ -9,10 +9,3 @@
 	// RoleOperate may change the configuration as well.
 	RoleOperate Role = "operate"
 )
-
-// Authenticator knows the operators' tokens.
-type Authenticator interface {
-	// Authenticate returns the author's name and role for a token, compared in
-	// constant time.
-	Authenticate(token string) (author string, role Role, ok bool)
-}
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -36,14 +36,6 @@
 	faults faults
 }
 
-// faults take safeguards away, so that tests can show that they notice.
-type faults struct {
-	noPriority bool
-	noFairness bool
-	noReview   bool
-	noGates    bool
-}
-
 func (s Settings) withDefaults() Settings {
 	s.MaxQueued = cmp.Or(max(s.MaxQueued, 0), DefaultMaxQueued)
 	s.MaxQueuedPerWorkspace = cmp.Or(max(s.MaxQueuedPerWorkspace, 0), DefaultMaxQueuedPerWorkspace)
--- a/internal/api/chat_body.go
+++ b/internal/api/chat_body.go
@@ -1,7 +1,5 @@
 package api
 
-import "encoding/json"
-
 // chatBody is the body of a chat completion.
 type chatBody struct {
 	commonBody
@@ -9,17 +7,6 @@
 	Messages            []chatMessage `json:"messages"`
 }
 
-type chatMessage struct {
-	Role string `json:"role"`
-	// Content is a string or a list of parts.
-	Content json.RawMessage `json:"content"`
-}
-
-type contentPart struct {
-	Type string `json:"type"`
-	Text string `json:"text"`
-}
-
 func parseChat(body []byte, maxPieces int) (parsedBody, string) {
 	var b chatBody
 	if problem := decode(body, &b); problem != "" {
@@ -50,32 +37,3 @@
 	}
 	return p.pieces, p.problem()
 }
-
-func (m chatMessage) addTo(p *prompt) string {
-	if len(m.Content) == 0 || string(m.Content) == "null" {
-		return ""
-	}
-	if m.Content[0] == '"' {
-		var text string
-		if err := json.Unmarshal(m.Content, &text); err != nil {
-			return "A message's content is not a string."
-		}
-		p.add(text)
-		return ""
-	}
-	return m.addParts(p)
-}
-
-func (m chatMessage) addParts(p *prompt) string {
-	var parts []contentPart
-	if err := json.Unmarshal(m.Content, &parts); err != nil {
-		return "A message's content is neither a string nor a list of parts."
-	}
-	for _, part := range parts {
-		if part.Type != "text" {
-			return "Only parts of the type text are served."
-		}
-		p.add(part.Text)
-	}
-	return ""
-}
--- a/internal/api/encoder.go
+++ b/internal/api/encoder.go
@@ -93,17 +93,6 @@
 	return append(b, "}"+eventEnd...)
 }
 
-type streamError struct {
-	Error streamErrorBody `json:"error"`
-}
-
-type streamErrorBody struct {
-	Message string `json:"message"`
-	Type    string `json:"type"`
-	Code    string `json:"code"`
-	Status  int    `json:"status"`
-}
-
 // appendJSON appends text as a JSON string. Most tokens need no escape and are
 // copied; the rest goes through encoding/json.
 func appendJSON(b []byte, text string) []byte {
--- a/internal/api/listener.go
+++ b/internal/api/listener.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -76,22 +75,6 @@
 	}
 }
 
-// countedConn embeds the TCP connection, not net.Conn, since net/http looks for
-// CloseWrite: without it a caller that is refused while it still sends its body
-// would see a reset in place of the answer.
-type countedConn struct {
-	*net.TCPConn
-	listener *limitListener
-	above    bool
-	once     sync.Once
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.once.Do(func() { c.listener.open.Add(-1) })
-	return c.TCPConn.Close()
-}
-
 type aboveLimitKey struct{}
 
 // connContext marks the requests of connections above the limit.
--- /dev/null
+++ b/internal/api/stream_error.go
@@ -0,0 +1,12 @@
+package api
+
+type streamError struct {
+	Error streamErrorBody `json:"error"`
+}
+
+type streamErrorBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Status  int    `json:"status"`
+}
--- /dev/null
+++ b/internal/balance/holders.go
@@ -0,0 +1,15 @@
+package balance
+
+// holders are the targets that have one prefix cached.
+type holders [holdersPerPrefix]holder
+
+// put adds h in the first place that is free or no longer valid, else last.
+func (hs *holders) put(h holder) {
+	for i := range hs {
+		if hs[i].target == h.target || !hs[i].valid() {
+			hs[i] = h
+			return
+		}
+	}
+	hs[holdersPerPrefix-1] = h
+}
--- a/internal/balance/prefix_index.go
+++ b/internal/balance/prefix_index.go
@@ -10,20 +10,6 @@
 // that more targets hold needs no hint.
 const holdersPerPrefix = 4
 
-// holder is a target that said it has a prefix cached. It counts only while the
-// target's view is still of that generation.
-type holder struct {
-	target     *target
-	generation uint32
-}
-
-func (h holder) valid() bool {
-	return h.target != nil && h.generation == h.target.cacheGeneration.Load()
-}
-
-// holders are the targets that have one prefix cached.
-type holders [holdersPerPrefix]holder
-
 // prefixIndex remembers which targets of a pool have which prefixes cached. It is
 // one bounded index by prefix rather than one by target: a choice asks for the
 // holders of a prefix, and the memory does not grow with the number of targets.
@@ -61,17 +47,6 @@
 	x.lru.Add(prefix, have)
 }
 
-// put adds h in the first place that is free or no longer valid, else last.
-func (hs *holders) put(h holder) {
-	for i := range hs {
-		if hs[i].target == h.target || !hs[i].valid() {
-			hs[i] = h
-			return
-		}
-	}
-	hs[holdersPerPrefix-1] = h
-}
-
 func (x *prefixIndex) remove(prefix uint64, t *target) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -74,14 +74,6 @@
 	faults faults
 }
 
-// faults take safeguards away, so that tests can show that they notice.
-type faults struct {
-	noHeadroom   bool
-	noDrain      bool
-	noEjectBound bool
-	noClaims     bool
-}
-
 func (s Settings) withDefaults() Settings {
 	s.Choices = cmp.Or(s.Choices, DefaultChoices)
 	s.UrgentShare = cmp.Or(s.UrgentShare, DefaultUrgentShare)
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sync/atomic"
 
 	"geraniumcroft/internal/config"
 )
@@ -14,21 +13,6 @@
 	targets map[string]*target
 }
 
-// pool is the part of a pool that is in this VM's subset.
-type pool struct {
-	name     string
-	members  []*target
-	prefixes *prefixIndex
-	// denied is when a request last found no slot, in nanoseconds.
-	denied atomic.Int64
-}
-
-// groupKey names a group.
-type groupKey struct {
-	pool   string
-	layers config.LayerRange
-}
-
 // PoolOf returns the name of the pool that a target belongs to: the service's
 // name, or model@version for an engine.
 func PoolOf(t *config.Target) string {
--- a/internal/callclient/client.go
+++ b/internal/callclient/client.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -31,23 +30,6 @@
 	HTTP *http.Client
 }
 
-// Answer is what a caller got.
-type Answer struct {
-	// Status is the HTTP status, Outcome what the VM said of the request.
-	Status    int
-	Outcome   string
-	RequestID string
-	// Tokens are the pieces of a generation, Body a call's answer or a problem.
-	Tokens []string
-	Body   string
-	// First and Took run from the sending of the request.
-	First time.Duration
-	Took  time.Duration
-}
-
-// Text returns a generation's text.
-func (a Answer) Text() string { return strings.Join(a.Tokens, "") }
-
 // Call sends a call of a plain service; key may be empty.
 func (c Client) Call(ctx context.Context, profile, key string, body []byte) (Answer, error) {
 	started := time.Now()
@@ -58,31 +40,6 @@
 	return whole(response, started)
 }
 
-type chatRequest struct {
-	Model     string        `json:"model"`
-	Messages  []chatMessage `json:"messages"`
-	MaxTokens int           `json:"max_tokens,omitempty"`
-	Stream    bool          `json:"stream"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-type chatChunk struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-	} `json:"choices"`
-}
-
-type finalEvent struct {
-	Outcome string `json:"outcome"`
-	Tokens  int    `json:"tokens"`
-}
-
 // Draft asks for a streamed generation. onToken, if not nil, is called with each
 // token's number, from 0.
 func (c Client) Draft(ctx context.Context, profile, prompt string, maxTokens int, onToken func(int)) (Answer, error) {
@@ -166,32 +123,3 @@
 	}
 	return answer, nil
 }
-
-func (a *Answer) take(event, data string, started time.Time, onToken func(int)) error {
-	if event == "outcome" {
-		var final finalEvent
-		if err := json.Unmarshal([]byte(data), &final); err != nil {
-			return err
-		}
-		a.Outcome = final.Outcome
-		if final.Outcome == "complete" && final.Tokens != len(a.Tokens) {
-			return fmt.Errorf("the outcome counts %d tokens, the stream had %d", final.Tokens, len(a.Tokens))
-		}
-		return nil
-	}
-	var chunk chatChunk
-	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-		return err
-	}
-	if len(chunk.Choices) == 0 || chunk.Choices[0].Delta.Content == "" {
-		return nil
-	}
-	if len(a.Tokens) == 0 {
-		a.First = time.Since(started)
-	}
-	a.Tokens = append(a.Tokens, chunk.Choices[0].Delta.Content)
-	if onToken != nil {
-		onToken(len(a.Tokens) - 1)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/claim/counters.go
@@ -0,0 +1,13 @@
+package claim
+
+import "sync/atomic"
+
+type counters struct {
+	run      atomic.Uint64
+	replayed atomic.Uint64
+	refused  atomic.Uint64
+	unknown  atomic.Uint64
+	finished atomic.Uint64
+	unended  atomic.Uint64
+	swept    atomic.Uint64
+}
--- a/internal/claim/group_writer.go
+++ b/internal/claim/group_writer.go
@@ -32,14 +32,6 @@
 	rows   uint64
 }
 
-// pendingRow is a row on its way into the table.
-type pendingRow struct {
-	newRow
-	urgency config.Urgency
-	// done takes the row's result once; it has room for it.
-	done chan error
-}
-
 func newGroupWriter(table platform.Table, settings Settings) *groupWriter {
 	return &groupWriter{table: table, settings: settings}
 }
@@ -192,45 +184,3 @@
 		group = rest
 	}
 }
-
-// dropRefused tells the refused rows and returns the others.
-func dropRefused(group []*pendingRow, refused *platform.RefusedError) []*pendingRow {
-	var rest []*pendingRow
-	for _, pending := range group {
-		at := slices.IndexFunc(refused.Rows, func(row platform.Row) bool { return row.Key == pending.key })
-		if at < 0 {
-			rest = append(rest, pending)
-			continue
-		}
-		pending.done <- &platform.RefusedError{Rows: refused.Rows[at : at+1]}
-	}
-	return rest
-}
-
-// GroupState is what the dump shows of the grouping of writes.
-type GroupState struct {
-	Queued  int    `json:"queued"`
-	Sending int    `json:"sending"`
-	Groups  uint64 `json:"groups"`
-	Rows    uint64 `json:"rows"`
-}
-
-func (w *groupWriter) dump() *GroupState {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return &GroupState{Queued: len(w.queue), Sending: w.sending, Groups: w.groups, Rows: w.rows}
-}
-
-func finish(group []*pendingRow, err error) {
-	for _, pending := range group {
-		pending.done <- err
-	}
-}
-
-func rowsOf(group []*pendingRow) []newRow {
-	rows := make([]newRow, 0, len(group))
-	for _, pending := range group {
-		rows = append(rows, pending.newRow)
-	}
-	return rows
-}
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,26 +12,6 @@
 	"geraniumcroft/internal/platform"
 )
 
-// sweepCursor is where the next sweep starts.
-type sweepCursor struct {
-	mu   sync.Mutex // guards from
-	from string
-}
-
-// SweepResult is what one sweep did.
-type SweepResult struct {
-	Scanned int
-	Deleted int
-	// Wrapped says that the sweep reached the last row; the next starts at the first.
-	Wrapped bool
-}
-
-// sweptKey is the rows of one key, as a sweep read them.
-type sweptKey struct {
-	rows    []platform.Row
-	expired bool
-}
-
 // Sweep reads up to limit rows, from where the last sweep stopped, and deletes those
 // of keys that need not be remembered any longer. The holder of a lease calls it.
 func (c *Claims) Sweep(ctx context.Context, now time.Time, limit int) (SweepResult, error) {
--- a/internal/cli/node_options.go
+++ b/internal/cli/node_options.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"geraniumcroft/internal/adminapi"
 	"geraniumcroft/internal/node"
 	"geraniumcroft/internal/security"
 	"geraniumcroft/internal/settings"
@@ -74,14 +73,3 @@
 		c()
 	}
 }
-
-// operators lets the admin API ask package security.
-type operators struct {
-	*security.Authenticator
-}
-
-// Authenticate implements adminapi.Authenticator.
-func (o operators) Authenticate(token string) (string, adminapi.Role, bool) {
-	author, role, ok := o.Authenticator.Authenticate(token)
-	return author, adminapi.Role(role), ok
-}
--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -5,17 +5,6 @@
 	"time"
 )
 
-// EntityKind names one of a snapshot's tables.
-type EntityKind string
-
-// The tables of a snapshot.
-const (
-	EntityWorkspace EntityKind = "workspace"
-	EntityProfile   EntityKind = "profile"
-	EntityModel     EntityKind = "model"
-	EntityTarget    EntityKind = "target"
-)
-
 // Change is one accepted entry of the ordered history of the configuration.
 type Change struct {
 	// Version is the configuration's version once the change is applied; the
--- a/internal/config/strict_decode.go
+++ b/internal/config/strict_decode.go
@@ -74,12 +74,6 @@
 	}
 }
 
-type rawField struct {
-	name     string
-	value    json.RawMessage
-	repeated bool
-}
-
 // objectFields returns the fields in their order of appearance.
 func objectFields(raw json.RawMessage) ([]rawField, error) {
 	decoder := json.NewDecoder(bytes.NewReader(raw))
--- a/internal/confstore/notifier.go
+++ b/internal/confstore/notifier.go
@@ -20,11 +20,6 @@
 	running     bool
 }
 
-type subscriber struct {
-	call      func(*config.Snapshot)
-	delivered uint64
-}
-
 func (n *notifier) add(call func(*config.Snapshot)) {
 	n.mu.Lock()
 	n.subscribers = append(n.subscribers, &subscriber{call: call})
--- a/internal/confstore/store.go
+++ b/internal/confstore/store.go
@@ -6,7 +6,6 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/invariant"
-	"geraniumcroft/internal/platform"
 )
 
 // Store is this VM's view of the configuration and its way to change it. It is
@@ -23,11 +22,6 @@
 	recent *history
 }
 
-// hooks let tests remove a safeguard, to show that the proof notices.
-type hooks struct {
-	conditions func([]platform.Condition) []platform.Condition
-}
-
 // New returns a store with the empty configuration, at version 0.
 func New(o Options) *Store {
 	o = o.withDefaults()
--- /dev/null
+++ b/internal/confstore/subscriber.go
@@ -0,0 +1,8 @@
+package confstore
+
+import "geraniumcroft/internal/config"
+
+type subscriber struct {
+	call      func(*config.Snapshot)
+	delivered uint64
+}
--- /dev/null
+++ b/internal/dispatch/result.go
@@ -0,0 +1,8 @@
+package dispatch
+
+import "geraniumcroft/internal/service"
+
+type result struct {
+	response service.Response
+	failure  *attemptError
+}
--- a/internal/generation/epoch.go
+++ b/internal/generation/epoch.go
@@ -186,15 +186,3 @@
 	}
 	return &fault{stage: blamed, kind: faultReported, cause: &reportedError{reporter: stage, message: event.Message}}
 }
-
-// ownedStream frees the context of its open when it is closed.
-type ownedStream struct {
-	engine.Stream
-	cancel context.CancelFunc
-}
-
-// Close implements engine.Stream.
-func (s *ownedStream) Close() {
-	s.Stream.Close()
-	s.cancel()
-}
--- a/internal/generation/stats.go
+++ b/internal/generation/stats.go
@@ -1,7 +1,5 @@
 package generation
 
-import "sync/atomic"
-
 // Stats counts what a Runner met, for the dump and the metrics.
 type Stats struct {
 	// Running is the runs in hand.
@@ -25,26 +23,3 @@
 	CancelsFailed  uint64 `json:"cancelsFailed"`
 	CancelsSkipped uint64 `json:"cancelsSkipped"`
 }
-
-type counters struct {
-	running                            atomic.Int64
-	committed, recoveries, preemptions atomic.Uint64
-	busy                               atomic.Uint64
-	reproved, staleEvents, duplicates  atomic.Uint64
-	cancelsFailed, cancelsSkipped      atomic.Uint64
-}
-
-func (c *counters) stats() Stats {
-	return Stats{
-		Running:        c.running.Load(),
-		Committed:      c.committed.Load(),
-		Recoveries:     c.recoveries.Load(),
-		Preemptions:    c.preemptions.Load(),
-		Busy:           c.busy.Load(),
-		Reproved:       c.reproved.Load(),
-		StaleEvents:    c.staleEvents.Load(),
-		Duplicates:     c.duplicates.Load(),
-		CancelsFailed:  c.cancelsFailed.Load(),
-		CancelsSkipped: c.cancelsSkipped.Load(),
-	}
-}
--- a/internal/plan/packing.go
+++ b/internal/plan/packing.go
@@ -25,14 +25,6 @@
 	touched []int
 }
 
-// column is a path as the programme sees it.
-type column struct {
-	legs path
-	// shares are in parts of the rows' capacities.
-	shares []share
-	weight float64
-}
-
 const (
 	perturbation = 1e-6
 	tolerance    = 1e-9
--- a/internal/plan/path.go
+++ b/internal/plan/path.go
@@ -1,11 +1,5 @@
 package plan
 
-// leg is a group's part of a path, from one layer to another.
-type leg struct {
-	group    int
-	from, to int
-}
-
 // path is a plan over groups rather than over single targets.
 type path []leg
 
--- a/internal/plan/rows.go
+++ b/internal/plan/rows.go
@@ -7,14 +7,6 @@
 
 const noRow = -1
 
-// row is one limit on the plans' weights: an engine group's rate or a link's
-// bandwidth.
-type row struct {
-	// capacity is in layers times tokens a second for a group, and in tokens a
-	// second for a link.
-	capacity float64
-}
-
 // rows numbers the graph's limits: the groups' come first, in order. Graphs with
 // the same groups number them alike, whatever members the groups have.
 type rows struct {
@@ -64,12 +56,6 @@
 // capacity is the group's rate in layers times tokens a second.
 func (grp *group) capacity() float64 { return grp.rate * float64(len(grp.members)) }
 
-// share is what one token a second on a path takes of a row.
-type share struct {
-	row    int
-	amount float64
-}
-
 // shares returns what a path takes of each row; a row appears once.
 func (g *graph) shares(r *rows, p path) []share {
 	found := make([]share, 0, 2*len(p))
--- a/internal/plan/search.go
+++ b/internal/plan/search.go
@@ -4,13 +4,6 @@
 
 const noGroup = -1
 
-// span is what a path has to cover, and what it is joined to: the groups of the
-// stage before and the stage after, or noGroup.
-type span struct {
-	from, to      int
-	before, after int
-}
-
 // search finds the cheapest path by dynamic programming over the cuts. It keeps
 // its arrays between calls, so one search is not for concurrent use.
 type search struct {
--- a/internal/plan/set.go
+++ b/internal/plan/set.go
@@ -16,11 +16,6 @@
 	price []float64
 }
 
-type weightedPath struct {
-	legs   path
-	weight float64
-}
-
 // Throughput returns the sum of the plans' weights in tokens a second.
 func (s *Set) Throughput() float64 {
 	total := 0.0
--- /dev/null
+++ b/internal/plan/weighted_path.go
@@ -0,0 +1,6 @@
+package plan
+
+type weightedPath struct {
+	legs   path
+	weight float64
+}
--- /dev/null
+++ b/internal/platform/httpplatform/problem.go
@@ -0,0 +1,7 @@
+package httpplatform
+
+// Problem is the body of a failed request.
+type Problem struct {
+	Code   string `json:"code"`
+	Detail string `json:"detail"`
+}
--- /dev/null
+++ b/internal/platform/httpplatform/scan_request.go
@@ -0,0 +1,8 @@
+package httpplatform
+
+// ScanRequest is the body of PathScan.
+type ScanRequest struct {
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Limit int    `json:"limit"`
+}
--- a/internal/platform/resilient/circuit.go
+++ b/internal/platform/resilient/circuit.go
@@ -140,12 +140,6 @@
 // out counts against it.
 const fairChance = 200 * time.Millisecond
 
-// impatientError wraps the error of an operation whose caller left it no time.
-type impatientError struct{ cause error }
-
-// Error implements error.
-func (e *impatientError) Error() string { return e.cause.Error() }
-
 // callerGone leaves out what says nothing about the service.
 func callerGone(err error) bool {
 	var impatient *impatientError
--- a/internal/platform/witness.go
+++ b/internal/platform/witness.go
@@ -1,17 +1,5 @@
 package platform
 
-// Verdict is what a Witness says became of a transaction.
-type Verdict uint8
-
-const (
-	// VerdictUnknown: the rows do not tell.
-	VerdictUnknown Verdict = iota
-	// VerdictCommitted: it took effect and its rows were overwritten since.
-	VerdictCommitted
-	// VerdictRefused: it did not take effect and its conditions no longer hold.
-	VerdictRefused
-)
-
 // Witness looks at the present rows of a transaction whose answer was lost, none
 // of which carries its ID while a condition no longer holds. Either another writer
 // was first, or this transaction took effect and was overwritten; only the writer
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,8 +11,6 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"geraniumcroft/internal/confstore"
-	"geraniumcroft/internal/membership"
 	"geraniumcroft/internal/platform"
 )
 
@@ -28,12 +26,6 @@
 	forgetAfter = 30 * time.Second
 )
 
-// Members is what the roster asks of membership.
-type Members interface {
-	confstore.Confirmer
-	Members() []membership.Member
-}
-
 // Roster implements confstore.Confirmer over membership and the rows.
 type Roster struct {
 	table   platform.Table
@@ -51,12 +43,6 @@
 	doubted map[string]time.Time
 }
 
-// record is the value of a row.
-type record struct {
-	VM    string    `json:"vm"`
-	Since time.Time `json:"since"`
-}
-
 // New returns a roster for this VM.
 func New(table platform.Table, vm string, members Members, logger *zap.Logger) *Roster {
 	return &Roster{table: table, vm: vm, members: members, logger: logger, doubted: map[string]time.Time{}}
--- a/internal/security/certtest/authority.go
+++ b/internal/security/certtest/authority.go
@@ -69,13 +69,6 @@
 	return certificate
 }
 
-// Files are paths of PEM files.
-type Files struct {
-	Cert string
-	Key  string
-	CA   string
-}
-
 // Write makes a certificate for an IP number, writes it, its key and the
 // authority's certificate, and returns the files and the serial number.
 func (a *Authority) Write(directory, ip string) (Files, int64) {
--- a/internal/security/tls_files.go
+++ b/internal/security/tls_files.go
@@ -16,13 +16,6 @@
 	CA string
 }
 
-// keyPair is what the files hold at one moment.
-type keyPair struct {
-	certificate *tls.Certificate
-	// authorities is nil without a CA file.
-	authorities *x509.CertPool
-}
-
 func (f TLSFiles) paths() []string {
 	paths := []string{f.Cert, f.Key}
 	if f.CA != "" {
--- a/internal/security/watcher.go
+++ b/internal/security/watcher.go
@@ -99,12 +99,6 @@
 	return timer
 }
 
-// stamp changes when a file does.
-type stamp struct {
-	modified time.Time
-	size     int64
-}
-
 func (w *watcher) stamps() []stamp {
 	stamps := make([]stamp, len(w.paths))
 	for i, path := range w.paths {
--- a/internal/settings/line_index.go
+++ b/internal/settings/line_index.go
@@ -2,13 +2,6 @@
 
 import "strings"
 
-// place is a key's position in the file.
-type place struct {
-	section string
-	key     string
-	line    int
-}
-
 // lineIndex tells where each section and key stands; the INI library does not.
 type lineIndex struct {
 	sections map[string]int
--- /dev/null
+++ b/internal/settings/metrics.go
@@ -0,0 +1,6 @@
+package settings
+
+// Metrics says how metrics are named.
+type Metrics struct {
+	Prefix string
+}
--- /dev/null
+++ b/internal/settings/vm.go
@@ -0,0 +1,7 @@
+package settings
+
+// VM says who this process is.
+type VM struct {
+	Name       string
+	DataCentre string
+}
--- /dev/null
+++ b/internal/standin/engine_place.go
@@ -0,0 +1,8 @@
+package standin
+
+import "geraniumcroft/internal/standin/enginesim"
+
+type enginePlace struct {
+	address, dataCentre, accelerator string
+	engine                           *enginesim.Engine
+}
--- a/internal/standin/enginesim/engine.go
+++ b/internal/standin/enginesim/engine.go
@@ -13,7 +13,14 @@
 	"geraniumcroft/internal/standin/faultnet"
 )
 
-const maxKnownEpochs = 1 << 16
+// The bounds of what an engine remembers of requests.
+const (
+	// maxEarly is how many requests may have activations here before their stage is
+	// open.
+	maxEarly       = 4096
+	maxKeptKV      = 4096
+	maxKnownEpochs = 1 << 16
+)
 
 // Engine is a stand-in engine. It is safe for concurrent use.
 type Engine struct {
--- a/internal/standin/enginesim/fabric.go
+++ b/internal/standin/enginesim/fabric.go
@@ -5,10 +5,6 @@
 	"time"
 )
 
-// LinkFunc gives the one-way latency and the bandwidth in bytes a second of the
-// link between two targets; a bandwidth of 0 is unlimited.
-type LinkFunc func(from, to string) (latency time.Duration, bytesPerSecond float64)
-
 // Fabric carries messages between engines in this process. It is safe for
 // concurrent use.
 type Fabric struct {
--- a/internal/standin/enginesim/messages.go
+++ b/internal/standin/enginesim/messages.go
@@ -1,5 +1,8 @@
 package enginesim
 
+// maxEarlyPerStage bounds the activations kept for a stage that is not open yet.
+const maxEarlyPerStage = 64
+
 // deliver sends an activation over the fabric, without this engine's lock.
 func (e *Engine) deliver(d delivery) {
 	to := e.fabric.Engine(d.hop.Address)
--- /dev/null
+++ b/internal/standin/entity.go
@@ -0,0 +1,10 @@
+package standin
+
+import "geraniumcroft/internal/config"
+
+// entity is one line of PrintEntities.
+type entity struct {
+	Kind  config.EntityKind `json:"kind"`
+	Name  string            `json:"name"`
+	Value any               `json:"value"`
+}
--- a/internal/standin/park.go
+++ b/internal/standin/park.go
@@ -30,16 +30,6 @@
 	platform *platformsim.Server
 }
 
-type enginePlace struct {
-	address, dataCentre, accelerator string
-	engine                           *enginesim.Engine
-}
-
-type servicePlace struct {
-	address, dataCentre string
-	service             *servicesim.Service
-}
-
 // Load reads the file. Sections are "platform" and, each with a name behind it,
 // "vm", "model", "engine" and "service".
 func Load(file string) (*Park, error) {
@@ -139,13 +129,6 @@
 	p.platform.Close()
 }
 
-// entity is one line of PrintEntities.
-type entity struct {
-	Kind  config.EntityKind `json:"kind"`
-	Name  string            `json:"name"`
-	Value any               `json:"value"`
-}
-
 // PrintEntities writes the models and targets that describe the stand-ins, one
 // JSON object a line.
 func (p *Park) PrintEntities(out io.Writer) error {
--- /dev/null
+++ b/internal/standin/platformsim/chooser.go
@@ -0,0 +1,4 @@
+package platformsim
+
+// Chooser decides about each operation, in place of an Order.
+type Chooser func(Operation) Action
--- a/internal/standin/platformsim/order.go
+++ b/internal/standin/platformsim/order.go
@@ -2,21 +2,6 @@
 
 import "geraniumcroft/internal/config"
 
-// Outage is a way in which the platform is down.
-type Outage string
-
-// The kinds of outage.
-const (
-	// OutageNone: the platform is up.
-	OutageNone Outage = ""
-	// OutageRefuse: connections are refused.
-	OutageRefuse Outage = "refuse"
-	// OutageUnavailable: each request is answered 503 without effect.
-	OutageUnavailable Outage = "503"
-	// OutageHang: requests are taken and never answered, without effect.
-	OutageHang Outage = "hang"
-)
-
 // Order is the set of faults in force; the zero Order is none.
 type Order struct {
 	Outage Outage `json:"outage,omitempty"`
--- a/internal/standin/platformsim/vm_history.go
+++ b/internal/standin/platformsim/vm_history.go
@@ -14,11 +14,6 @@
 	shown []platform.VM
 }
 
-type vmList struct {
-	since time.Time
-	vms   []platform.VM
-}
-
 func (h *vmHistory) set(now time.Time, vms []platform.VM) {
 	h.lists = append(h.lists, vmList{since: now, vms: slices.Clone(vms)})
 }
--- /dev/null
+++ b/internal/standin/service_place.go
@@ -0,0 +1,8 @@
+package standin
+
+import "geraniumcroft/internal/standin/servicesim"
+
+type servicePlace struct {
+	address, dataCentre string
+	service             *servicesim.Service
+}
--- /dev/null
+++ b/internal/standin/servicesim/load.go
@@ -0,0 +1,37 @@
+package servicesim
+
+import (
+	"time"
+
+	"geraniumcroft/internal/engine"
+)
+
+// Load returns the load report, late by the ordered lag.
+func (s *Service) Load() engine.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lag := time.Duration(s.faults.LoadLag)
+	if lag == 0 {
+		return s.report()
+	}
+	then := time.Now().Add(-lag)
+	for i := len(s.reports) - 1; i >= 0; i-- {
+		if !s.reports[i].At.After(then) {
+			return s.reports[i]
+		}
+	}
+	return engine.LoadReport{At: then, Slots: s.options.Slots}
+}
+
+// report is the present load; the caller holds the lock.
+func (s *Service) report() engine.LoadReport {
+	return engine.LoadReport{At: time.Now(), Active: s.active, Queued: s.queued, Slots: s.options.Slots, Leaving: s.faults.Leaving}
+}
+
+// note remembers the present load; the caller holds the lock.
+func (s *Service) note() {
+	if len(s.reports) == maxReports {
+		s.reports = s.reports[maxReports/2:]
+	}
+	s.reports = append(s.reports, s.report())
+}
--- a/internal/standin/servicesim/service.go
+++ b/internal/standin/servicesim/service.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"io"
-	"log"
-	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
@@ -50,63 +46,6 @@
 	}
 }
 
-// Start listens on address, IP:port, and serves; port 0 takes a free one.
-func (s *Service) Start(address string) error {
-	listener, err := faultnet.Listen(address)
-	if err != nil {
-		return err
-	}
-	life, end := context.WithCancel(context.Background())
-	server := &http.Server{
-		Handler:     s,
-		ErrorLog:    log.New(io.Discard, "", 0),
-		BaseContext: func(net.Listener) context.Context { return life },
-		ConnContext: faultnet.ConnContext,
-	}
-	s.mu.Lock()
-	s.listener, s.server, s.life = listener, server, end
-	s.address = listener.Addr().String()
-	s.dead = false
-	s.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
-	return nil
-}
-
-// Close ends the service.
-func (s *Service) Close() { s.Die() }
-
-// Die makes the service fail as a process does: calls in hand are not executed
-// and connections are reset. What was executed stays recorded.
-func (s *Service) Die() {
-	s.mu.Lock()
-	if s.dead || s.listener == nil {
-		s.mu.Unlock()
-		return
-	}
-	s.dead = true
-	listener, server, end := s.listener, s.server, s.life
-	s.mu.Unlock()
-	end()
-	_ = listener.Close()
-	listener.ResetAll()
-	_ = server.Close()
-}
-
-// Revive starts a dead service again at its address.
-func (s *Service) Revive() error { return s.Start(s.Addr()) }
-
-// GoSilent makes the connections that are open now silent for good; new ones work.
-func (s *Service) GoSilent() { s.goSilent(nil) }
-
-func (s *Service) goSilent(except *faultnet.Conn) {
-	s.mu.Lock()
-	listener := s.listener
-	s.mu.Unlock()
-	if listener != nil {
-		listener.SilenceAll(except)
-	}
-}
-
 // SetFaults changes the faults.
 func (s *Service) SetFaults(change func(*Faults)) {
 	s.mu.Lock()
@@ -175,33 +114,3 @@
 		}
 	}
 }
-
-// Load returns the load report, late by the ordered lag.
-func (s *Service) Load() engine.LoadReport {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	lag := time.Duration(s.faults.LoadLag)
-	if lag == 0 {
-		return s.report()
-	}
-	then := time.Now().Add(-lag)
-	for i := len(s.reports) - 1; i >= 0; i-- {
-		if !s.reports[i].At.After(then) {
-			return s.reports[i]
-		}
-	}
-	return engine.LoadReport{At: then, Slots: s.options.Slots}
-}
-
-// report is the present load; the caller holds the lock.
-func (s *Service) report() engine.LoadReport {
-	return engine.LoadReport{At: time.Now(), Active: s.active, Queued: s.queued, Slots: s.options.Slots, Leaving: s.faults.Leaving}
-}
-
-// note remembers the present load; the caller holds the lock.
-func (s *Service) note() {
-	if len(s.reports) == maxReports {
-		s.reports = s.reports[maxReports/2:]
-	}
-	s.reports = append(s.reports, s.report())
-}
--- /dev/null
+++ b/internal/telemetry/by_outcome.go
@@ -0,0 +1,9 @@
+package telemetry
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"geraniumcroft/internal/outcome"
+)
+
+type byOutcome [outcome.Complete + 1]tally.Counter
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -1,7 +1,6 @@
 package telemetry
 
 import (
-	"io"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,15 +14,6 @@
 	sampleThereafter = 100
 )
 
-// LogOptions say what is logged, how and where to.
-type LogOptions struct {
-	// Level is debug, info, warn or error.
-	Level string
-	// Format is json or console.
-	Format string
-	Out    io.Writer
-}
-
 // Log is a logger with the writer behind it.
 type Log struct {
 	*zap.Logger
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -23,12 +23,6 @@
 	maxInvariants        = 32
 )
 
-// RecorderOptions bound the number of series.
-type RecorderOptions struct {
-	MaxWorkspaces int
-	MaxTargets    int
-}
-
 // Recorder counts and times what happens to requests. Its methods are safe for
 // concurrent use, do not block and do not allocate.
 type Recorder struct {
@@ -48,19 +42,6 @@
 	whole         byUrgency
 }
 
-// requestKey is what a request's end is counted by, besides its workspace.
-type requestKey struct {
-	outcome outcome.Outcome
-	reason  outcome.Reason
-	urgency config.Urgency
-}
-
-type byUrgency [config.UrgencyCount]tally.Histogram
-
-type byOutcome [outcome.Complete + 1]tally.Counter
-
-type byResult struct{ ok, failed tally.Counter }
-
 // NewRecorder returns a recorder whose metrics are below scope.
 func NewRecorder(scope tally.Scope, o RecorderOptions) *Recorder {
 	o.MaxWorkspaces = cmp.Or(o.MaxWorkspaces, defaultMaxWorkspaces)
--- /dev/null
+++ b/internal/telemetry/recorder_options.go
@@ -0,0 +1,7 @@
+package telemetry
+
+// RecorderOptions bound the number of series.
+type RecorderOptions struct {
+	MaxWorkspaces int
+	MaxTargets    int
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -14,45 +14,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"geraniumcroft/internal/config"
-	"geraniumcroft/internal/engine"
 )
 
 // maxConcurrent bounds the readings under way.
 const maxConcurrent = 32
 
-// Engines is what the watcher asks engines.
-type Engines interface {
-	Load(ctx context.Context, address string) (engine.LoadReport, error)
-	CacheEvents(ctx context.Context, address string, after uint64) (engine.CacheEvents, error)
-}
-
-// Services is what the watcher asks plain services.
-type Services interface {
-	Load(ctx context.Context, address string) (engine.LoadReport, error)
-}
-
-// Sink takes what was read.
-type Sink interface {
-	Report(target string, r engine.LoadReport)
-	// CacheCursor says from which event on to ask, and whether the answer is the
-	// engine's whole view, for CacheView, or a continuation, for CacheEvents.
-	CacheCursor(target string) (after uint64, whole bool)
-	CacheEvents(target string, e engine.CacheEvents)
-	CacheView(target string, e engine.CacheEvents)
-}
-
-// Options configure a Watcher.
-type Options struct {
-	Source   config.Source
-	Engines  Engines
-	Services Services
-	Sink     Sink
-	// Watched tells whether this VM sends to the target at all; nil watches all.
-	Watched func(target string) bool
-	// Interval is the time between two readings of one target.
-	Interval time.Duration
-}
-
 // Watcher reads all targets of the configuration in force.
 type Watcher struct {
 	options Options
