End a VM's duties before it hands back their leases

Cause: a stopping VM released its leases while the orders' controller still ran; fencing and the waits cover what it might still send, but a holder that has let go should not be at work. Change: duties have a context of their own, which ends and is waited for first.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,11 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
-	ready  chan struct{}
+	// duties are what this VM does under leases; they end before the leases go back.
+	duties     sync.WaitGroup
+	dutiesCtx  context.Context
+	stopDuties context.CancelFunc
+	ready      chan struct{}
 }
 
 // New builds a node and opens the listeners of peers and operators, so that
@@ -79,6 +83,7 @@
 func New(o Options) (*Node, error) {
 	n := &Node{options: o, settings: o.Settings, version: o.Version, started: time.Now(), ready: make(chan struct{})}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.dutiesCtx, n.stopDuties = context.WithCancel(n.ctx)
 	if err := n.openLog(); err != nil {
 		return nil, err
 	}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	pollInterval   = 5 * time.Second
-	dutyInterval   = 10 * time.Second
-	loadAttempt    = 2 * time.Second
-	loadPause      = 200 * time.Millisecond
-	sweepLimit     = 200
+	pollInterval = 5 * time.Second
+	dutyInterval = 10 * time.Second
+	loadAttempt  = 2 * time.Second
+	loadPause    = 200 * time.Millisecond
+	sweepLimit   = 200
 )
 
 // Start opens the callers' listener and begins all work. The node serves requests
@@ -31,9 +31,9 @@
 	n.spawn(n.becomeReady)
 	n.spawn(func() { n.watcher.Run(n.ctx) })
 	n.spawn(func() { n.leases.Run(n.ctx) })
-	n.spawn(func() { n.orders.Run(n.ctx) })
+	n.duties.Go(func() { n.orders.Run(n.dutiesCtx) })
 	n.spawn(n.pollStore)
-	n.spawn(n.doDuties)
+	n.duties.Go(n.doDuties)
 	n.spawn(func() { n.claims.Run(n.ctx) })
 	n.spawn(func() {
 		watchIsolation(n.ctx, reach{(&storeProbe{table: n.platform}).reachable, n.peers.PeerCount, n.peers.Reachable}, n.gate)
@@ -128,13 +128,13 @@
 }
 
 func (n *Node) doDuties() {
-	for n.ctx.Err() == nil {
-		pause(n.ctx, dutyInterval)
+	for n.dutiesCtx.Err() == nil {
+		pause(n.dutiesCtx, dutyInterval)
 		if lease, held := n.leases.Held(dutySweep); held && lease.Check() == nil {
 			n.sweep()
 		}
 		if lease, held := n.leases.Held(dutyCompact); held && lease.Check() == nil {
-			if err := n.store.Compact(n.ctx); err != nil {
+			if err := n.store.Compact(n.dutiesCtx); err != nil {
 				n.logger.Debug("compaction failed", zap.Error(err))
 			}
 		}
@@ -143,10 +143,10 @@
 
 func (n *Node) sweep() {
 	now := time.Now()
-	if _, err := n.claims.Sweep(n.ctx, now, sweepLimit); err != nil {
+	if _, err := n.claims.Sweep(n.dutiesCtx, now, sweepLimit); err != nil {
 		n.logger.Debug("sweep of claims failed", zap.Error(err))
 	}
-	if err := n.roster.Sweep(n.ctx, now); err != nil {
+	if err := n.roster.Sweep(n.dutiesCtx, now); err != nil {
 		n.logger.Debug("sweep of VMs' rows failed", zap.Error(err))
 	}
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -39,6 +39,8 @@
 func (n *Node) farewell() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
+	n.stopDuties()
+	n.duties.Wait()
 	n.leases.Release(ctx)
 	n.peers.Leave(ctx)
 	if err := n.roster.Unregister(ctx); err != nil {
@@ -71,6 +73,7 @@
 	n.runner.Wait()
 	n.platform.Close()
 	n.wiring.Close()
+	n.duties.Wait()
 	n.work.Wait()
 	_ = n.metrics.Close()
 }
