One sleep, one list, one reading of the admin API

Cause: a sleep that a context cuts short stood in five packages under four names; admission's list by arrival repeated waiterList with other field names; five of admincmd's verbs repeated sending a GET and judging its status.

Conclusion: behaviour unchanged.

--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -10,8 +10,8 @@
 	flows   map[string]*flow
 	waiting flowHeap
 	resumed waiterList
-	// oldest and newest are the ends of the list by arrival, without resumed ones.
-	oldest, newest *waiter
+	// arrivals lists the requests of all flows.
+	arrivals waiterList
 	// virtual is the start time of the request that started last.
 	virtual float64
 	length  int
@@ -21,7 +21,13 @@
 	meter  meter
 }
 
-func newLevel() *level { return &level{flows: map[string]*flow{}} }
+func newLevel() *level {
+	return &level{
+		flows:    map[string]*flow{},
+		resumed:  waiterList{order: byTurn},
+		arrivals: waiterList{order: byArrival},
+	}
+}
 
 func (l *level) push(w *waiter) {
 	l.length++
@@ -30,7 +36,7 @@
 		l.resumed.push(w)
 		return
 	}
-	l.pushByArrival(w)
+	l.arrivals.push(w)
 	f := l.flowOf(w.request)
 	w.flow = f
 	f.push(w)
@@ -110,7 +116,7 @@
 }
 
 func (l *level) removeFromFlow(w *waiter) {
-	l.removeByArrival(w)
+	l.arrivals.remove(w)
 	w.flow.remove(w)
 	if w.flow.length == 0 {
 		l.retire(w.flow)
@@ -135,27 +141,3 @@
 	l.cost = 0
 	l.weight = 0
 }
-
-func (l *level) pushByArrival(w *waiter) {
-	w.older, w.newer = l.newest, nil
-	if l.newest == nil {
-		l.oldest = w
-	} else {
-		l.newest.newer = w
-	}
-	l.newest = w
-}
-
-func (l *level) removeByArrival(w *waiter) {
-	if w.older == nil {
-		l.oldest = w.newer
-	} else {
-		w.older.newer = w.newer
-	}
-	if w.newer == nil {
-		l.newest = w.older
-	} else {
-		w.newer.older = w.older
-	}
-	w.older, w.newer = nil, nil
-}
--- a/internal/admission/level_dump.go
+++ b/internal/admission/level_dump.go
@@ -16,8 +16,8 @@
 	if l.length > 0 {
 		dump.Drain = l.meter.wait(now, l.cost)
 	}
-	if l.oldest != nil {
-		dump.OldestWait = now.Sub(l.oldest.queuedAt)
+	if oldest := l.arrivals.first; oldest != nil {
+		dump.OldestWait = now.Sub(oldest.queuedAt)
 	}
 	return dump
 }
--- a/internal/admission/queueing.go
+++ b/internal/admission/queueing.go
@@ -51,7 +51,7 @@
 		return nil
 	}
 	for u := config.Bulk; u < r.Urgency; u++ {
-		if victim := p.levels[u].newest; victim != nil {
+		if victim := p.levels[u].arrivals.last; victim != nil {
 			p.displace(victim, now)
 			return nil
 		}
--- a/internal/admission/review.go
+++ b/internal/admission/review.go
@@ -61,8 +61,9 @@
 }
 
 func (p *pool) hopelessIn(l *level, f *flow, class int, now time.Time, above time.Duration, found []*waiter) []*waiter {
+	waiting := &f.classes[class]
 	ahead := 0.0
-	for w := f.classes[class].first; w != nil; w = w.next {
+	for w := waiting.first; w != nil; w = waiting.after(w) {
 		wait := above + p.wait(l, min(ahead*l.weight/f.weight, l.cost), now)
 		if now.Add(wait).After(w.lastStart) {
 			found = append(found, w)
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -22,10 +22,7 @@
 	done    chan struct{}
 	failure *outcome.Failure
 
-	// links of the list that the waiter stands in (a class of a flow, or the
-	// resumed ones of a level) and of the level's list by arrival
-	prev, next   *waiter
-	older, newer *waiter
+	links [listOrders]listLinks
 }
 
 func newWaiter(r *Request, try func() bool, now time.Time, maxWait time.Duration) *waiter {
--- a/internal/admission/waiter_list.go
+++ b/internal/admission/waiter_list.go
@@ -1,30 +1,36 @@
 package admission
 
-// waiterList is a first in, first out list with removal from any place.
+// waiterList is a first in, first out list with removal from any place. A waiter
+// stands in at most one list of each order.
 type waiterList struct {
+	order       listOrder
 	first, last *waiter
 }
 
 func (l *waiterList) push(w *waiter) {
-	w.prev, w.next = l.last, nil
+	w.links[l.order] = listLinks{prev: l.last}
 	if l.last == nil {
 		l.first = w
 	} else {
-		l.last.next = w
+		l.last.links[l.order].next = w
 	}
 	l.last = w
 }
 
 func (l *waiterList) remove(w *waiter) {
-	if w.prev == nil {
-		l.first = w.next
+	links := w.links[l.order]
+	if links.prev == nil {
+		l.first = links.next
 	} else {
-		w.prev.next = w.next
+		links.prev.links[l.order].next = links.next
 	}
-	if w.next == nil {
-		l.last = w.prev
+	if links.next == nil {
+		l.last = links.prev
 	} else {
-		w.next.prev = w.prev
+		links.next.links[l.order].prev = links.prev
 	}
-	w.prev, w.next = nil, nil
+	w.links[l.order] = listLinks{}
 }
+
+// after returns the waiter behind w, nil when w is the last one.
+func (l *waiterList) after(w *waiter) *waiter { return w.links[l.order].next }
--- a/internal/cli/admincmd/change.go
+++ b/internal/cli/admincmd/change.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"geraniumcroft/internal/adminapi"
+	"geraniumcroft/internal/sleep"
 )
 
 // lookupInterval is the time between two looks for a change whose answer was lost.
@@ -68,23 +69,12 @@
 	if !state.Committed {
 		return s.lookUp(ctx, got, state.ID)
 	}
-	next, err := s.do(ctx, request{
-		method: http.MethodGet, path: changePath(state.Version), query: waitQuery(time.Until(until)),
-	})
-	switch {
-	case err != nil:
-		return got, s.failSend(err)
-	case next.status != http.StatusOK:
-		return got, s.fail(next)
-	}
-	return next, exitDone
+	return s.get(ctx, changePath(state.Version), waitQuery(time.Until(until)))
 }
 
 // lookUp returns the change's state once it is found, and got until then.
 func (s *session) lookUp(ctx context.Context, got reply, id string) (reply, subcommands.ExitStatus) {
-	select {
-	case <-time.After(lookupInterval):
-	case <-ctx.Done():
+	if !sleep.For(ctx, lookupInterval) {
 		return got, exitDone
 	}
 	next, err := s.do(ctx, request{
--- a/internal/cli/admincmd/change_verbs.go
+++ b/internal/cli/admincmd/change_verbs.go
@@ -75,15 +75,7 @@
 	if !ok {
 		return exitUsage
 	}
-	r, err := s.do(ctx, request{method: http.MethodGet, path: changePath(version), query: waitQuery(0)})
-	switch {
-	case err != nil:
-		return s.failSend(err)
-	case r.status != http.StatusOK:
-		return s.fail(r)
-	}
-	s.printJSON(r.body)
-	return exitDone
+	return s.show(ctx, changePath(version), waitQuery(0))
 }
 
 func waitForChange(ctx context.Context, s *session, args []string) subcommands.ExitStatus {
@@ -92,12 +84,9 @@
 		return exitUsage
 	}
 	until := time.Now().Add(s.wait)
-	r, err := s.do(ctx, request{method: http.MethodGet, path: changePath(version), query: waitQuery(s.wait)})
-	switch {
-	case err != nil:
-		return s.failSend(err)
-	case r.status != http.StatusOK:
-		return s.fail(r)
+	r, exit := s.get(ctx, changePath(version), waitQuery(s.wait))
+	if exit != exitDone {
+		return exit
 	}
 	return s.follow(ctx, r, until)
 }
--- a/internal/cli/admincmd/entity_verbs.go
+++ b/internal/cli/admincmd/entity_verbs.go
@@ -40,15 +40,12 @@
 }
 
 func (e entities) list(ctx context.Context, s *session, _ []string) subcommands.ExitStatus {
-	r, err := s.do(ctx, request{method: http.MethodGet, path: e.path("")})
-	switch {
-	case err != nil:
-		return s.failSend(err)
-	case r.status != http.StatusOK:
-		return s.fail(r)
-	case s.json:
-		s.printJSON(r.body)
-		return exitDone
+	if s.json {
+		return s.show(ctx, e.path(""), nil)
+	}
+	r, exit := s.get(ctx, e.path(""), nil)
+	if exit != exitDone {
+		return exit
 	}
 	if err := e.printList(s, r); err != nil {
 		s.complain("%v", err)
@@ -58,15 +55,7 @@
 }
 
 func (e entities) show(ctx context.Context, s *session, args []string) subcommands.ExitStatus {
-	r, err := s.do(ctx, request{method: http.MethodGet, path: e.path(args[0])})
-	switch {
-	case err != nil:
-		return s.failSend(err)
-	case r.status != http.StatusOK:
-		return s.fail(r)
-	}
-	s.printJSON(r.body)
-	return exitDone
+	return s.show(ctx, e.path(args[0]), nil)
 }
 
 func (e entities) remove(ctx context.Context, s *session, args []string) subcommands.ExitStatus {
@@ -84,12 +73,9 @@
 	if s.revision > 0 {
 		return s.revision, exitDone
 	}
-	r, err := s.do(ctx, request{method: http.MethodGet, path: e.path(name)})
-	switch {
-	case err != nil:
-		return 0, s.failSend(err)
-	case r.status != http.StatusOK:
-		return 0, s.fail(r)
+	r, exit := s.get(ctx, e.path(name), nil)
+	if exit != exitDone {
+		return 0, exit
 	}
 	var present struct{ Revision uint64 }
 	if err := r.decode(&present); err != nil {
--- a/internal/cli/admincmd/vm_verbs.go
+++ b/internal/cli/admincmd/vm_verbs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 
 	"github.com/google/subcommands"
 )
@@ -16,12 +15,9 @@
 }
 
 func listVMs(ctx context.Context, s *session, _ []string) subcommands.ExitStatus {
-	r, err := s.do(ctx, request{method: http.MethodGet, path: "/vms"})
-	switch {
-	case err != nil:
-		return s.failSend(err)
-	case r.status != http.StatusOK:
-		return s.fail(r)
+	r, exit := s.get(ctx, "/vms", nil)
+	if exit != exitDone {
+		return exit
 	}
 	var vms []vmRow
 	if s.json || r.decode(&vms) != nil {
@@ -39,13 +35,5 @@
 }
 
 func showLeases(ctx context.Context, s *session, _ []string) subcommands.ExitStatus {
-	r, err := s.do(ctx, request{method: http.MethodGet, path: "/leases"})
-	switch {
-	case err != nil:
-		return s.failSend(err)
-	case r.status != http.StatusOK:
-		return s.fail(r)
-	}
-	s.printJSON(r.body)
-	return exitDone
+	return s.show(ctx, "/leases", nil)
 }
--- a/internal/generation/replace.go
+++ b/internal/generation/replace.go
@@ -9,6 +9,7 @@
 	"geraniumcroft/internal/balance"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/plan"
+	"geraniumcroft/internal/sleep"
 )
 
 // replace asks for a placement. When the exclusions leave no target for some
@@ -58,12 +59,7 @@
 }
 
 func (r *run) wait() {
-	timer := time.NewTimer(r.pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.ctx.Done():
-	}
+	sleep.For(r.ctx, r.pause)
 	r.pause = min(2*r.pause, r.runner.settings.MaxRetryPause)
 }
 
--- a/internal/platform/resilient/circuit.go
+++ b/internal/platform/resilient/circuit.go
@@ -9,6 +9,7 @@
 	"github.com/sony/gobreaker/v2"
 
 	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/sleep"
 )
 
 // errDown is the cause of operations refused without asking the service.
@@ -107,7 +108,7 @@
 }
 
 func (c *circuit) probeUntilHealthy() {
-	for sleep(c.stopCtx, c.interval) {
+	for sleep.For(c.stopCtx, c.interval) {
 		if c.probeOnce() {
 			return
 		}
--- a/internal/platform/resilient/commit.go
+++ b/internal/platform/resilient/commit.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/sleep"
 )
 
 // Commit implements platform.Table. The transaction needs a condition on the row
@@ -68,7 +69,7 @@
 			}
 		}
 		lost.Cause = err
-		if !sleep(ctx, pause.NextBackOff()) {
+		if !sleep.For(ctx, pause.NextBackOff()) {
 			break
 		}
 	}
--- a/internal/standin/platformsim/handlers.go
+++ b/internal/standin/platformsim/handlers.go
@@ -9,6 +9,7 @@
 
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/httpplatform"
+	"geraniumcroft/internal/sleep"
 )
 
 func (s *Server) faultsHTTP(w http.ResponseWriter, r *http.Request) {
@@ -46,7 +47,7 @@
 		hang(r)
 	default:
 		err := s.apply(txn)
-		wait(r.Context(), action.Wait)
+		sleep.For(r.Context(), action.Wait)
 		answerCommit(w, err)
 	}
 }
@@ -117,6 +118,6 @@
 		hang(r)
 		return false
 	default:
-		return wait(r.Context(), action.Wait)
+		return sleep.For(r.Context(), action.Wait)
 	}
 }
--- a/internal/standin/platformsim/in_process.go
+++ b/internal/standin/platformsim/in_process.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/sleep"
 )
 
 var (
@@ -38,7 +39,7 @@
 		return ambiguous(ctx, txn)
 	default:
 		err := s.apply(txn)
-		if !wait(ctx, action.Wait) {
+		if !sleep.For(ctx, action.Wait) {
 			return ambiguous(ctx, txn)
 		}
 		return err
@@ -99,27 +100,13 @@
 		<-ctx.Done()
 		return unavailable(ctx, op)
 	default:
-		if !wait(ctx, action.Wait) {
+		if !sleep.For(ctx, action.Wait) {
 			return unavailable(ctx, op)
 		}
 		return nil
 	}
 }
 
-func wait(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func ambiguous(ctx context.Context, txn platform.Txn) error {
 	return &platform.AmbiguousError{TxnID: txn.ID, Cause: ctx.Err()}
 }
--- a/internal/standin/platformsim/respond.go
+++ b/internal/standin/platformsim/respond.go
@@ -4,18 +4,13 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
 	"geraniumcroft/internal/platform/httpplatform"
+	"geraniumcroft/internal/sleep"
 )
 
 func hang(r *http.Request) {
-	timer := time.NewTimer(maxHang)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.Context().Done():
-	}
+	sleep.For(r.Context(), maxHang)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/sleep"
 )
 
 // maxConcurrent bounds the readings under way.
@@ -58,7 +59,7 @@
 			w.read(ctx, target)
 			return nil
 		})
-		if !pause(ctx, pace) {
+		if !sleep.For(ctx, pace) {
 			break
 		}
 	}
@@ -102,14 +103,3 @@
 	}
 	w.options.Sink.CacheEvents(target.Name, events)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
