Measure both users' sizes of today, and all beside the baseline

The experiment sizes runs 40 replicas of a model and 3 of a plain service in 3 data centres behind 6 VMs: first with replicas dying all the time, then with more drafts than slots. The experiment baseline puts urgent and recovery into one report.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -23,7 +23,9 @@
 		{"saturation", "tokens a second of a full mixed graph against its max-flow bound", saturation},
 		{"recovery", "stages and instances that die or fall silent in the middle of work, and lost answers", recovery},
 		{"change", "changes and drains until they are in force on 6 VMs, past outages and silence", change},
+		{"baseline", "urgent and recovery in one report, each beside the baseline", besideBaseline},
 		{"takeover", "the duties of a VM that is killed, or stopped in order", takeover},
+		{"sizes", "the two users of today: 40 + 3 replicas, 6 VMs; deaths under load, and every slot wanted", sizes},
 	}
 }
 
