Confirm what is in force, and stay shut when cut off from everyone for long

Cause: (1) a VM confirmed a version once its store had it, a moment before its balancer and plans acted by it, so "accepted" could come before the last VM kept new work from a drained target. (2) A VM that was cut off so long that it held all peers dead counted no peers, took itself for a fleet of one and served again. Both found by reading across packages after the peers' author pointed at them. Change: peers are told InForceVersion; the gate asks whether there may be another VM, which remembered dead ones are.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -50,9 +50,10 @@
 	n.balancer = balance.New(balance.Settings{
 		UrgentShare: s.Admission.UrgentHeadroom, EjectAfter: s.Targets.EjectionFailures,
 		EjectFor: s.Targets.EjectionTime, MaxEjectedShare: s.Targets.EjectionMaxShare,
+		OnResult: n.countResult,
 	}, n.invariants)
 	n.plans = router.NewPlanCache(s.VM.Name, n.balancer, n.logger)
-	n.runner = generation.New(n.wiring.Engines, n.options.Generation, n.invariants)
+	n.runner = generation.New(n.wiring.Engines, n.generationSettings(), n.invariants)
 	n.claims = claim.New(n.platform, s.VM.Name, claim.Settings{LongestDeadline: config.MaxDeadline}, n.invariants)
 	n.gate = &router.Gate{}
 	n.router = router.New(router.Options{
@@ -64,6 +65,23 @@
 	})
 }
 
+func (n *Node) generationSettings() generation.Settings {
+	s := n.options.Generation
+	s.OnStaleEvent = n.recorder.StaleEvent
+	return s
+}
+
+// countResult counts what says something about the target: neither a caller that
+// went away nor a target without a free slot does.
+func (n *Node) countResult(target string, r balance.Result) {
+	switch r {
+	case balance.ResultOK:
+		n.recorder.TargetResult(target, true)
+	case balance.ResultFailed, balance.ResultSlow:
+		n.recorder.TargetResult(target, false)
+	}
+}
+
 func (n *Node) limits() router.Limits {
 	limits := router.DefaultLimits()
 	limits.MaxBodyBytes = n.settings.Callers.MaxBodyBytes
--- a/internal/node/isolation.go
+++ b/internal/node/isolation.go
@@ -25,12 +25,12 @@
 // reach is what a VM must reach one of to know the configuration in force.
 type reach struct {
 	storeReachable func() bool
-	peerCount      func() int
+	hasPeers       func() bool
 	peerReachable  func() bool
 }
 
 func (r reach) cutOff() bool {
-	return r.peerCount() > 0 && !r.peerReachable() && !r.storeReachable()
+	return r.hasPeers() && !r.peerReachable() && !r.storeReachable()
 }
 
 // storeProbe asks the table whether it answers. It is asked only while no peer
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -18,13 +18,13 @@
 	rows := []struct {
 		shows          string
 		store, peers   bool
-		peerCount      int
+		hasPeers       bool
 		refusedByBound bool
 	}{
-		{"the store alone is enough", true, false, 5, false},
-		{"peers alone are enough, however long the store is out", false, true, 5, false},
-		{"neither: refuse", false, false, 5, true},
-		{"a fleet of one has nobody who could change anything", false, false, 0, false},
+		{"the store alone is enough", true, false, true, false},
+		{"peers alone are enough, however long the store is out", false, true, true, false},
+		{"neither: refuse", false, false, true, true},
+		{"a fleet of one has nobody who could change anything", false, false, false, false},
 	}
 	for _, row := range rows {
 		t.Run(row.shows, func(t *testing.T) {
@@ -36,7 +36,7 @@
 				gate.SetLoaded()
 				go watchIsolation(ctx, reach{
 					storeReachable: func() bool { return row.store || back.Load() },
-					peerCount:      func() int { return row.peerCount },
+					hasPeers:       func() bool { return row.hasPeers },
 					peerReachable:  func() bool { return row.peers },
 				}, gate)
 				time.Sleep(isolationCheck)
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -36,7 +36,7 @@
 	n.duties.Go(n.doDuties)
 	n.spawn(func() { n.claims.Run(n.ctx) })
 	n.spawn(func() {
-		watchIsolation(n.ctx, reach{(&storeProbe{table: n.platform}).reachable, n.peers.PeerCount, n.peers.Reachable}, n.gate)
+		watchIsolation(n.ctx, reach{(&storeProbe{table: n.platform}).reachable, n.peers.HasPeers, n.peers.Reachable}, n.gate)
 	})
 	n.logger.Info("started", zap.String("callers", n.callersAddr), zap.String("admin", n.AdminAddress()), zap.String("peers", n.PeerAddress()))
 	return nil
--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -18,7 +18,7 @@
 func (n *Node) seal(to string, limit int) *peerpb.Envelope {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.table.SetVersion(n.options.Store.Current().Version)
+	n.table.SetVersion(n.options.Store.InForceVersion())
 	return envelopeOf(n.table.Self(), n.table.Gossip(to, limit))
 }
 
@@ -26,7 +26,7 @@
 func (n *Node) sealForJoiner() *peerpb.Envelope {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.table.SetVersion(n.options.Store.Current().Version)
+	n.table.SetVersion(n.options.Store.InForceVersion())
 	return envelopeOf(n.table.Self(), n.table.Everyone())
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -98,7 +98,7 @@
 func (n *Node) Members() []membership.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.table.SetVersion(n.options.Store.Current().Version)
+	n.table.SetVersion(n.options.Store.InForceVersion())
 	return n.table.Members()
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -15,6 +15,10 @@
 type ConfigStore interface {
 	// Current returns what is in force on this VM. Its version never falls.
 	Current() *config.Snapshot
+	// InForceVersion is the newest version that this VM's parts all act by. It may
+	// be behind Current for a moment; only it may be confirmed to peers, or an
+	// operator is told that a drain is in force where the balancer has yet to see it.
+	InForceVersion() uint64
 	// ApplyChanges applies the changes that follow the current version, skips those
 	// that are applied already, and returns the version that is then in force.
 	ApplyChanges(changes []config.Change) (uint64, error)
--- a/internal/peer/spreading_test.go
+++ b/internal/peer/spreading_test.go
@@ -49,6 +49,30 @@
 	})
 }
 
+// An operator drains a target. One VM has taken the change in, but its balancer
+// has yet to act by it. The operator is told that this VM is missing until it does:
+// a confirmation of what was merely received would let the target get new work
+// after "accepted".
+func TestReceivedIsNotInForce(t *testing.T) {
+	run(t, 3, Settings{}, func(t *testing.T, f *fleet) {
+		first := f.vm(0).change("a")
+		f.within(smallBound, "in force on all", f.allAt(first))
+		slow := f.vm(1).store.(*memoryStore)
+		slow.hold(first)
+		second := f.vm(0).change("b")
+		f.within(smallBound, "received by all", f.allAt(second))
+		time.Sleep(settleTime)
+		if _, missing := f.vm(0).node.InForce(second); !slices.Equal(missing, []string{vmName(1)}) {
+			t.Errorf("missing %v", missing)
+		}
+		slow.hold(0)
+		f.within(settleTime, "the origin knows", func() bool {
+			_, missing := f.vm(0).node.InForce(second)
+			return len(missing) == 0
+		})
+	})
+}
+
 // An operator asks any VM of a large fleet who has a change in force. The change
 // is passed on by pushes and anti-entropy, and each VM's version by gossip, so
 // that VM knows it of all without asking each.
--- a/internal/peer/store_test.go
+++ b/internal/peer/store_test.go
@@ -14,6 +14,8 @@
 	mu      sync.Mutex
 	current *config.Snapshot
 	changes []config.Change
+	// held, when above 0, is the newest version that this VM's parts act by.
+	held uint64
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{current: config.NewSnapshot()} }
@@ -24,6 +26,21 @@
 	return s.current
 }
 
+func (s *memoryStore) InForceVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held > 0 {
+		return min(s.held, s.current.Version)
+	}
+	return s.current.Version
+}
+
+func (s *memoryStore) hold(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = version
+}
+
 func (s *memoryStore) ApplyChanges(changes []config.Change) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
