--- a/internal/api/generation_test.go
+++ b/internal/api/generation_test.go
@@ -70,7 +70,7 @@
 			So(got.MaxTokens, ShouldEqual, 7)
 			So(got.IdempotencyKey, ShouldEqual, "k-1")
 			So(got.Deadline, ShouldEqual, 1500*time.Millisecond)
-			So(got.BearerKey, ShouldEqual, "secret")
+			So(got.BearerKey.Reveal(), ShouldEqual, "secret")
 		})
 
 		Convey("the caller gets the whole answer, its usage and its outcome", func() {
--- a/internal/api/head.go
+++ b/internal/api/head.go
@@ -6,6 +6,7 @@
 
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/router"
+	"geraniumcroft/internal/secret"
 )
 
 const (
@@ -50,9 +51,11 @@
 	if id.Deadline, problem = parseDeadline(x.r.Header[HeaderDeadline]); problem != "" {
 		return id, badRequest(problem)
 	}
-	if id.BearerKey, problem = parseBearer(x.r.Header["Authorization"]); problem != "" {
+	bearer, problem := parseBearer(x.r.Header["Authorization"])
+	if problem != "" {
 		return id, badRequest(problem)
 	}
+	id.BearerKey = secret.New(bearer)
 	return id, nil
 }
 
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -202,6 +202,24 @@
 	})
 }
 
+// The operator's counters of a target follow from what was told of each slot, once.
+func TestResultsAreToldOnce(t *testing.T) {
+	var told []string
+	settings := Settings{OnResult: func(target string, r Result) { told = append(told, fmt.Sprint(target, " ", r)) }}
+	b := newBalancer(settings, services(1, 4))
+	for _, r := range []Result{ResultOK, ResultFailed, ResultNeutral} {
+		s, err := b.Reserve("t000", config.Urgent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Release(r)
+		s.Release(ResultFailed)
+	}
+	if want := []string{"t000 1", "t000 2", "t000 0"}; !slices.Equal(told, want) {
+		t.Errorf("told %v, want %v", told, want)
+	}
+}
+
 // One instance of a service answers everything, but ten times as late as the
 // others. It is ejected as one that fails is.
 func TestSlowTargetIsEjected(t *testing.T) {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -134,5 +134,8 @@
 	}
 	t.sent.add(now, -1)
 	t.settle(r, started, now)
+	if b.settings.OnResult != nil {
+		b.settings.OnResult(t.name, r)
+	}
 	b.freed(t)
 }
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -68,6 +68,9 @@
 	PrefixTrustDecay time.Duration
 	// RemotePenalty is added to the score of a target in another data centre.
 	RemotePenalty float64
+	// OnResult, when not nil, is told how each slot's work went, outside of all
+	// locks; it must not block.
+	OnResult func(target string, r Result)
 
 	// random is rand.IntN but in tests.
 	random func(n int) int
--- a/internal/generation/consume.go
+++ b/internal/generation/consume.go
@@ -40,7 +40,7 @@
 		return r.protocolFault(e, errWrongRequest)
 	}
 	if event.Epoch < e.number && !r.runner.acceptOldEpochs {
-		r.runner.counters.staleEvents.Add(1)
+		r.dropStale()
 		return false, false
 	}
 	if event.Epoch > e.number {
@@ -98,6 +98,13 @@
 	return false
 }
 
+func (r *run) dropStale() {
+	r.runner.counters.staleEvents.Add(1)
+	if r.runner.settings.OnStaleEvent != nil {
+		r.runner.settings.OnStaleEvent()
+	}
+}
+
 // takeDone accepts the end of the answer. An answer that ends for its length
 // before it has that length was cut off, and the rest is still owed.
 func (r *run) takeDone(e *epoch, event engine.Event) (over, whole bool) {
--- a/internal/generation/failure_test.go
+++ b/internal/generation/failure_test.go
@@ -226,9 +226,11 @@
 				}
 				return
 			}
+			told := 0
+			r.runner.settings.OnStaleEvent = func() { told++ }
 			runWhole(t, r, job, sink)
-			if stats := r.runner.Stats(); stats.StaleEvents != 3 || stats.Duplicates == 0 {
-				t.Errorf("%+v", stats)
+			if stats := r.runner.Stats(); stats.StaleEvents != 3 || told != 3 || stats.Duplicates == 0 {
+				t.Errorf("%+v, told of %d stale events", stats, told)
 			}
 		})
 	}
--- a/internal/generation/settings.go
+++ b/internal/generation/settings.go
@@ -47,6 +47,9 @@
 	// OnRecovered, when not nil, is told how long each recovery took, from the moment
 	// that a stage failed to the next token.
 	OnRecovered func(took time.Duration)
+	// OnStaleEvent, when not nil, is told of each event of an older epoch that was
+	// dropped; it must not block.
+	OnStaleEvent func()
 }
 
 // WithDefaults returns s with its zero fields filled in.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,8 +71,8 @@
 }
 
 func (r *Router) checkCaller(id Identity, profile *config.Profile, workspace *config.Workspace) *outcome.Failure {
-	if workspace != nil && len(workspace.KeyDigests) > 0 && !r.Authorize(id.BearerKey, workspace.KeyDigests) {
-		if id.BearerKey == "" {
+	if workspace != nil && len(workspace.KeyDigests) > 0 && !r.Authorize(id.BearerKey.Reveal(), workspace.KeyDigests) {
+		if id.BearerKey.IsZero() {
 			return outcome.Refuse(outcome.ReasonUnauthorized, "the profile's workspace asks for a bearer key")
 		}
 		return outcome.Refuse(outcome.ReasonForbidden, "the key is not one of the profile's workspace")
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"geraniumcroft/internal/secret"
+)
 
 // Identity is what every request carries besides its body.
 type Identity struct {
@@ -8,8 +12,8 @@
 	RequestID string
 	// Profile is the name that the caller gave.
 	Profile string
-	// BearerKey is the caller's key, empty when none was sent. It is never logged.
-	BearerKey string
+	// BearerKey is the caller's key, zero when none was sent.
+	BearerKey secret.Value
 	// IdempotencyKey is the caller's, empty when none was sent. It is never logged.
 	IdempotencyKey string
 	// Deadline is the caller's own bound from arrival; 0 leaves the profile's.
--- a/internal/telemetry/doc.go
+++ b/internal/telemetry/doc.go
@@ -7,6 +7,6 @@
 // before; names that callers and operators choose are kept to a bounded number,
 // the rest counts as "other".
 //
-// Nothing secret is logged: keys and tokens travel as Secret, which has no printed
-// form.
+// Nothing secret is logged: a line on a request is made from a RequestEnd, which has
+// no key, token or body, and callers' keys travel as secret.Value.
 package telemetry
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/secret"
 )
 
 func newTestLog(t *testing.T, out io.Writer) *Log {
@@ -25,23 +26,23 @@
 
 func TestSecretIsNeverPrinted(t *testing.T) {
 	const plain = "tok-4711"
-	secret := NewSecret(plain)
+	key := secret.New(plain)
 	var out bytes.Buffer
 	log := newTestLog(t, &out)
-	log.Info("m", zap.Any("a", secret), zap.Reflect("b", struct{ S Secret }{secret}), zap.Stringer("c", secret), zap.Any("d", map[Secret]Secret{secret: secret}))
+	log.Info("m", zap.Any("a", key), zap.Reflect("b", struct{ S secret.Value }{key}), zap.Stringer("c", key), zap.Any("d", map[secret.Value]secret.Value{key: key}))
 	log.Close()
-	encoded, err := json.Marshal(map[Secret]any{secret: []Secret{secret}})
+	encoded, err := json.Marshal(map[secret.Value]any{key: []secret.Value{key}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	printed := out.String() + string(encoded) + fmt.Sprintf("%v %s %q %x %d %#v %+v", secret, secret, secret, secret, secret, secret, struct{ S Secret }{secret})
+	printed := out.String() + string(encoded) + fmt.Sprintf("%v %s %q %x %d %#v %+v", key, key, key, key, key, key, struct{ S secret.Value }{key})
 	if strings.Contains(printed, plain) || strings.Contains(printed, fmt.Sprintf("%x", plain)) {
 		t.Errorf("the secret is in %s", printed)
 	}
-	if strings.Count(printed, redacted) < 10 {
+	if strings.Count(printed, key.String()) < 10 {
 		t.Errorf("too few marks in %s", printed)
 	}
-	if secret.Reveal() != plain {
+	if key.Reveal() != plain {
 		t.Error("Reveal lost the secret")
 	}
 }
