--- a/internal/api/doc.go
+++ b/internal/api/doc.go
@@ -4,7 +4,7 @@
 // Plain services are called below /v1/profiles. Every answer carries the
 // request's id and how it ended.
 //
-// A caller on a live line must never have to guess. A refusal is a 4xx or 5xx
+// A caller must never have to guess whether its request ran. A refusal is a 4xx or 5xx
 // with a problem body that says whether the request ran. A stream's status is
 // held back until its first token, so that a refusal before it has a status of
 // its own; when the first token is slow, the stream opens after a bound and
--- a/internal/config/target.go
+++ b/internal/config/target.go
@@ -1,6 +1,7 @@
 package config
 
-// Target is one back end: a model engine or an instance of a plain service.
+// Target is where requests are sent: a model engine or an instance of a plain
+// service.
 type Target struct {
 	Name string `json:"name"`
 	// Address is IP:port; names are not resolved.
--- a/internal/config/workspace.go
+++ b/internal/config/workspace.go
@@ -1,6 +1,6 @@
 package config
 
-// Workspace is one customer's share of the system.
+// Workspace owns profiles; its share of the VMs and its limits bound what they use.
 type Workspace struct {
 	// Name identifies the workspace.
 	Name string `json:"name"`
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -133,7 +133,7 @@
 		run   func(context.Context) error
 	}{
 		{"a draft over two stages", d.draft},
-		{"a lockout confirmation, which may not be repeated", d.confirmation},
+		{"a lockout confirmation, which is not idempotent", d.confirmation},
 		{"urgent work while drafts fill the engines", d.urgentUnderLoad},
 		{"a stage dies in the middle of a draft", d.stageDies},
 		{"the service dies after it has run a confirmation", d.answerLost},
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -9,7 +9,7 @@
 	// ConnectTimeout bounds the wait for a connection.
 	ConnectTimeout time.Duration
 	// AttemptTimeout bounds one attempt of an idempotent call, so that a silent
-	// target leaves time for another; a call that may not be repeated is bounded by
+	// target leaves time for another; a call that is not idempotent is bounded by
 	// its deadline alone, as giving up earlier gains it nothing.
 	AttemptTimeout time.Duration
 	// HedgeAfter is how long an urgent idempotent call waits for its first attempt
--- a/internal/generation/doc.go
+++ b/internal/generation/doc.go
@@ -12,8 +12,8 @@
 // from KV cache that they kept or import, or by replaying prompt and tokens.
 // Whatever an older epoch still sends is dropped and counted.
 //
-// A stream that goes silent says nothing about its engine: something between the
-// two ends may have forgotten the connection. The first time, the run opens the
+// A stream that goes silent says nothing about its engine: a firewall on the
+// way may have dropped its state of the connection. The first time, the run opens the
 // same stages again on new connections; only an engine that fails again is
 // excluded. When all holders of some layers are excluded, the exclusions are
 // lifted after a pause, for a target that failed once may have come back.
--- a/internal/plan/fixture_test.go
+++ b/internal/plan/fixture_test.go
@@ -38,23 +38,23 @@
 	for i := range targets {
 		kind := kinds[i%len(kinds)]
 		layers := kind.ranges[(i/len(kinds))%len(kind.ranges)]
-		zone := random.IntN(dataCentres)
-		target := engineTarget(fmt.Sprintf("t%03d", i), fmt.Sprintf("dc%d", zone), layers.From, layers.To, kind.rate)
+		centre := random.IntN(dataCentres)
+		target := engineTarget(fmt.Sprintf("t%03d", i), fmt.Sprintf("dc%d", centre), layers.From, layers.To, kind.rate)
 		target.Accelerator = kind.name
-		target.Links = mixedLinks(zone, dataCentres)
+		target.Links = mixedLinks(centre, dataCentres)
 		in.Targets = append(in.Targets, target)
 	}
 	return in
 }
 
 // mixedLinks are 100, 10 or 1 MB/s, and 0.25 to 25 ms, by the pair of data centres.
-func mixedLinks(zone, dataCentres int) []config.Link {
+func mixedLinks(centre, dataCentres int) []config.Link {
 	var links []config.Link
 	for to := range dataCentres {
-		if to == zone {
+		if to == centre {
 			continue
 		}
-		scale := []float64{1, 10, 100}[(zone+to)%3]
+		scale := []float64{1, 10, 100}[(centre+to)%3]
 		latency := config.Duration(time.Duration(250*scale) * time.Microsecond)
 		links = append(links, config.Link{To: fmt.Sprintf("dc%d", to), Latency: latency, BytesPerSecond: 100e6 / scale})
 	}
@@ -64,33 +64,33 @@
 // drawInput draws a small graph in which each layer has at least one engine.
 func drawInput(t *rapid.T, layers, targets int) Input {
 	in := Input{Model: &config.Model{Name: "m", Layers: layers, ActivationBytes: 1000}, Version: "1"}
-	zones := rapid.IntRange(1, 3).Draw(t, "zones")
+	centres := rapid.IntRange(1, 3).Draw(t, "centres")
 	for i := range targets {
 		from := rapid.IntRange(0, layers-1).Draw(t, "from")
 		to := rapid.IntRange(from+1, layers).Draw(t, "to")
-		in.Targets = append(in.Targets, drawTarget(t, i, from, to, zones))
+		in.Targets = append(in.Targets, drawTarget(t, i, from, to, centres))
 	}
 	next := 0
 	for next < layers {
 		to := rapid.IntRange(next+1, layers).Draw(t, "cover")
-		in.Targets = append(in.Targets, drawTarget(t, len(in.Targets), next, to, zones))
+		in.Targets = append(in.Targets, drawTarget(t, len(in.Targets), next, to, centres))
 		next = to
 	}
-	drawLinks(t, in, zones)
+	drawLinks(t, in, centres)
 	return in
 }
 
-func drawTarget(t *rapid.T, index, from, to, zones int) *config.Target {
+func drawTarget(t *rapid.T, index, from, to, centres int) *config.Target {
 	rate := float64(rapid.SampledFrom([]int{100, 300, 1000}).Draw(t, "rate"))
-	zone := rapid.IntRange(0, zones-1).Draw(t, "zone")
-	return engineTarget(fmt.Sprintf("t%02d", index), fmt.Sprintf("dc%d", zone), from, to, rate)
+	centre := rapid.IntRange(0, centres-1).Draw(t, "centre")
+	return engineTarget(fmt.Sprintf("t%02d", index), fmt.Sprintf("dc%d", centre), from, to, rate)
 }
 
-func drawLinks(t *rapid.T, in Input, zones int) {
+func drawLinks(t *rapid.T, in Input, centres int) {
 	for _, target := range in.Targets {
 		if rapid.Bool().Draw(t, "toDataCentre") {
-			zone := rapid.IntRange(0, zones-1).Draw(t, "linkZone")
-			target.Links = append(target.Links, drawLink(t, fmt.Sprintf("dc%d", zone)))
+			centre := rapid.IntRange(0, centres-1).Draw(t, "linkCentre")
+			target.Links = append(target.Links, drawLink(t, fmt.Sprintf("dc%d", centre)))
 		}
 		if rapid.IntRange(0, 3).Draw(t, "toTarget") == 0 {
 			to := rapid.SampledFrom(in.Targets).Draw(t, "linkTarget")
--- a/internal/plan/graph.go
+++ b/internal/plan/graph.go
@@ -30,7 +30,7 @@
 	version string
 	adapter string
 	cuts    []int
-	zones   map[string]int
+	centres map[string]int
 	groups  []*group
 	// groupOf gives a target's index in groups.
 	groupOf map[string]int
@@ -45,11 +45,11 @@
 
 func newGraph(in Input) (*graph, error) {
 	targets := in.eligible()
-	g := &graph{model: in.Model, version: in.Version, adapter: in.Adapter, zones: map[string]int{}, groupOf: map[string]int{}}
+	g := &graph{model: in.Model, version: in.Version, adapter: in.Adapter, centres: map[string]int{}, groupOf: map[string]int{}}
 	g.cuts = cutsOf(in.Model.Layers, targets)
 	for _, target := range targets {
-		if _, ok := g.zones[target.DataCentre]; !ok {
-			g.zones[target.DataCentre] = len(g.zones)
+		if _, ok := g.centres[target.DataCentre]; !ok {
+			g.centres[target.DataCentre] = len(g.centres)
 		}
 	}
 	g.addGroups(targets)
@@ -88,7 +88,7 @@
 func (g *graph) newGroup(target *config.Target, named bool) *group {
 	from, _ := slices.BinarySearch(g.cuts, target.Layers.From)
 	to, _ := slices.BinarySearch(g.cuts, target.Layers.To)
-	return &group{from: from, to: to, rate: rateOf(target), zone: g.zones[target.DataCentre], named: named}
+	return &group{from: from, to: to, rate: rateOf(target), centre: g.centres[target.DataCentre], named: named}
 }
 
 func namedTargets(targets []*config.Target) map[string]bool {
@@ -123,13 +123,13 @@
 }
 
 func (g *graph) addDefaultEdges(grp *group) {
-	grp.toZone = make([]edge, len(g.zones))
-	for zone := range grp.toZone {
+	grp.toCentre = make([]edge, len(g.centres))
+	for centre := range grp.toCentre {
 		latency := remoteLatency
-		if zone == grp.zone {
+		if centre == grp.centre {
 			latency = localLatency
 		}
-		grp.toZone[zone] = edge{latency: latency.Seconds(), capacity: math.Inf(1)}
+		grp.toCentre[centre] = edge{latency: latency.Seconds(), capacity: math.Inf(1)}
 	}
 }
 
@@ -142,8 +142,8 @@
 		grp.toGroup[index] = found
 		return
 	}
-	if zone, ok := g.zones[link.To]; ok {
-		grp.toZone[zone] = found
+	if centre, ok := g.centres[link.To]; ok {
+		grp.toCentre[centre] = found
 	}
 }
 
--- a/internal/plan/group.go
+++ b/internal/plan/group.go
@@ -9,10 +9,11 @@
 	// from and to index the graph's cuts.
 	from, to int
 	rate     float64
-	zone     int
+	// centre is the index of the data centre.
+	centre int
 	// named says that links name the group's only member.
 	named bool
-	// toZone is indexed by zone; toGroup holds links to named targets.
-	toZone  []edge
-	toGroup map[int]edge
+	// toCentre is indexed by data centre; toGroup holds links to named targets.
+	toCentre []edge
+	toGroup  map[int]edge
 }
--- a/internal/plan/prices.go
+++ b/internal/plan/prices.go
@@ -5,7 +5,7 @@
 type prices struct {
 	layer []float64
 	// hop returns the cost of going from a group to a data centre.
-	hop func(from, zone int) float64
+	hop func(from, centre int) float64
 	// namedHop returns the cost of going to a group that links name.
 	namedHop func(from, to int) float64
 }
@@ -23,7 +23,7 @@
 	}
 	return prices{
 		layer:    layer,
-		hop:      func(from, zone int) float64 { return g.groups[from].toZone[zone].latency + hopOverhead },
+		hop:      func(from, centre int) float64 { return g.groups[from].toCentre[centre].latency + hopOverhead },
 		namedHop: func(from, to int) float64 { return g.groups[from].toGroup[to].latency + hopOverhead },
 	}
 }
@@ -39,7 +39,7 @@
 	}
 	return prices{
 		layer:    price[:len(g.groups)],
-		hop:      func(from, zone int) float64 { return of(r.zoneRow[from][zone]) },
+		hop:      func(from, centre int) float64 { return of(r.centreRow[from][centre]) },
 		namedHop: func(from, to int) float64 { return of(r.namedRow[[2]int{from, to}]) },
 	}
 }
--- a/internal/plan/rows.go
+++ b/internal/plan/rows.go
@@ -11,10 +11,10 @@
 // the same groups number them alike, whatever members the groups have.
 type rows struct {
 	list []row
-	// zoneRow is indexed by group and zone, namedRow by the groups of a link that
+	// centreRow is indexed by group and centre, namedRow by the groups of a link that
 	// names a target.
-	zoneRow  [][]int
-	namedRow map[[2]int]int
+	centreRow [][]int
+	namedRow  map[[2]int]int
 }
 
 func (g *graph) newRows() *rows {
@@ -23,11 +23,11 @@
 		r.list = append(r.list, row{capacity: grp.capacity()})
 	}
 	for index, grp := range g.groups {
-		zones := make([]int, len(grp.toZone))
-		for zone, way := range grp.toZone {
-			zones[zone] = r.addLink(grp, way)
+		centres := make([]int, len(grp.toCentre))
+		for centre, way := range grp.toCentre {
+			centres[centre] = r.addLink(grp, way)
 		}
-		r.zoneRow = append(r.zoneRow, zones)
+		r.centreRow = append(r.centreRow, centres)
 		for _, to := range slices.Sorted(maps.Keys(grp.toGroup)) {
 			r.namedRow[[2]int{index, to}] = r.addLink(grp, grp.toGroup[to])
 		}
@@ -50,7 +50,7 @@
 	if _, ok := g.groups[from].toGroup[to]; ok {
 		return r.namedRow[[2]int{from, to}]
 	}
-	return r.zoneRow[from][g.groups[to].zone]
+	return r.centreRow[from][g.groups[to].centre]
 }
 
 // capacity is the group's rate in layers times tokens a second.
--- a/internal/plan/search.go
+++ b/internal/plan/search.go
@@ -12,18 +12,18 @@
 	// the group last; origin[cut][group] is the group before, itself when it went on.
 	cost, next []float64
 	origin     [][]int
-	byZone     []float64
-	zoneFrom   []int
+	byCentre   []float64
+	centreFrom []int
 }
 
 func newSearch(g *graph) *search {
 	s := &search{
-		g:        g,
-		cost:     make([]float64, len(g.groups)),
-		next:     make([]float64, len(g.groups)),
-		origin:   make([][]int, len(g.cuts)),
-		byZone:   make([]float64, len(g.zones)),
-		zoneFrom: make([]int, len(g.zones)),
+		g:          g,
+		cost:       make([]float64, len(g.groups)),
+		next:       make([]float64, len(g.groups)),
+		origin:     make([][]int, len(g.cuts)),
+		byCentre:   make([]float64, len(g.centres)),
+		centreFrom: make([]int, len(g.centres)),
 	}
 	flat := make([]int, len(g.cuts)*len(g.groups))
 	for cut := range s.origin {
@@ -61,7 +61,7 @@
 }
 
 func (s *search) step(cut int, p prices, allowed []bool) {
-	s.relaxZones(p)
+	s.relaxCentres(p)
 	for index, grp := range s.g.groups {
 		s.next[index] = math.Inf(1)
 		if !grp.covers(cut) || !permitted(allowed, index) {
@@ -77,21 +77,21 @@
 	s.cost, s.next = s.next, s.cost
 }
 
-// relaxZones finds the cheapest way into each data centre.
-func (s *search) relaxZones(p prices) {
-	for zone := range s.byZone {
-		s.byZone[zone], s.zoneFrom[zone] = math.Inf(1), noGroup
+// relaxCentres finds the cheapest way into each data centre.
+func (s *search) relaxCentres(p prices) {
+	for centre := range s.byCentre {
+		s.byCentre[centre], s.centreFrom[centre] = math.Inf(1), noGroup
 	}
 	for index, cost := range s.cost {
 		if math.IsInf(cost, 1) {
 			continue
 		}
-		for zone, best := range s.byZone {
+		for centre, best := range s.byCentre {
 			if cost >= best {
 				continue
 			}
-			if total := cost + p.hop(index, zone); total < best {
-				s.byZone[zone], s.zoneFrom[zone] = total, index
+			if total := cost + p.hop(index, centre); total < best {
+				s.byCentre[centre], s.centreFrom[centre] = total, index
 			}
 		}
 	}
@@ -100,7 +100,7 @@
 func (s *search) enter(index int, p prices) (float64, int) {
 	grp := s.g.groups[index]
 	if !grp.named {
-		return s.byZone[grp.zone], s.zoneFrom[grp.zone]
+		return s.byCentre[grp.centre], s.centreFrom[grp.centre]
 	}
 	best, origin := math.Inf(1), noGroup
 	for from, cost := range s.cost {
@@ -118,7 +118,7 @@
 	if _, ok := s.g.groups[from].toGroup[to]; ok {
 		return p.namedHop(from, to)
 	}
-	return p.hop(from, s.g.groups[to].zone)
+	return p.hop(from, s.g.groups[to].centre)
 }
 
 func (s *search) cheapest(over span, p prices) (int, float64) {
--- a/internal/platform/httpplatform/client_test.go
+++ b/internal/platform/httpplatform/client_test.go
@@ -71,7 +71,7 @@
 
 // The writer is told unavailable when the service certainly did not take its commit,
 // and ambiguous when it may have. The outage refuses connections, or the service
-// vouches with its own code; a 502 without the code may come from a box on the way,
+// vouches with its own code; a 502 without the code may come from a proxy on the way,
 // behind which the commit goes on.
 func TestCommitFailuresAreSortedByWhatTheyProve(t *testing.T) {
 	cases := []struct {
--- a/internal/platform/httpplatform/doc.go
+++ b/internal/platform/httpplatform/doc.go
@@ -4,7 +4,7 @@
 // connect took no effect (platform.ErrUnavailable). Once a connection was handed a
 // commit, anything but the service's own whole answer leaves it open whether the
 // commit takes effect, now or later (platform.ErrAmbiguous): a reset, a timeout, a
-// cut answer, or a 5xx, which a box between the two ends may have made up. Reads
+// cut answer, or a 5xx, which a proxy on the way may have made up. Reads
 // change nothing, so a read without a whole answer is always unavailable.
 //
 // An open connection can go silent while new ones work. Each attempt is bounded;
--- a/internal/platform/httpplatform/settings.go
+++ b/internal/platform/httpplatform/settings.go
@@ -26,7 +26,7 @@
 	// AttemptTimeout bounds one request from taking its connection to its last byte.
 	AttemptTimeout time.Duration
 	// IdleTimeout closes unused connections, so that few are old enough for
-	// something between the two ends to have lost track of them.
+	// a firewall on the way to have dropped its state of them.
 	IdleTimeout time.Duration
 	// MaxIdle bounds the unused connections kept.
 	MaxIdle int
--- a/internal/platform/httpplatform/table.go
+++ b/internal/platform/httpplatform/table.go
@@ -44,7 +44,7 @@
 	}
 	status := statusError(answer)
 	// Only the service itself can vouch that nothing took effect; a bare 5xx may
-	// come from a box on the way, behind which the commit goes on.
+	// come from a proxy on the way, behind which the commit goes on.
 	if status.Problem.Code == CodeNotApplied {
 		return &platform.UnavailableError{Operation: "commit", Cause: status}
 	}
--- a/internal/platform/vm.go
+++ b/internal/platform/vm.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// VM is one machine of the platform's list. Targets' machines are listed as well
-// as the system's own.
+// VM is one entry of the platform's list. Targets' VMs are listed as well as the
+// system's own.
 type VM struct {
 	Name string `json:"name"`
 	// Address is an IP number without a port.
--- a/internal/router/claiming.go
+++ b/internal/router/claiming.go
@@ -23,7 +23,7 @@
 	return claim.Key{Workspace: e.profile.Workspace, Profile: e.profile.Name, Key: e.id.IdempotencyKey}
 }
 
-// takeClaim claims a keyed request that may not be repeated. It returns a kept
+// takeClaim claims a keyed request that is not idempotent. It returns a kept
 // answer where the request completed before.
 func (r *Router) takeClaim(ctx context.Context, e *entry) (*claim.Answer, *outcome.Failure) {
 	if !e.keyed() {
--- a/internal/service/httpservice/doc.go
+++ b/internal/service/httpservice/doc.go
@@ -2,10 +2,10 @@
 // once.
 //
 // Connect makes the connection before anything is sent, so its failure proves
-// that the call did not run. A call that may not be repeated asks for a fresh
-// connection: a kept one may have been closed or lost by something in the middle
-// while it was idle, and the caller would then have to be told that the outcome
-// is unknown. Others may take a kept connection that answered a moment ago.
+// that the call did not run. A call that is not idempotent asks for a fresh
+// connection: a kept one may have been closed, or dropped from the state of a
+// firewall on the way, while it was idle, and the caller would then have to be told
+// that the outcome is unknown. Others may take a kept connection that answered a moment ago.
 //
 // Do writes the request and reads the response by hand on that one connection,
 // without an http.Transport. net/http resends some requests on a dead kept-alive
--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -35,7 +35,7 @@
 	"platform":  "The platform's services.",
 	"admission": "The queues in which requests wait for a target.",
 	"targets":   "How targets are watched.",
-	"shutdown":  "How a planned stop goes.",
+	"shutdown":  "How a graceful shutdown goes.",
 	"log":       "The log, on standard error.",
 	"metrics":   "The metrics, on the operators' listener.",
 }
--- a/internal/transport/doc.go
+++ b/internal/transport/doc.go
@@ -1,12 +1,12 @@
 // Package transport makes the connections from this VM to targets.
 //
-// A connection can go silent for good while new ones to the same peer work:
-// something between the two ends has lost track of it. The defence has three
+// A connection can go silent for good while new ones to the same peer work: a
+// firewall or an address translator on the way has dropped its state of it. The defence has three
 // layers. TCP keepalive and TCP_USER_TIMEOUT let the kernel break a connection
 // whose peer acknowledges nothing. The clients above this package bound each
 // wait for bytes. When one of them finds a connection silent it calls
 // Pool.Suspect, which drops the idle connections to the same peer, as they went
-// through the same middle; the peer itself is not declared dead for it, and the
+// the same way; the peer itself is not declared dead for it, and the
 // next request dials anew.
 //
 // TCP delivers in order, so a connection is one line of waiting, whatever is
