roster: hold no lock while the table is asked

Reading the rows now takes a turn, and who comes after a failed reading answers at once; the lock is held for memory alone.

--- a/internal/fleettest/incidents_test.go
+++ b/internal/fleettest/incidents_test.go
@@ -58,6 +58,8 @@
 // happen makes one incident happen and end.
 func (w *world) happen(i incident) {
 	time.Sleep(i.at)
+	w.trace.note("incident %+v", i)
+	defer func() { w.trace.note("incident over: %+v", i) }()
 	switch i.kind {
 	case "engine-die", "engine-silent", "engine-slow", "engine-mute":
 		w.engineFails(i)
@@ -184,6 +186,7 @@
 
 // heal ends all faults.
 func (w *world) heal() {
+	w.trace.note("heal")
 	w.mu.Lock()
 	w.faults.cuts = nil
 	w.applyCuts()
--- a/internal/fleettest/operators_test.go
+++ b/internal/fleettest/operators_test.go
@@ -62,10 +62,12 @@
 // propose proposes at one VM and judges the answer on the spot.
 func (w *world) propose(v *vm, p confstore.Proposal) answered {
 	a := answered{Proposal: p, vm: v.name, from: time.Now()}
+	w.trace.note("%s is asked for %s: %s %s at %d: %s", v.name, p.ID, p.Kind, p.Name, p.IfRevision, p.Value)
 	ctx, cancel := context.WithTimeout(v.requests, operatorPatience)
 	defer cancel()
 	acceptance, err := v.Change(ctx, p)
 	a.until, a.version, a.err = time.Now(), acceptance.Version, err
+	w.trace.note("%s answers %s: %+v %v", v.name, p.ID, acceptance, err)
 	switch {
 	case v.severed.Load():
 	case err == nil && acceptance.Accepted:
--- a/internal/fleettest/play_test.go
+++ b/internal/fleettest/play_test.go
@@ -19,7 +19,7 @@
 )
 
 // play runs the script in virtual time and returns what is wrong.
-func play(s script, p planted) (problems []string, all []told) {
+func play(s script, p planted) (problems []string, all []told, what *trace) {
 	w := newWorld(p)
 	ctx, stop := context.WithCancel(context.Background())
 	w.setUp(ctx)
@@ -29,7 +29,7 @@
 	w.settle(ctx)
 	stop()
 	w.close()
-	return w.judge(all), all
+	return w.judge(all), all, w.trace
 }
 
 // setUp starts the first VMs and puts the configuration in force.
@@ -166,6 +166,9 @@
 			return fmt.Sprintf("%s has %d requests in hand", v.name, n)
 		}
 	}
+	if rows := w.store.PeekKeys(rosterFrom, rosterTo); len(rows) != len(all) {
+		return fmt.Sprintf("rows of VMs: %v", rows)
+	}
 	return w.unhealedEngine(all[0].Store().Current())
 }
 
--- a/internal/fleettest/random_test.go
+++ b/internal/fleettest/random_test.go
@@ -20,7 +20,11 @@
 		s := rapid.Custom(draw).Draw(rt, "script")
 		var problems []string
 		var all []told
-		synctest.Test(t, func(*testing.T) { problems, all = play(s, planted{}) })
+		var what *trace
+		synctest.Test(t, func(*testing.T) { problems, all, what = play(s, planted{}) })
+		if len(problems) > 0 {
+			rt.Log(what)
+		}
 		for _, problem := range problems {
 			rt.Error(problem)
 		}
--- a/internal/fleettest/world_test.go
+++ b/internal/fleettest/world_test.go
@@ -12,8 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"geraniumcroft/internal/adminapi"
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/invariant"
@@ -58,7 +56,7 @@
 	history  operators
 	accepted atomic.Uint64
 	work     sync.WaitGroup
-	logger   *zap.Logger
+	trace    *trace
 
 	mu       sync.Mutex // guards the fields below
 	vms      map[string]*vm
@@ -90,14 +88,16 @@
 		planted: p, store: platformsim.NewStore(), network: newNetwork(), fabric: enginesim.NewFabric(nil),
 		engines: map[string]*enginesim.Engine{}, services: newServices(),
 		orders: ordersSeen{holder: map[uint64]*vm{}}, history: operators{},
-		vms: map[string]*vm{}, starting: map[int]bool{}, prints: map[uint64]string{}, arrivals: map[string]time.Time{}, logger: zap.NewNop(),
+		vms: map[string]*vm{}, starting: map[int]bool{}, prints: map[uint64]string{}, arrivals: map[string]time.Time{}, trace: newTrace(),
 	}
 }
 
 func (w *world) wrong(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.problems = append(w.problems, fmt.Sprintf(format, args...))
+	problem := fmt.Sprintf(format, args...)
+	w.problems = append(w.problems, problem)
+	w.trace.note("PROBLEM %s", problem)
 }
 
 func hostOfVM(number int) string { return fmt.Sprintf("10.0.1.%d", number) }
@@ -119,7 +119,7 @@
 	direct := enginesim.NewDirectClient(w.fabric)
 	link := &platformLink{world: w, vm: v}
 	built, err := node.New(node.Options{
-		Settings: w.settings(v, number), Version: "test", Authenticator: nobody{}, Logger: w.logger.Named(v.name),
+		Settings: w.settings(v, number), Version: "test", Authenticator: nobody{}, Logger: w.trace.logger(v.name),
 		OnViolation: func(violation invariant.Violation) {
 			w.wrong("invariant %s on %s: %s", violation.Name, v.name, violation.Detail)
 		},
@@ -137,6 +137,7 @@
 	w.mu.Lock()
 	w.vms[v.name] = v
 	w.mu.Unlock()
+	w.trace.note("start %s", v.name)
 	if err := v.Start(); err != nil {
 		panic(err)
 	}
@@ -212,6 +213,7 @@
 
 // killVM ends a process without a word to anyone.
 func (w *world) killVM(v *vm) {
+	w.trace.note("kill %s", v.name)
 	v.severed.Store(true)
 	w.network.silence(v.host)
 	v.kill()
@@ -222,6 +224,7 @@
 
 // stopVM stops a process in order. All that it has in hand must end first.
 func (w *world) stopVM(v *vm) {
+	w.trace.note("stop %s", v.name)
 	v.stopping.Store(true)
 	w.list()
 	ctx, cancel := context.WithTimeout(context.Background(), stopBound)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,6 +33,10 @@
 	members Members
 	logger  *zap.Logger
 
+	// turn is held by who reads the rows. It is no mutex, so that nobody needs mu
+	// while the table is slow.
+	turn chan struct{}
+
 	mu sync.Mutex // guards the fields below
 	// scanned is the newest version for which the rows were read after its commit.
 	scanned uint64
@@ -45,7 +49,10 @@
 
 // New returns a roster for this VM.
 func New(table platform.Table, vm string, members Members, logger *zap.Logger) *Roster {
-	return &Roster{table: table, vm: vm, members: members, logger: logger, doubted: map[string]time.Time{}}
+	return &Roster{
+		table: table, vm: vm, members: members, logger: logger,
+		turn: make(chan struct{}, 1), doubted: map[string]time.Time{},
+	}
 }
 
 // Register writes this VM's row. It must return before the configuration is read.
@@ -105,24 +112,40 @@
 // registered returns the VMs that had a row at a moment after the commit of the
 // version.
 func (r *Roster) registered(version uint64) []string {
+	r.turn <- struct{}{}
+	defer func() { <-r.turn }()
+	rows, enough := r.read(version)
+	if enough {
+		return rows
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), scanTimeout)
+	defer cancel()
+	found, err := r.scan(ctx)
+	if err != nil {
+		r.logger.Debug("rows of VMs cannot be read", zap.Error(err))
+	}
+	return r.keep(version, found, err)
+}
+
+// read returns what is known without the table, and whether that is enough: the
+// rows were read for the version, or could not be read a moment ago.
+func (r *Roster) read(version uint64) (rows []string, enough bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.scanned >= version {
-		return r.rows
+		return r.rows, true
 	}
-	if time.Since(r.failed) < scanPause {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), scanTimeout)
-	defer cancel()
-	rows, err := r.scan(ctx)
+	return nil, time.Since(r.failed) < scanPause
+}
+
+func (r *Roster) keep(version uint64, found []platform.Row, err error) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err != nil {
 		r.failed = time.Now()
-		r.logger.Debug("rows of VMs cannot be read", zap.Error(err))
 		return nil
 	}
-	r.rows = names(rows)
-	r.scanned = version
+	r.rows, r.scanned = names(found), version
 	return r.rows
 }
 
