--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -47,16 +47,16 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	park, err := standin.Load(c.file)
+	group, err := standin.Load(c.file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "geraniumcroft:", err)
 		return subcommands.ExitUsageError
 	}
-	if err := park.Start(); err != nil {
+	if err := group.Start(); err != nil {
 		return failed(err)
 	}
-	defer park.Close()
-	if err := park.PrintEntities(os.Stdout); err != nil {
+	defer group.Close()
+	if err := group.PrintEntities(os.Stdout); err != nil {
 		return failed(err)
 	}
 	<-ctx.Done()
--- /dev/null
+++ b/internal/standin/file_error.go
@@ -0,0 +1,22 @@
+package standin
+
+import (
+	"strings"
+
+	"geraniumcroft/internal/config"
+)
+
+// FileError reports everything that is wrong with a file of stand-ins.
+type FileError struct {
+	File     string
+	Findings []config.Finding
+}
+
+// Error implements error, with a line for each finding.
+func (e *FileError) Error() string {
+	lines := make([]string, 0, len(e.Findings))
+	for _, finding := range e.Findings {
+		lines = append(lines, e.File+": "+finding.String())
+	}
+	return strings.Join(lines, "\n")
+}
