--- a/internal/experiment/overhead.go
+++ b/internal/experiment/overhead.go
@@ -118,6 +118,7 @@
 		routed, direct := ways[i].times, ways[i+1].times
 		kind := ways[i].name[:len(ways[i].name)-len(", routed")]
 		t.figure(kind+", added p50", "ms", routed.quantile(50)-direct.quantile(50))
+		t.figure(kind+", p99 ratio", "ratio", routed.quantile(99)/direct.quantile(99))
 		t.limited(kind+", added p99", "ms", routed.quantile(99)-direct.quantile(99), atMost(wantedAddedMS))
 	}
 	t.note("overhead: %.0f requests/s in each of four ways by turns; first token of a single-stage generation and whole answer of a call that takes no time", overheadRate)
