--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -23,8 +23,9 @@
 	options Options
 	keys    []string
 
-	// stepping serialises the loop and Release, which write to the table.
-	stepping sync.Mutex
+	// stepping serialises the loop and Release, which write to the table. It is no
+	// mutex, since it is held while the table is slow.
+	stepping chan struct{}
 
 	mu     sync.Mutex // guards the fields below
 	duties []*duty
@@ -42,7 +43,7 @@
 // NewManager returns a manager; Run makes it compete.
 func NewManager(o Options) *Manager {
 	o.setDefaults()
-	m := &Manager{options: o}
+	m := &Manager{options: o, stepping: make(chan struct{}, 1)}
 	for _, name := range inPreference(o.VM, o.Duties) {
 		m.keys = append(m.keys, keyOf(name))
 		m.duties = append(m.duties, &duty{name: name, attempts: map[string]attempt{}})
@@ -78,8 +79,8 @@
 }
 
 func (m *Manager) step(ctx context.Context) {
-	m.stepping.Lock()
-	defer m.stepping.Unlock()
+	m.stepping <- struct{}{}
+	defer func() { <-m.stepping }()
 	if ctx.Err() != nil || !m.due() {
 		return
 	}
--- a/internal/lease/release.go
+++ b/internal/lease/release.go
@@ -14,8 +14,8 @@
 // have ended before; one that has not is to its targets like that of a holder which
 // was paused. When the table does not answer, the leases expire by themselves.
 func (m *Manager) Release(ctx context.Context) {
-	m.stepping.Lock()
-	defer m.stepping.Unlock()
+	m.stepping <- struct{}{}
+	defer func() { <-m.stepping }()
 	nonces := m.endTenures()
 	for range releaseAttempts {
 		if m.releaseOnce(ctx, nonces) {
