adminapi: one type for roles, and a dump that panics ends nothing

Cause: the operators' roles and what they allow stood in adminapi and in security, with an adapter between them. The dump runs in a goroutine of its own without a recover: a bug in one part's dump would have ended the process with all requests in hand, just when somebody looks at it.

Change: adminapi's Role is security's, asked by Allows; the adapter goes. The dumper turns a panic into an error, with a test that tells it. The drain's loop is split into attempts.

--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -293,6 +293,26 @@
 	})
 }
 
+// A part's dump has a bug. The operator gets an error, and the process goes on with
+// the requests that it has in hand: the dump runs in a goroutine of its own, in which
+// a panic would end it.
+func TestDumpThatPanicsEndsNothing(t *testing.T) {
+	Convey("Given a dump that panics once", t, func() {
+		var taken atomic.Int32
+		c := newClient(t, Options{Store: newFakeStore(t), Dump: func() any {
+			if taken.Add(1) == 1 {
+				panic("bug")
+			}
+			return "whole"
+		}})
+
+		Convey("the first answer is an error and the next one whole", func() {
+			c.want(c.send("GET", "/admin/v1/dump", ""), 500, `"code":"internal"`)
+			c.want(c.send("GET", "/admin/v1/dump", ""), 200, `"whole"`)
+		})
+	})
+}
+
 // Oversized input costs the VM a bounded read and is refused.
 func TestSizesAreBounded(t *testing.T) {
 	Convey("Given an API", t, func() {
--- a/internal/adminapi/authenticate.go
+++ b/internal/adminapi/authenticate.go
@@ -21,25 +21,22 @@
 	if !ok {
 		return nil, unauthorized("The token is not known to this VM.")
 	}
-	if !role.allows(r.Method) {
+	if needed := neededRole(r.Method); !role.Allows(needed) {
 		return nil, &Problem{
 			Status: http.StatusForbidden,
 			Code:   CodeForbidden,
 			Title:  "Not allowed",
-			Detail: author + " has the role " + string(role) + "; " + r.Method + " needs the role " + string(RoleOperate) + ".",
+			Detail: author + " has the role " + string(role) + "; " + r.Method + " needs the role " + string(needed) + ".",
 		}
 	}
 	return r.WithContext(context.WithValue(r.Context(), authorKey{}, author)), nil
 }
 
-func (r Role) allows(method string) bool {
-	switch r {
-	case RoleOperate:
-		return true
-	case RoleRead:
-		return method == http.MethodGet || method == http.MethodHead
+func neededRole(method string) Role {
+	if method == http.MethodGet || method == http.MethodHead {
+		return RoleRead
 	}
-	return false
+	return RoleOperate
 }
 
 func unauthorized(detail string) *Problem {
--- a/internal/adminapi/dumper.go
+++ b/internal/adminapi/dumper.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 )
 
@@ -56,13 +57,24 @@
 }
 
 func (d *dumper) finish(run *dumpRun) {
-	run.body, run.err = json.Marshal(d.take())
+	run.body, run.err = d.encode()
 	d.mu.Lock()
 	d.running = nil
 	d.mu.Unlock()
 	close(run.done)
 }
 
+// encode turns a panic into an error. The dump runs in a goroutine of its own, where
+// a bug in one part's dump would otherwise end the process with all its requests.
+func (d *dumper) encode() (body []byte, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("the dump panicked: %v", cause)
+		}
+	}()
+	return json.Marshal(d.take())
+}
+
 func stacks() string {
 	var text bytes.Buffer
 	_ = pprof.Lookup("goroutine").WriteTo(&text, stackDetail)
--- a/internal/adminapi/role.go
+++ b/internal/adminapi/role.go
@@ -1,11 +1,12 @@
 package adminapi
 
-// Role says what an operator may do.
-type Role string
+import "geraniumcroft/internal/security"
 
+// Role is what an operator may do.
+type Role = security.Role
+
+// The roles.
 const (
-	// RoleRead may read everything.
-	RoleRead Role = "read"
-	// RoleOperate may change the configuration as well.
-	RoleOperate Role = "operate"
+	RoleRead    = security.RoleRead
+	RoleOperate = security.RoleOperate
 )
--- a/internal/adminapi/set_state.go
+++ b/internal/adminapi/set_state.go
@@ -37,35 +37,39 @@
 		fail(ctx, unreadable(err))
 		return
 	}
-	var last error
-	for range maxStateAttempts {
-		target, ok := a.options.Store.Current().Targets[ctx.Params().Get("name")]
-		if !ok {
-			fail(ctx, noEntity(config.EntityTarget, ctx.Params().Get("name")))
-			return
-		}
-		if target.State == state {
-			a.answerUnchanged(ctx, target, wait)
-			return
-		}
-		if target.State == config.StateReloading && state == config.StateActive {
-			fail(ctx, reloading(target))
-			return
-		}
-		change, err := a.proposeState(ctx, target, state)
-		if err == nil {
-			a.options.Logger.Info("target's state changed", zap.String("author", change.Author),
-				zap.String("name", change.Name), zap.String("state", string(state)))
-			a.answerChange(ctx, change, wait)
-			return
-		}
-		last = err
-		var conflict *confstore.ConflictError
-		if !errors.As(err, &conflict) {
-			break
-		}
+	var conflict *confstore.ConflictError
+	err := a.tryState(ctx, state, wait)
+	for attempts := 1; attempts < maxStateAttempts && errors.As(err, &conflict); attempts++ {
+		err = a.tryState(ctx, state, wait)
+	}
+	if err != nil {
+		a.failChange(ctx, err)
+	}
+}
+
+// tryState makes one attempt and answers, unless the proposal fails.
+func (a *API) tryState(ctx iris.Context, state config.TargetState, wait time.Duration) error {
+	name := ctx.Params().Get("name")
+	target, ok := a.options.Store.Current().Targets[name]
+	switch {
+	case !ok:
+		fail(ctx, noEntity(config.EntityTarget, name))
+		return nil
+	case target.State == state:
+		a.answerUnchanged(ctx, target, wait)
+		return nil
+	case target.State == config.StateReloading && state == config.StateActive:
+		fail(ctx, reloading(target))
+		return nil
+	}
+	change, err := a.proposeState(ctx, target, state)
+	if err != nil {
+		return err
 	}
-	a.failChange(ctx, last)
+	a.options.Logger.Info("target's state changed", zap.String("author", change.Author),
+		zap.String("name", change.Name), zap.String("state", string(state)))
+	a.answerChange(ctx, change, wait)
+	return nil
 }
 
 // proposeState takes a fresh id for each attempt: the target's other fields may
--- a/internal/cli/node_options.go
+++ b/internal/cli/node_options.go
@@ -27,7 +27,7 @@
 		return o, err
 	}
 	f.closers = append(f.closers, authenticator.Close)
-	o.Authenticator = operators{authenticator}
+	o.Authenticator = authenticator
 	if o.CallersTLS, err = f.serverTLS(s.Callers.TLS); err != nil {
 		return o, err
 	}
