cli: one place for exit codes, and arguments that nobody takes are bad usage

Cause: three packages reported an error with an exit code by functions of their own. serve, check, dump and standin ignored arguments, so `serve -settings FILE now` started, and `check settings FILE` said that -settings is missing.

Change: internal/cli/exit reports and gives the codes; each command that takes no arguments refuses them with 2.

Conclusion: codes as before but for arguments that were ignored.

--- a/internal/cli/admincmd/exit.go
+++ b/internal/cli/admincmd/exit.go
@@ -1,11 +1,15 @@
 package admincmd
 
-import "github.com/google/subcommands"
+import (
+	"github.com/google/subcommands"
+
+	"geraniumcroft/internal/cli/exit"
+)
 
 // The exit codes of the commands.
 const (
-	exitDone     = subcommands.ExitSuccess
-	exitFailed   = subcommands.ExitFailure
-	exitUsage    = subcommands.ExitUsageError
+	exitDone     = exit.Done
+	exitFailed   = exit.Fail
+	exitUsage    = exit.Usage
 	exitConflict = subcommands.ExitStatus(3)
 )
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/subcommands"
 
+	"geraniumcroft/internal/cli/exit"
 	"geraniumcroft/internal/settings"
 )
 
@@ -36,12 +37,15 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := exit.CheckNoArgs(f); err != nil {
+		return exit.Misused(err)
+	}
 	if _, ok := loadSettings(c.file); !ok {
-		return subcommands.ExitUsageError
+		return exit.Usage
 	}
 	fmt.Println(c.file + ": no findings")
-	return subcommands.ExitSuccess
+	return exit.Done
 }
 
 // loadSettings reads the file and prints all findings in one report.
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"geraniumcroft/internal/cli/exit"
 	"geraniumcroft/internal/demo"
 )
 
@@ -40,22 +41,22 @@
 
 // Execute implements subcommands.Command.
 func (c *demoCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 0 {
-		return usage("demo takes no arguments")
+	if err := exit.CheckNoArgs(f); err != nil {
+		return exit.Misused(err)
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	d, err := demo.New(ctx, os.Stdout)
 	if err != nil {
-		return failed(err)
+		return exit.Failed(err)
 	}
 	defer d.Close()
 	if err := d.Run(ctx); err != nil {
-		return failed(err)
+		return exit.Failed(err)
 	}
 	if c.keep {
 		fmt.Print(d.Hints())
 		<-ctx.Done()
 	}
-	return subcommands.ExitSuccess
+	return exit.Done
 }
--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/google/subcommands"
+
+	"geraniumcroft/internal/cli/exit"
 )
 
 const dumpTimeout = 15 * time.Second
@@ -42,20 +45,23 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *dumpCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *dumpCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := exit.CheckNoArgs(f); err != nil {
+		return exit.Misused(err)
+	}
 	if c.tokenFile == "" {
-		return usage("-token-file FILE is needed")
+		return exit.Misused(errors.New("-token-file FILE is needed"))
 	}
 	token, err := os.ReadFile(c.tokenFile)
 	if err != nil {
-		return failed(err)
+		return exit.Failed(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
 	defer cancel()
 	if err := c.fetch(ctx, strings.TrimSpace(string(token))); err != nil {
-		return failed(err)
+		return exit.Failed(err)
 	}
-	return subcommands.ExitSuccess
+	return exit.Done
 }
 
 func (c *dumpCommand) fetch(ctx context.Context, token string) error {
--- a/internal/cli/experimentcmd/experimentcmd.go
+++ b/internal/cli/experimentcmd/experimentcmd.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/subcommands"
 
+	"geraniumcroft/internal/cli/exit"
 	"geraniumcroft/internal/experiment"
 )
 
@@ -55,21 +56,21 @@
 func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if c.list {
 		list()
-		return subcommands.ExitSuccess
+		return exit.Done
 	}
 	chosen, err := choose(f.Args())
 	if err != nil {
-		return report(err, subcommands.ExitUsageError)
+		return exit.Misused(err)
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	c.options.Progress = os.Stderr
 	for _, e := range chosen {
 		if err := c.run(ctx, e); err != nil {
-			return report(err, subcommands.ExitFailure)
+			return exit.Failed(err)
 		}
 	}
-	return subcommands.ExitSuccess
+	return exit.Done
 }
 
 func (c *command) run(ctx context.Context, e experiment.Experiment) error {
@@ -103,8 +104,3 @@
 	}
 	return chosen, nil
 }
-
-func report(err error, status subcommands.ExitStatus) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "geraniumcroft:", err)
-	return status
-}
--- a/internal/cli/loadcmd/loadcmd.go
+++ b/internal/cli/loadcmd/loadcmd.go
@@ -12,11 +12,12 @@
 
 	"github.com/google/subcommands"
 
+	"geraniumcroft/internal/cli/exit"
 	"geraniumcroft/internal/loadgen"
 )
 
-// LoadCommand implements "load".
-type LoadCommand struct {
+// command implements "load".
+type command struct {
 	options  loadgen.Options
 	routers  string
 	keyFile  string
@@ -27,17 +28,17 @@
 
 // Register adds the command.
 func Register(c *subcommands.Commander) {
-	c.Register(&LoadCommand{}, "trying")
+	c.Register(&command{}, "trying")
 }
 
 // Name implements subcommands.Command.
-func (*LoadCommand) Name() string { return "load" }
+func (*command) Name() string { return "load" }
 
 // Synopsis implements subcommands.Command.
-func (*LoadCommand) Synopsis() string { return "send load to routers, check and time the answers" }
+func (*command) Synopsis() string { return "send load to routers, check and time the answers" }
 
 // Usage implements subcommands.Command.
-func (*LoadCommand) Usage() string {
+func (*command) Usage() string {
 	return `load -routers IP:PORT[,IP:PORT...] -profile SPEC [-profile SPEC...] [flags]
 load -compare FIRST.json SECOND.json:
   Sends requests at the given rate whether or not earlier ones were answered, and
@@ -48,7 +49,7 @@
 }
 
 // SetFlags implements subcommands.Command.
-func (c *LoadCommand) SetFlags(f *flag.FlagSet) {
+func (c *command) SetFlags(f *flag.FlagSet) {
 	o := &c.options
 	f.StringVar(&c.routers, "routers", "", "callers' addresses of the routers, IP:port, separated by commas")
 	f.Func("profile", "a part of the mix (may be repeated)", c.addProfile)
@@ -68,7 +69,7 @@
 	f.BoolVar(&c.compare, "compare", false, "compare two reports instead of sending load")
 }
 
-func (c *LoadCommand) addProfile(text string) error {
+func (c *command) addProfile(text string) error {
 	profile, err := loadgen.ParseProfile(text)
 	if err == nil {
 		c.options.Profiles = append(c.options.Profiles, profile)
@@ -77,29 +78,29 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *LoadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if c.compare {
 		return compare(f.Args())
 	}
 	if err := c.prepare(f.Args()); err != nil {
-		return report(err, subcommands.ExitUsageError)
+		return exit.Misused(err)
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	result, err := loadgen.Run(ctx, c.options)
 	if err != nil {
-		return report(err, subcommands.ExitFailure)
+		return exit.Failed(err)
 	}
 	if err := c.write(result); err != nil {
-		return report(err, subcommands.ExitFailure)
+		return exit.Failed(err)
 	}
 	if result.FaultCount() > 0 || result.Requests == 0 {
-		return subcommands.ExitFailure
+		return exit.Fail
 	}
-	return subcommands.ExitSuccess
+	return exit.Done
 }
 
-func (c *LoadCommand) prepare(args []string) error {
+func (c *command) prepare(args []string) error {
 	if len(args) > 0 {
 		return fmt.Errorf("load takes no arguments without -compare: %v", args)
 	}
@@ -116,7 +117,7 @@
 	return c.options.Check()
 }
 
-func (c *LoadCommand) write(result *loadgen.Report) error {
+func (c *command) write(result *loadgen.Report) error {
 	if err := result.WriteText(os.Stdout); err != nil {
 		return err
 	}
@@ -142,23 +143,18 @@
 func compare(files []string) subcommands.ExitStatus {
 	const wanted = 2
 	if len(files) != wanted {
-		return report(fmt.Errorf("load -compare needs two reports, got %d", len(files)), subcommands.ExitUsageError)
+		return exit.Misused(fmt.Errorf("load -compare needs two reports, got %d", len(files)))
 	}
 	var reports [wanted]*loadgen.Report
 	for i, file := range files {
 		read, err := loadgen.ReadJSON(file)
 		if err != nil {
-			return report(err, subcommands.ExitUsageError)
+			return exit.Misused(err)
 		}
 		reports[i] = read
 	}
 	if err := loadgen.Compare(os.Stdout, reports[0], reports[1]); err != nil {
-		return report(err, subcommands.ExitFailure)
+		return exit.Failed(err)
 	}
-	return subcommands.ExitSuccess
-}
-
-func report(err error, status subcommands.ExitStatus) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "geraniumcroft:", err)
-	return status
+	return exit.Done
 }
--- a/internal/cli/loadcmd/loadcmd_test.go
+++ b/internal/cli/loadcmd/loadcmd_test.go
@@ -15,14 +15,14 @@
 
 func execute(t *testing.T, args ...string) subcommands.ExitStatus {
 	t.Helper()
-	command := &LoadCommand{}
+	c := &command{}
 	flags := flag.NewFlagSet("load", flag.ContinueOnError)
 	flags.SetOutput(io.Discard)
-	command.SetFlags(flags)
+	c.SetFlags(flags)
 	if err := flags.Parse(args); err != nil {
 		return subcommands.ExitUsageError
 	}
-	return command.Execute(context.Background(), flags)
+	return c.Execute(context.Background(), flags)
 }
 
 // router refuses each request, truthfully or not.
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -9,7 +9,6 @@
 	"github.com/google/subcommands"
 
 	"geraniumcroft/internal/cli/admincmd"
-
 	"geraniumcroft/internal/cli/experimentcmd"
 	"geraniumcroft/internal/cli/loadcmd"
 )
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/subcommands"
 
+	"geraniumcroft/internal/cli/exit"
 	"geraniumcroft/internal/node"
 	"geraniumcroft/internal/settings"
 	"geraniumcroft/internal/telemetry"
@@ -39,27 +40,30 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := exit.CheckNoArgs(f); err != nil {
+		return exit.Misused(err)
+	}
 	loaded, ok := loadSettings(c.file)
 	if !ok {
-		return subcommands.ExitUsageError
+		return exit.Usage
 	}
 	log, err := telemetry.NewLog(telemetry.LogOptions{Level: loaded.Log.Level, Format: loaded.Log.Format, Out: os.Stderr})
 	if err != nil {
-		return failed(err)
+		return exit.Failed(err)
 	}
 	defer func() { _ = log.Close() }()
 	files := &nodeFiles{logger: log.Logger}
 	defer files.close()
 	n, err := startNode(files, loaded)
 	if err != nil {
-		return failed(err)
+		return exit.Failed(err)
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	<-signals
 	n.Stop(ctx)
-	return subcommands.ExitSuccess
+	return exit.Done
 }
 
 func startNode(files *nodeFiles, s *settings.Settings) (*node.Node, error) {
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/google/subcommands"
 
+	"geraniumcroft/internal/cli/exit"
 	"geraniumcroft/internal/standin"
 )
 
@@ -41,24 +42,26 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *standinCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *standinCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := exit.CheckNoArgs(f); err != nil {
+		return exit.Misused(err)
+	}
 	if c.file == "" {
-		return usage("-file FILE is needed")
+		return exit.Misused(errors.New("-file FILE is needed"))
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	group, err := standin.Load(c.file)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "geraniumcroft:", err)
-		return subcommands.ExitUsageError
+		return exit.Misused(err)
 	}
 	if err := group.Start(); err != nil {
-		return failed(err)
+		return exit.Failed(err)
 	}
 	defer group.Close()
 	if err := group.PrintEntities(os.Stdout); err != nil {
-		return failed(err)
+		return exit.Failed(err)
 	}
 	<-ctx.Done()
-	return subcommands.ExitSuccess
+	return exit.Done
 }
