roster: wait for a VM that peers hold dead until its next poll

Its peers held it dead, an operator's change was answered as accepted without it, and it served under the older configuration until it polled the table, up to 5 s later. Such a VM has a row; while it has one, a change now waits until a poll after its commit must have happened. The price: for the 30 to 40 s in which the row of a VM that did die stands, a change waits for 6 s.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"geraniumcroft/internal/membership"
 	"geraniumcroft/internal/platform"
 )
 
@@ -21,6 +22,12 @@
 	scanLimit   = 4096
 	scanTimeout = time.Second
 	scanPause   = 200 * time.Millisecond
+	// unheardGrace is how long a change waits for a VM that has a row and is held dead
+	// here. It may only be cut off from this VM, serve and read the table: it polls at
+	// least every 5 s, and without any peer each second or so, and refuses requests
+	// when it can do neither. This holds for all but a VM that is cut off from the
+	// table together with some of its peers.
+	unheardGrace = 6 * time.Second
 	// forgetAfter is how long a VM must have been dead, or unknown to membership,
 	// before its row is deleted.
 	forgetAfter = 30 * time.Second
@@ -41,6 +48,8 @@
 	// scanned is the newest version for which the rows were read after its commit.
 	scanned uint64
 	rows    []string
+	// reads are the newest readings, oldest first, back to unheardGrace.
+	reads []reading
 	// failed is when the rows could last not be read.
 	failed time.Time
 	// doubted is since when a row's VM was seen dead or unknown.
@@ -86,27 +95,43 @@
 	return errors.Wrapf(err, "row of VM %s", strings.TrimPrefix(write.Key, rowPrefix))
 }
 
-// InForce implements confstore.Confirmer: a VM that has a row and is unknown to
-// membership has not confirmed. Where the rows cannot be read membership alone
+// InForce implements confstore.Confirmer. A VM that has a row has not confirmed
+// while it is unknown to membership, and for a while when it is held dead: it may
+// serve on the far side of a cut. Where the rows cannot be read membership alone
 // answers, since while the store is out no VM can have read an older configuration
 // from it.
 func (r *Roster) InForce(version uint64) (confirmed, missing []string) {
 	confirmed, missing = r.members.InForce(version)
-	known := r.known()
-	for _, name := range r.registered(version) {
-		if name != r.vm && !known[name] {
+	states := r.states()
+	rows := r.registered(version)
+	waits := r.readFor(version, time.Now()) < unheardGrace
+	for _, name := range rows {
+		state, known := states[name]
+		if name != r.vm && (!known || waits && state == membership.Dead) {
 			missing = append(missing, name)
 		}
 	}
 	return confirmed, missing
 }
 
-func (r *Roster) known() map[string]bool {
-	known := map[string]bool{}
+func (r *Roster) states() map[string]membership.State {
+	states := map[string]membership.State{}
 	for _, member := range r.members.Members() {
-		known[member.Name] = true
+		states[member.Name] = member.State
 	}
-	return known
+	return states
+}
+
+// readFor returns how long ago the rows were first read after the version's commit.
+func (r *Roster) readFor(version uint64, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, one := range r.reads {
+		if one.version >= version {
+			return now.Sub(one.at)
+		}
+	}
+	return 0
 }
 
 // registered returns the VMs that had a row at a moment after the commit of the
@@ -146,9 +171,19 @@
 		return nil
 	}
 	r.rows, r.scanned = names(found), version
+	r.noteRead(reading{version, time.Now()})
 	return r.rows
 }
 
+// noteRead drops readings that a later one makes useless: both are older than the
+// grace. The lock is held.
+func (r *Roster) noteRead(newest reading) {
+	r.reads = append(r.reads, newest)
+	for len(r.reads) > 1 && newest.at.Sub(r.reads[1].at) >= unheardGrace {
+		r.reads = r.reads[1:]
+	}
+}
+
 func (r *Roster) scan(ctx context.Context) ([]platform.Row, error) {
 	return r.table.Scan(ctx, rowPrefix, rowEnd, scanLimit)
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -93,3 +95,35 @@
 		})
 	})
 }
+
+// An operator drains a target and is told that it is in force, while a VM still
+// sends to it. The VM is cut off from its peers, which hold it dead, but neither from
+// callers nor from the table, and reads the drain there seconds later. While it has a
+// row it is missing until its next poll must have happened, and not longer: a VM that
+// did die may not hold up changes for good.
+func TestVMCutOffFromItsPeersIsMissingUntilItsNextPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := platformsim.NewStore()
+		accepting := New(table, "entry-1", knownMembers{{Name: "entry-2", State: membership.Dead}}, zap.NewNop())
+		if err := newRoster(table, "entry-2").Register(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		missingAfter := func(wait time.Duration, version uint64) bool {
+			time.Sleep(wait)
+			_, missing := accepting.InForce(version)
+			return slices.Equal(missing, []string{"entry-2"})
+		}
+		if !missingAfter(0, 1) || !missingAfter(unheardGrace-time.Second, 1) {
+			t.Error("accepted before the VM's poll")
+		}
+		if !missingAfter(0, 2) {
+			t.Error("a newer change was accepted with the older one's reading")
+		}
+		if missingAfter(time.Second, 1) {
+			t.Error("held up for longer than the VM's poll")
+		}
+		if missingAfter(unheardGrace, 2) {
+			t.Error("the newer change was held up for longer than the VM's poll")
+		}
+	})
+}
