security: read tokens and certificates again only when they changed

Cause: a notice for any file in the directory made the files be read again, and that is logged. With the log written into the same directory each line caused the next: 100 ms apart, for ever. Change: notices lead to the same look at time and size as polling does.

--- a/internal/security/watcher.go
+++ b/internal/security/watcher.go
@@ -69,17 +69,25 @@
 			}
 			settled.Reset(settleTime)
 		case <-settled.C:
-			stamps = w.stamps()
-			w.changed()
+			stamps = w.look(stamps)
 		case <-ticker.C:
-			if now := w.stamps(); !slices.Equal(now, stamps) {
-				stamps = now
-				w.changed()
-			}
+			stamps = w.look(stamps)
 		}
 	}
 }
 
+// look tells of a change when the files differ from those stamps, and returns the
+// present ones. A notice alone is not enough, as it may be of any file in the
+// directory: with the log written there, each line would cause the files to be read,
+// and that is logged.
+func (w *watcher) look(before []stamp) []stamp {
+	now := w.stamps()
+	if !slices.Equal(now, before) {
+		w.changed()
+	}
+	return now
+}
+
 func (w *watcher) events() <-chan fsnotify.Event {
 	if w.notifier == nil {
 		return nil
