Split the long test files by what they test

Cause: a dozen test files were 280 to 620 lines long, and the tests of silence, of preemption or of an outage had to be looked for in a file of everything.

--- /dev/null
+++ b/internal/balance/health_test.go
@@ -0,0 +1,133 @@
+package balance
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/config"
+)
+
+// failOften makes the target fail until it is ejected.
+func failOften(b *Balancer, name string) {
+	for range DefaultEjectAfter {
+		if s, err := b.Reserve(name, config.Urgent); err == nil {
+			s.Release(ResultFailed)
+		}
+	}
+}
+
+func ejected(b *Balancer) (n int) {
+	for _, target := range b.Dump().(Dump).Targets {
+		if target.Reason == "ejected" {
+			n++
+		}
+	}
+	return n
+}
+
+// All targets fail at once, for instance as this VM's own link is bad. Only a part
+// of them is ejected, so requests still find targets.
+func TestEjectionIsBounded(t *testing.T) {
+	for faulty, want := range map[bool]int{false: 3, true: 10} {
+		b := newBalancer(Settings{faults: faults{noEjectBound: faulty}}, services(10, 4))
+		for name := range b.snapshot.Targets {
+			failOften(b, name)
+		}
+		if got := ejected(b); got != want {
+			t.Errorf("unbounded %t: %d of 10 targets ejected, want %d", faulty, got, want)
+		}
+	}
+	b := newBalancer(Settings{}, services(1, 4))
+	failOften(b, "t000")
+	if got := ejected(b); got != 0 {
+		t.Errorf("the only target was ejected")
+	}
+}
+
+// A target fails three times and gets no request. When its time is over one
+// request probes it: a failure ejects it for longer, a good answer lets it in, and
+// those that wait for a slot are told.
+func TestEjectedTargetComesBackByAProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer(Settings{}, services(2, 4))
+		var freed atomic.Int64
+		b.OnFree(func(string) { freed.Add(1) })
+		failOften(b, "t000")
+		if _, err := b.Reserve("t000", config.Bulk); !errors.Is(err, ErrNoCapacity) {
+			t.Fatalf("ejected target: %v", err)
+		}
+		before := freed.Load()
+		time.Sleep(DefaultEjectFor)
+		synctest.Wait()
+		if freed.Load() == before {
+			t.Error("nobody was told that the target can be probed")
+		}
+		probe, err := b.Pick(Query{Pool: "svc"})
+		if err != nil || probe.Target().Name != "t000" {
+			t.Fatalf("bulk did not probe: %v", err)
+		}
+		if _, err := b.Reserve("t000", config.Urgent); !errors.Is(err, ErrNoCapacity) {
+			t.Errorf("second probe: %v", err)
+		}
+		probe.Release(ResultSlow)
+		time.Sleep(DefaultEjectFor)
+		if _, err := b.Reserve("t000", config.Urgent); err == nil {
+			t.Error("the second ejection was no longer than the first")
+		}
+		time.Sleep(DefaultEjectFor)
+		synctest.Wait()
+		if s, err := b.Reserve("t000", config.Urgent); err == nil {
+			s.Release(ResultOK)
+		}
+		if got := len(pickAll(b, config.Urgent)); got != 8 {
+			t.Errorf("%d slots after the target came back, want 8", got)
+		}
+	})
+}
+
+// The operator's counters of a target follow from what was told of each slot, once.
+func TestResultsAreToldOnce(t *testing.T) {
+	var told []string
+	settings := Settings{OnResult: func(target string, r Result) { told = append(told, fmt.Sprint(target, " ", r)) }}
+	b := newBalancer(settings, services(1, 4))
+	for _, r := range []Result{ResultOK, ResultFailed, ResultNeutral} {
+		s, err := b.Reserve("t000", config.Urgent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Release(r)
+		s.Release(ResultFailed)
+	}
+	if want := []string{"t000 1", "t000 2", "t000 0"}; !slices.Equal(told, want) {
+		t.Errorf("told %v, want %v", told, want)
+	}
+}
+
+// One instance of a service answers everything, but ten times as late as the
+// others. It is ejected as one that fails is.
+func TestSlowTargetIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer(Settings{}, services(3, 4))
+		for range 100 {
+			s, err := b.Pick(Query{Pool: "svc", Urgency: config.Urgent})
+			if err != nil {
+				t.Fatal(err)
+			}
+			took := 10 * time.Millisecond
+			if s.Target().Name == "t000" {
+				took *= 10
+			}
+			time.Sleep(took)
+			s.Release(ResultOK)
+			if ejected(b) == 1 {
+				return
+			}
+		}
+		t.Error("the slow target was never ejected")
+	})
+}
--- /dev/null
+++ b/internal/confstore/wait_test.go
@@ -0,0 +1,42 @@
+package confstore
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// fakeConfirmer says that a VM confirms once it was asked a few times.
+type fakeConfirmer struct{ left int }
+
+func (c *fakeConfirmer) InForce(uint64) (confirmed, missing []string) {
+	c.left--
+	if c.left >= 0 {
+		return []string{"vm-1"}, []string{"vm-5"}
+	}
+	return []string{"vm-1", "vm-5"}, nil
+}
+
+// The operator's change is accepted when the last VM has it in force, and pending
+// with that VM's name until then; this VM itself counts by what its subscribers
+// have taken in, whatever its peers think of it.
+func TestWaitNamesWhoIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		s := f.store("vm-1")
+		f.fill(s, 1)
+		if got := s.Wait(context.Background(), 1, &fakeConfirmer{left: 3}); !got.Accepted || len(got.Confirmed) != 2 {
+			t.Fatalf("got %+v", got)
+		}
+		bounded, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		got := s.Wait(bounded, 1, &fakeConfirmer{left: 1000})
+		if got.Accepted || len(got.Missing) != 1 || got.Missing[0] != "vm-5" {
+			t.Fatalf("got %+v", got)
+		}
+		if got := s.acceptance(2, &fakeConfirmer{}); got.Accepted || got.Missing[0] != "vm-1" {
+			t.Fatalf("got %+v", got)
+		}
+	})
+}
--- a/internal/plan/chooser_test.go
+++ b/internal/plan/chooser_test.go
@@ -79,71 +79,6 @@
 	}
 }
 
-// A stage dies in the middle of a draft. The other stages hold KV cache of the
-// draft; were they moved too, the whole prompt would be replayed and the caller
-// would wait for it. So they stay whenever other targets can take the lost layers.
-func TestRepairKeepsTheStagesThatStand(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		in := drawInput(t, rapid.IntRange(1, 16).Draw(t, "layers"), rapid.IntRange(0, 12).Draw(t, "targets"))
-		chooser := NewChooser(compute(t, in), 1)
-		current, _ := chooser.Choose(Wish{Urgency: config.Normal, Usable: always})
-		busy := drawNames(t, in, "busy")
-		failed := map[string]bool{}
-		for range rapid.IntRange(1, 2).Draw(t, "deaths") {
-			failed[rapid.SampledFrom(current.Stages).Draw(t, "dead").Target.Name] = true
-		}
-		usable := func(name string) bool { return !busy[name] }
-		repaired, ok := chooser.Repair(current, failed, usable)
-		free := func(name string) bool { return !failed[name] && (current.Uses(name) || usable(name)) }
-		if ok != covers(in, config.LayerRange{To: in.Model.Layers}, free) {
-			t.Fatalf("repaired %v", ok)
-		}
-		if !ok {
-			return
-		}
-		checkFree(t, in, repaired, free)
-		if len(failed) == 1 { // two may need the same spare target
-			checkKept(t, in, current, repaired, failed, usable)
-		}
-	})
-}
-
-func checkKept(t rapid.TB, in Input, current, repaired Plan, failed map[string]bool, usable func(string) bool) {
-	t.Helper()
-	spare := func(name string) bool { return !failed[name] && !current.Uses(name) && usable(name) }
-	kept := map[Stage]bool{}
-	for _, stage := range repaired.Stages {
-		kept[stage] = true
-	}
-	for _, stage := range current.Stages {
-		if failed[stage.Target.Name] && !covers(in, stage.Layers, spare) {
-			return
-		}
-	}
-	for _, stage := range current.Stages {
-		if !failed[stage.Target.Name] && !kept[stage] {
-			t.Fatalf("%v was moved: %v, then %v", stage, current, repaired)
-		}
-	}
-}
-
-// A plan that was cut within the engines' ranges, as Compute does where links
-// limit, is repaired at that cut: the stage that stands keeps just its layers.
-func TestRepairOfAPlanCutWithinRanges(t *testing.T) {
-	in := Input{Model: &config.Model{Name: "m", Layers: 10}, Version: "1", Targets: []*config.Target{
-		engineTarget("a", "x", 0, 7, 100), engineTarget("b", "x", 3, 10, 100), engineTarget("c", "x", 3, 10, 100),
-	}}
-	chooser := NewChooser(compute(t, in), 1)
-	current := Plan{Stages: []Stage{
-		{Target: in.Targets[0], Layers: config.LayerRange{From: 0, To: 5}},
-		{Target: in.Targets[1], Layers: config.LayerRange{From: 5, To: 10}},
-	}}
-	repaired, ok := chooser.Repair(current, map[string]bool{"b": true}, always)
-	if !ok || repaired.Check(10) != nil || repaired.Stages[0] != current.Stages[0] || !repaired.Uses("c") {
-		t.Errorf("repaired to %v, %v", repaired, ok)
-	}
-}
-
 // The engines of one path are busy for long. When they come free, the requests
 // that follow must not all go there to make up for it: those engines would be full
 // at once and the others idle.
@@ -167,50 +102,6 @@
 	}
 }
 
-// A target dies and the next Compute is not there yet. The set without it must not
-// promise more than the rest can carry, and its bound must still be one.
-func TestWithoutKeepsTheLimitsOfTheRest(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		in := drawInput(t, rapid.IntRange(1, 16).Draw(t, "layers"), rapid.IntRange(2, 20).Draw(t, "targets"))
-		dead := rapid.SampledFrom(in.Targets).Draw(t, "dead").Name
-		next, err := compute(t, in).Without(map[string]bool{dead: true})
-		in.Usable = func(name string) bool { return name != dead }
-		anew, anewErr := Compute(in)
-		if (err == nil) != (anewErr == nil) {
-			t.Fatalf("%v, but anew %v", err, anewErr)
-		}
-		if err != nil {
-			return
-		}
-		checkSet(t, in, next.Expanded())
-		if next.Bound < anew.Throughput()*(1-slack) {
-			t.Fatalf("bound %g, but plans computed anew reach %g", next.Bound, anew.Throughput())
-		}
-	})
-}
-
-// The bound of a set without a target is proven with the old set's prices, so
-// these must hold for paths cut anywhere. They once were those of the first
-// search, cut at ends of ranges alone, and the dump showed a bound that plans passed.
-func TestWithoutProvesItsBoundForPathsCutAnywhere(t *testing.T) {
-	link := func(target *config.Target, to string, bytes float64) *config.Target {
-		target.Links = []config.Link{{To: to, BytesPerSecond: bytes}}
-		return target
-	}
-	in := Input{Model: &config.Model{Name: "m", Layers: 6, ActivationBytes: 1000}, Version: "1", Targets: []*config.Target{
-		link(engineTarget("t00", "dc0", 1, 6, 1000), "t00", 1e3),
-		link(engineTarget("t01", "dc1", 1, 3, 100), "t01", 1e3),
-		engineTarget("t02", "dc0", 0, 1, 100),
-		link(engineTarget("t03", "dc0", 0, 5, 300), "dc0", 1e5),
-		link(engineTarget("t04", "dc0", 5, 6, 100), "t00", 1e3),
-	}}
-	next, err := compute(t, in).Without(map[string]bool{"t02": true})
-	if err != nil {
-		t.Fatal(err)
-	}
-	checkSet(t, in, next.Expanded())
-}
-
 // Engines that get more or less than their share make the whole pool wait for the
 // one that is overloaded. All VMs have the same set; if they took the same plans in
 // the same order, the first requests after a change would meet on a few engines.
