watch: a silent target costs its own reports only

Cause: the package comment said that readings of different targets do not wait for each other, and no test held it. Each round waited for its slowest reading, and at most 32 were under way: targets of a lost data centre took all places, each up to its bound of two intervals.

Symptom: with 200 of 600 engines silent, in 20 rounds of virtual time (10 s), each live engine was reported once. The balancer trusts a report for 1 s and not at all after 10 s, so it chose by out-of-date loads just when a third of the targets was gone.

Change: a round starts a reading of each target, spread over half the interval, and waits for none; a target that is still being read is passed over, so each has at most one reading under way. Tests: the lost data centre, the spreading, and what is read of engines, services and other VMs' targets.

Conclusion: 20 reports of each live engine in 20 rounds.

--- a/internal/watch/bench_test.go
+++ b/internal/watch/bench_test.go
@@ -86,11 +86,13 @@
 		Source: source, Engines: httpengine.New(pool, httpengine.Settings{}), Sink: discard{}, Interval: 100 * time.Millisecond,
 	})
 	w.round(context.Background()) // connects
+	w.readings.Wait()
 	bytes.Store(0)
 	before := processorTime()
 	b.ReportAllocs()
 	for b.Loop() {
 		w.round(context.Background())
+		w.readings.Wait()
 	}
 	readings := float64(b.N * engines)
 	b.ReportMetric(float64(bytes.Load())/readings, "bytes/reading")
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -1,28 +1,29 @@
 // Package watch reads targets' load reports and cache events at an interval.
 //
-// A report lags and may not come at all. Each reading is bounded and readings of
-// different targets do not wait for each other, so a target that went silent
-// costs its own report only; its old one ages in package balance until it counts
-// nothing. Readings are spread over the interval, or all targets would be asked
-// in one burst.
+// A report lags and may not come at all. Each reading is bounded, each target has at
+// most one under way, and no reading waits for another target's, so a target that
+// went silent costs its own report only; its old one ages in package balance until
+// it counts nothing. The same holds for a whole data centre that goes silent at
+// once. Readings are spread over the interval, or all targets would be asked in one
+// burst.
 package watch
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/sleep"
 )
 
-// maxConcurrent bounds the readings under way.
-const maxConcurrent = 32
-
 // Watcher reads all targets of the configuration in force.
 type Watcher struct {
-	options Options
+	options  Options
+	readings sync.WaitGroup
+
+	mu      sync.Mutex // guards reading
+	reading map[string]bool
 }
 
 // New returns a watcher; Run makes it read.
@@ -30,11 +31,12 @@
 	if o.Watched == nil {
 		o.Watched = func(string) bool { return true }
 	}
-	return &Watcher{options: o}
+	return &Watcher{options: o, reading: map[string]bool{}}
 }
 
 // Run reads until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	defer w.readings.Wait()
 	for ctx.Err() == nil {
 		next := time.After(w.options.Interval)
 		w.round(ctx)
@@ -45,25 +47,44 @@
 	}
 }
 
-// round reads each target once.
+// round starts a reading of each target. It does not wait for them: the targets of a
+// lost data centre are silent all at once, each up to its bound, and the reports of
+// all others would come as late as theirs do not.
 func (w *Watcher) round(ctx context.Context) {
 	targets := w.watched()
 	if len(targets) == 0 {
 		return
 	}
 	pace := w.options.Interval / time.Duration(2*len(targets))
-	var group errgroup.Group
-	group.SetLimit(maxConcurrent)
 	for _, target := range targets {
-		group.Go(func() error {
-			w.read(ctx, target)
-			return nil
-		})
+		if w.begin(target.Name) {
+			w.readings.Go(func() {
+				defer w.end(target.Name)
+				w.read(ctx, target)
+			})
+		}
 		if !sleep.For(ctx, pace) {
-			break
+			return
 		}
 	}
-	_ = group.Wait()
+}
+
+// begin reports whether the target is to be read: one that is still being read has
+// not answered.
+func (w *Watcher) begin(target string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reading[target] {
+		return false
+	}
+	w.reading[target] = true
+	return true
+}
+
+func (w *Watcher) end(target string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.reading, target)
 }
 
 func (w *Watcher) watched() []*config.Target {
--- /dev/null
+++ b/internal/watch/watcher_test.go
@@ -0,0 +1,182 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/engine"
+)
+
+const (
+	interval = 500 * time.Millisecond
+	rounds   = 20
+)
+
+// fakeTargets are engines and services, known by address. One whose address starts
+// with "silent" never answers.
+type fakeTargets struct {
+	mu sync.Mutex // guards the fields below
+	// asked counts the calls by address, underWay those without an answer.
+	asked, underWay map[string]int
+	starts          map[time.Time]int
+	overlaps        int
+}
+
+func newFakeTargets() *fakeTargets {
+	return &fakeTargets{asked: map[string]int{}, underWay: map[string]int{}, starts: map[time.Time]int{}}
+}
+
+func (f *fakeTargets) Load(ctx context.Context, address string) (engine.LoadReport, error) {
+	f.mu.Lock()
+	f.asked[address]++
+	f.starts[time.Now()]++
+	if f.underWay[address]++; f.underWay[address] > 1 {
+		f.overlaps++
+	}
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		f.underWay[address]--
+		f.mu.Unlock()
+	}()
+	if strings.HasPrefix(address, "silent") {
+		<-ctx.Done()
+		return engine.LoadReport{}, ctx.Err()
+	}
+	return engine.LoadReport{Slots: 1}, nil
+}
+
+func (f *fakeTargets) CacheEvents(ctx context.Context, _ string, after uint64) (engine.CacheEvents, error) {
+	return engine.CacheEvents{Events: []engine.CacheEvent{{Seq: after + 1}}}, ctx.Err()
+}
+
+// recordingSink keeps what was read.
+type recordingSink struct {
+	mu      sync.Mutex // guards the fields below
+	reports map[string]int
+	cache   []string
+}
+
+func (s *recordingSink) Report(target string, _ engine.LoadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports[target]++
+}
+
+// CacheCursor has the view of the target "lost" read again.
+func (s *recordingSink) CacheCursor(target string) (uint64, bool) {
+	if target == "lost" {
+		return 0, true
+	}
+	return 7, false
+}
+
+func (s *recordingSink) CacheEvents(target string, e engine.CacheEvents) {
+	s.note("events of %s from %d", target, e.Events[0].Seq)
+}
+
+func (s *recordingSink) CacheView(target string, e engine.CacheEvents) {
+	s.note("view of %s from %d", target, e.Events[0].Seq)
+}
+
+func (s *recordingSink) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cache = append(s.cache, fmt.Sprintf(format, args...))
+}
+
+// watchFor reads the targets for that many rounds of virtual time.
+func watchFor(count int, watched func(string) bool, targets ...*config.Target) (*fakeTargets, *recordingSink) {
+	snapshot := config.NewSnapshot()
+	for _, target := range targets {
+		snapshot.Targets[target.Name] = target
+	}
+	fake, sink := newFakeTargets(), &recordingSink{reports: map[string]int{}}
+	w := New(Options{
+		Source: config.NewStaticSource(snapshot), Engines: fake, Services: fake, Sink: sink,
+		Watched: watched, Interval: interval,
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(count)*interval-time.Millisecond)
+	defer cancel()
+	w.Run(ctx)
+	return fake, sink
+}
+
+func engineAt(name, address string) *config.Target {
+	return &config.Target{Name: name, Address: address, Kind: config.KindEngine}
+}
+
+// A data centre is lost: a third of the engines go silent, all at once. The reports
+// of the others must not come late for it, for the balancer would trust them less
+// and choose badly just when it has the least to choose from. The silent ones are
+// each given up within a bound and asked again, never twice at once.
+func TestSilentTargetsCostTheirOwnReportsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var targets []*config.Target
+		for i := range 200 {
+			targets = append(targets, engineAt(fmt.Sprint("silent", i), fmt.Sprint("silent", i)))
+		}
+		for i := range 400 {
+			targets = append(targets, engineAt(fmt.Sprint("live", i), fmt.Sprint("live", i)))
+		}
+		fake, sink := watchFor(rounds, nil, targets...)
+		for i := range 400 {
+			if got := sink.reports[fmt.Sprint("live", i)]; got != rounds {
+				t.Fatalf("%d reports of a live target in %d rounds", got, rounds)
+			}
+		}
+		for i := range 200 {
+			if got := fake.asked[fmt.Sprint("silent", i)]; got < rounds/4 {
+				t.Fatalf("a silent target was asked %d times in %d rounds", got, rounds)
+			}
+		}
+		if fake.overlaps > 0 {
+			t.Errorf("%d readings of a target began while one was under way", fake.overlaps)
+		}
+	})
+}
+
+// All targets asked in one burst would have the VM's one control path, and the
+// network, busy at one moment and idle for the rest of the interval.
+func TestReadingsAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var targets []*config.Target
+		for i := range 50 {
+			targets = append(targets, engineAt(fmt.Sprint(i), fmt.Sprint(i)))
+		}
+		fake, _ := watchFor(1, nil, targets...)
+		for at, starts := range fake.starts {
+			if starts > 1 {
+				t.Fatalf("%d readings began at one moment, %s", starts, at)
+			}
+		}
+		if len(fake.starts) != len(targets) {
+			t.Errorf("%d readings of %d targets", len(fake.starts), len(targets))
+		}
+	})
+}
+
+// An engine whose view is not trusted any more is read whole, others from the last
+// event on; a service has no cache, and a target of other VMs is not asked at all.
+func TestWhatIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine := func(name string) bool { return name != "theirs" }
+		fake, sink := watchFor(1, mine,
+			engineAt("kept", "kept"), engineAt("lost", "lost"), engineAt("theirs", "theirs"),
+			&config.Target{Name: "permits", Address: "permits", Kind: config.KindService})
+		slices.Sort(sink.cache)
+		if want := []string{"events of kept from 8", "view of lost from 1"}; !slices.Equal(sink.cache, want) {
+			t.Errorf("read %q, want %q", sink.cache, want)
+		}
+		if sink.reports["permits"] != 1 || sink.reports["kept"] != 1 || fake.asked["theirs"] != 0 {
+			t.Errorf("reports %v, asked %v", sink.reports, fake.asked)
+		}
+	})
+}
