Count an engine as failed that answers far slower than its like

An engine that answered ten times slower than the others, and failed nothing, kept its share of the streams for good: balance leaves it to the router to tell, as the time of a generation depends on its length, and the router never did.

The router now measures the time between tokens of each placement, without the caller's own, and tells an engine slow when all of its last streams were slow against the engines that can stand in for it and no partner can be the cause. Load that all share, smaller kinds and full partners make nobody slow.

A stream that is on the slow engine already stays there to its end.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -22,6 +22,7 @@
 		{"urgent", "urgent requests beside bulk of twice the capacity, against an idle system and the baseline", urgent},
 		{"saturation", "tokens a second of a full mixed graph against its max-flow bound", saturation},
 		{"recovery", "stages and instances that die or fall silent in the middle of work, and lost answers", recovery},
+		{"slow", "one engine and one instance ten times slower than the others", slow},
 		{"change", "changes and drains until they are in force on 6 VMs, past outages and silence", change},
 		{"baseline", "urgent and recovery in one report, each beside the baseline", besideBaseline},
 		{"takeover", "the duties of a VM that is killed, or stopped in order", takeover},
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -25,6 +25,8 @@
 	preempt chan struct{}
 
 	tokens atomic.Int64
+	// pace belongs to the goroutine that runs the generation.
+	pace paceMeter
 
 	mu    sync.Mutex // guards the fields below
 	stage Stage
--- a/internal/router/estimates.go
+++ b/internal/router/estimates.go
@@ -11,13 +11,19 @@
 )
 
 // estimates keeps a moving average of the time that each profile's requests take
-// once they run, so that admission can refuse what cannot meet its deadline.
+// once they run, so that admission can refuse what cannot meet its deadline, and the
+// paces of engines.
 type estimates struct {
 	mu   sync.Mutex // guards the field below
 	took map[string]time.Duration
+
+	// paces has a lock of its own.
+	paces *paces
 }
 
-func newEstimates() *estimates { return &estimates{took: map[string]time.Duration{}} }
+func newEstimates() *estimates {
+	return &estimates{took: map[string]time.Duration{}, paces: newPaces()}
+}
 
 func (e *estimates) of(profile string) time.Duration {
 	e.mu.Lock()
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -119,7 +119,7 @@
 	return generation.Job{
 		RequestID: e.id.RequestID, Model: ref.Model, Version: ref.Version, Adapter: ref.Adapter,
 		Prompt: prompt, MaxTokens: tokens, Idempotent: e.profile.Idempotent, Priority: int(e.profile.Urgency), Deadline: e.deadline,
-		Layers: r.Plans.Layers(ref), First: first,
+		Layers: r.Plans.Layers(ref), First: first.measure(e, r.estimates.paces),
 		Preempt: e.preempt,
 		Replace: func(ctx context.Context, exclude []string) (generation.Placement, error) {
 			remaining := max(1, tokens-int(e.tokens.Load()))
@@ -129,7 +129,7 @@
 			}
 			current = next.plan
 			e.enter(StageRunning)
-			return next, nil
+			return next.measure(e, r.estimates.paces), nil
 		},
 	}
 }
--- a/internal/router/observed_sink.go
+++ b/internal/router/observed_sink.go
@@ -34,8 +34,11 @@
 	}
 	s.last = now
 	s.entry.tokens.Add(1)
+	s.entry.pace.came(now)
 	s.keep(text)
-	return s.next.Token(position, text)
+	err := s.next.Token(position, text)
+	s.entry.pace.taken(time.Now())
+	return err
 }
 
 func (s *observedSink) keep(text string) {
