Let a VM that was paused catch up before it serves

Cause: a router frozen for 15 s (SIGSTOP, as a process) was ready at the first check after SIGCONT with a configuration two versions old: its peers had held it dead and two changes were accepted without it, and its own checks run in loops, after the first requests. Ruled out: the reading of peers on waking, which takes a round of up to 1 s. While no peer answers the VM reads the table's configuration each second.

--- a/internal/node/isolation.go
+++ b/internal/node/isolation.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/router"
 )
 
@@ -19,7 +18,6 @@
 	// storeProbeEvery spaces the probes, for in a partition all VMs send them.
 	storeProbeEvery   = time.Second
 	storeProbeTimeout = 500 * time.Millisecond
-	storeProbeKey     = "probe"
 )
 
 // reach is what a VM must reach one of to know the configuration in force.
@@ -33,11 +31,12 @@
 	return r.hasPeers() && !r.peerReachable() && !r.storeReachable()
 }
 
-// storeProbe asks the table whether it answers. It is asked only while no peer
-// does: the circuit breaker alone would learn too late on a VM that seldom uses
-// the store.
+// storeProbe reads the newest configuration from the table. It is asked only while
+// no peer answers: the others may then hold this VM dead and accept changes
+// without it, which it has to learn from the table, and the circuit breaker alone
+// would tell too late that the table is out as well.
 type storeProbe struct {
-	table platform.Table
+	poll  func(context.Context) error
 	asked time.Time
 	ok    bool
 }
@@ -48,26 +47,60 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeProbeTimeout)
 	defer cancel()
-	_, err := p.table.Get(platform.WithLane(ctx, platform.LaneUrgent), storeProbeKey)
+	err := p.poll(ctx)
 	p.asked, p.ok = time.Now(), err == nil
 	return p.ok
 }
 
-// watchIsolation closes the gate once this VM has been cut off from the store and
-// all peers for the bound, and opens it when either is back.
-func watchIsolation(ctx context.Context, r reach, gate *router.Gate) {
-	var since time.Time
+// freshness keeps the gate's proof that this VM has the configuration in force.
+type freshness struct {
+	reach reach
+	gate  *router.Gate
+	// catchUp reads the newest configuration that store or peers can give.
+	catchUp func() bool
+	// resumed is called when the gate opens again.
+	resumed func()
+
+	cutOffSince time.Time
+}
+
+// run checks until the context ends.
+func (f *freshness) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-time.After(isolationCheck):
-			if !r.cutOff() {
-				since = time.Time{}
-			} else if since.IsZero() {
-				since = now
-			}
-			gate.SetIsolated(!since.IsZero() && now.Sub(since) >= isolationBound)
+		case <-time.After(isolationCheck):
+			f.check(time.Now())
 		}
 	}
 }
+
+// check closes the gate once this VM has been cut off from the store and all peers
+// for the bound. After that, or after a pause of the whole VM, others may have
+// accepted changes without it, so the gate opens only once it has caught up.
+func (f *freshness) check(now time.Time) {
+	f.noteReach(now)
+	isolated := !f.cutOffSince.IsZero() && now.Sub(f.cutOffSince) >= isolationBound
+	f.gate.SetIsolated(isolated)
+	if isolated {
+		return
+	}
+	if !f.gate.Stale() {
+		f.gate.Prove()
+		return
+	}
+	if f.catchUp() {
+		f.gate.Prove()
+		f.resumed()
+	}
+}
+
+func (f *freshness) noteReach(now time.Time) {
+	switch {
+	case !f.reach.cutOff():
+		f.cutOffSince = time.Time{}
+	case f.cutOffSince.IsZero():
+		f.cutOffSince = now
+	}
+}
--- a/internal/node/isolation_test.go
+++ b/internal/node/isolation_test.go
@@ -34,11 +34,13 @@
 				var back atomic.Bool
 				gate := &router.Gate{}
 				gate.SetLoaded()
-				go watchIsolation(ctx, reach{
+				caughtUp := 0
+				watch := &freshness{gate: gate, resumed: func() {}, catchUp: func() bool { caughtUp++; return true }, reach: reach{
 					storeReachable: func() bool { return row.store || back.Load() },
 					hasPeers:       func() bool { return row.hasPeers },
 					peerReachable:  func() bool { return row.peers },
-				}, gate)
+				}}
+				go watch.run(ctx)
 				time.Sleep(isolationCheck)
 				synctest.Wait()
 				if !gate.Ready() {
@@ -55,7 +57,43 @@
 				if gate.Check() != nil {
 					t.Error("refused although the store is back")
 				}
+				if row.refusedByBound != (caughtUp > 0) {
+					t.Errorf("caught up %d times", caughtUp)
+				}
 			})
 		})
 	}
 }
+
+// A VM is frozen for a minute and wakes. Its peers held it dead meanwhile and a
+// target was drained without it. The first caller after the freeze is refused as
+// not run, and so is everyone until the VM has caught up; what waited in its queue
+// goes on then. Without this the first second after the freeze is served by what
+// was in force before it.
+func TestVMThatWakesCatchesUpFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := &router.Gate{}
+		gate.SetLoaded()
+		reachable, resumed := false, 0
+		watch := &freshness{gate: gate, resumed: func() { resumed++ }, catchUp: func() bool { return reachable }, reach: reach{
+			storeReachable: func() bool { return true }, hasPeers: func() bool { return true }, peerReachable: func() bool { return true },
+		}}
+		watch.check(time.Now())
+		if gate.Check() != nil {
+			t.Fatal("refused while it runs")
+		}
+		time.Sleep(time.Minute) // nothing runs meanwhile
+		if failure := gate.Check(); failure == nil || gate.Ready() {
+			t.Error("served right after the freeze")
+		}
+		watch.check(time.Now())
+		if gate.Check() == nil || resumed != 0 {
+			t.Error("served before it caught up")
+		}
+		reachable = true
+		watch.check(time.Now())
+		if gate.Check() != nil || resumed != 1 {
+			t.Errorf("refused after it caught up, resumed %d times", resumed)
+		}
+	})
+}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -35,9 +35,7 @@
 	n.spawn(n.pollStore)
 	n.duties.Go(n.doDuties)
 	n.spawn(func() { n.claims.Run(n.ctx) })
-	n.spawn(func() {
-		watchIsolation(n.ctx, reach{(&storeProbe{table: n.platform}).reachable, n.peers.HasPeers, n.peers.Reachable}, n.gate)
-	})
+	n.spawn(n.watchFreshness)
 	n.logger.Info("started", zap.String("callers", n.callersAddr), zap.String("admin", n.AdminAddress()), zap.String("peers", n.PeerAddress()))
 	return nil
 }
@@ -89,6 +87,38 @@
 	return true
 }
 
+// watchFreshness begins once the VM is ready.
+func (n *Node) watchFreshness() {
+	select {
+	case <-n.ready:
+	case <-n.ctx.Done():
+		return
+	}
+	watch := &freshness{
+		reach: reach{
+			storeReachable: (&storeProbe{poll: n.store.Poll}).reachable,
+			hasPeers:       n.peers.HasPeers,
+			peerReachable:  n.peers.Reachable,
+		},
+		gate:    n.gate,
+		catchUp: n.catchUp,
+		resumed: n.router.Resume,
+	}
+	watch.run(n.ctx)
+}
+
+// catchUp reads the newest configuration that the store and the peers can give and
+// reports whether either gave one.
+func (n *Node) catchUp() bool {
+	ctx, cancel := context.WithTimeout(n.ctx, loadAttempt)
+	defer cancel()
+	joined := make(chan error, 1)
+	go func() { joined <- n.peers.Join(ctx) }()
+	pollErr := n.store.Poll(ctx)
+	joinErr := <-joined
+	return pollErr == nil || joinErr == nil
+}
+
 // registerLater writes the row that a store outage kept from being written.
 func (n *Node) registerLater() {
 	for n.ctx.Err() == nil {
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -114,7 +114,10 @@
 	e.enter(StageQueued)
 	queued := time.Now()
 	request := r.admissionRequest(e, cost)
-	err := r.Admission.Admit(ctx, request, func() bool { return try(request.TakeAs()) })
+	err := r.Admission.Admit(ctx, request, func() bool {
+		// A request that waited while the VM was paused waits until it has caught up.
+		return !r.Gate.Stale() && try(request.TakeAs())
+	})
 	r.Observer.Queued(e.profile.Urgency, time.Since(queued))
 	return err
 }
--- a/internal/router/in_hand.go
+++ b/internal/router/in_hand.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -62,6 +64,17 @@
 	return len(h.entries)
 }
 
+// pools returns the pools of all requests in hand.
+func (h *inHand) pools() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := map[string]bool{}
+	for _, e := range h.entries {
+		seen[e.pool] = true
+	}
+	return slices.Collect(maps.Keys(seen))
+}
+
 func (h *inHand) keepFailure(r Record) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,13 @@
 // Ready reports whether the balancer should send new requests to this VM.
 func (r *Router) Ready() bool { return r.Gate.Ready() }
 
+// Resume starts what waited for this VM to catch up with the configuration.
+func (r *Router) Resume() {
+	for _, pool := range r.inHand.pools() {
+		r.Admission.Wake(pool)
+	}
+}
+
 // InHand returns how many requests have arrived and not ended.
 func (r *Router) InHand() int { return r.inHand.count() }
 
