Show that the random fleets' oracle objects to planted faults

Four safeguards of the control path are taken away, by wrapped stand-ins: the rows of VMs, the table's conditions, the VM's knowledge that it is cut off, and the work in hand that orders wait for. Each must be objected to by its own words. The restoring at the end of a run waits for a store that comes back, and for the leases of VMs that were killed.

--- a/internal/fleettest/links_test.go
+++ b/internal/fleettest/links_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"geraniumcroft/internal/engine"
@@ -17,6 +19,8 @@
 type platformLink struct {
 	world *world
 	vm    *vm
+	// replica is the table as it was when the VM was cut off.
+	replica atomic.Pointer[map[string]platform.Row]
 }
 
 func (l *platformLink) cut() bool { return l.vm.severed.Load() || l.vm.storeCut.Load() }
@@ -27,7 +31,7 @@
 		<-ctx.Done()
 		return &platform.AmbiguousError{TxnID: txn.ID, Cause: ctx.Err()}
 	}
-	if l.world.planted.noConditions {
+	if l.world.planted.noConditions && strings.HasPrefix(txn.Writes[0].Key, changesFrom) {
 		txn.Conditions = nil
 	}
 	return l.world.store.Commit(ctx, txn)
@@ -36,15 +40,45 @@
 // Get implements platform.Table.
 func (l *platformLink) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
 	if l.cut() {
-		return nil, l.lost(ctx, keys...)
+		return l.stale(ctx, keys)
 	}
+	l.replica.Store(nil)
 	return l.world.store.Get(ctx, keys...)
 }
 
+// stale is a read that nobody answers, but for the planted fault: a replica of the
+// table that was cut off with the VM.
+func (l *platformLink) stale(ctx context.Context, keys []string) ([]platform.Row, error) {
+	if !l.world.planted.servesCutOff || l.vm.severed.Load() {
+		return nil, l.lost(ctx)
+	}
+	if l.replica.Load() == nil {
+		rows := l.world.peekAll("", "~")
+		l.replica.Store(&rows)
+	}
+	var found []platform.Row
+	for _, key := range keys {
+		row, ok := (*l.replica.Load())[key]
+		if !ok {
+			row.Key = key
+		}
+		found = append(found, row)
+	}
+	return found, nil
+}
+
+func (w *world) peekAll(from, to string) map[string]platform.Row {
+	rows := map[string]platform.Row{}
+	for _, key := range w.store.PeekKeys(from, to) {
+		rows[key] = w.store.Peek(key)
+	}
+	return rows
+}
+
 // Scan implements platform.Table.
 func (l *platformLink) Scan(ctx context.Context, from, to string, limit int) ([]platform.Row, error) {
 	if l.cut() {
-		return nil, l.lost(ctx, from)
+		return nil, l.lost(ctx)
 	}
 	if l.world.planted.noRoster && from == rosterFrom {
 		return nil, nil
@@ -55,7 +89,7 @@
 // Put implements platform.Objects.
 func (l *platformLink) Put(ctx context.Context, name string, body []byte) error {
 	if l.cut() {
-		return l.lost(ctx, name)
+		return l.lost(ctx)
 	}
 	return l.world.store.Put(ctx, name, body)
 }
@@ -63,7 +97,7 @@
 // Fetch implements platform.Objects.
 func (l *platformLink) Fetch(ctx context.Context, name string) ([]byte, error) {
 	if l.cut() {
-		return nil, l.lost(ctx, name)
+		return nil, l.lost(ctx)
 	}
 	return l.world.store.Fetch(ctx, name)
 }
@@ -71,17 +105,13 @@
 // VMs implements platform.VMList.
 func (l *platformLink) VMs(ctx context.Context) ([]platform.VM, error) {
 	if l.cut() {
-		return nil, l.lost(ctx, "list")
+		return nil, l.lost(ctx)
 	}
 	return l.world.store.VMs(ctx)
 }
 
-// lost is a read that nobody answers. The planted fault answers the one by which a
-// VM finds out that it is cut off.
-func (l *platformLink) lost(ctx context.Context, keys ...string) error {
-	if l.world.planted.servesCutOff && len(keys) == 1 && keys[0] == probeKey {
-		return nil
-	}
+// lost waits for an answer that does not come.
+func (l *platformLink) lost(ctx context.Context) error {
 	<-ctx.Done()
 	return &platform.UnavailableError{Operation: "cut off", Cause: ctx.Err()}
 }
--- a/internal/fleettest/play_test.go
+++ b/internal/fleettest/play_test.go
@@ -16,6 +16,8 @@
 const (
 	setupBound = 30 * time.Second
 	healBound  = 3 * time.Minute
+	// oldLeases is how long the leases of VMs that were killed last.
+	oldLeases = 20 * time.Second
 )
 
 // play runs the script in virtual time and returns what is wrong.
@@ -88,6 +90,7 @@
 		cancel()
 	}
 	w.restore()
+	time.Sleep(oldLeases)
 	last := ""
 	for range healBound / time.Second {
 		if last = w.unhealed(); last == "" {
@@ -112,7 +115,9 @@
 			time.Sleep(time.Second) // a reload is under way
 			continue
 		}
-		w.propose(v, next)
+		if w.propose(v, next).kind != toldAccepted {
+			time.Sleep(time.Second)
+		}
 	}
 	w.wrong("operators could not restore the configuration at %s", v.name)
 }
--- a/internal/fleettest/script_test.go
+++ b/internal/fleettest/script_test.go
@@ -12,6 +12,7 @@
 	maxVMs       = 6
 	engineCount  = 6
 	scriptTime   = 30 * time.Second
+	maxTokens    = 60
 	minArrivals  = 20
 	maxArrivals  = 90
 	maxOperators = 10
@@ -69,7 +70,7 @@
 }
 
 func drawArrival(t *rapid.T, at time.Duration) arrival {
-	a := arrival{at: at, vm: rapid.IntRange(0, maxVMs-1).Draw(t, "vm"), tokens: rapid.IntRange(1, 60).Draw(t, "tokens")}
+	a := arrival{at: at, vm: rapid.IntRange(0, maxVMs-1).Draw(t, "vm"), tokens: rapid.IntRange(1, maxTokens).Draw(t, "tokens")}
 	a.profile = rapid.SampledFrom([]string{"draft", "draft", "check", "hold", "hold", "ask"}).Draw(t, "profile")
 	if a.profile == "hold" && rapid.Bool().Draw(t, "keyed") {
 		a.key = fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key"))
--- a/internal/fleettest/world_test.go
+++ b/internal/fleettest/world_test.go
@@ -27,7 +27,6 @@
 	layers     = 8
 	rosterFrom = "vm/"
 	rosterTo   = "vm0"
-	probeKey   = "probe"
 	stopBound  = time.Minute
 )
 
@@ -35,7 +34,7 @@
 type planted struct {
 	// noRoster hides the rows by which VMs that nobody knows yet are found.
 	noRoster bool
-	// noConditions makes the table write whatever the rows are.
+	// noConditions makes the table write changes whatever the rows are.
 	noConditions bool
 	// servesCutOff makes a VM that is cut off believe that it reaches the store.
 	servesCutOff bool
