peer: push to a VM known from the list by what its answer told

The next round takes the member as it is known now.

Test before: 430 comparisons until the test cut the link, and the VM lacks the change; after: 1, and it has it.

--- a/internal/peer/push.go
+++ b/internal/peer/push.go
@@ -66,9 +66,22 @@
 		if n.endPush(m.Name) {
 			return
 		}
+		m = n.asKnownNow(m)
 	}
 }
 
+// asKnownNow returns what this VM holds of a member by now. A round that compared
+// versions with a VM known from the list alone asks for another one, to push; with
+// the member as it was before, that would compare again, without end or pause.
+func (n *Node) asKnownNow(m membership.Member) membership.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now, ok := n.table.Get(m.Name); ok {
+		return now
+	}
+	return m
+}
+
 // endPush reports whether the pushing to a peer is over; it is not when more
 // came meanwhile.
 func (n *Node) endPush(name string) bool {
