--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/invariant"
@@ -133,3 +134,85 @@
 		}
 	})
 }
+
+// Bulk's turn has come, and an urgent request waits with it. The next slot is the
+// urgent one's.
+func TestBulksTurnWaitsForUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{BulkTurn: 1}, 0)
+		f.queueUp(&Request{ID: "bulk", Workspace: "b"})
+		f.queueUp(&Request{ID: "normal", Workspace: "a", Urgency: config.Normal})
+		f.setSlots(1)
+		f.queueUp(&Request{ID: "urgent", Workspace: "a", Urgency: config.Urgent})
+		f.end(time.Second)
+		synctest.Wait()
+		if got := f.started(); !slices.Equal(got, []string{"normal", "urgent"}) {
+			t.Errorf("started %v", got)
+		}
+		f.setSlots(20)
+	})
+}
+
+// Two preempted streams come back. The second finds a slot that has just come free,
+// and leaves it to the first, which waits for it.
+func TestResumedStreamsKeepTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{}, 0)
+		f.queueUp(&Request{ID: "first", Workspace: "a", Resume: true})
+		f.mu.Lock()
+		f.slots = 1
+		f.mu.Unlock()
+		f.queueUp(&Request{ID: "second", Workspace: "a", Resume: true})
+		f.controller.Wake(testPool)
+		synctest.Wait()
+		if got := f.started(); !slices.Equal(got, []string{"first"}) {
+			t.Errorf("started %v", got)
+		}
+		f.setSlots(20)
+	})
+}
+
+// One workspace sends without end. It is refused beyond its part of the queue, as
+// workspace-limit, while another still finds room; an urgent request of its own takes
+// the place of its newest bulk one.
+func TestWorkspaceHasItsPartOfTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets(Settings{MaxQueuedPerWorkspace: 2}, 0)
+		f.queueUp(&Request{ID: "1", Workspace: "large"})
+		newest := f.queueUp(&Request{ID: "2", Workspace: "large"})
+		if reason := reasonOf(t, <-f.queueUp(&Request{ID: "3", Workspace: "large"})); reason != outcome.ReasonWorkspaceLimit {
+			t.Errorf("reason %s", reason)
+		}
+		f.queueUp(&Request{ID: "small", Workspace: "small"})
+		f.queueUp(&Request{ID: "urgent", Workspace: "large", Urgency: config.Urgent})
+		if reason := reasonOf(t, <-newest); reason != outcome.ReasonOverloaded {
+			t.Errorf("the displaced one has the reason %s", reason)
+		}
+		f.setSlots(20)
+		synctest.Wait()
+		if got := f.started(); !slices.Equal(got, []string{"urgent", "1", "small"}) {
+			t.Errorf("started %v", got)
+		}
+	})
+}
+
+// The request whose turn it is cannot start, as it needs more than is free, and its
+// caller leaves. The one behind it starts at that moment and not at the next review.
+func TestLeavingWakesTheOneBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Settings{ReviewInterval: time.Hour}, invariant.Strict())
+		ctx, leave := context.WithCancel(context.Background())
+		go c.Admit(ctx, &Request{Pool: testPool, Workspace: "a"}, func() bool { return false })
+		synctest.Wait()
+		behind := make(chan error, 1)
+		go func() {
+			behind <- c.Admit(context.Background(), &Request{Pool: testPool, Workspace: "a"}, func() bool { return true })
+		}()
+		synctest.Wait()
+		start := time.Now()
+		leave()
+		if err := <-behind; err != nil || time.Since(start) != 0 {
+			t.Errorf("%v after %s of virtual time", err, time.Since(start))
+		}
+	})
+}
--- a/internal/api/bad_input_test.go
+++ b/internal/api/bad_input_test.go
@@ -83,6 +83,7 @@
 		{name: "key with a blank", body: good, header: map[string]string{"Idempotency-Key": "a b"}},
 		{name: "deadline without unit", body: good, header: map[string]string{HeaderDeadline: "1500"}},
 		{name: "deadline in the past", body: good, header: map[string]string{HeaderDeadline: "-1s"}},
+		{name: "deadline beyond a day", body: good, header: map[string]string{HeaderDeadline: "25h"}},
 		{name: "deadline on a call", path: "/v1/profiles/p/calls", header: map[string]string{HeaderDeadline: "soon"}},
 		{name: "long bearer", body: good, header: map[string]string{"Authorization": "Bearer " + strings.Repeat("x", 1100)}},
 		{name: "unknown path", path: "/v1/models/x", status: 404, reason: outcome.ReasonNotFound},
--- a/internal/balance/health_test.go
+++ b/internal/balance/health_test.go
@@ -131,3 +131,49 @@
 		t.Error("the slow target was never ejected")
 	})
 }
+
+// All instances answer within a few milliseconds, one of them in ten times the others'
+// time. That is noise and no fault: ejecting it would cost slots and save nothing.
+func TestQuickTargetIsNeverSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer(Settings{}, services(3, 4))
+		for range 300 {
+			s, err := b.Pick(Query{Pool: "svc", Urgency: config.Urgent})
+			if err != nil {
+				t.Fatal(err)
+			}
+			took := time.Millisecond
+			if s.Target().Name == "t000" {
+				took *= 10
+			}
+			time.Sleep(took)
+			s.Release(ResultOK)
+		}
+		if got := ejected(b); got != 0 {
+			t.Errorf("%d targets were ejected", got)
+		}
+	})
+}
+
+// A target that was ejected waits for its probe beside one that is well and nearer.
+// Urgent requests leave it alone; the first bulk one probes it, so that it is known
+// soon whether the target is well.
+func TestBulkProbesAndUrgentDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snapshot := services(2, 4)
+		snapshot.Targets["t001"].DataCentre = "here"
+		b := newBalancer(Settings{}, snapshot)
+		failOften(b, "t000")
+		time.Sleep(DefaultEjectFor)
+		synctest.Wait()
+		for _, c := range []struct {
+			urgency config.Urgency
+			want    string
+		}{{config.Urgent, "t001"}, {config.Bulk, "t000"}} {
+			s, err := b.Pick(Query{Pool: "svc", Urgency: c.urgency, DataCentre: "here"})
+			if err != nil || s.Target().Name != c.want {
+				t.Fatalf("%s went to %v, %v, want %s", c.urgency, s, err, c.want)
+			}
+		}
+	})
+}
--- a/internal/balance/prefix_test.go
+++ b/internal/balance/prefix_test.go
@@ -54,3 +54,28 @@
 		t.Errorf("after reading: from %d, read again %t", after, reread)
 	}
 }
+
+// An engine's events come twice, as an answer was asked for again. A prefix that was
+// cached and evicted does not come back by the repetition.
+func TestRepeatedCacheEventsChangeNothing(t *testing.T) {
+	b := newBalancer(Settings{}, services(2, 4))
+	cached := engine.CacheEvent{Seq: 1, Prefix: 7}
+	b.CacheEvents("t000", engine.CacheEvents{Events: []engine.CacheEvent{cached, {Seq: 2, Prefix: 7, Evict: true}}})
+	b.CacheEvents("t000", engine.CacheEvents{Events: []engine.CacheEvent{cached}})
+	if found, _ := b.view.Load().pools["svc"].prefixes.find([]uint64{7}); found[0].valid() {
+		t.Error("an evicted prefix came back")
+	}
+	if after, reread := b.CacheCursor("t000"); after != 2 || reread {
+		t.Errorf("from %d, read again %t", after, reread)
+	}
+}
+
+// The engine says itself that it has dropped events. An eviction may have been among
+// them, so its view is read again.
+func TestGapThatTheEngineTellsLowersTrust(t *testing.T) {
+	b := newBalancer(Settings{}, services(2, 4))
+	b.CacheEvents("t000", engine.CacheEvents{Gap: true, Events: []engine.CacheEvent{{Seq: 40, Prefix: 7}}})
+	if after, reread := b.CacheCursor("t000"); after != 0 || !reread {
+		t.Errorf("from %d, read again %t", after, reread)
+	}
+}
--- a/internal/claim/outage_test.go
+++ b/internal/claim/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -105,3 +106,16 @@
 		}
 	})
 }
+
+// The table is out for long and every request's end waits for it. The newest are
+// kept, within a bound: with their answers they would otherwise fill the VM's memory.
+func TestLateEndsAreBounded(t *testing.T) {
+	var late lateEnds
+	for i := range maxLateEnds + 1 {
+		late.add(newRow{key: strconv.Itoa(i)})
+	}
+	rows := late.takeAll()
+	if len(rows) != maxLateEnds || rows[0].key != "1" || late.len() != 0 {
+		t.Errorf("%d rows from %q on, %d left", len(rows), rows[0].key, late.len())
+	}
+}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -231,6 +231,33 @@
 	})
 }
 
+// An idempotent call fails on its first instance, and a second one would answer.
+// It is not sent again once its attempts, or the budget that all requests share, are
+// used up: in an overload each request would otherwise come twice.
+func TestNoRetryBeyondTheBounds(t *testing.T) {
+	reset := behaviour{doErr: &service.CallError{Sent: true, Cause: errors.New("connection reset")}}
+	slow := behaviour{takes: 700 * time.Millisecond}
+	oneAttempt, noBudget := DefaultSettings(), DefaultSettings()
+	oneAttempt.MaxAttempts = 1
+	noBudget.BudgetShare, noBudget.BudgetBurst, noBudget.BudgetPerSecond = 0, 0, 0
+	for name, settings := range map[string]Settings{"attempts": oneAttempt, "budget": noBudget} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := callOnce(t, reset, behaviour{}, true, config.Urgent, settings)
+				want := outcomeOf{outcome.Unknown, outcome.ReasonTargetFailed, []string{"a"}}
+				if fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Errorf("after a reset got %v, want %v", got, want)
+				}
+				got = callOnce(t, slow, behaviour{}, true, config.Urgent, settings)
+				want = outcomeOf{outcome.Complete, "", []string{"a"}}
+				if fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Errorf("hedged: got %v, want %v", got, want)
+				}
+			})
+		})
+	}
+}
+
 // Two attempts of a call that is not idempotent race to be sent, as a mistake in
 // the attempts' logic would have them. Only one passes, and it is reported.
 func TestSecondCrossingIsStoppedAndReported(t *testing.T) {
--- a/internal/security/tls_test.go
+++ b/internal/security/tls_test.go
@@ -151,6 +151,20 @@
 	}
 }
 
+// The file of authorities holds no certificate, as after a slip. It is refused: with an
+// empty pool in force nobody could connect, and the reason would be found late.
+func TestAuthoritiesWithoutACertificateAreRefused(t *testing.T) {
+	files, _ := newAuthority(t).write(t.TempDir(), "127.0.0.1")
+	if err := os.WriteFile(files.CA, []byte("no certificate"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	source, err := NewTLSSource(files, Options{})
+	if err == nil {
+		source.Close()
+		t.Error("a file without a certificate is taken")
+	}
+}
+
 // An authority is taken out of the file, as after the loss of its key. A client
 // with a certificate of it is refused at its next connection, also when it has
 // kept a session that it could resume without showing the certificate again.
