--- a/internal/adminapi/bounds_test.go
+++ b/internal/adminapi/bounds_test.go
@@ -28,6 +28,12 @@
 			}
 		})
 
+		Convey("a change's id that is long or not printable is refused", func() {
+			for _, id := range []string{strings.Repeat("i", maxIDLength+1), "two words", "\u00e9"} {
+				c.want(c.send("PUT", "/admin/v1/workspaces/desk", `{}`, "If-None-Match: *", "Idempotency-Key: "+id), 400, "Idempotency-Key")
+			}
+		})
+
 		So(store.changes, ShouldHaveLength, 1)
 	})
 }
--- a/internal/cli/admincmd/admincmd_test.go
+++ b/internal/cli/admincmd/admincmd_test.go
@@ -215,6 +215,25 @@
 	})
 }
 
+// The address leads to something that redirects, by a mistake or by intent. The
+// operator's token is not carried to where it points, and the command fails.
+func TestTokenIsNotCarriedByARedirect(t *testing.T) {
+	Convey("Given an address that redirects elsewhere", t, func() {
+		b := newBench(t)
+		asked := 0
+		elsewhere := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked++ }))
+		defer elsewhere.Close()
+		redirecting := httptest.NewServer(http.RedirectHandler(elsewhere.URL, http.StatusTemporaryRedirect))
+		defer redirecting.Close()
+
+		Convey("the command fails and asks nobody else", func() {
+			b.url = redirecting.URL
+			b.want(1, "307", "profile", "list")
+			So(asked, ShouldEqual, 0)
+		})
+	})
+}
+
 // Bad usage has its own exit code and says what is allowed.
 func TestBadUsage(t *testing.T) {
 	b := newBench(t)
--- a/internal/service/httpservice/client_test.go
+++ b/internal/service/httpservice/client_test.go
@@ -68,6 +68,23 @@
 	})
 }
 
+// A service, or a proxy before it, sends more than the answer that it announced. The
+// rest would be read as the next call's answer, so the connection is not used again.
+func TestAConnectionWithBytesLeftIsNotReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipeService{answer: func(int, *http.Request) (string, bool) { return wholeAnswer + wholeAnswer, true }}
+		client := newTestClient(t, p.dial)
+		for want := 1; want <= 2; want++ {
+			if _, err := call(t.Context(), t, client, false); err != nil {
+				t.Fatal(err)
+			}
+			if dials, _ := p.counts(); dials != want {
+				t.Fatalf("%d dials, expected %d", dials, want)
+			}
+		}
+	})
+}
+
 // The caller gets a truthful answer within the bound. The service has read the
 // call, and then nothing arrives although the connection stands. The call left,
 // so it may have run; the connection is not used again and neither is the one
