admincmd: dump goes the way of the other admin commands

Cause: dump sent its request by code of its own: it followed redirects with the operator's token, could not reach a listener whose certificate is of the operators' own authority, had no check of its URL, and printed one long line. No test used -ca-file at all.

Change: dump is a command of admincmd over the same session, with -ca-file, and prints indented JSON.

Conclusion: a file of the token that cannot be read is bad usage (2) for dump as it was for the others; it was 1. The script of failures in examples/local greps the dump for lines with a count above 0, which a dump on one line never had.

--- a/internal/cli/admincmd/doc.go
+++ b/internal/cli/admincmd/doc.go
@@ -1,5 +1,5 @@
 // Package admincmd has the operators' commands over the admin API: profile,
-// target, workspace, model, change and vm.
+// target, workspace, model, change, vm and dump.
 //
 // A change carries an id that this package chooses, so a request whose answer was
 // lost is sent again without making a second change. A change that is committed
--- a/internal/cli/admincmd/flags.go
+++ b/internal/cli/admincmd/flags.go
@@ -21,10 +21,15 @@
 	limit     int
 }
 
-func (f *flags) register(set *flag.FlagSet) {
-	set.StringVar(&f.admin, "admin", "", "`URL` of a VM's admin listener, http://IP:port or https://IP:port")
+// registerSession registers what a session needs.
+func (f *flags) registerSession(set *flag.FlagSet, defaultAdmin string) {
+	set.StringVar(&f.admin, "admin", defaultAdmin, "`URL` of a VM's admin listener, http://IP:port or https://IP:port")
 	set.StringVar(&f.tokenFile, "token-file", "", "`FILE` that holds the operator's token")
 	set.StringVar(&f.caFile, "ca-file", "", "`FILE` with the certificates to trust for https")
+}
+
+func (f *flags) register(set *flag.FlagSet) {
+	f.registerSession(set, "")
 	set.BoolVar(&f.json, "json", false, "print JSON as the API answers it")
 	set.StringVar(&f.file, "f", "", "`FILE` with the entity as JSON, - for standard input (set)")
 	set.Uint64Var(&f.revision, "revision", 0, "the revision that is changed; 0 takes the file's, or creates (set, delete)")
--- a/internal/cli/admincmd/register.go
+++ b/internal/cli/admincmd/register.go
@@ -36,6 +36,7 @@
 	c.Register(&command{
 		name: "change", synopsis: "show the history of changes and where each is in force", verbs: changeVerbs(), output: o,
 	}, group)
+	c.Register(&dumpCommand{output: o}, group)
 	c.Register(&command{
 		name: "vm", synopsis: "show the VMs and the leases that they hold", verbs: vmVerbs(), output: o,
 	}, group)
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -35,7 +35,6 @@
 	c.Register(&versionCommand{}, "help")
 	c.Register(&serveCommand{}, "running")
 	c.Register(&checkCommand{}, "running")
-	c.Register(&dumpCommand{}, "running")
 	c.Register(&demoCommand{}, "trying")
 	c.Register(&standinCommand{}, "trying")
 	admincmd.Register(c)
