platform: an ambiguous answer is nothing but ambiguous

Found by the random runs of fleets (a late commit, then an outage): an operator was told that a change was not written, and later it was in force. The error of a transaction that may have taken effect unwrapped to why its fate could not be read, "unavailable"; the configuration's writer and the leases asked for that first and took it for a transaction that was never sent. It does not unwrap any more.

--- a/internal/platform/ambiguous_error.go
+++ b/internal/platform/ambiguous_error.go
@@ -3,7 +3,10 @@
 import "fmt"
 
 // AmbiguousError reports a transaction that may have taken effect, with the rows as
-// they were last read. It is ErrAmbiguous.
+// they were last read. It is ErrAmbiguous and nothing else: it does not unwrap to its
+// cause, which is often that the service could not be asked what became of the
+// transaction. Taken for ErrUnavailable, a write that takes effect later was told to
+// its author as not written.
 type AmbiguousError struct {
 	TxnID string
 	// Rows is nil when they could not be read.
@@ -18,6 +21,3 @@
 
 // Is makes errors.Is(err, ErrAmbiguous) true.
 func (e *AmbiguousError) Is(target error) bool { return target == ErrAmbiguous }
-
-// Unwrap returns the cause.
-func (e *AmbiguousError) Unwrap() error { return e.Cause }
