--- a/internal/cli/node_options.go
+++ b/internal/cli/node_options.go
@@ -2,8 +2,10 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"os"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/node"
@@ -34,9 +36,28 @@
 	if o.AdminTLS, err = f.serverTLS(s.Admin.TLS); err != nil {
 		return o, err
 	}
+	if o.PlatformTLS, err = platformTLS(s.Platform.TLSCA); err != nil {
+		return o, err
+	}
 	return o, f.peersTLS(s.Peers.TLS, &o)
 }
 
+// platformTLS trusts the authorities of the file alone; nil trusts the system's.
+func platformTLS(file string) (*tls.Config, error) {
+	if file == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("%s: no certificate in it", file)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: authorities}, nil
+}
+
 func (f *nodeFiles) peersTLS(t settings.TLS, o *node.Options) error {
 	source, err := f.source(t)
 	if err != nil || source == nil {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -32,6 +32,8 @@
 	dutyCompact = "compact"
 )
 
+var duties = []string{orders.Duty, dutySweep, dutyCompact}
+
 func (n *Node) buildPlatform() {
 	s := n.settings.Platform
 	// The settings name the fleet's budget; followVMList divides it by the VMs.
@@ -102,7 +104,7 @@
 	})
 	n.roster = roster.New(n.platform, s.VM.Name, n.peers, n.logger)
 	n.leases = lease.NewManager(lease.Options{
-		Table: n.platform, VM: s.VM.Name, Duties: []string{orders.Duty, dutySweep, dutyCompact},
+		Table: n.platform, VM: s.VM.Name, Duties: duties,
 		VMs:        func() int { return n.peers.PeerCount() + 1 },
 		Invariants: n.invariants, Logger: n.logger,
 	})
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -26,6 +26,9 @@
 	CallersTLS *tls.Config
 	AdminTLS   *tls.Config
 	PeersTLS   *tls.Config
+	// PlatformTLS is for the platform's services over https; nil takes the system's
+	// authorities.
+	PlatformTLS *tls.Config
 	// PeersClientTLS is for connections to peers, nil for plain ones.
 	PeersClientTLS peer.ClientTLS
 	// Dispatch and Generation take their defaults where they are zero.
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -36,6 +36,7 @@
 	n.duties.Go(n.doDuties)
 	n.spawn(func() { n.claims.Run(n.ctx) })
 	n.spawn(n.watchFreshness)
+	n.spawn(n.setGauges)
 	n.logger.Info("started", zap.String("callers", n.callersAddr), zap.String("admin", n.AdminAddress()), zap.String("peers", n.PeerAddress()))
 	return nil
 }
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -47,7 +47,7 @@
 func (n *Node) networkWiring() Wiring {
 	p, t := n.settings.Platform, n.settings.Targets
 	service := func(url string) *httpplatform.Client {
-		return httpplatform.New(httpplatform.Settings{BaseURL: url, AttemptTimeout: p.Timeout})
+		return httpplatform.New(httpplatform.Settings{BaseURL: url, AttemptTimeout: p.Timeout, TLS: n.options.PlatformTLS})
 	}
 	base := transport.Settings{ConnectTimeout: t.ConnectTimeout}
 	pool := transport.NewPool(base, transport.NewDialer(base.WithDefaults()))
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -137,9 +137,6 @@
 	{Section: "targets", Name: "ejection_max_share", Kind: KindFloat, Default: "0.5", Min: "0", Max: "0.9",
 		Doc:   "Largest share of a pool that is ejected at once.",
 		field: func(s *Settings) any { return &s.Targets.EjectionMaxShare }},
-	{Section: "targets", Name: "max_connections", Kind: KindInt, Default: "64", Min: "1", Max: "10000",
-		Doc:   "Connections to one target that are open at once.",
-		field: func(s *Settings) any { return &s.Targets.MaxConnections }},
 
 	{Section: "shutdown", Name: "unready_wait", Kind: KindDuration, Default: "5s", Min: "0s", Max: "10m",
 		Doc:   "After SIGTERM the VM is unready but takes requests for this time, so that the balancer learns of it first.",
--- a/internal/settings/targets.go
+++ b/internal/settings/targets.go
@@ -10,5 +10,4 @@
 	EjectionFailures int
 	EjectionTime     time.Duration
 	EjectionMaxShare float64
-	MaxConnections   int
 }
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/outcome"
@@ -98,3 +99,16 @@
 		t.Errorf("%d lines", lines)
 	}
 }
+
+// A target fails and each line of the log carries its error. The line holds what
+// happened and not the stack that made the error, which would fill the log's queue.
+func TestErrorsAreLoggedWithoutTheirStacks(t *testing.T) {
+	var out bytes.Buffer
+	log := newTestLog(t, &out)
+	err := errors.Wrap(errors.New("reset"), "call")
+	log.With(zap.NamedError("first", err)).Info("m", zap.Error(err))
+	log.Close()
+	if line := out.String(); strings.Contains(line, "log_test.go") || strings.Count(line, "call: reset") != 2 {
+		t.Error(line)
+	}
+}
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	writer := NewAsyncWriter(o.Out)
-	core := zapcore.NewCore(encoder(o.Format), writer, level)
+	core := terseErrors{zapcore.NewCore(encoder(o.Format), writer, level)}
 	sampled := zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter)
 	return &Log{Logger: zap.New(sampled), writer: writer}, nil
 }
