--- a/internal/experiment/scene.go
+++ b/internal/experiment/scene.go
@@ -67,7 +67,7 @@
 	return s.Apply(ctx, config.EntityModel, m.Name, m)
 }
 
-// profile returns a generation profile of the scene's one model.
+// generationProfile returns a profile of the one model of a scene.
 func generationProfile(name string, u config.Urgency, deadline time.Duration) *config.Profile {
 	return &config.Profile{
 		Name: name, Class: config.ClassGeneration, Urgency: u, Idempotent: true,
@@ -75,6 +75,7 @@
 	}
 }
 
+// callProfile returns a profile of the one plain service of a scene.
 func callProfile(name string, u config.Urgency, idempotent bool, deadline time.Duration) *config.Profile {
 	return &config.Profile{
 		Name: name, Class: config.ClassCall, Urgency: u, Idempotent: idempotent,
