--- /dev/null
+++ b/internal/roster/registration.go
@@ -0,0 +1,44 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"geraniumcroft/internal/platform"
+)
+
+// Register writes this VM's row. It must return before the configuration is read.
+func (r *Roster) Register(ctx context.Context) error {
+	value, err := json.Marshal(record{VM: r.vm, Since: time.Now()})
+	if err != nil {
+		return err
+	}
+	return r.write(ctx, platform.Write{Key: rowPrefix + r.vm, Value: value})
+}
+
+// Unregister deletes this VM's row, after its last request.
+func (r *Roster) Unregister(ctx context.Context) error {
+	return r.write(ctx, platform.Write{Key: rowPrefix + r.vm, Delete: true})
+}
+
+func (r *Roster) write(ctx context.Context, write platform.Write) error {
+	rows, err := r.table.Get(ctx, write.Key)
+	if err != nil {
+		return err
+	}
+	return r.commit(ctx, rows[0], write)
+}
+
+func (r *Roster) commit(ctx context.Context, row platform.Row, write platform.Write) error {
+	err := r.table.Commit(ctx, platform.Txn{
+		ID:         uuid.NewString(),
+		Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
+		Writes:     []platform.Write{write},
+	})
+	return errors.Wrapf(err, "row of VM %s", strings.TrimPrefix(write.Key, rowPrefix))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/membership"
@@ -64,37 +61,6 @@
 	}
 }
 
-// Register writes this VM's row. It must return before the configuration is read.
-func (r *Roster) Register(ctx context.Context) error {
-	value, err := json.Marshal(record{VM: r.vm, Since: time.Now()})
-	if err != nil {
-		return err
-	}
-	return r.write(ctx, platform.Write{Key: rowPrefix + r.vm, Value: value})
-}
-
-// Unregister deletes this VM's row, after its last request.
-func (r *Roster) Unregister(ctx context.Context) error {
-	return r.write(ctx, platform.Write{Key: rowPrefix + r.vm, Delete: true})
-}
-
-func (r *Roster) write(ctx context.Context, write platform.Write) error {
-	rows, err := r.table.Get(ctx, write.Key)
-	if err != nil {
-		return err
-	}
-	return r.commit(ctx, rows[0], write)
-}
-
-func (r *Roster) commit(ctx context.Context, row platform.Row, write platform.Write) error {
-	err := r.table.Commit(ctx, platform.Txn{
-		ID:         uuid.NewString(),
-		Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
-		Writes:     []platform.Write{write},
-	})
-	return errors.Wrapf(err, "row of VM %s", strings.TrimPrefix(write.Key, rowPrefix))
-}
-
 // InForce implements confstore.Confirmer. A VM that has a row has not confirmed
 // while it is unknown to membership, and for a while when it is held dead: it may
 // serve on the far side of a cut. Where the rows cannot be read membership alone
@@ -195,46 +161,3 @@
 	}
 	return found
 }
-
-// Sweep deletes rows of VMs that died without deleting their own. Only the holder
-// of the duty calls it.
-func (r *Roster) Sweep(ctx context.Context, now time.Time) error {
-	rows, err := r.scan(ctx)
-	if err != nil {
-		return err
-	}
-	for _, row := range r.forgotten(rows, now) {
-		if err := r.commit(ctx, row, platform.Write{Key: row.Key, Delete: true}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// forgotten returns the rows whose VMs have been in doubt for long enough.
-func (r *Roster) forgotten(rows []platform.Row, now time.Time) []platform.Row {
-	serving := map[string]bool{r.vm: true}
-	for _, member := range r.members.Members() {
-		serving[member.Name] = member.MayServe()
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	doubted := map[string]time.Time{}
-	var forgotten []platform.Row
-	for _, row := range rows {
-		name := strings.TrimPrefix(row.Key, rowPrefix)
-		if serving[name] {
-			continue
-		}
-		since, before := r.doubted[name]
-		if !before {
-			since = now
-		}
-		doubted[name] = since
-		if now.Sub(since) >= forgetAfter {
-			forgotten = append(forgotten, row)
-		}
-	}
-	r.doubted = doubted
-	return forgotten
-}
