fleettest: racing operators in the midst of faults, and sharper planted faults

rapid prefers small numbers: most faults lasted milliseconds at the start of a run. The counts are still its own, the rest is drawn evenly; half of the operators act in the midst of an incident, half race with the one before, and half of the incidents begin together.

--- a/internal/fleettest/incidents_test.go
+++ b/internal/fleettest/incidents_test.go
@@ -120,9 +120,9 @@
 		time.Sleep(i.lasts)
 		w.setStore(func(o *platformsim.Order) { o.SlowBy = 0 })
 	case "store-lose":
-		w.setStore(func(o *platformsim.Order) { o.LoseAnswers = 3 })
+		w.setStore(func(o *platformsim.Order) { o.LoseAnswers = 4 })
 	case "store-delay":
-		w.setStore(func(o *platformsim.Order) { o.DelayCommits, o.DelayBy = 3, config.Duration(i.lasts) })
+		w.setStore(func(o *platformsim.Order) { o.DelayCommits, o.DelayBy = 8, config.Duration(i.lasts) })
 	case "list-freeze":
 		w.setStore(func(o *platformsim.Order) { o.FreezeVMs = true })
 		time.Sleep(i.lasts)
--- a/internal/fleettest/main_test.go
+++ b/internal/fleettest/main_test.go
@@ -2,26 +2,22 @@
 
 import (
 	"flag"
-	"fmt"
-	"os"
+	"strconv"
 	"testing"
+
+	"geraniumcroft/internal/testseed"
 )
 
-// TestMain fixes the seed of the randomised tests unless one is given, so that
-// every run has the same verdict.
+const checksFlag = "rapid.checks"
+
+// TestMain bounds the runs unless the command line gives their number, since each of
+// them takes as long as a hundred of another package.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	if !given("rapid.checks") {
-		_ = flag.Set("rapid.checks", fmt.Sprint(checksInCI))
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == checksFlag })
+	if !given {
+		_ = flag.Set(checksFlag, strconv.Itoa(checksInCI))
 	}
-	os.Exit(m.Run())
-}
-
-func given(name string) bool {
-	found := false
-	flag.Visit(func(f *flag.Flag) { found = found || f.Name == name })
-	return found
+	testseed.Main(m)
 }
--- a/internal/fleettest/script_test.go
+++ b/internal/fleettest/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"pgregory.net/rapid"
@@ -17,6 +18,8 @@
 	maxArrivals  = 90
 	maxOperators = 10
 	maxIncidents = 6
+	longestFault = 25 * time.Second
+	raceWindow   = 20 * time.Millisecond
 )
 
 // arrival is one request of a script.
@@ -59,61 +62,96 @@
 	incidents  []incident
 }
 
+// draw leaves the counts to rapid, which shrinks them, and takes the rest from a
+// plain generator: rapid prefers small numbers, and faults of a millisecond at the
+// start of a run prove little.
 func draw(t *rapid.T) script {
-	moment := rapid.Custom(func(t *rapid.T) time.Duration {
-		return time.Duration(rapid.IntRange(0, int(scriptTime/time.Millisecond)).Draw(t, "ms")) * time.Millisecond
-	})
-	arrivals := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) arrival { return drawArrival(t, moment.Draw(t, "at")) }), minArrivals, maxArrivals)
-	operations := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) operation { return drawOperation(t, moment.Draw(t, "at")) }), 1, maxOperators)
-	incidents := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) incident { return drawIncident(t, moment.Draw(t, "at")) }), 1, maxIncidents)
-	return script{arrivals.Draw(t, "arrivals"), operations.Draw(t, "operations"), incidents.Draw(t, "incidents")}
+	seed := rapid.Uint64().Draw(t, "seed")
+	d := drawer{rand.New(rand.NewPCG(seed, seed))}
+	var s script
+	for range rapid.IntRange(minArrivals, maxArrivals).Draw(t, "arrivals") {
+		s.arrivals = append(s.arrivals, d.arrival())
+	}
+	for range rapid.IntRange(1, maxIncidents).Draw(t, "incidents") {
+		s.incidents = append(s.incidents, d.incident(s.incidents))
+	}
+	for range rapid.IntRange(1, maxOperators).Draw(t, "operations") {
+		s.operations = append(s.operations, d.operation(s))
+	}
+	return s
+}
+
+// drawer draws the parts of a script.
+type drawer struct{ *rand.Rand }
+
+func (d drawer) upTo(longest time.Duration) time.Duration {
+	return time.Duration(d.Int64N(int64(longest)))
 }
 
-func drawArrival(t *rapid.T, at time.Duration) arrival {
-	a := arrival{at: at, vm: rapid.IntRange(0, maxVMs-1).Draw(t, "vm"), tokens: rapid.IntRange(1, maxTokens).Draw(t, "tokens")}
-	a.profile = rapid.SampledFrom([]string{"draft", "draft", "check", "hold", "hold", "ask"}).Draw(t, "profile")
-	if a.profile == "hold" && rapid.Bool().Draw(t, "keyed") {
-		a.key = fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key"))
+// oneIn is true once in n times.
+func (d drawer) oneIn(n int) bool { return d.IntN(n) == 0 }
+
+func (d drawer) of(names ...string) string { return names[d.IntN(len(names))] }
+
+func (d drawer) engine() string { return fmt.Sprintf("e%d", d.IntN(engineCount)) }
+
+func (d drawer) arrival() arrival {
+	a := arrival{at: d.upTo(scriptTime), vm: d.IntN(maxVMs), tokens: 1 + d.IntN(maxTokens)}
+	a.profile = d.of("draft", "draft", "check", "hold", "hold", "ask")
+	if a.profile == "hold" && d.oneIn(2) {
+		a.key = fmt.Sprintf("k%d", d.IntN(5))
 	}
-	if rapid.IntRange(0, 9).Draw(t, "leaves") == 0 {
-		a.gone = time.Duration(rapid.IntRange(1, 300).Draw(t, "after")) * time.Millisecond
+	if d.oneIn(10) {
+		a.gone = d.upTo(300 * time.Millisecond)
 	}
-	a.stubborn = rapid.IntRange(0, 4).Draw(t, "stubborn") == 0
+	a.stubborn = d.oneIn(4)
 	return a
 }
 
-func drawOperation(t *rapid.T, at time.Duration) operation {
-	o := operation{at: at, vm: rapid.IntRange(0, firstVMs).Draw(t, "vm"), second: -1}
-	o.kind = rapid.SampledFrom([]string{"drain", "drain", "undrain", "undrain", "version", "version", "profile"}).Draw(t, "kind")
-	engine := fmt.Sprintf("e%d", rapid.IntRange(0, engineCount-1).Draw(t, "engine"))
+// operation races with the one before it or acts in the midst of an incident, half
+// of the time each.
+func (d drawer) operation(s script) operation {
+	o := operation{at: d.upTo(scriptTime), vm: d.IntN(firstVMs + 1), second: -1}
+	if midst := s.incidents[d.IntN(len(s.incidents))]; d.oneIn(2) {
+		o.at = midst.at + d.upTo(midst.lasts)
+	}
+	o.kind = d.of("drain", "drain", "undrain", "undrain", "version", "version", "profile")
 	switch o.kind {
 	case "profile":
-		o.name = rapid.SampledFrom([]string{"draft", "check"}).Draw(t, "changed")
+		o.name = d.of("draft", "check")
 	case "version":
-		o.name = engine
+		o.name = d.engine()
 	default:
-		o.name = rapid.SampledFrom([]string{engine, engine, "s0", "s1"}).Draw(t, "target")
+		o.name = d.of(d.engine(), d.engine(), "s0", "s1")
 	}
-	if rapid.IntRange(0, 3).Draw(t, "copied") == 0 {
-		o.second = rapid.IntRange(0, firstVMs).Draw(t, "second")
+	if last := len(s.operations) - 1; last >= 0 && d.oneIn(2) {
+		before := s.operations[last]
+		o.at, o.kind, o.name = before.at+d.upTo(raceWindow), before.kind, before.name
+	}
+	if d.oneIn(4) {
+		o.second = d.IntN(firstVMs + 1)
 	}
 	return o
 }
 
+// incident begins with the one before it, half of the time.
+func (d drawer) incident(earlier []incident) incident {
+	i := incident{at: d.upTo(scriptTime), lasts: d.upTo(longestFault), vm: d.IntN(firstVMs), name: d.engine()}
+	i.kind = incidentKinds[d.IntN(len(incidentKinds))]
+	switch i.kind {
+	case "service":
+		i.name, i.fault = d.of("s0", "s1"), serviceFault(d.IntN(int(serviceFaults)))
+	case "join":
+		i.vm = d.IntN(maxVMs)
+	}
+	if last := len(earlier) - 1; last >= 0 && d.oneIn(2) {
+		i.at = earlier[last].at + d.upTo(time.Second)
+	}
+	return i
+}
+
 var incidentKinds = []string{
 	"engine-die", "engine-silent", "engine-slow", "engine-mute", "service", "service",
 	"store-refuse", "store-hang", "store-slow", "store-lose", "store-delay", "list-freeze", "list-lag",
-	"halves", "cut-peers", "cut-store", "cut-both", "kill", "kill", "restart", "stop", "join", "join",
-}
-
-func drawIncident(t *rapid.T, at time.Duration) incident {
-	i := incident{at: at, lasts: time.Duration(rapid.IntRange(1, 15000).Draw(t, "lasts")) * time.Millisecond}
-	i.kind = rapid.SampledFrom(incidentKinds).Draw(t, "kind")
-	i.vm = rapid.IntRange(0, maxVMs-1).Draw(t, "vm")
-	i.name = fmt.Sprintf("e%d", rapid.IntRange(0, engineCount-1).Draw(t, "engine"))
-	if i.kind == "service" {
-		i.name = rapid.SampledFrom([]string{"s0", "s1"}).Draw(t, "instance")
-		i.fault = serviceFault(rapid.IntRange(0, int(serviceFaults)-1).Draw(t, "fault"))
-	}
-	return i
+	"halves", "halves", "cut-peers", "cut-store", "cut-both", "kill", "kill", "restart", "stop", "join", "join",
 }
