--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"geraniumcroft/internal/sleep"
+)
 
 const gaugeInterval = 5 * time.Second
 
@@ -8,7 +12,7 @@
 func (n *Node) setGauges() {
 	for n.ctx.Err() == nil {
 		n.setGaugesOnce()
-		pause(n.ctx, gaugeInterval)
+		sleep.For(n.ctx, gaugeInterval)
 	}
 }
 
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"geraniumcroft/internal/sleep"
 )
 
 const (
@@ -61,7 +63,7 @@
 			n.logger.Info("ready", zap.Uint64("configVersion", n.store.Current().Version))
 			return
 		}
-		pause(n.ctx, loadPause)
+		sleep.For(n.ctx, loadPause)
 	}
 }
 
@@ -129,7 +131,7 @@
 		if err == nil {
 			return
 		}
-		pause(n.ctx, loadPause)
+		sleep.For(n.ctx, loadPause)
 	}
 }
 
@@ -143,13 +145,13 @@
 			n.tracker.SetVMs(vms)
 		}
 		n.shareOut()
-		pause(n.ctx, vmListInterval(n.peers.PeerCount()+1))
+		sleep.For(n.ctx, vmListInterval(n.peers.PeerCount()+1))
 	}
 }
 
 func (n *Node) pollStore() {
 	for n.ctx.Err() == nil {
-		pause(n.ctx, pollInterval)
+		sleep.For(n.ctx, pollInterval)
 		ctx, cancel := context.WithTimeout(n.ctx, pollInterval)
 		if err := n.store.Poll(ctx); err != nil {
 			n.logger.Debug("poll of the store failed", zap.Error(err))
@@ -160,7 +162,7 @@
 
 func (n *Node) doDuties() {
 	for n.dutiesCtx.Err() == nil {
-		pause(n.dutiesCtx, dutyInterval)
+		sleep.For(n.dutiesCtx, dutyInterval)
 		if lease, held := n.leases.Held(dutySweep); held && lease.Check() == nil {
 			n.sweep()
 		}
@@ -181,12 +183,3 @@
 		n.logger.Debug("sweep of VMs' rows failed", zap.Error(err))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"geraniumcroft/internal/sleep"
 )
 
 const (
@@ -21,7 +23,7 @@
 	n.logger.Info("stopping", zap.Int("inHand", n.router.InHand()))
 	n.gate.BeginDrain()
 	n.peers.StartLeaving(ctx)
-	pause(ctx, n.settings.Shutdown.UnreadyWait)
+	sleep.For(ctx, n.settings.Shutdown.UnreadyWait)
 	n.gate.Stop()
 	n.awaitInHand(ctx)
 	n.farewell()
@@ -32,7 +34,7 @@
 
 func (n *Node) awaitInHand(ctx context.Context) {
 	for n.router.InHand() > 0 && ctx.Err() == nil {
-		pause(ctx, inHandCheck)
+		sleep.For(ctx, inHandCheck)
 	}
 }
 
