--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -15,6 +15,7 @@
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/platform/resilient"
 	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/testseed"
 )
 
 const (
@@ -194,7 +195,7 @@
 func TestHistoryOfConcurrentClaims(t *testing.T) {
 	for _, ungrouped := range []bool{false, true} {
 		executions, refusals := 0, 0
-		for seed := range uint64(historySeeds) {
+		for seed := range testseed.Series(historySeeds) {
 			ops := runHistory(t, seed, Settings{Ungrouped: ungrouped}, nil)
 			if !porcupine.CheckOperations(claimModel, ops) {
 				t.Fatalf("ungrouped=%t seed %d: the history breaks the specification", ungrouped, seed)
--- a/internal/confstore/history_check_test.go
+++ b/internal/confstore/history_check_test.go
@@ -16,6 +16,7 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/testseed"
 )
 
 const (
@@ -210,7 +211,7 @@
 // ends with what the others have.
 func TestHistoryOfRacingOperators(t *testing.T) {
 	var outcomes [resultPending + 1]int64
-	for seed := range uint64(checkedSeeds) {
+	for seed := range testseed.Series(checkedSeeds) {
 		var r *checkedRun
 		synctest.Test(t, func(t *testing.T) {
 			r = newCheckedRun(t)
--- a/internal/lease/history_test.go
+++ b/internal/lease/history_test.go
@@ -11,6 +11,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/testseed"
 )
 
 const (
@@ -132,7 +133,7 @@
 // No run shows an act under a lower fencing number after one under a higher.
 func TestNoActAfterASuccessorsAct(t *testing.T) {
 	acts, holders := 0, 0
-	for seed := range uint64(historySeeds) {
+	for seed := range testseed.Series(historySeeds) {
 		ok, h := linearizable(seed, hooks{}, t)
 		must(t, ok, "seed %d: two holders acted", seed)
 		acts += len(h.ops)
--- a/internal/orders/history_test.go
+++ b/internal/orders/history_test.go
@@ -12,6 +12,7 @@
 
 	"geraniumcroft/internal/lease"
 	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/testseed"
 )
 
 const (
@@ -190,7 +191,7 @@
 // without a lease in hand, or work that a reload cut off.
 func TestNoTwoHoldersOrdersInForce(t *testing.T) {
 	var sum result
-	for seed := range uint64(historySeeds) {
+	for seed := range testseed.Series(historySeeds) {
 		r := run(t, seed, hooks{})
 		must(t, r.good(), "seed %d: %+v", seed, r)
 		sum.accepted += r.accepted
