roster: an outage is no time for a VM to poll

A change waits for a VM that is held dead until it must have polled the table. The wait went on while the table was out: in an outage the change was answered as accepted although the far half of a partition served on without it. The wait starts anew after a reading of the rows that failed. Rows that hold something up are read again without a flag that a concurrent caller could change.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +28,7 @@
 	unheardGrace = 6 * time.Second
 	// rereadEvery spaces the readings while rows hold up a version.
 	rereadEvery = time.Second
+	anyAge      = time.Duration(math.MaxInt64)
 	// forgetAfter is how long a VM must have been dead, or unknown to membership,
 	// before its row is deleted.
 	forgetAfter = 30 * time.Second
@@ -49,8 +51,6 @@
 	rows    []string
 	// reads are the newest readings, oldest first, back to unheardGrace.
 	reads []reading
-	// doubt says that the rows held up a version when they were last looked at.
-	doubt bool
 	// failed is when the rows could last not be read.
 	failed time.Time
 	// doubted is since when a row's VM was seen dead or unknown.
@@ -73,23 +73,26 @@
 func (r *Roster) InForce(version uint64) (confirmed, missing []string) {
 	confirmed, missing = r.members.InForce(version)
 	states := r.states()
-	rows := r.registered(version)
-	waits := r.readFor(version, time.Now()) < unheardGrace
-	before := len(missing)
+	held := r.holdingUp(version, r.registered(version, anyAge), states)
+	if len(held) > 0 {
+		// Remembered rows must not hold anything up: the sweep may have deleted them.
+		held = r.holdingUp(version, r.registered(version, rereadEvery), states)
+	}
+	return confirmed, append(missing, held...)
+}
+
+// holdingUp returns the VMs of the rows that have not confirmed for all that
+// membership knows.
+func (r *Roster) holdingUp(version uint64, rows []string, states map[string]membership.State) []string {
+	var held []string
+	waits := r.readFor(version) < unheardGrace
 	for _, name := range rows {
 		state, known := states[name]
 		if name != r.vm && (!known || waits && state == membership.Dead) {
-			missing = append(missing, name)
+			held = append(held, name)
 		}
 	}
-	r.setDoubt(len(missing) > before)
-	return confirmed, missing
-}
-
-func (r *Roster) setDoubt(doubt bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.doubt = doubt
+	return held
 }
 
 func (r *Roster) states() map[string]membership.State {
@@ -100,13 +103,15 @@
 	return states
 }
 
-// readFor returns how long ago the rows were first read after the version's commit.
-func (r *Roster) readFor(version uint64, now time.Time) time.Duration {
+// readFor returns for how long the rows could be read since the version's commit,
+// without a failure seen in between: while the table is out a VM that is cut off from
+// its peers cannot poll either.
+func (r *Roster) readFor(version uint64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, one := range r.reads {
 		if one.version >= version {
-			return now.Sub(one.at)
+			return r.reads[len(r.reads)-1].at.Sub(one.at)
 		}
 	}
 	return 0
@@ -114,10 +119,10 @@
 
 // registered returns the VMs that had a row at a moment after the commit of the
 // version.
-func (r *Roster) registered(version uint64) []string {
+func (r *Roster) registered(version uint64, maxAge time.Duration) []string {
 	r.turn <- struct{}{}
 	defer func() { <-r.turn }()
-	rows, enough := r.read(version)
+	rows, enough := r.read(version, maxAge)
 	if enough {
 		return rows
 	}
@@ -131,21 +136,18 @@
 }
 
 // read returns what is known without the table, and whether that is enough: the
-// rows were read for the version, or could not be read a moment ago. Rows that hold
-// the version up are read again now and then: one that the sweep has deleted since
-// would hold it up for good, and with it the reload of a target.
-func (r *Roster) read(version uint64) (rows []string, enough bool) {
+// rows were read for the version, or could not be read a moment ago.
+func (r *Roster) read(version uint64, maxAge time.Duration) (rows []string, enough bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	failing := time.Since(r.failed) < scanPause
 	if r.scanned < version {
 		return nil, failing
 	}
-	if failing || !r.doubt || len(r.reads) == 0 {
-		return r.rows, true
+	if failing || len(r.reads) == 0 {
+		return r.rows, failing
 	}
-	newest := r.reads[len(r.reads)-1].at
-	return r.rows, time.Since(newest) < rereadEvery
+	return r.rows, time.Since(r.reads[len(r.reads)-1].at) < maxAge
 }
 
 // keep notes what was read. Rows that cannot be read again stand.
@@ -154,6 +156,7 @@
 	defer r.mu.Unlock()
 	if err != nil {
 		r.failed = time.Now()
+		r.reads = nil // the time of an outage is no time to poll
 		if r.scanned < version {
 			return nil
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -153,3 +153,31 @@
 		}
 	})
 }
+
+// The table goes out while a change waits for a VM that peers hold dead. The VM, cut
+// off with some of its peers, cannot poll and serves on under the older configuration:
+// the change is pending, however long the outage takes, and in force afterwards.
+func TestOutageIsNoTimeToPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := platformsim.NewStore()
+		accepting := New(table, "entry-1", knownMembers{{Name: "entry-2", State: membership.Dead}}, zap.NewNop())
+		if err := newRoster(table, "entry-2").Register(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		accepting.InForce(1)
+		table.Faults.Set(platformsim.Order{Outage: platformsim.OutageUnavailable})
+		time.Sleep(time.Hour)
+		if _, missing := accepting.InForce(1); !slices.Equal(missing, []string{"entry-2"}) {
+			t.Error("accepted during the outage")
+		}
+		table.Faults.Set(platformsim.Order{})
+		time.Sleep(time.Second)
+		if _, missing := accepting.InForce(1); !slices.Equal(missing, []string{"entry-2"}) {
+			t.Error("accepted before the VM could poll again")
+		}
+		time.Sleep(unheardGrace)
+		if _, missing := accepting.InForce(1); len(missing) > 0 {
+			t.Error("still missing after the outage")
+		}
+	})
+}
