--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -153,7 +153,9 @@
 	for n.ctx.Err() == nil {
 		sleep.For(n.ctx, pollInterval)
 		ctx, cancel := context.WithTimeout(n.ctx, pollInterval)
-		if err := n.store.Poll(ctx); err != nil {
+		// The row first: a change that commits after it waits for this VM.
+		err := errors.CombineErrors(n.roster.Ensure(ctx), n.store.Poll(ctx))
+		if err != nil {
 			n.logger.Debug("poll of the store failed", zap.Error(err))
 		}
 		cancel()
--- a/internal/roster/registration.go
+++ b/internal/roster/registration.go
@@ -23,6 +23,7 @@
 
 // Unregister deletes this VM's row, after its last request.
 func (r *Roster) Unregister(ctx context.Context) error {
+	r.left.Store(true)
 	return r.write(ctx, platform.Write{Key: rowPrefix + r.vm, Delete: true})
 }
 
@@ -42,3 +43,14 @@
 	})
 	return errors.Wrapf(err, "row of VM %s", strings.TrimPrefix(write.Key, rowPrefix))
 }
+
+// Ensure writes this VM's row again if it is gone. The sweep of another VM deletes
+// it when the two were cut off from each other for long; without a row, changes are
+// accepted without this VM the next time that its peers hold it dead.
+func (r *Roster) Ensure(ctx context.Context) error {
+	rows, err := r.table.Get(ctx, rowPrefix+r.vm)
+	if err != nil || rows[0].Revision != 0 || r.left.Load() {
+		return err
+	}
+	return r.Register(ctx)
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 	"math"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +33,9 @@
 	// forgetAfter is how long a VM must have been dead, or unknown to membership,
 	// before its row is deleted.
 	forgetAfter = 30 * time.Second
+	// sweepGap is the longest time between two sweeps over which a doubt goes on. A
+	// doubt from before a longer pause says nothing of what happened in between.
+	sweepGap = 15 * time.Second
 )
 
 // Roster implements confstore.Confirmer over membership and the rows.
@@ -45,6 +49,10 @@
 	// while the table is slow.
 	turn chan struct{}
 
+	// left is set before this VM's own row is deleted, so whoever finds it gone
+	// afterwards knows that it is not to be written again.
+	left atomic.Bool
+
 	mu sync.Mutex // guards the fields below
 	// scanned is the newest version for which the rows were read after its commit.
 	scanned uint64
@@ -55,6 +63,8 @@
 	failed time.Time
 	// doubted is since when a row's VM was seen dead or unknown.
 	doubted map[string]time.Time
+	// swept is when this VM last swept.
+	swept time.Time
 }
 
 // New returns a roster for this VM.
--- a/internal/roster/sweep.go
+++ b/internal/roster/sweep.go
@@ -31,6 +31,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.Sub(r.swept) > sweepGap {
+		clear(r.doubted)
+	}
+	r.swept = now
 	doubted := map[string]time.Time{}
 	var forgotten []platform.Row
 	for _, row := range rows {
