--- a/internal/fleettest/network_test.go
+++ b/internal/fleettest/network_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"strings"
 	"sync"
+
+	"geraniumcroft/internal/standin/pipenet"
 )
 
 var errRefused = errors.New("connection refused")
@@ -73,7 +75,7 @@
 	if l == nil {
 		return nil, errRefused
 	}
-	ours, theirs := newPipe()
+	ours, theirs := pipenet.New()
 	select {
 	case l.conns <- theirs:
 	case <-l.closed:
@@ -150,9 +152,4 @@
 	return nil
 }
 
-func (l *pipeListener) Addr() net.Addr { return pipeAddr(l.address) }
-
-type pipeAddr string
-
-func (pipeAddr) Network() string  { return "pipe" }
-func (a pipeAddr) String() string { return string(a) }
+func (l *pipeListener) Addr() net.Addr { return pipenet.Addr(l.address) }
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"geraniumcroft/internal/standin/pipenet"
 )
 
 // network connects nodes in memory. Its links can be cut, which makes open
@@ -67,7 +69,7 @@
 		if l == nil {
 			return nil, errors.New("connection refused")
 		}
-		ours, theirs := newPipe()
+		ours, theirs := pipenet.New()
 		select {
 		case l.conns <- theirs:
 		case <-l.closed:
@@ -145,9 +147,4 @@
 	return nil
 }
 
-func (l *pipeListener) Addr() net.Addr { return pipeAddr(l.address) }
-
-type pipeAddr string
-
-func (pipeAddr) Network() string  { return "pipe" }
-func (a pipeAddr) String() string { return string(a) }
+func (l *pipeListener) Addr() net.Addr { return pipenet.Addr(l.address) }
--- a/internal/fleettest/pipe_test.go
+++ b/internal/standin/pipenet/pipe.go
@@ -1,4 +1,5 @@
-package fleettest
+// Package pipenet makes connections in memory for tests in virtual time.
+package pipenet
 
 import (
 	"io"
@@ -7,9 +8,9 @@
 	"time"
 )
 
-// newPipe returns the two ends of a connection with buffers in both directions.
+// New returns the two ends of a connection with buffers in both directions.
 // net.Pipe has none, and two ends that write at once would wait for each other.
-func newPipe() (net.Conn, net.Conn) {
+func New() (net.Conn, net.Conn) {
 	a, b := newStream(), newStream()
 	return &pipeConn{in: a, out: b}, &pipeConn{in: b, out: a}
 }
@@ -36,6 +37,7 @@
 	s.ready.Broadcast()
 }
 
+// pipeConn is one end of a connection; it implements net.Conn without deadlines.
 type pipeConn struct {
 	in, out *stream
 }
@@ -71,8 +73,17 @@
 	return nil
 }
 
-func (c *pipeConn) LocalAddr() net.Addr              { return pipeAddr("local") }
-func (c *pipeConn) RemoteAddr() net.Addr             { return pipeAddr("remote") }
+func (c *pipeConn) LocalAddr() net.Addr              { return Addr("local") }
+func (c *pipeConn) RemoteAddr() net.Addr             { return Addr("remote") }
 func (c *pipeConn) SetDeadline(time.Time) error      { return nil }
 func (c *pipeConn) SetReadDeadline(time.Time) error  { return nil }
 func (c *pipeConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Addr is an address of a connection in memory.
+type Addr string
+
+// Network implements net.Addr.
+func (Addr) Network() string { return "pipe" }
+
+// String implements net.Addr.
+func (a Addr) String() string { return string(a) }
