Make one piece of what stood twice

Conclusion: left alone, alike in shape only: the keys of the settings, the lease tests' rows, and the in-memory services of router's and fleets' tests, whose faults differ.

--- a/internal/experiment/arrivals.go
+++ b/internal/experiment/arrivals.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumcroft/internal/loadgen"
+	"geraniumcroft/internal/sleep"
 )
 
 // maxUnderWay bounds the requests of one stream of arrivals that have not ended.
@@ -32,7 +33,7 @@
 	started := time.Now()
 	for next, ok := schedule.Next(); ok; next, ok = schedule.Next() {
 		intended := started.Add(next.At)
-		if !sleepUntil(ctx, intended) {
+		if !sleep.For(ctx, time.Until(intended)) {
 			return
 		}
 		underWay <- struct{}{}
@@ -42,18 +43,3 @@
 		})
 	}
 }
-
-func sleepUntil(ctx context.Context, moment time.Time) bool {
-	left := time.Until(moment)
-	if left <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/experiment/change.go
+++ b/internal/experiment/change.go
@@ -10,6 +10,7 @@
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/confstore"
 	"geraniumcroft/internal/node"
+	"geraniumcroft/internal/sleep"
 )
 
 const (
@@ -87,7 +88,7 @@
 			return err
 		}
 		accepted.add(took)
-		sleepUntil(ctx, time.Now().Add(changePause))
+		sleep.For(ctx, changePause)
 	}
 	t.figure("changes made", "", float64(inForce.count()))
 	t.limited("in force on all 6 VMs, median", "ms", inForce.quantile(50), atMost(wantedChangeMedian))
@@ -123,7 +124,7 @@
 // for.
 func (s *scene) awaitEverywhere(ctx context.Context, since time.Time, shows func(*node.Node) bool) time.Duration {
 	for _, n := range s.Nodes {
-		for !shows(n) && sleepUntil(ctx, time.Now().Add(changePoll)) {
+		for !shows(n) && sleep.For(ctx, changePoll) {
 		}
 	}
 	return time.Since(since)
--- a/internal/experiment/change_faults.go
+++ b/internal/experiment/change_faults.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/sleep"
 	"geraniumcroft/internal/standin/platformsim"
 )
 
@@ -30,7 +31,7 @@
 		}
 		ended.Stop()
 		s.endOutage()
-		sleepUntil(ctx, time.Now().Add(outageRecovery))
+		sleep.For(ctx, outageRecovery)
 	}
 	t.figure("table out right after the commit: in force, median", "ms", inForce.quantile(50))
 	t.limited("table out right after the commit: in force, longest", "ms", inForce.highest(), atMost(wantedChangeMost))
@@ -50,7 +51,7 @@
 			return errors.Wrap(err, "change past silent connections")
 		}
 		accepted.add(took)
-		sleepUntil(ctx, time.Now().Add(outageRecovery))
+		sleep.For(ctx, outageRecovery)
 	}
 	t.figure("one VM's peers silent: in force, median", "ms", inForce.quantile(50))
 	t.limited("one VM's peers silent: in force, longest", "ms", inForce.highest(), atMost(wantedChangeMost))
--- a/internal/experiment/recovery.go
+++ b/internal/experiment/recovery.go
@@ -69,24 +69,7 @@
 // recovery lets engines and instances fail in the middle of work, again and again,
 // and measures how long callers wait above what the work itself takes.
 func recovery(ctx context.Context, t *Trial) error {
-	s, err := recoveryScene(ctx)
-	if err != nil {
-		return err
-	}
-	defer s.close()
-	reference, err := s.startBaseline()
-	if err != nil {
-		return err
-	}
-	defer reference.close()
-	if err := s.recoveryOf(ctx, t, "", []callclient.Client{s.client(0), s.client(1)}); err != nil {
-		return err
-	}
-	if err := s.recoveryOf(ctx, t, "baseline: ", []callclient.Client{reference.caller}); err != nil {
-		return err
-	}
-	s.finish(t)
-	return nil
+	return measureBoth(ctx, t, recoveryScene, (*scene).recoveryOf)
 }
 
 func recoveryScene(ctx context.Context) (*scene, error) {
--- a/internal/experiment/recovery_calls.go
+++ b/internal/experiment/recovery_calls.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/sleep"
 )
 
 const (
@@ -37,7 +38,7 @@
 			}
 		}
 		fault.mend(victim)
-		sleepUntil(ctx, time.Now().Add(settleTime))
+		sleep.For(ctx, settleTime)
 	}
 	name := prefix + fault.name
 	t.figure(name+": calls struck", "", float64(struck))
@@ -68,7 +69,7 @@
 			}
 		})
 	}
-	sleepUntil(ctx, time.Now().Add(strikeCallAfter))
+	sleep.For(ctx, strikeCallAfter)
 	at := time.Now()
 	strike()
 	wait.Wait()
--- a/internal/experiment/recovery_drafts.go
+++ b/internal/experiment/recovery_drafts.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/sleep"
 	"geraniumcroft/internal/standin/enginesim"
 )
 
@@ -30,7 +31,7 @@
 			}
 		}
 		fault.mend(victim)
-		sleepUntil(ctx, time.Now().Add(settleTime))
+		sleep.For(ctx, settleTime)
 	}
 	name := prefix + fault.name
 	t.figure(name+": drafts struck", "", float64(struck))
@@ -75,7 +76,7 @@
 			drafts[i] = draftTimed(ctx, callers[i%len(callers)], "summary", round*recoveryDrafts+i, recoveryTokens)
 		})
 	}
-	sleepUntil(ctx, time.Now().Add(strikeAfter))
+	sleep.For(ctx, strikeAfter)
 	at := time.Now()
 	strike()
 	wait.Wait()
--- a/internal/experiment/relay.go
+++ b/internal/experiment/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/sleep"
 	"geraniumcroft/internal/standin/enginesim"
 )
 
@@ -82,10 +83,10 @@
 		}
 		return nil
 	})
-	sleepUntil(ctx, time.Now().Add(relayLead))
+	sleep.For(ctx, relayLead)
 	before := got.Load()
 	started := time.Now()
-	parts, err := cpuByPart(func() { sleepUntil(ctx, time.Now().Add(t.Duration)) })
+	parts, err := cpuByPart(func() { sleep.For(ctx, t.Duration) })
 	relayed := float64(got.Load() - before)
 	if relayed == 0 {
 		return errors.New("no token was relayed")
--- a/internal/experiment/saturation.go
+++ b/internal/experiment/saturation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/sleep"
 	"geraniumcroft/internal/standin/enginesim"
 )
 
@@ -70,7 +71,7 @@
 	for worker := range saturationDrafts {
 		wait.Go(func() { s.draftOnAndOn(load, worker, t.Seed, &tokens, &failed) })
 	}
-	sleepUntil(ctx, time.Now().Add(saturationLead))
+	sleep.For(ctx, saturationLead)
 	before, work := tokens.Load(), s.engineWork()
 	started := time.Now()
 	slots := s.sampleSlots(ctx, t.Duration)
@@ -104,7 +105,7 @@
 func (s *scene) sampleSlots(ctx context.Context, duration time.Duration) float64 {
 	ends := time.Now().Add(duration)
 	used, all := 0, 0
-	for time.Now().Before(ends) && sleepUntil(ctx, time.Now().Add(sampleEvery)) {
+	for time.Now().Before(ends) && sleep.For(ctx, sampleEvery) {
 		for _, e := range s.Engines {
 			used += e.Active()
 			all += e.Target().Slots
--- a/internal/experiment/sizes_deaths.go
+++ b/internal/experiment/sizes_deaths.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"geraniumcroft/internal/loadgen"
+	"geraniumcroft/internal/sleep"
 )
 
 const (
@@ -123,9 +124,9 @@
 func (s *scene) killNowAndThen(ctx context.Context, seed uint64) int {
 	random := rand.New(rand.NewPCG(seed, 1))
 	killed := 0
-	for sleepUntil(ctx, time.Now().Add(deathEvery)) {
+	for sleep.For(ctx, deathEvery) {
 		revive := s.killOne(random, killed)
-		sleepUntil(ctx, time.Now().Add(deadFor))
+		sleep.For(ctx, deadFor)
 		revive()
 		killed++
 	}
--- a/internal/experiment/sizes_full.go
+++ b/internal/experiment/sizes_full.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"geraniumcroft/internal/sleep"
 	"sync"
 	"time"
 )
@@ -35,7 +36,7 @@
 			wait.Go(func() { s.draftFor(load, from, number, worker, firsts, &tokens, &failed) })
 		}
 	}
-	sleepUntil(ctx, from)
+	sleep.For(ctx, time.Until(from))
 	before, work, started := tokens.Load(), s.engineWork(), time.Now()
 	slots := make(chan float64, 1)
 	go func() { slots <- s.sampleSlots(ctx, t.Duration) }()
--- a/internal/experiment/slow.go
+++ b/internal/experiment/slow.go
@@ -21,24 +21,7 @@
 // others, which go on answering, and compares what callers wait with what they
 // waited before. Figures count from a moment after the change.
 func slow(ctx context.Context, t *Trial) error {
-	s, err := recoveryScene(ctx)
-	if err != nil {
-		return err
-	}
-	defer s.close()
-	reference, err := s.startBaseline()
-	if err != nil {
-		return err
-	}
-	defer reference.close()
-	if err := s.slowedPhases(ctx, t, "", []callclient.Client{s.client(0), s.client(1)}); err != nil {
-		return err
-	}
-	if err := s.slowedPhases(ctx, t, "baseline: ", []callclient.Client{reference.caller}); err != nil {
-		return err
-	}
-	s.finish(t)
-	return nil
+	return measureBoth(ctx, t, recoveryScene, (*scene).slowedPhases)
 }
 
 func (s *scene) slowedPhases(ctx context.Context, t *Trial, prefix string, callers []callclient.Client) error {
--- a/internal/experiment/takeover.go
+++ b/internal/experiment/takeover.go
@@ -8,6 +8,7 @@
 
 	"geraniumcroft/internal/node"
 	"geraniumcroft/internal/orders"
+	"geraniumcroft/internal/sleep"
 )
 
 const (
@@ -67,7 +68,7 @@
 				return n, nil
 			}
 		}
-		if !sleepUntil(ctx, time.Now().Add(leasePoll)) {
+		if !sleep.For(ctx, leasePoll) {
 			return nil, errors.Wrap(ctx.Err(), "nobody holds the duty")
 		}
 	}
--- a/internal/experiment/urgent.go
+++ b/internal/experiment/urgent.go
@@ -8,6 +8,7 @@
 
 	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/sleep"
 )
 
 const (
@@ -31,25 +32,7 @@
 // urgent compares urgent requests beside bulk of twice the capacity with the same
 // ones on an idle system, for the product and for the baseline.
 func urgent(ctx context.Context, t *Trial) error {
-	s, err := urgentScene(ctx)
-	if err != nil {
-		return err
-	}
-	defer s.close()
-	reference, err := s.startBaseline()
-	if err != nil {
-		return err
-	}
-	defer reference.close()
-	product := []callclient.Client{s.client(0), s.client(1)}
-	if err := s.urgentPhases(ctx, t, "", product); err != nil {
-		return err
-	}
-	if err := s.urgentPhases(ctx, t, "baseline: ", []callclient.Client{reference.caller}); err != nil {
-		return err
-	}
-	s.finish(t)
-	return nil
+	return measureBoth(ctx, t, urgentScene, (*scene).urgentPhases)
 }
 
 func urgentScene(ctx context.Context) (*scene, error) {
@@ -94,7 +77,7 @@
 			"report":  {callers: callers, profile: "report", perSecond: overload * urgentPool.callsPerSecond(), seed: t.Seed + 3},
 		})
 	}()
-	sleepUntil(ctx, time.Now().Add(bulkLead))
+	sleep.For(ctx, bulkLead)
 	urgent = together(ctx, t.Duration, urgentTraffic(t, callers))
 	return urgent, <-done
 }
--- a/internal/fleettest/incidents_test.go
+++ b/internal/fleettest/incidents_test.go
@@ -50,7 +50,7 @@
 // applyCuts is called with the lock held.
 func (w *world) applyCuts() {
 	cuts := slices.Clone(w.faults.cuts)
-	w.network.setCut(func(from, to string) bool {
+	w.network.SetCut(func(from, to string) bool {
 		return slices.ContainsFunc(cuts, func(c *cut) bool { return c.apart(from, to) })
 	})
 }
--- a/internal/fleettest/links_test.go
+++ b/internal/fleettest/links_test.go
@@ -12,6 +12,7 @@
 	"geraniumcroft/internal/orders"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/standin/enginesim"
+	"geraniumcroft/internal/standin/pipenet"
 )
 
 // platformLink is one VM's way to the platform. While it is cut nothing arrives
@@ -125,7 +126,7 @@
 
 func (l *engineLink) refused(address string) error {
 	if l.vm.severed.Load() {
-		return &engine.OpenError{Address: address, Cause: errRefused}
+		return &engine.OpenError{Address: address, Cause: pipenet.ErrRefused}
 	}
 	return nil
 }
@@ -142,7 +143,7 @@
 // State implements engine.Client. The planted fault hides work in hand.
 func (l *engineLink) State(ctx context.Context, address string) (engine.State, error) {
 	if l.vm.severed.Load() {
-		return engine.State{}, errRefused
+		return engine.State{}, pipenet.ErrRefused
 	}
 	state, err := l.DirectClient.State(ctx, address)
 	if l.world.planted.hidesWork {
@@ -154,7 +155,7 @@
 // Order implements engine.Client and judges the order against the lease's row.
 func (l *engineLink) Order(ctx context.Context, address string, order engine.Order) error {
 	if l.vm.severed.Load() {
-		return &engine.OrderError{Address: address, Cause: errRefused}
+		return &engine.OrderError{Address: address, Cause: pipenet.ErrRefused}
 	}
 	l.world.orders.judge(l.world, l.vm, address, order)
 	return l.DirectClient.Order(ctx, address, order)
--- a/internal/fleettest/services_test.go
+++ b/internal/fleettest/services_test.go
@@ -8,6 +8,7 @@
 
 	"geraniumcroft/internal/engine"
 	"geraniumcroft/internal/service"
+	"geraniumcroft/internal/standin/pipenet"
 )
 
 // serviceFault is what happens to one call.
@@ -52,7 +53,7 @@
 	defer m.mu.Unlock()
 	if next := m.faults[address]; len(next) > 0 && next[0] == faultConnect {
 		m.faults[address] = next[1:]
-		return errRefused
+		return pipenet.ErrRefused
 	}
 	return nil
 }
@@ -85,7 +86,7 @@
 // Connect implements service.Client.
 func (l *serviceLink) Connect(_ context.Context, address string, _ bool) (service.Conn, error) {
 	if l.vm.severed.Load() {
-		return nil, errRefused
+		return nil, pipenet.ErrRefused
 	}
 	if err := l.world.services.connect(address); err != nil {
 		return nil, err
--- a/internal/fleettest/world_test.go
+++ b/internal/fleettest/world_test.go
@@ -20,6 +20,7 @@
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/settings"
 	"geraniumcroft/internal/standin/enginesim"
+	"geraniumcroft/internal/standin/pipenet"
 	"geraniumcroft/internal/standin/platformsim"
 )
 
@@ -46,7 +47,7 @@
 type world struct {
 	planted  planted
 	store    *platformsim.Store
-	network  *network
+	network  *pipenet.Network
 	fabric   *enginesim.Fabric
 	engines  map[string]*enginesim.Engine
 	services *services
@@ -84,7 +85,7 @@
 
 func newWorld(p planted) *world {
 	return &world{
-		planted: p, store: platformsim.NewStore(), network: newNetwork(), fabric: enginesim.NewFabric(nil),
+		planted: p, store: platformsim.NewStore(), network: pipenet.NewNetwork(), fabric: enginesim.NewFabric(nil),
 		engines: map[string]*enginesim.Engine{}, services: newServices(),
 		orders: ordersSeen{holder: map[uint64]*vm{}}, history: operators{},
 		vms: map[string]*vm{}, starting: map[int]bool{}, prints: map[uint64]string{}, arrivals: map[string]time.Time{}, trace: newTrace(),
@@ -102,12 +103,12 @@
 func hostOfVM(number int) string { return fmt.Sprintf("10.0.1.%d", number) }
 
 // dialOver opens connections to peers as long as the process lives.
-func (v *vm) dialOver(n *network) peer.Dial {
+func (v *vm) dialOver(n *pipenet.Network) peer.Dial {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		if v.severed.Load() {
-			return nil, errRefused
+			return nil, pipenet.ErrRefused
 		}
-		return n.dial(ctx, v.host, address)
+		return n.DialFrom(v.host)(ctx, address)
 	}
 }
 
@@ -123,7 +124,7 @@
 			w.wrong("invariant %s on %s: %s", violation.Name, v.name, violation.Detail)
 		},
 		Wiring: &node.Wiring{
-			Listen: w.network.listen, DialPeer: v.dialOver(w.network),
+			Listen: func(address string) (net.Listener, error) { return w.network.Listen(address), nil }, DialPeer: v.dialOver(w.network),
 			Engines: &engineLink{DirectClient: direct, world: w, vm: v}, Services: &serviceLink{world: w, vm: v},
 			Table: link, Objects: link, VMList: link,
 		},
@@ -214,7 +215,7 @@
 func (w *world) killVM(v *vm) {
 	w.trace.note("kill %s", v.name)
 	v.severed.Store(true)
-	w.network.silence(v.host)
+	w.network.Silence(func(from, to string) bool { return from == v.host || to == v.host })
 	v.kill()
 	w.list()
 	v.Kill()
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"geraniumcroft/internal/sleep"
 )
 
 // Run sends the load and returns the report. When ctx ends, no more is sent and what
@@ -22,7 +24,7 @@
 	var requests sync.WaitGroup
 	start := time.Now()
 	schedule := NewSchedule(o)
-	for a, ok := schedule.Next(); ok && waitUntil(ctx, start.Add(a.At)); a, ok = schedule.Next() {
+	for a, ok := schedule.Next(); ok && sleep.For(ctx, time.Until(start.Add(a.At))); a, ok = schedule.Next() {
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -38,20 +40,3 @@
 	requests.Wait()
 	return recorder.report(start, sending, time.Since(start))
 }
-
-// waitUntil reports whether the time came before ctx ended. A time that has passed
-// is not waited for: a late tool catches up, and the requests count as late.
-func waitUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -76,10 +76,8 @@
 		n.peers.UpdateVMs(vms)
 	}
 	registerErr := n.roster.Register(ctx)
-	joined := make(chan error, 1)
-	go func() { joined <- n.peers.Join(ctx) }()
-	loadErr := errors.CombineErrors(registerErr, n.store.Load(ctx))
-	joinErr := <-joined
+	loadErr, joinErr := n.askBoth(ctx, n.store.Load)
+	loadErr = errors.CombineErrors(registerErr, loadErr)
 	if loadErr != nil && joinErr != nil {
 		n.logger.Warn("no configuration yet", zap.NamedError("store", loadErr), zap.NamedError("peers", joinErr))
 		return false
@@ -115,11 +113,16 @@
 func (n *Node) catchUp() bool {
 	ctx, cancel := context.WithTimeout(n.ctx, loadAttempt)
 	defer cancel()
+	pollErr, joinErr := n.askBoth(ctx, n.store.Poll)
+	return pollErr == nil || joinErr == nil
+}
+
+// askBoth reads the configuration from the store and from peers side by side.
+func (n *Node) askBoth(ctx context.Context, readStore func(context.Context) error) (storeErr, peersErr error) {
 	joined := make(chan error, 1)
 	go func() { joined <- n.peers.Join(ctx) }()
-	pollErr := n.store.Poll(ctx)
-	joinErr := <-joined
-	return pollErr == nil || joinErr == nil
+	storeErr = readStore(ctx)
+	return storeErr, <-joined
 }
 
 // registerLater writes the row that a store outage kept from being written.
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/standin/pipenet"
 )
 
 // fleet is a number of whole nodes in one process, in virtual time.
 type fleet struct {
 	t       testing.TB
-	network *network
+	network *pipenet.Network
 	vms     map[string]*testVM
 	order   []string
 }
@@ -26,7 +27,7 @@
 }
 
 func newFleet(t testing.TB, size int, s Settings) *fleet {
-	f := &fleet{t: t, network: newNetwork(), vms: map[string]*testVM{}}
+	f := &fleet{t: t, network: pipenet.NewNetwork(), vms: map[string]*testVM{}}
 	for i := range size {
 		f.start(vmName(i), newMemoryStore(), s)
 	}
@@ -52,9 +53,9 @@
 	vm := &testVM{name: name, store: store, done: make(chan struct{})}
 	vm.node = New(Options{
 		VM: name, DataCentre: "hall-a", Address: address, Seeds: []string{vmName(0), vmName(1)},
-		Store: store, Load: load, Invariants: invariant.Strict(), Settings: s, Dial: f.network.dialFrom(address),
+		Store: store, Load: load, Invariants: invariant.Strict(), Settings: s, Dial: f.network.DialFrom(address),
 	})
-	lis := f.network.listen(address)
+	lis := f.network.Listen(address)
 	var ctx context.Context
 	ctx, vm.stop = context.WithCancel(context.Background())
 	go func() { _ = vm.node.Serve(lis) }()
@@ -69,7 +70,7 @@
 
 // kill ends a VM without a word.
 func (f *fleet) kill(name string) {
-	f.network.setCut(func(from, to string) bool { return from == name || to == name })
+	f.network.SetCut(func(from, to string) bool { return from == name || to == name })
 	vm := f.vms[name]
 	vm.stop()
 	<-vm.done
--- a/internal/peer/load_test.go
+++ b/internal/peer/load_test.go
@@ -72,10 +72,10 @@
 		loads[0].set(targetName(1), 9)
 		loads[0].set(targetName(3), 0)
 		f.within(joinBound, "the changes are known", agree)
-		f.network.setCut(func(from, to string) bool { return true })
+		f.network.SetCut(func(from, to string) bool { return true })
 		loads[0].set(targetName(1), 4)
 		f.within(deathBound, "the load is forgotten", func() bool { return loads[1].peer(vmName(0)) == nil })
-		f.network.setCut(func(string, string) bool { return false })
+		f.network.SetCut(func(string, string) bool { return false })
 		f.within(healBound, "the load is known again", agree)
 	})
 }
--- a/internal/peer/push_listed_test.go
+++ b/internal/peer/push_listed_test.go
@@ -8,6 +8,7 @@
 
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/standin/pipenet"
 )
 
 // An operator's change is pushed to a VM that this one knows from the platform's
@@ -19,14 +20,14 @@
 func TestPushToVMKnownFromTheListAlone(t *testing.T) {
 	const enoughSteps = 10000
 	synctest.Test(t, func(t *testing.T) {
-		network := newNetwork()
+		network := pipenet.NewNetwork()
 		var steps atomic.Int64
 		// Ends an endless exchange, so that virtual time can go on.
-		network.setCut(func(string, string) bool { return steps.Add(1) > enoughSteps })
+		network.SetCut(func(string, string) bool { return steps.Add(1) > enoughSteps })
 		start := func(name string) (*Node, *memoryStore) {
 			store := newMemoryStore()
-			node := New(Options{VM: name, Address: name, Store: store, Invariants: invariant.Strict(), Dial: network.dialFrom(name)})
-			go func() { _ = node.Serve(network.listen(name)) }()
+			node := New(Options{VM: name, Address: name, Store: store, Invariants: invariant.Strict(), Dial: network.DialFrom(name)})
+			go func() { _ = node.Serve(network.Listen(name)) }()
 			return node, store
 		}
 		sender, here := start("vm-a")
--- a/internal/peer/random_test.go
+++ b/internal/peer/random_test.go
@@ -100,13 +100,13 @@
 			r.fleet.start(name, newMemoryStore(), Settings{})
 		}
 	case faultHalves:
-		r.fleet.network.setCut(func(from, to string) bool { return (from < name) != (to < name) })
+		r.fleet.network.SetCut(func(from, to string) bool { return (from < name) != (to < name) })
 	case faultCutOff:
-		r.fleet.network.setCut(func(from, to string) bool { return from == name || to == name })
+		r.fleet.network.SetCut(func(from, to string) bool { return from == name || to == name })
 	case faultSilence:
-		r.fleet.network.silence(func(from, to string) bool { return from == name || to == name })
+		r.fleet.network.Silence(func(from, to string) bool { return from == name || to == name })
 	case faultHeal:
-		r.fleet.network.setCut(func(string, string) bool { return false })
+		r.fleet.network.SetCut(func(string, string) bool { return false })
 	}
 }
 
@@ -129,7 +129,7 @@
 
 // settle ends all faults and returns what is wrong after the bound.
 func (r *randomRun) settle() string {
-	r.fleet.network.setCut(func(string, string) bool { return false })
+	r.fleet.network.SetCut(func(string, string) bool { return false })
 	for i := range r.size {
 		if r.fleet.vm(i) == nil {
 			r.fleet.start(vmName(i), newMemoryStore(), Settings{})
--- a/internal/peer/spreading_test.go
+++ b/internal/peer/spreading_test.go
@@ -97,7 +97,7 @@
 func TestChangeOutlivesItsOrigin(t *testing.T) {
 	run(t, 6, Settings{}, func(t *testing.T, f *fleet) {
 		origin := vmName(5)
-		f.network.setCut(func(from, to string) bool {
+		f.network.SetCut(func(from, to string) bool {
 			return (from == origin || to == origin) && from != vmName(0) && to != vmName(0)
 		})
 		version := f.vm(5).change("a")
@@ -114,7 +114,7 @@
 func TestSilentConnectionsDoNotDelay(t *testing.T) {
 	run(t, 6, Settings{}, func(t *testing.T, f *fleet) {
 		silent := vmName(3)
-		f.network.silence(func(from, to string) bool { return from == silent || to == silent })
+		f.network.Silence(func(from, to string) bool { return from == silent || to == silent })
 		version := f.vm(0).change("a")
 		f.within(smallBound, "in force on all", f.allAt(version))
 		for _, vm := range f.vms {
@@ -134,7 +134,7 @@
 func TestSilentPeerIsNamedAndHoldsNobodyUp(t *testing.T) {
 	run(t, 6, Settings{}, func(t *testing.T, f *fleet) {
 		silent := vmName(3)
-		f.network.setCut(func(from, to string) bool { return from == silent || to == silent })
+		f.network.SetCut(func(from, to string) bool { return from == silent || to == silent })
 		version := f.vm(0).change("a")
 		f.within(pushBound, "only the silent VM is missing", func() bool {
 			confirmed, missing := f.vm(0).node.InForce(version)
@@ -148,7 +148,7 @@
 		if f.vm(3).node.Reachable() || !f.vm(3).node.HasPeers() {
 			t.Fatal("the silent VM takes itself for a fleet of one and would serve on")
 		}
-		f.network.setCut(func(string, string) bool { return false })
+		f.network.SetCut(func(string, string) bool { return false })
 		f.within(healBound, "in force on all", f.allAt(version))
 		f.within(healBound, "all know all", f.joined(6))
 	})
@@ -159,13 +159,13 @@
 // see one fleet again, at the newest version.
 func TestPartitionHeals(t *testing.T) {
 	run(t, 6, Settings{}, func(t *testing.T, f *fleet) {
-		f.network.setCut(func(from, to string) bool { return (from < vmName(3)) != (to < vmName(3)) })
+		f.network.SetCut(func(from, to string) bool { return (from < vmName(3)) != (to < vmName(3)) })
 		f.within(deathBound, "the halves hold each other dead", f.joined(3))
 		var version uint64
 		for i := range 5 {
 			version = f.vm(4).change(fmt.Sprint("change-", i))
 		}
-		f.network.setCut(func(string, string) bool { return false })
+		f.network.SetCut(func(string, string) bool { return false })
 		f.within(healBound, "in force on all", f.allAt(version))
 		f.within(healBound, "one fleet", f.joined(6))
 	})
@@ -182,7 +182,7 @@
 		store := newMemoryStore()
 		joiner := New(Options{
 			VM: "joiner", Address: "joiner", Seeds: []string{vmName(1)}, Store: store,
-			Dial: f.network.dialFrom("joiner"),
+			Dial: f.network.DialFrom("joiner"),
 		})
 		defer joiner.Stop()
 		if err := joiner.Join(t.Context()); err != nil {
@@ -244,7 +244,7 @@
 // those that confirm changes: a helper that reaches both answers for each.
 func TestCutLinkBetweenTwoSuspectsNobody(t *testing.T) {
 	run(t, 4, Settings{}, func(t *testing.T, f *fleet) {
-		f.network.setCut(func(from, to string) bool { return from == vmName(0) && to == vmName(1) })
+		f.network.SetCut(func(from, to string) bool { return from == vmName(0) && to == vmName(1) })
 		time.Sleep(deathBound)
 		for _, vm := range f.vms {
 			if c := vm.node.Counters(); c.Suspicions != 0 || vm.node.PeerCount() != 3 {
@@ -262,7 +262,7 @@
 			t.Fatal("one VM's answer was taken for another's")
 		}
 		f.kill(vmName(3))
-		f.network.setCut(func(string, string) bool { return false })
+		f.network.SetCut(func(string, string) bool { return false })
 		f.startAt("young", vmName(3))
 		f.within(deathBound, "the dead VM is gone and the young one known", func() bool {
 			for _, vm := range f.vms {
@@ -289,7 +289,7 @@
 		if _, missing := f.vm(0).node.InForce(version); !slices.Equal(missing, []string{vmName(3)}) {
 			t.Fatalf("missing %v, want the restarted VM", missing)
 		}
-		f.network.setCut(func(string, string) bool { return false })
+		f.network.SetCut(func(string, string) bool { return false })
 		f.start(vmName(3), newMemoryStore(), Settings{})
 		f.within(smallBound, "in force on the restarted VM", f.allAt(version))
 	})
@@ -301,7 +301,7 @@
 func TestCutOffVMKnowsItBeforeItIsHeldDead(t *testing.T) {
 	run(t, 6, Settings{}, func(t *testing.T, f *fleet) {
 		alone := vmName(3)
-		f.network.setCut(func(from, to string) bool { return from == alone || to == alone })
+		f.network.SetCut(func(from, to string) bool { return from == alone || to == alone })
 		f.within(deathBound, "some VM does not wait for it any more", func() bool {
 			for name, vm := range f.vms {
 				if name != alone && vm.node.PeerCount() < 5 {
@@ -336,7 +336,7 @@
 func TestSyncOnSilentConnectionComesThroughSoon(t *testing.T) {
 	noProbes := Settings{ProbePeriod: time.Hour} // they would find the silence first
 	run(t, 2, noProbes, func(t *testing.T, f *fleet) {
-		f.network.silence(func(string, string) bool { return true })
+		f.network.Silence(func(string, string) bool { return true })
 		ctx, cancel := context.WithTimeout(t.Context(), smallBound)
 		defer cancel()
 		if err := f.vm(0).node.syncWith(ctx, vmName(1), vmName(1)); err != nil {
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"geraniumcroft/internal/standin/pipenet"
 	"github.com/cockroachdb/errors"
 )
 
@@ -85,13 +86,13 @@
 // one that speaks no TLS get nothing of the configuration.
 func TestOnlyKnownPeersJoin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network, ours, other := newNetwork(), newAuthority(t), newAuthority(t)
+		network, ours, other := pipenet.NewNetwork(), newAuthority(t), newAuthority(t)
 		server := ours.options("server", "10.0.0.1", ours.certificate("10.0.0.1"))
 		plain := ours.options("plain", "10.0.0.5")
 		plain.TLS, plain.ClientTLS = nil, nil
 		node := New(server)
 		defer node.Stop()
-		lis := network.listen(server.Address)
+		lis := network.Listen(server.Address)
 		go func() { _ = node.Serve(lis) }()
 		for _, c := range []struct {
 			options Options
@@ -102,7 +103,7 @@
 			{ours.options("foreign", "10.0.0.4", other.certificate("10.0.0.4")), false},
 			{plain, false},
 		} {
-			c.options.Dial = network.dialFrom(c.options.Address)
+			c.options.Dial = network.DialFrom(c.options.Address)
 			joiner := New(c.options)
 			err := joiner.Join(t.Context())
 			joiner.Stop()
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -157,9 +157,10 @@
 	if err != nil {
 		return err
 	}
+	_, revision := f.Nodes[0].Store().Current().Entity(kind, name)
 	accepted, err := f.Nodes[0].Change(ctx, confstore.Proposal{
 		ID: uuid.NewString(), Author: "rig", Kind: kind, Name: name, Value: value,
-		IfRevision: f.revision(kind, name),
+		IfRevision: revision,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "%s %s", kind, name)
@@ -170,29 +171,6 @@
 	return nil
 }
 
-func (f *Fleet) revision(kind config.EntityKind, name string) uint64 {
-	now := f.Nodes[0].Store().Current()
-	switch kind {
-	case config.EntityTarget:
-		if t := now.Targets[name]; t != nil {
-			return t.Revision
-		}
-	case config.EntityProfile:
-		if p := now.Profiles[name]; p != nil {
-			return p.Revision
-		}
-	case config.EntityModel:
-		if m := now.Models[name]; m != nil {
-			return m.Revision
-		}
-	case config.EntityWorkspace:
-		if w := now.Workspaces[name]; w != nil {
-			return w.Revision
-		}
-	}
-	return 0
-}
-
 // AddEngine starts an engine and adds it as a target.
 func (f *Fleet) AddEngine(ctx context.Context, o enginesim.Options, dataCentre, accelerator string, links ...config.Link) (*enginesim.Engine, error) {
 	e := enginesim.New(o)
