--- a/cmd/geraniumcroft/main.go
+++ b/cmd/geraniumcroft/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:]))
+	os.Exit(cli.Run(os.Args[1:], &relayCommand{}))
 }
--- /dev/null
+++ b/cmd/geraniumcroft/relay.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/cli/exit"
+	"geraniumcroft/internal/entry"
+	"geraniumcroft/internal/follow"
+	"geraniumcroft/internal/settings"
+	"geraniumcroft/internal/telemetry"
+	"geraniumcroft/internal/transport"
+	"geraniumcroft/platform"
+)
+
+// settingsVariable names the environment variable that holds the settings file's path.
+const settingsVariable = "GERANIUMCROFT_SETTINGS"
+
+// storeIdle is how long a connection to the store is kept unused. Calls to the feed
+// follow each other more closely.
+const storeIdle = 5 * time.Second
+
+// relayCommand implements "relay".
+type relayCommand struct {
+	file  string
+	check bool
+}
+
+// Name implements subcommands.Command.
+func (*relayCommand) Name() string { return "relay" }
+
+// Synopsis implements subcommands.Command.
+func (*relayCommand) Synopsis() string {
+	return "run this VM's router for an operator's platform"
+}
+
+// Usage implements subcommands.Command.
+func (*relayCommand) Usage() string {
+	return `relay [-settings FILE] [-check]:
+  Relays requests by the configuration and the replicas that lie in the platform's
+  store, until SIGTERM or an interrupt; then stops without cutting off a request.
+  With -check only reads the settings and prints all findings. Exits 2 if there are
+  any. The file's path may stand in GERANIUMCROFT_SETTINGS instead.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *relayCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", os.Getenv(settingsVariable), "settings file")
+	f.BoolVar(&c.check, "check", false, "only check the settings")
+}
+
+// Execute implements subcommands.Command.
+func (c *relayCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := exit.CheckNoArgs(f); err != nil {
+		return exit.Misused(err)
+	}
+	loaded, findings := settings.LoadRelay(c.file)
+	for _, finding := range findings {
+		_, _ = os.Stderr.WriteString(finding.String() + "\n")
+	}
+	if len(findings) > 0 {
+		return exit.Usage
+	}
+	if c.check {
+		_, _ = os.Stdout.WriteString(c.file + ": no findings\n")
+		return exit.Done
+	}
+	return c.serve(loaded)
+}
+
+func (c *relayCommand) serve(s *settings.Settings) subcommands.ExitStatus {
+	log, err := telemetry.NewLog(telemetry.LogOptions{Level: s.Log.Level, Format: s.Log.Format, Out: os.Stdout})
+	if err != nil {
+		return exit.Failed(err)
+	}
+	defer func() { _ = log.Close() }()
+	logger := log.With(zap.String("vm", s.VM.Name))
+	process := entry.New(relayOptions(s, logger, log.Dropped))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	if err := process.Start(); err != nil {
+		logger.Error("not started", zap.Error(err))
+		return exit.Failed(err)
+	}
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			break
+		}
+		c.reload(process, logger)
+	}
+	process.Stop()
+	return exit.Done
+}
+
+// reload reads the settings again. Addresses and names hold until the next start.
+func (c *relayCommand) reload(process *entry.Process, logger *zap.Logger) {
+	loaded, findings := settings.LoadRelay(c.file)
+	for _, finding := range findings {
+		logger.Error("settings not reloaded", zap.Stringer("finding", finding))
+	}
+	if len(findings) == 0 {
+		process.Reload(loaded)
+	}
+}
+
+func relayOptions(s *settings.Settings, logger *zap.Logger, dropped func() uint64) entry.Options {
+	bounds := transport.Settings{}.WithDefaults()
+	pool := transport.NewPool(bounds, transport.NewDialer(bounds))
+	store := platform.NewStore(s.Relay.StoreAddress, follow.FeedWait, &http.Transport{
+		DialContext: transport.NewDialer(bounds), IdleConnTimeout: storeIdle, DisableCompression: true,
+	})
+	return entry.Options{
+		Settings: s, Pool: pool, Logger: logger, LogDropped: dropped,
+		Wiring: entry.Wiring{
+			Codec: platform.Codec{}, Engines: platform.NewEngines(pool), Table: store, Feed: store,
+			OperatorTable: platform.OperatorTable, ReplicaTable: platform.ReplicaTable,
+			DecodeConfig: platform.DecodeConfig, DecodeReplica: platform.DecodeReplica,
+		},
+	}
+}
--- /dev/null
+++ b/internal/census/census.go
@@ -0,0 +1,153 @@
+// Package census knows which VMs relay requests: how many share what is shared, and
+// whom to ask when the store does not answer.
+//
+// Each VM rewrites a row of its own at an interval. A VM whose row has not changed for
+// a while is not counted any more; until then its share of a budget lies idle, which
+// is the safe side. Nothing is decided by it that would be wrong with a VM too many or
+// too few, so it needs neither clocks that agree nor a failure detector.
+package census
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/sleep"
+)
+
+const (
+	// interval is the pause between two writes of a VM's row. At 320 VMs that is 40
+	// writes and 40 reads a second, a tenth of what the smallest store takes.
+	interval = 8 * time.Second
+	// expiry is how long a row may stay unchanged: two lost writes.
+	expiry = 3*interval + time.Second
+	// firstInterval is the pause until the first write has succeeded and all VMs that
+	// started together are seen.
+	firstInterval = 2 * time.Second
+	// firstRounds is how many rounds are made at firstInterval.
+	firstRounds = 3
+	prefix      = "vm/"
+	prefixEnd   = "vm0"
+	maxVMs      = 500
+)
+
+// VM is one row.
+type VM struct {
+	Name string `json:"name"`
+	// Address is IP:port of the listener for peers.
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	// Beat changes with each write.
+	Beat uint64 `json:"beat"`
+}
+
+// Census keeps the list of VMs.
+type Census struct {
+	table    platform.Table
+	own      VM
+	onChange func([]VM)
+	logger   *zap.Logger
+
+	mu   sync.Mutex // guards the fields below
+	seen map[string]sighting
+	vms  []VM
+}
+
+// sighting is when a row's present revision was first read.
+type sighting struct {
+	revision uint64
+	at       time.Time
+}
+
+// New returns a census that knows of its own VM alone. Each new list goes to onChange.
+func New(table platform.Table, own VM, onChange func([]VM), logger *zap.Logger) *Census {
+	return &Census{table: table, own: own, onChange: onChange, logger: logger, seen: map[string]sighting{}, vms: []VM{own}}
+}
+
+// VMs returns the VMs that are counted, this one included.
+func (c *Census) VMs() []VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms
+}
+
+// Run writes this VM's row and reads the others' until ctx ends.
+func (c *Census) Run(ctx context.Context) {
+	for round := 0; ctx.Err() == nil; round++ {
+		if err := c.round(ctx); err != nil && ctx.Err() == nil {
+			c.logger.Info("list of VMs not read", zap.Error(err))
+		}
+		pause := interval
+		if round < firstRounds {
+			pause = firstInterval
+		}
+		sleep.For(ctx, pause)
+	}
+}
+
+func (c *Census) round(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, interval/2)
+	defer cancel()
+	rows, err := c.table.Scan(ctx, prefix, prefixEnd, maxVMs)
+	if err != nil {
+		return err
+	}
+	c.take(rows)
+	return c.write(ctx, rows)
+}
+
+// write rewrites this VM's row. The row may be that of an earlier process of the same
+// name, which is gone.
+func (c *Census) write(ctx context.Context, rows []platform.Row) error {
+	key := prefix + c.own.Name
+	var revision uint64
+	for _, row := range rows {
+		if row.Key == key {
+			revision = row.Revision
+		}
+	}
+	c.own.Beat++
+	value, err := json.Marshal(c.own)
+	if err != nil {
+		return err
+	}
+	return c.table.Commit(ctx, platform.Txn{
+		ID:         uuid.NewString(),
+		Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+	})
+}
+
+func (c *Census) take(rows []platform.Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	seen := make(map[string]sighting, len(rows))
+	vms := []VM{c.own}
+	for _, row := range rows {
+		at := c.seen[row.Key]
+		if at.revision != row.Revision {
+			at = sighting{revision: row.Revision, at: now}
+		}
+		seen[row.Key] = at
+		var vm VM
+		if err := json.Unmarshal(row.Value, &vm); err != nil {
+			c.logger.Warn("row of a VM not read", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		if vm.Name != c.own.Name && now.Sub(at.at) < expiry {
+			vms = append(vms, vm)
+		}
+	}
+	c.seen = seen
+	if len(vms) != len(c.vms) {
+		c.logger.Info("VMs counted", zap.Int("vms", len(vms)), zap.Int("before", len(c.vms)))
+	}
+	c.vms = vms
+	c.onChange(vms)
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -13,11 +13,15 @@
 	"geraniumcroft/internal/cli/loadcmd"
 )
 
-// Run executes the command line and returns the process's exit code.
-func Run(args []string) int {
+// Run executes the command line and returns the process's exit code. The extra
+// commands are those that need more than this module's internal packages.
+func Run(args []string, extra ...subcommands.Command) int {
 	flags := flag.NewFlagSet("geraniumcroft", flag.ContinueOnError)
 	commander := subcommands.NewCommander(flags, "geraniumcroft")
 	register(commander)
+	for _, command := range extra {
+		commander.Register(command, "running")
+	}
 	flags.Usage = func() { commander.Explain(os.Stderr) }
 	err := flags.Parse(args)
 	if errors.Is(err, flag.ErrHelp) {
--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/census"
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/router"
+)
+
+// Dump is the process's state on request. It holds no key and no body.
+type Dump struct {
+	VM            string                   `json:"vm"`
+	Gate          router.GateState         `json:"gate"`
+	InHand        int                      `json:"inHand"`
+	ConfigVersion uint64                   `json:"configVersion"`
+	ConfigAge     string                   `json:"configAge"`
+	VMs           []census.VM              `json:"vms"`
+	HoldsDuty     bool                     `json:"holdsPlacement"`
+	Pools         map[string][]layers.Dump `json:"pools"`
+	Targets       any                      `json:"targets"`
+	Queues        any                      `json:"queues"`
+	Leases        any                      `json:"leases"`
+	Store         any                      `json:"store"`
+	Invariants    invariant.Report         `json:"invariants"`
+	LogDropped    uint64                   `json:"logLinesDropped"`
+}
+
+func (p *Process) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", p.serveMetrics)
+	mux.HandleFunc("GET /dump", p.serveDump)
+	return mux
+}
+
+func (p *Process) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	p.setGauges()
+	p.metrics.Handler().ServeHTTP(w, r)
+}
+
+// setGauges updates the metrics of states, which no event counts, when they are read.
+func (p *Process) setGauges() {
+	version := uint64(0)
+	if c := p.view.Config(); c != nil {
+		version = c.Version
+	}
+	for name, value := range map[string]float64{
+		"ready":              asGauge(p.gate.Ready()),
+		"requests_in_hand":   float64(p.handler.InHand()),
+		"config_version":     float64(version),
+		"config_age_seconds": min(p.view.ConfigAge(), time.Hour).Seconds(),
+		"vms":                float64(len(p.census.VMs())),
+		"placement_held":     asGauge(p.Holds()),
+		"placement_covered":  asGauge(p.pools.Covered()),
+		"store_healthy":      asGauge(p.table.Healthy()),
+		"log_lines_dropped":  float64(p.LogDropped()),
+	} {
+		p.metrics.Gauge(name).Update(value)
+	}
+}
+
+func asGauge(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+func (p *Process) serveDump(w http.ResponseWriter, _ *http.Request) {
+	dump := Dump{
+		VM: p.Settings.VM.Name, Gate: p.gate.State(), InHand: p.handler.InHand(), ConfigAge: p.view.ConfigAge().String(),
+		VMs: p.census.VMs(), HoldsDuty: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
+		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), Invariants: p.invariants.Report(),
+		LogDropped: p.LogDropped(),
+	}
+	if c := p.view.Config(); c != nil {
+		dump.ConfigVersion = c.Version
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(dump); err != nil {
+		p.Logger.Debug("dump not sent", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/admission"
+	"geraniumcroft/internal/balance"
+	"geraniumcroft/internal/census"
+	"geraniumcroft/internal/follow"
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/lease"
+	"geraniumcroft/internal/mirror"
+	"geraniumcroft/internal/placer"
+	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/relay"
+	"geraniumcroft/internal/router"
+	"geraniumcroft/internal/settings"
+	"geraniumcroft/internal/sleep"
+	"geraniumcroft/internal/telemetry"
+	"geraniumcroft/internal/transport"
+)
+
+const (
+	// leaseTTL is how long the placement rests after its holder died, a bit more than
+	// discovery takes to notice a dead replica.
+	leaseTTL = 4 * time.Second
+	// settleInterval is the pause between two looks at replicas that vanished, and at
+	// models that the configuration added.
+	settleInterval = 250 * time.Millisecond
+	// usualVMs is how many VMs are assumed before the list of them was read.
+	usualVMs = 6
+)
+
+// Options are what a Process is made from.
+type Options struct {
+	Settings *settings.Settings
+	Wiring   Wiring
+	Pool     *transport.Pool
+	Logger   *zap.Logger
+	// LogDropped returns how many lines of the log were lost.
+	LogDropped func() uint64
+}
+
+// Process is one relaying VM's process. Start it once and Stop it once.
+type Process struct {
+	Options
+	metrics    *telemetry.Metrics
+	recorder   *telemetry.Recorder
+	invariants *invariant.Registry
+	gate       *router.Gate
+	table      *resilient.Client
+	view       *view
+	handler    *relay.Handler
+	pools      *relay.Pools
+	budgets    *relay.Budgets
+	balancer   *balance.Balancer
+	admission  *admission.Controller
+	census     *census.Census
+	leases     *lease.Manager
+	mirror     *mirror.Server
+	peers      *mirror.Client
+
+	callers *http.Server
+	probes  *http.Server
+	admin   *http.Server
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+	placed map[string]bool
+}
+
+// New puts a process together. Nothing runs until Start.
+func New(o Options) *Process {
+	p := &Process{Options: o, gate: &router.Gate{}, placed: map[string]bool{}}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.metrics = telemetry.NewMetrics(o.Settings.Metrics.Prefix)
+	p.recorder = telemetry.NewRecorder(p.metrics.Scope, telemetry.RecorderOptions{})
+	p.invariants = invariant.NewRegistry(p.onViolation)
+	p.buildControl()
+	p.buildRequestPath()
+	p.buildServers()
+	return p
+}
+
+func (p *Process) onViolation(v invariant.Violation) {
+	p.recorder.Violation(v.Name)
+	p.Logger.Error("invariant violated", zap.String("invariant", string(v.Name)), zap.String("detail", v.Detail))
+}
+
+func (p *Process) buildControl() {
+	s := p.Settings
+	p.table = resilient.New(p.Wiring.Table, nil, nil, resilient.Settings{
+		VMs: usualVMs, WritesPerSecond: s.Platform.WritesPerSecond, ReadsPerSecond: s.Platform.ReadsPerSecond,
+	})
+	p.peers = mirror.NewClient(s.Peers.Address, s.Peers.Seeds, p.Logger)
+	p.mirror = mirror.NewServer(p.tableView)
+	p.balancer = balance.New(balance.Settings{}, p.invariants)
+	p.pools = relay.NewPools()
+	p.budgets = relay.NewBudgets(relay.BudgetSettings{Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow}, usualVMs)
+	p.pools.SetVMs(usualVMs)
+	p.view = &view{
+		wiring: p.Wiring, pools: p.pools, balancer: p.balancer, invariants: p.invariants, logger: p.Logger,
+		listed: map[string]relay.Replica{}, vanished: map[string]relay.Replica{},
+	}
+	p.view.operator = p.follower(p.Wiring.OperatorTable, p.view.onConfig)
+	p.view.replicas = p.follower(p.Wiring.ReplicaTable, p.view.onReplicas)
+	own := census.VM{Name: s.VM.Name, Address: s.Peers.Address, DataCentre: s.VM.DataCentre}
+	p.census = census.New(p.table, own, p.onVMs, p.Logger)
+	p.leases = lease.NewManager(lease.Options{
+		Table: p.table, VM: s.VM.Name, Duties: []string{placer.Duty}, TTL: leaseTTL,
+		VMs: func() int { return len(p.census.VMs()) }, Invariants: p.invariants, Logger: p.Logger,
+	})
+}
+
+func (p *Process) follower(table string, onChange func(platform.TableView)) *follow.Follower {
+	return follow.New(follow.Options{Table: table, Feed: p.Wiring.Feed, Peers: p.peers, Logger: p.Logger, OnChange: onChange})
+}
+
+// tableView is what peers are given.
+func (p *Process) tableView(table string) *platform.TableView {
+	switch table {
+	case p.Wiring.OperatorTable:
+		return p.view.operator.View()
+	case p.Wiring.ReplicaTable:
+		return p.view.replicas.View()
+	}
+	return nil
+}
+
+func (p *Process) onVMs(vms []census.VM) {
+	p.table.SetVMs(len(vms))
+	p.pools.SetVMs(len(vms))
+	p.budgets.SetVMs(len(vms))
+	addresses := append([]string(nil), p.Settings.Peers.Seeds...)
+	for _, vm := range vms {
+		addresses = append(addresses, vm.Address)
+	}
+	p.peers.SetPeers(addresses)
+}
+
+func (p *Process) buildRequestPath() {
+	p.admission = admission.New(admission.Settings{}, p.invariants)
+	p.handler = relay.New(relay.Options{
+		DataCentre: p.Settings.VM.DataCentre, Source: p.view, Codec: p.Wiring.Codec, Gate: p.gate,
+		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, Budgets: p.budgets,
+		Engines: p.Wiring.Engines, Pool: p.Pool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
+	})
+}
+
+func (p *Process) buildServers() {
+	s := p.Settings
+	p.callers = &http.Server{
+		Handler: p.handler, ReadHeaderTimeout: s.Callers.ReadTimeout, IdleTimeout: s.Callers.IdleTimeout,
+		MaxHeaderBytes: s.Callers.MaxHeaderBytes, ErrorLog: zap.NewStdLog(p.Logger.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
+	}
+	p.probes = &http.Server{Handler: http.HandlerFunc(p.answerProbe), ReadHeaderTimeout: s.Callers.ReadTimeout}
+	p.admin = &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: s.Callers.ReadTimeout}
+}
+
+func (p *Process) answerProbe(w http.ResponseWriter, _ *http.Request) {
+	if !p.gate.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Start opens the listeners and begins all work. Requests are served once the
+// configuration and the replicas were read.
+func (p *Process) Start() error {
+	s := p.Settings
+	for address, serve := range map[string]func(net.Listener) error{
+		s.Callers.Address:      p.callers.Serve,
+		s.Relay.ReadyAddress:   p.probes.Serve,
+		s.Relay.MetricsAddress: p.admin.Serve,
+		s.Peers.Address:        p.mirror.Serve,
+	} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrapf(err, "listener at %s", address)
+		}
+		p.spawn(func() { _ = serve(listener) }) // ends when its server is closed
+	}
+	p.spawn(func() { p.view.operator.Run(p.ctx) })
+	p.spawn(func() { p.view.replicas.Run(p.ctx) })
+	p.spawn(func() { p.census.Run(p.ctx) })
+	p.spawn(func() { p.leases.Run(p.ctx) })
+	p.spawn(p.becomeReady)
+	p.spawn(p.lookAround)
+	p.Logger.Info("started", zap.String("dataCentre", s.VM.DataCentre), zap.String("callers", s.Callers.Address))
+	return nil
+}
+
+func (p *Process) spawn(f func()) { p.work.Go(f) }
+
+// becomeReady waits for the configuration and the replicas.
+func (p *Process) becomeReady() {
+	const pause = 20 * time.Millisecond
+	for !p.view.ready() {
+		if !sleep.For(p.ctx, pause) {
+			return
+		}
+	}
+	p.gate.SetLoaded()
+	p.Logger.Info("ready", zap.Uint64("configVersion", p.view.Config().Version))
+}
+
+// lookAround does what no event brings about.
+func (p *Process) lookAround() {
+	for sleep.For(p.ctx, settleInterval) {
+		p.view.settle()
+		for _, name := range p.view.models() {
+			if !p.placed[name] {
+				p.placed[name] = true
+				p.spawn(func() { p.place(name) })
+			}
+		}
+	}
+}
+
+// place gives the replicas of a model's service their layers.
+func (p *Process) place(service string) {
+	placer.New(placer.Options{
+		Engines: p.Wiring.Engines, Holder: p, Logger: p.Logger,
+		Model: func() (*layers.Spec, []layers.Replica) { return p.view.model(service) },
+	}).Run(p.ctx)
+}
+
+// Holds implements placer.Holder.
+func (p *Process) Holds() bool {
+	held, ok := p.leases.Held(placer.Duty)
+	return ok && held.Check() == nil
+}
--- /dev/null
+++ b/internal/follow/follower.go
@@ -0,0 +1,199 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/sleep"
+)
+
+const (
+	// feedPause spaces the calls to the feed. Replicas report all the time, and without
+	// the pause each report would cost every VM a call; with it changes are seen within
+	// a quarter of a second, an eighth of the time in which they have to be in force.
+	feedPause = 250 * time.Millisecond
+	// retryPause is the wait after a failed read of the store and its peers.
+	retryPause = 200 * time.Millisecond
+	// readTimeout bounds a read of a whole table, peerTimeout the answer of one peer.
+	readTimeout = time.Second
+	peerTimeout = 400 * time.Millisecond
+	// feedTimeout bounds one call to the feed, which itself waits for changes up to
+	// FeedWait.
+	feedTimeout = FeedWait + time.Second
+	// settleTime is how long after an outage of the store a row that vanished may still
+	// come back, as its writer has to reach the store first.
+	settleTime = 2200 * time.Millisecond
+)
+
+// FeedWait is how long a call to the feed waits for a change. A connection that went
+// silent is noticed only after it, so it has to be well below the time in which
+// changes must be in force.
+const FeedWait = time.Second
+
+// Peers asks other VMs for their copy of a table.
+type Peers interface {
+	// Fetch returns a peer's copy if it is newer than the revision. Ok is false when
+	// no peer answered; an answer without news has the revision that was given.
+	Fetch(ctx context.Context, table string, after uint64) (view platform.TableView, ok bool)
+}
+
+// Options configure a Follower.
+type Options struct {
+	Table  string
+	Feed   platform.Feed
+	Peers  Peers
+	Logger *zap.Logger
+	// OnChange is called with each new view, one at a time.
+	OnChange func(platform.TableView)
+}
+
+// Follower keeps a copy of one table.
+type Follower struct {
+	Options
+	view atomic.Pointer[platform.TableView]
+	// confirmed is when the store or a peer last answered that the view is current.
+	confirmed atomic.Pointer[time.Time]
+
+	mu        sync.Mutex // guards the fields below
+	storeDown bool
+	regained  time.Time
+}
+
+// New returns a follower without a copy; Run fills it.
+func New(o Options) *Follower { return &Follower{Options: o} }
+
+// View returns the newest copy, or nil before the first.
+func (f *Follower) View() *platform.TableView { return f.view.Load() }
+
+// Age is the time since the store or a peer last confirmed the copy.
+func (f *Follower) Age() time.Duration {
+	at := f.confirmed.Load()
+	if at == nil {
+		return time.Duration(1<<63 - 1)
+	}
+	// A VM that was frozen finds its monotonic clock where it was.
+	now := time.Now()
+	return max(now.Sub(*at), now.Round(0).Sub(at.Round(0)))
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	reread := true
+	for ctx.Err() == nil {
+		err := f.step(ctx, reread)
+		if ctx.Err() != nil {
+			return
+		}
+		reread = errors.Is(err, platform.ErrHistoryGone) || f.View() == nil
+		f.note(err)
+		if err == nil {
+			sleep.For(ctx, feedPause)
+			continue
+		}
+		if !errors.Is(err, platform.ErrHistoryGone) {
+			f.askPeers(ctx)
+			sleep.For(ctx, retryPause)
+		}
+	}
+}
+
+// step makes one call to the store.
+func (f *Follower) step(ctx context.Context, reread bool) error {
+	if !reread {
+		ctx, cancel := context.WithTimeout(ctx, feedTimeout)
+		defer cancel()
+		return f.follow(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	view, err := f.Feed.ReadAll(ctx, f.Table)
+	if err != nil {
+		return err
+	}
+	f.publish(view, "store")
+	return nil
+}
+
+func (f *Follower) follow(ctx context.Context) error {
+	at := f.View()
+	change, err := f.Feed.Changes(ctx, f.Table, at.Revision)
+	if err != nil {
+		return err
+	}
+	if len(change.Written)+len(change.Deleted) == 0 {
+		f.confirm()
+		return nil
+	}
+	f.publish(at.Apply(change), "store")
+	return nil
+}
+
+func (f *Follower) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	revision := uint64(0)
+	if at := f.View(); at != nil {
+		revision = at.Revision
+	}
+	view, ok := f.Peers.Fetch(ctx, f.Table, revision)
+	if !ok {
+		return
+	}
+	if view.Rows == nil || view.Revision <= revision && f.View() != nil {
+		if f.View() != nil {
+			f.confirm()
+		}
+		return
+	}
+	f.publish(view, "peer")
+}
+
+func (f *Follower) confirm() {
+	now := time.Now()
+	f.confirmed.Store(&now)
+}
+
+// publish takes over a newer view. It is called by Run alone.
+func (f *Follower) publish(view platform.TableView, from string) {
+	f.confirm()
+	old := f.view.Load()
+	if old != nil && view.Revision < old.Revision {
+		f.Logger.Warn("older copy of a table refused", zap.String("table", f.Table), zap.String("from", from),
+			zap.Uint64("revision", view.Revision), zap.Uint64("have", old.Revision))
+		return
+	}
+	f.view.Store(&view)
+	if from == "peer" {
+		f.Logger.Info("table learned from a peer", zap.String("table", f.Table), zap.Uint64("revision", view.Revision))
+	}
+	f.OnChange(view)
+}
+
+// note remembers whether the store answers this VM.
+func (f *Follower) note(err error) {
+	down := err != nil && !errors.Is(err, platform.ErrHistoryGone)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if down && !f.storeDown {
+		f.Logger.Warn("store lost", zap.String("table", f.Table), zap.Error(err))
+	}
+	if !down && f.storeDown {
+		f.regained = time.Now()
+		f.Logger.Info("store regained", zap.String("table", f.Table))
+	}
+	f.storeDown = down
+}
+
+// Settling reports whether rows that are missing may still come back after an outage
+// of the store.
+func (f *Follower) Settling() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeDown || !f.regained.IsZero() && time.Since(f.regained) < settleTime
+}
--- /dev/null
+++ b/internal/layers/doc.go
@@ -0,0 +1,18 @@
+// Package layers decides which replica of a model engine holds which layers, and
+// which replicas a request passes through.
+//
+// No card holds the whole model. Each replica holds one range of layers, and a
+// request needs a path: ranges that cover every layer once and in order. Placement
+// gives each data centre a set of layers of its own where its cards can hold one,
+// in proportion to the cards' memory, so that every stage has room for the same
+// number of requests and activations stay inside the data centre. Paths are chosen
+// for each request among the ranges that the replicas report, whatever the
+// placement intended; ranges need not line up, and a part of a range may be used.
+//
+// What happens when a replica dies: a path through it stalls, its requests are
+// moved to another holder of the same layers, and the replica is avoided until it
+// has proved itself again. Because every data centre has all layers, the missing
+// range is found in another one at once, and the placement then widens the
+// neighbours of the hole. The last holders of a range are used even when they are
+// suspected: a doubtful answer is better than a certain refusal.
+package layers
--- /dev/null
+++ b/internal/layers/errors.go
@@ -0,0 +1,10 @@
+package layers
+
+import "github.com/cockroachdb/errors"
+
+var (
+	// ErrNoPath means that some layer is held by no replica; waiting for room is no use.
+	ErrNoPath = errors.New("no path covers every layer")
+	// ErrNoRoom means that the replicas that hold the layers are full; a request may wait.
+	ErrNoRoom = errors.New("no path has room")
+)
--- /dev/null
+++ b/internal/layers/need.go
@@ -0,0 +1,15 @@
+package layers
+
+// Need is what a request needs of a path.
+type Need struct {
+	// Prompt is how many tokens are read, Answer how many are expected to be written.
+	Prompt int
+	Answer int
+	// DataCentre is where the request entered; paths that begin there are preferred.
+	DataCentre string
+	// Avoid names addresses that the request has failed on.
+	Avoid map[string]bool
+}
+
+// tokens is the context of the request at its end.
+func (n Need) tokens() float64 { return float64(max(1, n.Prompt+n.Answer)) }
--- /dev/null
+++ b/internal/layers/path.go
@@ -0,0 +1,61 @@
+package layers
+
+import (
+	"strings"
+
+	"geraniumcroft/internal/config"
+)
+
+// Stage is one replica's part of a path.
+type Stage struct {
+	Replica Replica
+	Layers  config.LayerRange
+}
+
+// Path is what a request passes through, in order. It covers every layer once.
+type Path []Stage
+
+// First is the replica that the request is sent to.
+func (p Path) First() Replica { return p[0].Replica }
+
+// Covers reports whether the path runs each of n layers once and in order, and
+// names no replica twice.
+func (p Path) Covers(n int) bool {
+	next := 0
+	seen := make(map[string]bool, len(p))
+	for _, stage := range p {
+		if stage.Layers.From != next || stage.Layers.Len() <= 0 || seen[stage.Replica.Address] {
+			return false
+		}
+		seen[stage.Replica.Address] = true
+		next = stage.Layers.To
+	}
+	return next == n
+}
+
+// betweenRepeats returns the address of a stage that lies between two stages of one
+// replica, or "".
+func (p Path) betweenRepeats() string {
+	seen := make(map[string]int, len(p))
+	for i, stage := range p {
+		if at, ok := seen[stage.Replica.Address]; ok {
+			return p[at+1].Replica.Address
+		}
+		seen[stage.Replica.Address] = i
+	}
+	return ""
+}
+
+// String lists the stages, for logs.
+func (p Path) String() string {
+	var b strings.Builder
+	for i, stage := range p {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(stage.Replica.Address)
+		b.WriteByte('=')
+		b.WriteString(stage.Layers.String())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/layers/place.go
@@ -0,0 +1,173 @@
+package layers
+
+import (
+	"cmp"
+	"slices"
+
+	"geraniumcroft/internal/config"
+)
+
+// copyHeadroom is how much memory, in multiples of the model's weights, a data
+// centre needs for each set of layers. The part above 1 holds requests: at 1.5 a
+// third of the memory does. With fewer sets the paths are long; with more the
+// requests find no room.
+const copyHeadroom = 1.5
+
+// weightShare is how much of a card the layers of a replica that joins later may
+// take; the rest holds requests.
+const weightShare = 0.6
+
+// Place returns the ranges that replicas are to hold. Replicas whose range stays as
+// it is are in the result too; one that is to hold nothing is not. It is a pure
+// function of its arguments, so that two VMs with the same view order the same.
+//
+// Data centres that can hold a set of layers get sets of their own; the cards of
+// the others together form sets that span data centres. Replicas that hold layers
+// keep them, a hole is closed by an empty replica or by its neighbours, and only a
+// set without any layer is laid out anew: every move costs a load, and layers that
+// are given up serve nobody meanwhile.
+func Place(spec *Spec, replicas []Replica) map[string]config.LayerRange {
+	placed := map[string]config.LayerRange{}
+	for _, group := range groups(spec, replicas) {
+		placeGroup(spec, group, placed)
+	}
+	return placed
+}
+
+// groups splits the replicas into those that share sets of layers.
+func groups(spec *Spec, replicas []Replica) [][]Replica {
+	byDataCentre := map[string][]Replica{}
+	for _, r := range replicas {
+		if !r.Draining && spec.maxLayers(spec.kind(r.Kind)) > 0 {
+			byDataCentre[r.DataCentre] = append(byDataCentre[r.DataCentre], r)
+		}
+	}
+	var whole [][]Replica
+	var rest []Replica
+	for _, name := range sortedKeys(byDataCentre) {
+		group := byDataCentre[name]
+		slices.SortFunc(group, func(a, b Replica) int { return compareReplicas(spec, a, b) })
+		if sets(spec, group) >= 1 {
+			whole = append(whole, group)
+		} else {
+			rest = append(rest, group...)
+		}
+	}
+	if len(rest) > 0 {
+		whole = append(whole, rest)
+	}
+	return whole
+}
+
+// compareReplicas puts fast cards first, so that a set is made of cards of like pace.
+func compareReplicas(spec *Spec, a, b Replica) int {
+	byPace := cmp.Compare(spec.kind(a.Kind).StepPace, spec.kind(b.Kind).StepPace)
+	return cmp.Or(byPace, cmp.Compare(a.Address, b.Address), cmp.Compare(a.ID, b.ID))
+}
+
+// sets is how many sets of layers the replicas are to hold.
+func sets(spec *Spec, group []Replica) int {
+	memory, most := 0.0, 0
+	for _, r := range group {
+		k := spec.kind(r.Kind)
+		memory += k.MemoryMB
+		most += spec.maxLayers(k)
+	}
+	if most < spec.Layers {
+		return 0
+	}
+	return max(1, int(memory/(copyHeadroom*float64(spec.Layers)*spec.LayerMB)))
+}
+
+func placeGroup(spec *Spec, group []Replica, placed map[string]config.LayerRange) {
+	var empty, holders []Replica
+	for _, r := range group {
+		if r.Held.Len() > 0 {
+			holders = append(holders, r)
+		} else {
+			empty = append(empty, r)
+		}
+	}
+	if len(holders) == 0 {
+		layOut(spec, empty, placed)
+		return
+	}
+	c := newCoverage(spec)
+	for _, r := range holders {
+		placed[r.ID] = r.Held
+		c.add(spec.kind(r.Kind), r.Held)
+	}
+	for _, r := range empty {
+		held := c.neediest(spec, spec.kind(r.Kind))
+		placed[r.ID] = held
+		c.add(spec.kind(r.Kind), held)
+	}
+	closeHoles(spec, group, placed)
+}
+
+// layOut gives the cards of a group that holds nothing whole sets of layers.
+func layOut(spec *Spec, group []Replica, placed map[string]config.LayerRange) {
+	n := max(1, sets(spec, group))
+	memory := 0.0
+	for _, r := range group {
+		memory += spec.kind(r.Kind).MemoryMB
+	}
+	share := memory / float64(n)
+	start, sum := 0, 0.0
+	for i, r := range group {
+		sum += spec.kind(r.Kind).MemoryMB
+		if sum >= share || i == len(group)-1 {
+			layOutSet(spec, group[start:i+1], placed)
+			start, sum = i+1, sum-share
+		}
+	}
+}
+
+// layOutSet divides one set of layers in proportion to memory, so that each stage
+// has room for the same number of requests.
+func layOutSet(spec *Spec, set []Replica, placed map[string]config.LayerRange) {
+	counts := proportional(spec, set)
+	from := 0
+	for i, r := range set {
+		if counts[i] == 0 {
+			continue
+		}
+		to := min(spec.Layers, from+counts[i])
+		if to > from {
+			placed[r.ID] = config.LayerRange{From: from, To: to}
+		}
+		from = to
+	}
+}
+
+// proportional divides the layers among the cards by memory, within what each can
+// hold. Each layer goes to the card that then has the most room for requests.
+func proportional(spec *Spec, set []Replica) []int {
+	counts := make([]int, len(set))
+	for range spec.Layers {
+		best, bestRoom := -1, 0.0
+		for i, r := range set {
+			k := spec.kind(r.Kind)
+			if counts[i] >= spec.maxLayers(k) {
+				continue
+			}
+			if room := spec.room(k, counts[i]+1); best < 0 || room > bestRoom {
+				best, bestRoom = i, room
+			}
+		}
+		if best < 0 {
+			break
+		}
+		counts[best]++
+	}
+	return counts
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/layers/spec.go
@@ -0,0 +1,60 @@
+package layers
+
+import "time"
+
+// Spec describes a model and the engines that serve it.
+type Spec struct {
+	// Layers is how many layers the model has.
+	Layers int
+	// LayerMB is the memory of one layer's weights.
+	LayerMB float64
+	// KVBytes is the memory of one token of context over all layers.
+	KVBytes float64
+	// ActivationBytes is what one token sends from a stage to the next.
+	ActivationBytes float64
+	// Slots is how many requests a replica takes in as the first of their paths.
+	Slots int
+	// Step, PerSequence and PerContext are the times of a token step over all layers
+	// on a card of pace 1: its base, for each request that is writing, and for each
+	// thousand tokens of context of such a request.
+	Step        time.Duration
+	PerSequence time.Duration
+	PerContext  time.Duration
+	// ReadPerSecond is how many prompt tokens a card of pace 1 reads in a second.
+	ReadPerSecond float64
+	// PipeMbps is the rate of the link between two data centres; 0 is unbounded.
+	PipeMbps float64
+	// Delay is the one-way delay between two data centres.
+	Delay time.Duration
+	// LoadTime is how long loading all layers takes.
+	LoadTime time.Duration
+	// UsualPrompt and UsualAnswer are the mean tokens of a request.
+	UsualPrompt int
+	UsualAnswer int
+	// Kinds are the accelerators by name.
+	Kinds map[string]Kind
+}
+
+// kind returns the card of a replica. An unknown kind has no memory, so it gets
+// no layers and no request.
+func (s *Spec) kind(name string) Kind { return s.Kinds[name] }
+
+// maxLayers is how many layers fit on a card with nothing else on it.
+func (s *Spec) maxLayers(k Kind) int {
+	if s.LayerMB <= 0 {
+		return 0
+	}
+	return min(s.Layers, int(k.MemoryMB/s.LayerMB))
+}
+
+// room is how many tokens of context fit beside n layers of a card.
+func (s *Spec) room(k Kind, n int) float64 {
+	if n <= 0 || s.KVBytes <= 0 {
+		return 0
+	}
+	free := (k.MemoryMB - float64(n)*s.LayerMB) * 1e6
+	return max(0, free/(s.KVBytes*float64(n)/float64(s.Layers)))
+}
+
+// usualTokens is the context of a usual request at its end.
+func (s *Spec) usualTokens() float64 { return float64(max(1, s.UsualPrompt+s.UsualAnswer)) }
--- /dev/null
+++ b/internal/layers/table.go
@@ -0,0 +1,149 @@
+package layers
+
+import (
+	"sync"
+	"time"
+
+	"geraniumcroft/internal/config"
+)
+
+// Table is this VM's view of the replicas of one model, with the memory that its
+// own requests hold on them. It is safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex // guards the fields below
+	spec     *Spec
+	replicas map[string]*state // by ID
+	vms      int
+}
+
+// NewTable returns a table without replicas.
+func NewTable() *Table {
+	return &Table{spec: &Spec{}, replicas: map[string]*state{}, vms: 1}
+}
+
+// SetVMs tells how many VMs share the replicas' memory.
+func (t *Table) SetVMs(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms = max(1, n)
+}
+
+// Update takes over the model's description and the replicas as discovery lists
+// them. Replicas that are missing get no new request from now on.
+func (t *Table) Update(spec *Spec, replicas []Replica) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.spec = spec
+	next := make(map[string]*state, len(replicas))
+	for _, r := range replicas {
+		s := t.replicas[r.ID]
+		if s == nil {
+			s = &state{}
+		}
+		s.reset(spec, r)
+		next[r.ID] = s
+	}
+	t.replicas = next
+}
+
+// Layers returns how many layers the model has.
+func (t *Table) Layers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.spec.Layers
+}
+
+// Usable reports whether the replica is listed and not about to leave.
+func (t *Table) Usable(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.replicas[id]
+	return s != nil && !s.Draining
+}
+
+// Covered reports whether the replicas hold every layer.
+func (t *Table) Covered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := make([]bool, t.spec.Layers)
+	for _, s := range t.replicas {
+		for l := s.Held.From; !s.Draining && l < s.Held.To && l < len(held); l++ {
+			held[l] = true
+		}
+	}
+	for _, h := range held {
+		if !h {
+			return false
+		}
+	}
+	return len(held) > 0
+}
+
+// Reserve chooses a path and holds room on each of its stages until the
+// reservation is released. It returns ErrNoRoom when waiting can help and ErrNoPath
+// when it cannot.
+func (t *Table) Reserve(need Need) (*Reservation, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := search{table: t, need: need, now: time.Now(), to: t.spec.Layers, fromDC: need.DataCentre, entry: true}
+	path, err := s.run()
+	if err != nil {
+		return nil, err
+	}
+	r := &Reservation{table: t, need: need, path: path}
+	r.hold(1)
+	return r, nil
+}
+
+// Suspect avoids a replica for a while: a request found it dead, silent or without
+// the layers that it reported.
+func (t *Table) Suspect(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.replicas {
+		if s.Address == address {
+			s.suspect(time.Now())
+		}
+	}
+}
+
+// Pace takes what a replica's report says of its speed.
+func (t *Table) Pace(address string, pace float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.replicas {
+		if s.Address == address {
+			s.pace, s.paceAt = pace, time.Now()
+		}
+	}
+}
+
+// Dump is the state of one replica, for the dump.
+type Dump struct {
+	ID         string            `json:"id"`
+	Address    string            `json:"address"`
+	DataCentre string            `json:"dataCentre"`
+	Kind       string            `json:"kind"`
+	Held       config.LayerRange `json:"held"`
+	Draining   bool              `json:"draining"`
+	Suspected  bool              `json:"suspected"`
+	// Reserved is the share of the memory for requests that this VM's requests hold.
+	Reserved float64 `json:"reserved"`
+	Pace     float64 `json:"pace"`
+}
+
+// Dump returns the replicas' state, by ID.
+func (t *Table) Dump() []Dump {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	dumps := make([]Dump, 0, len(t.replicas))
+	for _, id := range sortedKeys(t.replicas) {
+		s := t.replicas[id]
+		dumps = append(dumps, Dump{
+			ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Kind: s.Kind, Held: s.Held,
+			Draining: s.Draining, Suspected: s.suspected(now), Reserved: s.reserved / max(1, s.capacity), Pace: s.pace,
+		})
+	}
+	return dumps
+}
--- /dev/null
+++ b/internal/mirror/client.go
@@ -0,0 +1,156 @@
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"geraniumcroft/internal/platform"
+)
+
+const (
+	// asked is how many peers one question goes to. Some may be turned away by the
+	// store as well; of three at random, one that is served is likely among them.
+	asked = 3
+	// maxRetryDelay bounds the pause before a peer that was away is dialled again.
+	maxRetryDelay = time.Second
+	// idleTimeout closes connections to peers that are not asked any more.
+	idleTimeout = 30 * time.Second
+	// maxMessage bounds an answer; the store itself holds no more in a table's answer.
+	maxMessage = 8 << 20
+)
+
+// Client asks peers. It is safe for concurrent use.
+type Client struct {
+	own    string
+	logger *zap.Logger
+
+	mu    sync.Mutex // guards the fields below
+	peers []string
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClient returns a client of a VM whose own address is never asked.
+func NewClient(own string, seeds []string, logger *zap.Logger) *Client {
+	c := &Client{own: own, logger: logger, conns: map[string]*grpc.ClientConn{}}
+	c.SetPeers(seeds)
+	return c
+}
+
+// SetPeers replaces the addresses, IP:port, that are asked.
+func (c *Client) SetPeers(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers = nil
+	for _, address := range addresses {
+		if address != c.own {
+			c.peers = append(c.peers, address)
+		}
+	}
+}
+
+// Fetch asks some peers and returns the newest copy that they have. Ok is false when
+// none answered; the rows are nil when none has a newer one.
+func (c *Client) Fetch(ctx context.Context, table string, after uint64) (newest platform.TableView, ok bool) {
+	peers := c.some()
+	views := make(chan *platform.TableView, len(peers))
+	for _, address := range peers {
+		go func() { views <- c.ask(ctx, address, table, after) }()
+	}
+	for range peers {
+		view := <-views
+		if view == nil {
+			continue
+		}
+		if !ok || view.Revision > newest.Revision {
+			newest = *view
+		}
+		ok = true
+	}
+	return newest, ok
+}
+
+func (c *Client) some() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peers := append([]string(nil), c.peers...)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(asked, len(peers))]
+}
+
+func (c *Client) ask(ctx context.Context, address, table string, after uint64) *platform.TableView {
+	conn, err := c.conn(address)
+	if err != nil {
+		c.logger.Warn("peer not dialled", zap.String("peer", address), zap.Error(err))
+		return nil
+	}
+	body, err := json.Marshal(question{Table: table, After: after})
+	if err != nil {
+		c.logger.Error("question to a peer not encoded", zap.Error(err))
+		return nil
+	}
+	answer := &wrapperspb.BytesValue{}
+	if err := conn.Invoke(ctx, fetchMethod, wrapperspb.Bytes(body), answer); err != nil {
+		c.logger.Debug("peer not heard", zap.String("peer", address), zap.Error(err))
+		c.drop(address, conn)
+		return nil
+	}
+	var view platform.TableView
+	if err := json.Unmarshal(answer.GetValue(), &view); err != nil {
+		c.logger.Warn("peer's answer not read", zap.String("peer", address), zap.Error(err))
+		return nil
+	}
+	return &view
+}
+
+func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[address]; conn != nil {
+		return conn, nil
+	}
+	delays := backoff.DefaultConfig
+	delays.MaxDelay = maxRetryDelay
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: delays, MinConnectTimeout: maxRetryDelay}),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+	if err == nil {
+		c.conns[address] = conn
+	}
+	return conn, err
+}
+
+// drop closes a connection that did not bring an answer, since it may have gone silent
+// while a new one works.
+func (c *Client) drop(address string, conn *grpc.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	if err := conn.Close(); err != nil {
+		c.logger.Debug("connection to peer not closed", zap.String("peer", address), zap.Error(err))
+	}
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		if err := conn.Close(); err != nil {
+			c.logger.Debug("connection to peer not closed", zap.String("peer", address), zap.Error(err))
+		}
+	}
+	clear(c.conns)
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,168 @@
+package placer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/sleep"
+)
+
+// Duty is the name of the lease under which replicas are ordered.
+const Duty = "placement"
+
+const (
+	// interval is the pause between two looks at the replicas.
+	interval = 200 * time.Millisecond
+	// orderTimeout bounds one order with the question before it.
+	orderTimeout = 600 * time.Millisecond
+	// ordersAtOnce bounds the orders under way.
+	ordersAtOnce = 16
+	// reportSlack is how long after a load has ended discovery may still show the old
+	// range: two heartbeats of a replica and the way through the store.
+	reportSlack = 3 * time.Second
+	// loadSlack multiplies the time that a load takes alone, as loads share their source.
+	loadSlack = 4
+	// orderRetry is the pause before a replica is ordered again that did not answer.
+	orderRetry = 700 * time.Millisecond
+)
+
+// Holder tells whether this VM has the duty now.
+type Holder interface {
+	// Holds is asked right before each order.
+	Holds() bool
+}
+
+// Options configure a Placer.
+type Options struct {
+	Engines Engines
+	Holder  Holder
+	// Model returns the model's description and its replicas as discovery lists them.
+	Model  func() (*layers.Spec, []layers.Replica)
+	Logger *zap.Logger
+}
+
+// Placer orders the replicas of one model.
+type Placer struct {
+	Options
+
+	mu      sync.Mutex // guards the field below
+	ordered map[string]order
+}
+
+// order is what a replica was last told.
+type order struct {
+	held config.LayerRange
+	// until is when the replica should have reported the range.
+	until time.Time
+	// again is when the replica may be ordered once more.
+	again time.Time
+}
+
+// New returns a placer; Run makes it work.
+func New(o Options) *Placer { return &Placer{Options: o, ordered: map[string]order{}} }
+
+// Run orders replicas while this VM holds the duty, until ctx ends.
+func (p *Placer) Run(ctx context.Context) {
+	for sleep.For(ctx, interval) {
+		if !p.Holder.Holds() {
+			p.forget()
+			continue
+		}
+		if spec, replicas := p.Model(); spec != nil {
+			p.step(ctx, spec, replicas)
+		}
+	}
+}
+
+func (p *Placer) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.ordered)
+}
+
+// step orders every replica that is to hold another range than it does.
+func (p *Placer) step(ctx context.Context, spec *layers.Spec, replicas []layers.Replica) {
+	wanted := layers.Place(spec, p.expected(replicas))
+	var orders errgroup.Group
+	orders.SetLimit(ordersAtOnce)
+	for _, r := range replicas {
+		held, ok := wanted[r.ID]
+		if !ok || held == r.Held || r.Draining || !p.due(r.ID, held) {
+			continue
+		}
+		orders.Go(func() error {
+			p.order(ctx, spec, r, held)
+			return nil
+		})
+	}
+	_ = orders.Wait() // each order logs its own failure
+}
+
+// expected returns the replicas with the ranges that they were ordered to hold, so that
+// loads under way are not planned anew.
+func (p *Placer) expected(replicas []layers.Replica) []layers.Replica {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	expected := make([]layers.Replica, len(replicas))
+	for i, r := range replicas {
+		expected[i] = r
+		if o, ok := p.ordered[r.ID]; ok && now.Before(o.until) {
+			expected[i].Held = o.held
+		}
+	}
+	return expected
+}
+
+// due reports whether the replica is to be ordered now.
+func (p *Placer) due(id string, held config.LayerRange) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o, ok := p.ordered[id]
+	now := time.Now()
+	if !ok {
+		return true
+	}
+	if o.held == held && now.Before(o.until) && o.again.IsZero() {
+		return false
+	}
+	return o.again.IsZero() || now.After(o.again)
+}
+
+func (p *Placer) order(ctx context.Context, spec *layers.Spec, r layers.Replica, held config.LayerRange) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	state, err := p.Engines.State(ctx, r.Address)
+	if err == nil && state.Held == held {
+		p.remember(spec, r, held, false)
+		return
+	}
+	if err == nil && !p.Holder.Holds() {
+		return
+	}
+	if err == nil {
+		err = p.Engines.Place(ctx, r, held, state.Sequence)
+	}
+	p.Logger.Info("replica ordered", zap.String("replica", r.ID), zap.String("address", r.Address), zap.String("kind", r.Kind),
+		zap.String("dataCentre", r.DataCentre), zap.Stringer("held", r.Held), zap.Stringer("wanted", held),
+		zap.Uint64("sequence", state.Sequence), zap.Error(err))
+	p.remember(spec, r, held, err != nil)
+}
+
+func (p *Placer) remember(spec *layers.Spec, r layers.Replica, held config.LayerRange, failed bool) {
+	share := float64(held.Len()) / float64(max(1, spec.Layers))
+	load := time.Duration(loadSlack * share * float64(spec.LoadTime))
+	o := order{held: held, until: time.Now().Add(load + reportSlack)}
+	if failed {
+		o.again = time.Now().Add(orderRetry)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ordered[r.ID] = o
+}
--- /dev/null
+++ b/internal/platform/feed.go
@@ -0,0 +1,51 @@
+package platform
+
+import "context"
+
+// ErrHistoryGone means that the changes since a revision are no longer kept; read
+// the whole table again.
+var ErrHistoryGone = historyGoneError{}
+
+type historyGoneError struct{}
+
+// Error implements error.
+func (historyGoneError) Error() string { return "the platform no longer keeps these changes" }
+
+// Feed reads whole tables that others write, and what changes in them. A table is
+// read only, so no operation here is ambiguous.
+type Feed interface {
+	// ReadAll returns all rows of a table as of one moment.
+	ReadAll(ctx context.Context, table string) (TableView, error)
+	// Changes waits until something changed after the revision, or until the service
+	// has waited long enough, and returns the changes in order. The error is
+	// ErrHistoryGone when they are no longer kept.
+	Changes(ctx context.Context, table string, after uint64) (TableChange, error)
+}
+
+// TableView is a whole table at one revision.
+type TableView struct {
+	Revision uint64            `json:"revision"`
+	Rows     map[string][]byte `json:"rows"`
+}
+
+// TableChange is what changed in a table up to a revision.
+type TableChange struct {
+	Revision uint64
+	Written  map[string][]byte
+	Deleted  []string
+}
+
+// Apply returns the view with the change made. The view itself stays as it is.
+func (v TableView) Apply(c TableChange) TableView {
+	rows := make(map[string][]byte, len(v.Rows)+len(c.Written))
+	for key, value := range v.Rows {
+		rows[key] = value
+	}
+	for _, key := range c.Deleted {
+		delete(rows, key)
+	}
+	for key, value := range c.Written {
+		rows[key] = value
+	}
+	return TableView{Revision: max(v.Revision, c.Revision), Rows: rows}
+}
--- /dev/null
+++ b/internal/relay/generate.go
@@ -0,0 +1,277 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/outcome"
+)
+
+const (
+	// maxSends bounds the sends of one generation, those that were turned away
+	// included.
+	maxSends = 4
+	// usualPrompt and usualAnswer are the sizes of a generation that states none.
+	usualPrompt = 800
+	usualAnswer = 200
+	// answerCaution is by how much the expected answer exceeds the caller's estimate,
+	// which is right at the median and often far off.
+	answerCaution = 1.2
+)
+
+// generation is one stream on its way to its caller.
+type generation struct {
+	h     *Handler
+	q     *request
+	w     http.ResponseWriter
+	table *layers.Table
+	avoid map[string]bool
+
+	// lastEvent is the id of the last event that the caller has, events how many. The
+	// count is read while the stream is watched.
+	lastEvent string
+	events    atomic.Int64
+	// begun says that the answer's head has gone out.
+	begun bool
+}
+
+// generate serves a request along a path of replicas.
+func (h *Handler) generate(ctx context.Context, w http.ResponseWriter, q *request) {
+	g := &generation{h: h, q: q, w: w, table: h.Pools.of(q.service), avoid: map[string]bool{}, lastEvent: q.LastEventID}
+	failure := g.run(ctx)
+	h.finish(q, failure)
+	switch {
+	case failure == nil:
+	case !g.begun:
+		h.refuse(w, q, failure)
+	default:
+		// The head is out, so only the end of the connection can say that the answer
+		// is not whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *generation) run(ctx context.Context) *outcome.Failure {
+	for sends := 1; ; sends++ {
+		reservation, failure := g.admit(ctx)
+		if failure != nil {
+			return g.truthful(failure)
+		}
+		err := g.send(ctx, reservation)
+		if err == nil {
+			return nil
+		}
+		g.q.story.add("send failed", zap.Error(err), zap.Int64("events", g.events.Load()))
+		if !g.again(ctx, sends) {
+			return failureOf(ctx, g.q, err)
+		}
+		g.h.Observer.Retry("resume")
+	}
+}
+
+// truthful turns a refusal by admission into what holds after an earlier send.
+func (g *generation) truthful(f *outcome.Failure) *outcome.Failure {
+	if !g.q.boundary.MayHaveRun() {
+		return f
+	}
+	return outcome.Uncertain(outcome.ReasonTargetFailed, "the replica failed and no other one had room").WithCause(f)
+}
+
+// again reports whether the generation may be sent once more.
+func (g *generation) again(ctx context.Context, sends int) bool {
+	mayRepeat := g.q.profile.Repeatable() || !g.q.boundary.MayHaveRun()
+	resumable := g.events.Load() == 0 || g.q.profile.Resumable && g.lastEvent != ""
+	if ctx.Err() != nil || !mayRepeat || !resumable || sends >= maxSends || g.q.runs > g.q.profile.MaxAttempts {
+		return false
+	}
+	if !g.h.Budgets.of(g.q.service).Take(g.q.urgency()) {
+		g.q.story.add("retry budget spent")
+		return false
+	}
+	return true
+}
+
+func (g *generation) need() layers.Need {
+	q := g.q
+	prompt, answer := q.PromptTokens, q.LikelyAnswerTokens
+	if prompt <= 0 {
+		prompt = usualPrompt
+	}
+	if answer <= 0 {
+		answer = usualAnswer
+	}
+	answer = int(answerCaution * float64(answer))
+	if q.MaxAnswerTokens > 0 {
+		answer = min(answer, q.MaxAnswerTokens)
+	}
+	return layers.Need{Prompt: prompt, Answer: answer, DataCentre: g.h.DataCentre, Avoid: g.avoid}
+}
+
+// admit waits for a path with room.
+func (g *generation) admit(ctx context.Context) (*layers.Reservation, *outcome.Failure) {
+	var reservation *layers.Reservation
+	var none error
+	need := g.need()
+	failure := g.h.admit(ctx, g.q, need.Prompt+need.Answer, func() bool {
+		r, err := g.table.Reserve(need)
+		none = nil
+		if errors.Is(err, layers.ErrNoPath) {
+			none = err
+			return true
+		}
+		reservation = r
+		return err == nil
+	})
+	if failure != nil {
+		return nil, failure
+	}
+	if none != nil && len(g.avoid) > 0 {
+		g.avoid = map[string]bool{}
+		return g.admit(ctx)
+	}
+	if none != nil {
+		return nil, outcome.Refuse(outcome.ReasonNoTarget, "no path covers the model").WithRetryAfter(soon).WithCause(none)
+	}
+	return reservation, nil
+}
+
+// send sends the generation along the reserved path and passes its events on.
+func (g *generation) send(ctx context.Context, reservation *layers.Reservation) (err error) {
+	started := time.Now()
+	defer func() {
+		reservation.Done(err == nil)
+		g.h.Admission.Finished(g.q.service, time.Since(started))
+		g.h.Admission.Wake(g.q.service)
+	}()
+	path := reservation.Path()
+	first := path.First()
+	g.h.Invariants.Check(path.Covers(g.table.Layers()), layersOnce, "path %s", path)
+	g.q.story.add("path chosen", zap.Stringer("path", path), zap.Duration("left", g.q.left()), zap.String("lastEvent", g.lastEvent))
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newStallWatch(ctx, g, reservation, cancel)
+	defer watch.stop()
+	x, err := g.h.open(ctx, g.q, target{address: first.Address, incarnation: first.ID, path: path}, g.lastEvent)
+	if err != nil {
+		return g.blame(ctx, first.Address, err)
+	}
+	defer x.close()
+	if x.answer.NotRun {
+		return g.turnedAway(x, first.Address)
+	}
+	g.q.runs++
+	if x.resp.StatusCode != http.StatusOK {
+		return g.passFailure(x)
+	}
+	if err := g.pump(x, watch); err != nil {
+		return g.blame(ctx, first.Address, err)
+	}
+	return nil
+}
+
+// blame avoids the first replica after it failed, unless the caller left or the time
+// is over, and returns what ended the send.
+func (g *generation) blame(ctx context.Context, address string, err error) error {
+	cause := context.Cause(ctx)
+	var stalled *stallError
+	switch {
+	case errors.As(cause, &stalled):
+		g.avoid[stalled.Address] = true
+		return cause
+	case ctx.Err() != nil:
+		return err
+	}
+	g.avoid[address] = true
+	g.table.Suspect(address)
+	return err
+}
+
+// turnedAway learns from a replica that did not run the request which one was at fault.
+func (g *generation) turnedAway(x *exchange, first string) error {
+	fault := x.answer.FaultAddress
+	if fault == "" {
+		fault = first
+	}
+	g.avoid[fault] = true
+	g.table.Suspect(fault)
+	return &notRunError{Address: first, Status: x.resp.StatusCode, Fault: fault}
+}
+
+// passFailure passes on an answer that is the replica's own failure.
+func (g *generation) passFailure(x *exchange) error {
+	body, err := x.body()
+	if err != nil {
+		return err
+	}
+	if g.begun {
+		return &sendError{Address: x.resp.Request.URL.Host, Sent: true, Cause: errors.Newf("status %d", x.resp.StatusCode)}
+	}
+	g.begin(x)
+	g.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	g.w.WriteHeader(x.resp.StatusCode)
+	_, _ = g.w.Write(body) // a caller that left does not read it
+	return nil
+}
+
+// pump passes events on until the stream ends.
+func (g *generation) pump(x *exchange, watch *stallWatch) error {
+	events := newEventReader(x.resp.Body)
+	control := http.NewResponseController(g.w)
+	for {
+		e, err := events.next()
+		if isEnd(err) {
+			return g.end(x)
+		}
+		if err != nil {
+			return err
+		}
+		watch.moved()
+		if !g.begun {
+			g.begin(x)
+			g.w.WriteHeader(http.StatusOK)
+			g.h.Observer.FirstToken(g.q.urgency(), time.Since(g.q.arrival))
+		}
+		if err := g.deliver(control, e); err != nil {
+			return err
+		}
+	}
+}
+
+// end ends a stream that its replica ended. One without any event is whole too.
+func (g *generation) end(x *exchange) error {
+	if !g.begun {
+		g.begin(x)
+		g.w.WriteHeader(http.StatusOK)
+	}
+	return nil
+}
+
+func (g *generation) begin(x *exchange) {
+	g.begun = true
+	header := g.w.Header()
+	for name, values := range withoutHops(x.resp.Header) {
+		header[name] = values
+	}
+	header.Del("Content-Length")
+}
+
+func (g *generation) deliver(control *http.ResponseController, e event) error {
+	if _, err := g.w.Write(e.Raw); err != nil {
+		return err
+	}
+	if err := control.Flush(); err != nil {
+		return err
+	}
+	g.events.Add(1)
+	if e.ID != "" {
+		g.lastEvent = e.ID
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/pools.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"sync"
+
+	"geraniumcroft/internal/layers"
+)
+
+// Pools holds the view of each model's replicas. It is safe for concurrent use.
+type Pools struct {
+	mu     sync.RWMutex // guards the fields below
+	tables map[string]*layers.Table
+	vms    int
+}
+
+// NewPools returns no pools.
+func NewPools() *Pools { return &Pools{tables: map[string]*layers.Table{}, vms: 1} }
+
+// of returns the table of a service, nil for a plain one.
+func (p *Pools) of(service string) *layers.Table {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.tables[service]
+}
+
+// Update takes over the replicas of a model's service.
+func (p *Pools) Update(service string, spec *layers.Spec, replicas []layers.Replica) {
+	p.mu.Lock()
+	table := p.tables[service]
+	if table == nil {
+		table = layers.NewTable()
+		table.SetVMs(p.vms)
+		p.tables[service] = table
+	}
+	p.mu.Unlock()
+	table.Update(spec, replicas)
+}
+
+// SetVMs tells how many VMs share the replicas.
+func (p *Pools) SetVMs(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = n
+	for _, table := range p.tables {
+		table.SetVMs(n)
+	}
+}
+
+// Covered reports whether every model's layers are all held.
+func (p *Pools) Covered() bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, table := range p.tables {
+		if !table.Covered() {
+			return false
+		}
+	}
+	return true
+}
+
+// Dump returns the state of all pools.
+func (p *Pools) Dump() map[string][]layers.Dump {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	dumps := make(map[string][]layers.Dump, len(p.tables))
+	for name, table := range p.tables {
+		dumps[name] = table.Dump()
+	}
+	return dumps
+}
--- /dev/null
+++ b/internal/relay/stall_watch.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/layers"
+)
+
+const (
+	// firstPatience is how long a stream may take to its first event, and eventPatience
+	// between events, before its first replica is asked why. Streams that run well bring
+	// an event every 30 to 100 ms.
+	firstPatience = 600 * time.Millisecond
+	eventPatience = 350 * time.Millisecond
+	// askAgain is the pause between two questions; reports lag by some 200 ms.
+	askAgain = 150 * time.Millisecond
+	// askTimeout bounds a question.
+	askTimeout = 200 * time.Millisecond
+	// moveTimeout bounds the order to take another path.
+	moveTimeout = 300 * time.Millisecond
+	// movePatience is how long a moved stream may take: the new stage reads all tokens
+	// so far first.
+	movePatience = 600 * time.Millisecond
+	// unanswered is how many questions in a row the first replica may leave without an
+	// answer before it is taken for dead.
+	unanswered = 2
+	// longStall is when a stream is sent elsewhere though its first replica answers and
+	// names no fault. Callers leave after two seconds.
+	longStall = 1500 * time.Millisecond
+)
+
+// stallWatch looks after one send. When its stream stands still it asks the path's
+// first replica, which names the stage that stopped, and moves the stream to other
+// holders of that stage's layers. If nothing helps it ends the send, so that the
+// stream goes on elsewhere before the caller leaves.
+type stallWatch struct {
+	g           *generation
+	ctx         context.Context
+	cancel      context.CancelCauseFunc
+	reservation *layers.Reservation
+
+	mu      sync.Mutex // guards the fields below
+	timer   *time.Timer
+	last    time.Time
+	unheard int
+	stopped bool
+}
+
+func newStallWatch(ctx context.Context, g *generation, r *layers.Reservation, cancel context.CancelCauseFunc) *stallWatch {
+	w := &stallWatch{g: g, ctx: ctx, cancel: cancel, reservation: r, last: time.Now()}
+	w.timer = time.AfterFunc(firstPatience, w.check)
+	return w
+}
+
+// moved says that an event came.
+func (w *stallWatch) moved() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = time.Now()
+	w.timer.Reset(eventPatience)
+}
+
+func (w *stallWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// later asks again after the pause, unless an event came or the send ended.
+func (w *stallWatch) later(pause time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped && time.Since(w.last) >= eventPatience {
+		w.timer.Reset(pause)
+	}
+}
+
+func (w *stallWatch) check() {
+	if w.ctx.Err() != nil {
+		return
+	}
+	first := w.reservation.Path().First()
+	ctx, cancel := context.WithTimeout(w.ctx, askTimeout)
+	report, err := w.g.h.Engines.Report(ctx, first.Address)
+	cancel()
+	switch {
+	case w.ctx.Err() != nil || !w.still():
+	case err != nil:
+		w.unanswered(first.Address, err)
+	default:
+		w.judge(first, report)
+	}
+}
+
+// still reports whether the stream stands still yet.
+func (w *stallWatch) still() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.stopped && time.Since(w.last) >= eventPatience
+}
+
+func (w *stallWatch) unanswered(address string, err error) {
+	w.mu.Lock()
+	w.unheard++
+	lost := w.unheard >= unanswered
+	w.mu.Unlock()
+	if !lost {
+		w.later(askAgain)
+		return
+	}
+	w.g.h.Logger.Warn("replica left", zap.String("address", address), zap.String("requestId", w.g.q.RequestID),
+		zap.String("why", "its stream stands still and it does not answer"), zap.Error(err))
+	w.giveUp(address)
+}
+
+func (w *stallWatch) judge(first layers.Replica, report EngineReport) {
+	w.mu.Lock()
+	w.unheard = 0
+	stood := time.Since(w.last)
+	w.mu.Unlock()
+	w.g.table.Pace(first.Address, report.Pace)
+	for _, s := range report.Stalled {
+		if s.RequestID == w.g.q.RequestID {
+			w.move(first, s.Address)
+			return
+		}
+	}
+	if stood > longStall {
+		w.giveUp(first.Address)
+		return
+	}
+	w.later(askAgain)
+}
+
+// move takes the stream round the replica that stopped.
+func (w *stallWatch) move(first layers.Replica, stopped string) {
+	w.g.table.Suspect(stopped)
+	path, err := w.reservation.Detour(stopped, int(w.g.events.Load()))
+	if err == nil {
+		ctx, cancel := context.WithTimeout(w.ctx, moveTimeout)
+		err = w.g.h.Engines.Repath(ctx, first, w.g.q.RequestID, path)
+		cancel()
+	}
+	w.g.h.Logger.Info("stream moved", zap.String("requestId", w.g.q.RequestID), zap.String("from", stopped),
+		zap.Stringer("path", path), zap.NamedError("failed", err))
+	if w.ctx.Err() != nil || !w.still() {
+		return
+	}
+	if err != nil {
+		w.giveUp(stopped)
+		return
+	}
+	w.later(movePatience)
+}
+
+func (w *stallWatch) giveUp(address string) {
+	w.g.table.Suspect(address)
+	w.cancel(&stallError{Address: address})
+}
--- a/internal/settings/cross_check.go
+++ b/internal/settings/cross_check.go
@@ -19,7 +19,7 @@
 
 func (r *reader) listeners() []listener {
 	all := []listener{}
-	for _, key := range Keys {
+	for _, key := range r.keys {
 		if key.Kind != KindAddress {
 			continue
 		}
--- a/internal/settings/example.go
+++ b/internal/settings/example.go
@@ -35,7 +35,7 @@
 func Example() string {
 	var b strings.Builder
 	b.WriteString(exampleHead)
-	for _, section := range sectionNames() {
+	for _, section := range sectionNames(Keys) {
 		fmt.Fprintf(&b, "\n# %s\n[%s]\n", sectionDocs[section], section)
 		for _, key := range Keys {
 			if key.Section == section {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -20,10 +20,14 @@
 
 // Parse is Load for a file that has been read; path is for the findings.
 func Parse(path string, file []byte) (*Settings, []Finding) {
+	return parse(path, file, Keys, (*reader).crossCheck)
+}
+
+func parse(path string, file []byte, keys []Key, crossCheck func(*reader)) (*Settings, []Finding) {
 	if len(file) > maxFileBytes {
 		return nil, []Finding{{File: path, Section: "file", Problem: "is too long", Allowed: "up to 1 MiB"}}
 	}
-	r := &reader{path: path, index: indexLines(file), settings: &Settings{}}
+	r := &reader{path: path, keys: keys, index: indexLines(file), settings: &Settings{}, cross: crossCheck}
 	r.read()
 	if len(r.findings) > 0 {
 		r.sortFindings()
--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -44,7 +44,7 @@
 func Page() string {
 	var b strings.Builder
 	b.WriteString(pageHead)
-	for _, section := range sectionNames() {
+	for _, section := range sectionNames(Keys) {
 		fmt.Fprintf(&b, "\n## [%s]\n\n%s\n\n| Key | Allowed | Default | Meaning |\n| --- | --- | --- | --- |\n", section, sectionDocs[section])
 		for _, key := range Keys {
 			if key.Section == section {
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -10,7 +10,11 @@
 
 // reader reads one file and collects what is wrong in it.
 type reader struct {
-	path     string
+	path string
+	// keys are those that the file may have, cross looks at their values together.
+	keys  []Key
+	cross func(*reader)
+
 	index    *lineIndex
 	file     *ini.File
 	settings *Settings
@@ -29,7 +33,7 @@
 	r.checkKnown()
 	r.checkTwice()
 	r.setAll()
-	r.crossCheck()
+	r.cross(r)
 }
 
 func (r *reader) addAt(line int, section, key, problem, allowed string) {
@@ -50,15 +54,15 @@
 
 func (r *reader) checkSections() {
 	for section, line := range r.index.sections {
-		if !slices.ContainsFunc(Keys, func(k Key) bool { return k.Section == section }) {
-			r.addAt(line, section, "", "unknown section", strings.Join(sectionNames(), ", "))
+		if !slices.ContainsFunc(r.keys, func(k Key) bool { return k.Section == section }) {
+			r.addAt(line, section, "", "unknown section", strings.Join(sectionNames(r.keys), ", "))
 		}
 	}
 }
 
 func (r *reader) checkKnown() {
 	for _, at := range r.index.keys {
-		allowed := keyNames(at.section)
+		allowed := keyNames(r.keys, at.section)
 		if len(allowed) > 0 && !slices.Contains(allowed, at.key) {
 			r.addAt(at.line, at.section, at.key, "unknown key", strings.Join(allowed, ", "))
 		}
@@ -77,7 +81,7 @@
 }
 
 func (r *reader) setAll() {
-	for _, key := range Keys {
+	for _, key := range r.keys {
 		r.set(key)
 	}
 }
@@ -112,9 +116,9 @@
 	})
 }
 
-func sectionNames() []string {
+func sectionNames(keys []Key) []string {
 	var names []string
-	for _, key := range Keys {
+	for _, key := range keys {
 		if !slices.Contains(names, key.Section) {
 			names = append(names, key.Section)
 		}
@@ -122,9 +126,9 @@
 	return names
 }
 
-func keyNames(section string) []string {
+func keyNames(keys []Key, section string) []string {
 	var names []string
-	for _, key := range Keys {
+	for _, key := range keys {
 		if key.Section == section {
 			names = append(names, key.Name)
 		}
--- /dev/null
+++ b/internal/settings/relay_keys.go
@@ -0,0 +1,47 @@
+package settings
+
+// RelayKeys lists every key of a relaying VM's file. Those that it shares with other
+// VMs are taken from Keys.
+var RelayKeys = append(sharedKeys(map[string][]string{
+	"vm":       {"name", "data_centre"},
+	"callers":  {"address", "max_header_bytes", "read_timeout", "idle_timeout"},
+	"peers":    {"address", "seeds"},
+	"platform": {"writes_per_second", "reads_per_second"},
+	"log":      {"level", "format"},
+	"metrics":  {"prefix"},
+}), []Key{
+	{Section: "ready", Name: "address", Kind: KindAddress, Required: true,
+		Doc:   "Address at which the balancer asks whether this VM is ready.",
+		field: func(s *Settings) any { return &s.Relay.ReadyAddress }},
+	{Section: "metrics", Name: "address", Kind: KindAddress, Required: true,
+		Doc:   "Address of the metrics and of the dump.",
+		field: func(s *Settings) any { return &s.Relay.MetricsAddress }},
+	{Section: "platform", Name: "store", Kind: KindAddress, Required: true,
+		Doc:   "Address of the platform's store.",
+		field: func(s *Settings) any { return &s.Relay.StoreAddress }},
+	{Section: "shutdown", Name: "grace", Kind: KindDuration, Default: "8s", Min: "1s", Max: "10m",
+		Doc:   "Time from SIGTERM until the process is killed.",
+		field: func(s *Settings) any { return &s.Relay.Grace }},
+	{Section: "retries", Name: "share", Kind: KindFloat, Default: "0.2", Min: "0", Max: "1",
+		Doc:   "Part of a service's fresh requests that all VMs together may send again.",
+		field: func(s *Settings) any { return &s.Relay.RetryShare }},
+	{Section: "retries", Name: "slack", Kind: KindFloat, Default: "100", Min: "0", Max: "1000000",
+		Doc:   "Sends beyond that share that all VMs together may make to a service in each window.",
+		field: func(s *Settings) any { return &s.Relay.RetrySlack }},
+	{Section: "retries", Name: "window", Kind: KindDuration, Default: "10s", Min: "1s", Max: "10m",
+		Doc:   "Time over which sends beyond the first are counted.",
+		field: func(s *Settings) any { return &s.Relay.RetryWindow }},
+}...)
+
+// sharedKeys returns the keys of the given names, by section.
+func sharedKeys(names map[string][]string) []Key {
+	var shared []Key
+	for _, key := range Keys {
+		for _, name := range names[key.Section] {
+			if key.Name == name {
+				shared = append(shared, key)
+			}
+		}
+	}
+	return shared
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,4 +12,6 @@
 	Shutdown  Shutdown
 	Log       Log
 	Metrics   Metrics
+	// Relay is filled for relaying VMs alone.
+	Relay Relay
 }
