--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -12,7 +12,7 @@
 const (
 	// shareSlack is how far above its even share of a replica's memory one VM may go:
 	// callers are spread over the VMs by a hash, so some VMs have twice the mean.
-	shareSlack = 2.0
+	shareSlack = 1.0
 	// suspectCost is added for a stage on a suspected replica. It is longer than any
 	// path takes, so such a stage is used only where nobody else holds the layers.
 	suspectCost = 100 * time.Second
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -28,6 +28,11 @@
 	reportSlack = 3 * time.Second
 	// loadSlack multiplies the time that a load takes alone, as loads share their source.
 	loadSlack = 4
+	// gathering is how long no new replica must have been listed before the first
+	// layers are given out. Replicas that start together are listed within one or two
+	// heartbeats; a layout for the first few of them leaves them without room for
+	// requests, and every later one would have to move layers.
+	gathering = 1500 * time.Millisecond
 	// orderRetry is the pause before a replica is ordered again that did not answer.
 	orderRetry = 700 * time.Millisecond
 )
@@ -51,6 +56,11 @@
 type Placer struct {
 	Options
 
+	// known are the replicas that were ever listed, the newest one since lastNew. Run
+	// alone uses them.
+	known   map[string]bool
+	lastNew time.Time
+
 	mu      sync.Mutex // guards the field below
 	ordered map[string]order
 }
@@ -65,21 +75,40 @@
 }
 
 // New returns a placer; Run makes it work.
-func New(o Options) *Placer { return &Placer{Options: o, ordered: map[string]order{}} }
+func New(o Options) *Placer { return &Placer{Options: o, known: map[string]bool{}, ordered: map[string]order{}} }
 
 // Run orders replicas while this VM holds the duty, until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
 	for sleep.For(ctx, interval) {
+		spec, replicas := p.Model()
+		if spec == nil {
+			continue
+		}
+		gathered := p.gathered(replicas)
 		if !p.Holder.Holds() {
 			p.forget()
 			continue
 		}
-		if spec, replicas := p.Model(); spec != nil {
+		if gathered {
 			p.step(ctx, spec, replicas)
 		}
 	}
 }
 
+// gathered reports whether the list of replicas is complete enough to place layers on.
+// Once some replica holds layers there is nothing to wait for.
+func (p *Placer) gathered(replicas []layers.Replica) bool {
+	holding := false
+	for _, r := range replicas {
+		if !p.known[r.ID] {
+			p.known[r.ID] = true
+			p.lastNew = time.Now()
+		}
+		holding = holding || r.Held.Len() > 0
+	}
+	return holding || len(replicas) > 0 && time.Since(p.lastNew) >= gathering
+}
+
 func (p *Placer) forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -46,6 +46,9 @@
 		fields = append(fields, zap.String("profile", q.profile.Name), zap.String("workspace", q.workspace))
 	}
 	if failure == nil {
+		if q.path != "" {
+			fields = append(fields, zap.String("path", q.path))
+		}
 		h.Logger.Info("request complete", fields...)
 		return
 	}
