layers: move cards by shortage; relay: slack of retries may come in a burst

Cause: a hole was closed by widening its neighbours until they had no room for requests (l4 from 7 to 11 of 12 layers: room 191 to 30), and a card that joined was put anywhere. Placement now moves single cards to where they lessen the shortage most.

--- a/internal/layers/coverage.go
+++ b/internal/layers/coverage.go
@@ -2,8 +2,12 @@
 
 import "geraniumcroft/internal/config"
 
-// coverage is how many tokens of context the replicas of a group have room for at
-// each layer.
+// uncovered stands for the room of a layer that nobody holds, in requests. It keeps
+// the shortage finite, and far above that of any layer with room for one request.
+const uncovered = 0.05
+
+// coverage is how many usual requests the replicas of a group have room for at each
+// layer.
 type coverage struct {
 	spec *Spec
 	room []float64
@@ -13,34 +17,57 @@
 	return &coverage{spec: spec, room: make([]float64, spec.Layers)}
 }
 
-func (c *coverage) add(k Kind, held config.LayerRange) {
-	room := c.spec.room(k, held.Len())
+// add adds or, with sign -1, takes away what a card gives with a range.
+func (c *coverage) add(k Kind, held config.LayerRange, sign float64) {
+	room := sign * c.requests(k, held.Len())
 	for l := max(0, held.From); l < min(held.To, c.spec.Layers); l++ {
 		c.room[l] += room
 	}
 }
 
-// neediest returns the range for a card that holds nothing: the one whose layers
-// have the least room. A hole, which has none, always wins.
-func (c *coverage) neediest(spec *Spec, k Kind) config.LayerRange {
-	n := max(1, int(weightShare*k.MemoryMB/spec.LayerMB))
-	n = min(n, spec.maxLayers(k))
-	best, bestLow, bestSum := 0, -1.0, 0.0
-	for from := 0; from+n <= spec.Layers; from++ {
-		low, sum := c.over(from, n)
-		better := bestLow < 0 || low < bestLow || low == bestLow && sum < bestSum
-		if better {
-			best, bestLow, bestSum = from, low, sum
+// requests is how many usual requests fit beside n layers of a card.
+func (c *coverage) requests(k Kind, n int) float64 { return c.spec.room(k, n) / c.spec.usualTokens() }
+
+// shortage says how badly the layers are covered: the sum of what one more request
+// finds taken at each layer. A layer with little room weighs most, as every request
+// passes through it, and a hole outweighs everything.
+func (c *coverage) shortage() float64 {
+	sum := 0.0
+	for _, room := range c.room {
+		sum += short(room)
+	}
+	return sum
+}
+
+func short(room float64) float64 { return 1 / (max(0, room) + uncovered) }
+
+// best returns the range for a card, whose present range is not counted in c, that
+// leaves the least shortage, and that shortage.
+func (c *coverage) best(k Kind) (config.LayerRange, float64) {
+	before := c.sums(0)
+	total := before[c.spec.Layers]
+	best, least := config.LayerRange{}, total
+	for n := 1; n <= c.spec.maxLayers(k); n++ {
+		room := c.requests(k, n)
+		if room < 1 {
+			break
+		}
+		with := c.sums(room)
+		for from := 0; from+n <= c.spec.Layers; from++ {
+			shortage := total - (before[from+n] - before[from]) + (with[from+n] - with[from])
+			if shortage < least {
+				best, least = config.LayerRange{From: from, To: from + n}, shortage
+			}
 		}
 	}
-	return config.LayerRange{From: best, To: best + n}
+	return best, least
 }
 
-func (c *coverage) over(from, n int) (low, sum float64) {
-	low = c.room[from]
-	for l := from; l < from+n; l++ {
-		low = min(low, c.room[l])
-		sum += c.room[l]
+// sums returns the running sums of the shortage if every layer had more room.
+func (c *coverage) sums(more float64) []float64 {
+	sums := make([]float64, c.spec.Layers+1)
+	for l, room := range c.room {
+		sums[l+1] = sums[l] + short(room+more)
 	}
-	return low, sum
+	return sums
 }
--- a/internal/layers/place.go
+++ b/internal/layers/place.go
@@ -13,19 +13,14 @@
 // requests find no room.
 const copyHeadroom = 1.5
 
-// weightShare is how much of a card the layers of a replica that joins later may
-// take; the rest holds requests.
-const weightShare = 0.6
-
 // Place returns the ranges that replicas are to hold. Replicas whose range stays as
 // it is are in the result too; one that is to hold nothing is not. It is a pure
 // function of its arguments, so that two VMs with the same view order the same.
 //
 // Data centres that can hold a set of layers get sets of their own; the cards of
-// the others together form sets that span data centres. Replicas that hold layers
-// keep them, a hole is closed by an empty replica or by its neighbours, and only a
-// set without any layer is laid out anew: every move costs a load, and layers that
-// are given up serve nobody meanwhile.
+// the others together form sets that span data centres. A group without any layer is
+// laid out whole. After that replicas keep what they hold unless a move is clearly
+// worth its load: layers that are given up serve nobody meanwhile.
 func Place(spec *Spec, replicas []Replica) map[string]config.LayerRange {
 	placed := map[string]config.LayerRange{}
 	for _, group := range groups(spec, replicas) {
@@ -80,29 +75,13 @@
 }
 
 func placeGroup(spec *Spec, group []Replica, placed map[string]config.LayerRange) {
-	var empty, holders []Replica
 	for _, r := range group {
 		if r.Held.Len() > 0 {
-			holders = append(holders, r)
-		} else {
-			empty = append(empty, r)
+			improve(spec, group, placed)
+			return
 		}
 	}
-	if len(holders) == 0 {
-		layOut(spec, empty, placed)
-		return
-	}
-	c := newCoverage(spec)
-	for _, r := range holders {
-		placed[r.ID] = r.Held
-		c.add(spec.kind(r.Kind), r.Held)
-	}
-	for _, r := range empty {
-		held := c.neediest(spec, spec.kind(r.Kind))
-		placed[r.ID] = held
-		c.add(spec.kind(r.Kind), held)
-	}
-	closeHoles(spec, group, placed)
+	layOut(spec, group, placed)
 }
 
 // layOut gives the cards of a group that holds nothing whole sets of layers.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -75,7 +75,9 @@
 }
 
 // New returns a placer; Run makes it work.
-func New(o Options) *Placer { return &Placer{Options: o, known: map[string]bool{}, ordered: map[string]order{}} }
+func New(o Options) *Placer {
+	return &Placer{Options: o, known: map[string]bool{}, ordered: map[string]order{}}
+}
 
 // Run orders replicas while this VM holds the duty, until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/dispatch"
 )
 
@@ -51,10 +50,8 @@
 	defer b.mu.Unlock()
 	budget := b.budgets[service]
 	if budget == nil {
-		// The slack is a rate for each level of urgency.
-		perSecond := budgetMargin * b.settings.Slack / b.settings.Window.Seconds() / float64(b.vms) / config.UrgencyCount
-		burst := max(1, b.settings.Slack/float64(b.vms)/config.UrgencyCount)
-		budget = dispatch.NewRetryBudget(budgetMargin*b.settings.Share, burst, max(1, perSecond))
+		slack := budgetMargin * b.settings.Slack / float64(b.vms)
+		budget = dispatch.NewSharedRetryBudget(budgetMargin*b.settings.Share, slack, b.settings.Window)
 		b.budgets[service] = budget
 	}
 	return budget
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -45,10 +45,8 @@
 	if q.profile != nil {
 		fields = append(fields, zap.String("profile", q.profile.Name), zap.String("workspace", q.workspace))
 	}
+	fields = append(fields, q.progress.fields()...)
 	if failure == nil {
-		if q.path != "" {
-			fields = append(fields, zap.String("path", q.path))
-		}
 		h.Logger.Info("request complete", fields...)
 		return
 	}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -153,8 +153,9 @@
 	path := reservation.Path()
 	first := path.First()
 	g.h.Invariants.Check(path.Covers(g.table.Layers()), layersOnce, "path %s", path)
-	g.q.path = path.String()
-	g.q.story.add("path chosen", zap.String("path", g.q.path), zap.Duration("left", g.q.left()), zap.String("lastEvent", g.lastEvent))
+	g.q.progress.path = path.String()
+	g.q.progress.sends++
+	g.q.story.add("path chosen", zap.String("path", g.q.progress.path), zap.Duration("left", g.q.left()), zap.String("lastEvent", g.lastEvent))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := newStallWatch(ctx, g, reservation, cancel)
@@ -234,6 +235,7 @@
 			return err
 		}
 		watch.moved()
+		g.q.progress.event(g.q.arrival, time.Now())
 		if !g.begun {
 			g.begin(x)
 			g.w.WriteHeader(http.StatusOK)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -68,13 +68,14 @@
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	Options
+	asking *asking
 	inHand atomic.Int64
 }
 
 // New returns a handler.
 func New(o Options) *Handler {
 	o.Balancer.OnFree(o.Admission.Wake)
-	return &Handler{Options: o}
+	return &Handler{Options: o, asking: newAsking(o.Engines)}
 }
 
 // InHand returns how many requests have arrived and not ended.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -30,8 +30,8 @@
 	service   string
 	boundary  *dispatch.Boundary
 	story     story
-	// path is the last one that a generation took, for the log.
-	path string
+	// progress of a generation, for the log.
+	progress progress
 	// runs counts the replicas that may have run the request.
 	runs int
 }
--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -85,9 +85,7 @@
 		return
 	}
 	first := w.reservation.Path().First()
-	ctx, cancel := context.WithTimeout(w.ctx, askTimeout)
-	report, err := w.g.h.Engines.Report(ctx, first.Address)
-	cancel()
+	report, err := w.g.h.asking.report(first.Address)
 	switch {
 	case w.ctx.Err() != nil || !w.still():
 	case err != nil:
@@ -143,6 +141,7 @@
 	path, err := w.reservation.Detour(stopped, int(w.g.events.Load()))
 	if err == nil {
 		ctx, cancel := context.WithTimeout(w.ctx, moveTimeout)
+		w.g.q.progress.moves.Add(1)
 		err = w.g.h.Engines.Repath(ctx, first, w.g.q.RequestID, path)
 		cancel()
 	}
