layers: a token that crosses between data centres waits behind prompts

Cause: crossing was priced as its own delay, but transfers on a pipe go one after another, so each event of a stream waits behind whole prompts (16 ms each). Paths that crossed two or three times took 4 s and more instead of 2.5 s and filled memory. Ruled out: replicas' compute (some 5 % of it is used by tokens of requests).

--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -22,6 +22,9 @@
 	// crossingWeight multiplies the time of a prompt's transfer between data centres.
 	// Transfers go one after another, so each also delays those behind it.
 	crossingWeight = 6.0
+	// pipeShare is the part of a usual prompt's transfer that each token is taken to wait
+	// for the link between two data centres, behind the prompts of others.
+	pipeShare = 0.4
 	// stageOverhead is the mean wait for a pass under way at each stage, in units of
 	// the stage's own step.
 	stageOverhead = 0.5
@@ -203,8 +206,9 @@
 	spec := s.table.spec
 	cost := float64(s.need.Answer) * spec.Delay.Seconds()
 	if spec.PipeMbps > 0 {
-		bits := float64(s.need.Prompt) * spec.ActivationBytes * 8
-		cost += crossingWeight * bits / (spec.PipeMbps * 1e6)
+		perToken := spec.ActivationBytes * 8 / (spec.PipeMbps * 1e6)
+		cost += crossingWeight * float64(s.need.Prompt) * perToken
+		cost += pipeShare * float64(s.need.Answer) * float64(spec.UsualPrompt) * perToken
 	}
 	return cost
 }
