follow, entry: fewer calls to the store

Now three VMs compete, a call to the feed waits 8 s, and peers ask each other each second, which also shows a store that holds calls without answering. Ruled out: heartbeats, which do not wake the feed.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
@@ -21,16 +22,17 @@
 )
 
 const (
-	// interval is the pause between two writes of a VM's row. At 320 VMs that is 40
-	// writes and 40 reads a second, a tenth of what the smallest store takes.
+	// interval is the least pause between two writes of a VM's row, perVM what each VM
+	// adds to it: at 320 VMs each writes every 80 s.
 	interval = 8 * time.Second
-	// expiry is how long a row may stay unchanged: two lost writes.
-	expiry = 3*interval + time.Second
+	perVM    = 250 * time.Millisecond
+	// expiryRounds is how many rounds a row may stay unchanged: two lost writes.
+	expiryRounds = 3
 	// firstInterval is the pause until the first write has succeeded and all VMs that
 	// started together are seen.
 	firstInterval = 2 * time.Second
 	// firstRounds is how many rounds are made at firstInterval.
-	firstRounds = 3
+	firstRounds = 2
 	prefix      = "vm/"
 	prefixEnd   = "vm0"
 	maxVMs      = 500
@@ -76,17 +78,34 @@
 	return c.vms
 }
 
+// Among reports whether this VM is one of the first n in the order of a hash of their
+// names, which is the same on all VMs that have the same list.
+func (c *Census) Among(n int) bool {
+	before := 0
+	for _, vm := range c.VMs() {
+		if xxhash.Sum64String(vm.Name) < xxhash.Sum64String(c.own.Name) {
+			before++
+		}
+	}
+	return before < n
+}
+
+// pause is the time until the next round. It grows with the fleet, so that the calls of
+// all VMs together stay at eight a second.
+func (c *Census) pause(round int) time.Duration {
+	if round < firstRounds {
+		return firstInterval
+	}
+	return max(interval, time.Duration(len(c.VMs()))*perVM)
+}
+
 // Run writes this VM's row and reads the others' until ctx ends.
 func (c *Census) Run(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
 		if err := c.round(ctx); err != nil && ctx.Err() == nil {
 			c.logger.Info("list of VMs not read", zap.Error(err))
 		}
-		pause := interval
-		if round < firstRounds {
-			pause = firstInterval
-		}
-		sleep.For(ctx, pause)
+		sleep.For(ctx, c.pause(round))
 	}
 }
 
@@ -140,7 +159,7 @@
 			c.logger.Warn("row of a VM not read", zap.String("key", row.Key), zap.Error(err))
 			continue
 		}
-		if vm.Name != c.own.Name && now.Sub(at.at) < expiry {
+		if vm.Name != c.own.Name && now.Sub(at.at) < expiryRounds*max(interval, time.Duration(len(rows))*perVM) {
 			vms = append(vms, vm)
 		}
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -36,6 +36,10 @@
 	// settleInterval is the pause between two looks at replicas that vanished, and at
 	// models that the configuration added.
 	settleInterval = 250 * time.Millisecond
+	// contenders is how many VMs compete for the placement, in the order of a hash of
+	// their names. If all of them die, others are counted among them when the list of
+	// VMs has noticed.
+	contenders = 3
 	// usualVMs is how many VMs are assumed before the list of them was read.
 	usualVMs = 6
 )
@@ -118,7 +122,7 @@
 	p.census = census.New(p.table, own, p.onVMs, p.Logger)
 	p.leases = lease.NewManager(lease.Options{
 		Table: p.table, VM: s.VM.Name, Duties: []string{placer.Duty}, TTL: leaseTTL,
-		VMs: func() int { return len(p.census.VMs()) }, Invariants: p.invariants, Logger: p.Logger,
+		VMs: func() int { return min(contenders, len(p.census.VMs())) }, Invariants: p.invariants, Logger: p.Logger,
 	})
 }
 
@@ -127,14 +131,12 @@
 }
 
 // tableView is what peers are given.
-func (p *Process) tableView(table string) *platform.TableView {
-	switch table {
-	case p.Wiring.OperatorTable:
-		return p.view.operator.View()
-	case p.Wiring.ReplicaTable:
-		return p.view.replicas.View()
+func (p *Process) tableView(table string) (*platform.TableView, time.Duration) {
+	follower := p.view.operator
+	if table == p.Wiring.ReplicaTable {
+		follower = p.view.replicas
 	}
-	return nil
+	return follower.View(), follower.Age()
 }
 
 func (p *Process) onVMs(vms []census.VM) {
@@ -192,7 +194,7 @@
 	p.spawn(func() { p.view.operator.Run(p.ctx) })
 	p.spawn(func() { p.view.replicas.Run(p.ctx) })
 	p.spawn(func() { p.census.Run(p.ctx) })
-	p.spawn(func() { p.leases.Run(p.ctx) })
+	p.spawn(p.contend)
 	p.spawn(p.becomeReady)
 	p.spawn(p.lookAround)
 	p.Logger.Info("started", zap.String("dataCentre", s.VM.DataCentre), zap.String("callers", s.Callers.Address))
@@ -201,6 +203,27 @@
 
 func (p *Process) spawn(f func()) { p.work.Go(f) }
 
+// contend competes for the placement while this VM is among the few that do. With all
+// of a large fleet reading the lease's row, most calls to the store would be that.
+func (p *Process) contend() {
+	for p.ctx.Err() == nil {
+		if p.census.Among(contenders) {
+			p.contendWhileAmong()
+		}
+		sleep.For(p.ctx, settleInterval)
+	}
+}
+
+func (p *Process) contendWhileAmong() {
+	ctx, cancel := context.WithCancel(p.ctx)
+	var competing sync.WaitGroup
+	competing.Go(func() { p.leases.Run(ctx) })
+	for p.census.Among(contenders) && sleep.For(ctx, settleInterval) {
+	}
+	cancel()
+	competing.Wait()
+}
+
 // becomeReady waits for the configuration and the replicas.
 func (p *Process) becomeReady() {
 	const pause = 20 * time.Millisecond
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// feedPause spaces the calls to the feed. Replicas report all the time, and without
-	// the pause each report would cost every VM a call; with it changes are seen within
-	// a quarter of a second, an eighth of the time in which they have to be in force.
-	feedPause = 250 * time.Millisecond
+	// feedPause spaces the calls to the feed. Replicas come and go in bursts, and without
+	// the pause each one's change would cost every VM a call; with it changes are seen
+	// within half a second, a quarter of the time in which they have to be in force.
+	feedPause = 500 * time.Millisecond
+	// gossipPause is how often a peer is asked whether it has a later copy. The store may
+	// hold a call without ever answering it, and only a peer shows that.
+	gossipPause = time.Second
 	// retryPause is the wait after a failed read of the store and its peers.
 	retryPause = 200 * time.Millisecond
 	// readTimeout bounds a read of a whole table, peerTimeout the answer of one peer.
@@ -31,16 +34,17 @@
 	settleTime = 2200 * time.Millisecond
 )
 
-// FeedWait is how long a call to the feed waits for a change. A connection that went
-// silent is noticed only after it, so it has to be well below the time in which
-// changes must be in force.
-const FeedWait = time.Second
+// FeedWait is how long a call to the feed waits for a change. A store that stops
+// answering within it is noticed by asking peers, and a connection that went silent by
+// the kernel's probes.
+const FeedWait = 8 * time.Second
 
 // Peers asks other VMs for their copy of a table.
 type Peers interface {
 	// Fetch returns a peer's copy if it is newer than the revision. Ok is false when
-	// no peer answered; an answer without news has the revision that was given.
-	Fetch(ctx context.Context, table string, after uint64) (view platform.TableView, ok bool)
+	// no peer answered. The age is the time since the peer's copy was confirmed to be
+	// the newest; a view without rows brings no news.
+	Fetch(ctx context.Context, table string, after uint64) (view platform.TableView, age time.Duration, ok bool)
 }
 
 // Options configure a Follower.
@@ -60,6 +64,8 @@
 	// confirmed is when the store or a peer last answered that the view is current.
 	confirmed atomic.Pointer[time.Time]
 
+	publishing sync.Mutex // one view at a time
+
 	mu        sync.Mutex // guards the fields below
 	storeDown bool
 	regained  time.Time
@@ -84,6 +90,9 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var gossip sync.WaitGroup
+	gossip.Go(func() { f.gossip(ctx) })
+	defer gossip.Wait()
 	reread := true
 	for ctx.Err() == nil {
 		err := f.step(ctx, reread)
@@ -103,6 +112,12 @@
 	}
 }
 
+func (f *Follower) gossip(ctx context.Context) {
+	for sleep.For(ctx, gossipPause) {
+		f.askPeers(ctx)
+	}
+}
+
 // step makes one call to the store.
 func (f *Follower) step(ctx context.Context, reread bool) error {
 	if !reread {
@@ -112,11 +127,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	asked := time.Now()
 	view, err := f.Feed.ReadAll(ctx, f.Table)
 	if err != nil {
 		return err
 	}
-	f.publish(view, "store")
+	f.publish(view, "store", asked)
 	return nil
 }
 
@@ -126,11 +142,15 @@
 	if err != nil {
 		return err
 	}
+	// Peers may have brought a later copy while the store waited for changes.
+	if now := f.View(); now.Revision != at.Revision {
+		return nil
+	}
 	if len(change.Written)+len(change.Deleted) == 0 {
-		f.confirm()
+		f.confirm(time.Now())
 		return nil
 	}
-	f.publish(at.Apply(change), "store")
+	f.publish(at.Apply(change), "store", time.Now())
 	return nil
 }
 
@@ -141,34 +161,46 @@
 	if at := f.View(); at != nil {
 		revision = at.Revision
 	}
-	view, ok := f.Peers.Fetch(ctx, f.Table, revision)
+	asked := time.Now()
+	view, age, ok := f.Peers.Fetch(ctx, f.Table, revision)
 	if !ok {
 		return
 	}
-	if view.Rows == nil || view.Revision <= revision && f.View() != nil {
-		if f.View() != nil {
-			f.confirm()
-		}
+	if view.Rows != nil {
+		f.publish(view, "peer", asked.Add(-age))
 		return
 	}
-	f.publish(view, "peer")
+	if view.Revision >= revision {
+		f.confirm(asked.Add(-age))
+	}
 }
 
-func (f *Follower) confirm() {
-	now := time.Now()
-	f.confirmed.Store(&now)
+// confirm notes that this VM's copy was the newest at that time.
+func (f *Follower) confirm(at time.Time) {
+	for {
+		old := f.confirmed.Load()
+		if f.View() == nil || old != nil && at.Before(*old) || f.confirmed.CompareAndSwap(old, &at) {
+			return
+		}
+	}
 }
 
-// publish takes over a newer view. It is called by Run alone.
-func (f *Follower) publish(view platform.TableView, from string) {
-	f.confirm()
+// publish takes over a newer view, which was the newest at that time.
+func (f *Follower) publish(view platform.TableView, from string, at time.Time) {
+	f.publishing.Lock()
+	defer f.publishing.Unlock()
 	old := f.view.Load()
 	if old != nil && view.Revision < old.Revision {
-		f.Logger.Warn("older copy of a table refused", zap.String("table", f.Table), zap.String("from", from),
+		f.Logger.Info("older copy of a table refused", zap.String("table", f.Table), zap.String("from", from),
 			zap.Uint64("revision", view.Revision), zap.Uint64("have", old.Revision))
 		return
 	}
+	if old != nil && view.Revision == old.Revision && from == "peer" {
+		f.confirm(at)
+		return
+	}
 	f.view.Store(&view)
+	f.confirm(at)
 	if from == "peer" {
 		f.Logger.Info("table learned from a peer", zap.String("table", f.Table), zap.Uint64("revision", view.Revision))
 	}
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// asked is how many peers one question goes to. Some may be turned away by the
-	// store as well; of three at random, one that is served is likely among them.
-	asked = 3
+	// asked is how many peers one question goes to. One may be turned away by the store
+	// as well; of two at random, one that is served is likely among them.
+	asked = 2
 	// maxRetryDelay bounds the pause before a peer that was away is dialled again.
 	maxRetryDelay = time.Second
 	// idleTimeout closes connections to peers that are not asked any more.
@@ -57,11 +57,13 @@
 	}
 }
 
-// Fetch asks some peers and returns the newest copy that they have. Ok is false when
-// none answered; the rows are nil when none has a newer one.
-func (c *Client) Fetch(ctx context.Context, table string, after uint64) (newest platform.TableView, ok bool) {
+// Fetch asks some peers and returns the newest copy that they have, with the time since
+// it was confirmed. Ok is false when none answered; the rows are nil when none has a
+// newer one.
+func (c *Client) Fetch(ctx context.Context, table string, after uint64) (view platform.TableView, age time.Duration, ok bool) {
 	peers := c.some()
-	views := make(chan *platform.TableView, len(peers))
+	var newest answer
+	views := make(chan *answer, len(peers))
 	for _, address := range peers {
 		go func() { views <- c.ask(ctx, address, table, after) }()
 	}
@@ -70,12 +72,13 @@
 		if view == nil {
 			continue
 		}
-		if !ok || view.Revision > newest.Revision {
+		later := view.Revision > newest.Revision || view.Revision == newest.Revision && view.AgeMS < newest.AgeMS
+		if !ok || later {
 			newest = *view
 		}
 		ok = true
 	}
-	return newest, ok
+	return newest.TableView, time.Duration(newest.AgeMS) * time.Millisecond, ok
 }
 
 func (c *Client) some() []string {
@@ -86,7 +89,7 @@
 	return peers[:min(asked, len(peers))]
 }
 
-func (c *Client) ask(ctx context.Context, address, table string, after uint64) *platform.TableView {
+func (c *Client) ask(ctx context.Context, address, table string, after uint64) *answer {
 	conn, err := c.conn(address)
 	if err != nil {
 		c.logger.Warn("peer not dialled", zap.String("peer", address), zap.Error(err))
@@ -97,14 +100,14 @@
 		c.logger.Error("question to a peer not encoded", zap.Error(err))
 		return nil
 	}
-	answer := &wrapperspb.BytesValue{}
-	if err := conn.Invoke(ctx, fetchMethod, wrapperspb.Bytes(body), answer); err != nil {
+	reply := &wrapperspb.BytesValue{}
+	if err := conn.Invoke(ctx, fetchMethod, wrapperspb.Bytes(body), reply); err != nil {
 		c.logger.Debug("peer not heard", zap.String("peer", address), zap.Error(err))
 		c.drop(address, conn)
 		return nil
 	}
-	var view platform.TableView
-	if err := json.Unmarshal(answer.GetValue(), &view); err != nil {
+	var view answer
+	if err := json.Unmarshal(reply.GetValue(), &view); err != nil {
 		c.logger.Warn("peer's answer not read", zap.String("peer", address), zap.Error(err))
 		return nil
 	}
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -13,8 +14,9 @@
 	"geraniumcroft/internal/platform"
 )
 
-// Views returns this VM's copy of a table, nil if it has none.
-type Views func(table string) *platform.TableView
+// Views returns this VM's copy of a table, nil if it has none, and the time since it
+// was confirmed to be the newest.
+type Views func(table string) (*platform.TableView, time.Duration)
 
 // Server gives this VM's copies to peers.
 type Server struct {
@@ -40,11 +42,12 @@
 	if err := json.Unmarshal(request.GetValue(), &q); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	view := s.views(q.Table)
+	view, age := s.views(q.Table)
 	if view == nil {
 		return nil, status.Error(codes.NotFound, "this VM has no copy of the table")
 	}
-	answer := platform.TableView{Revision: view.Revision}
+	answer := answer{AgeMS: age.Milliseconds()}
+	answer.Revision = view.Revision
 	if view.Revision > q.After {
 		answer.Rows = view.Rows
 	}
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -5,6 +5,8 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"geraniumcroft/internal/platform"
 )
 
 const fetchMethod = "/geraniumcroft.mirror.Mirror/Fetch"
@@ -28,6 +30,13 @@
 	return server.(fetcher).fetch(ctx, request)
 }
 
+// answer is a copy, without rows if it is not newer than what was asked for.
+type answer struct {
+	platform.TableView
+	// AgeMS is the time since the copy was confirmed to be the newest.
+	AgeMS int64 `json:"ageMs"`
+}
+
 // question asks for a table if it is newer than a revision.
 type question struct {
 	Table string `json:"table"`
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -88,7 +88,7 @@
 func (g *generation) again(ctx context.Context, sends int) bool {
 	mayRepeat := g.q.profile.Repeatable() || !g.q.boundary.MayHaveRun()
 	resumable := g.events.Load() == 0 || g.q.profile.Resumable && g.lastEvent != ""
-	if ctx.Err() != nil || !mayRepeat || !resumable || sends >= maxSends || g.q.runs > g.q.profile.MaxAttempts {
+	if ctx.Err() != nil || !mayRepeat || !resumable || sends >= maxSends || g.q.runs >= max(1, g.q.profile.MaxAttempts) {
 		return false
 	}
 	if !g.h.Budgets.of(g.q.service).Take(g.q.urgency()) {
