layers: a VM's share of a replica counts the VMs of its data centre

Cause: requests stay in the data centre that they entered, but each VM took an even share of all replicas by the number of all VMs, so a data centre with few VMs could not fill its own replicas and its requests crossed.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -42,6 +42,8 @@
 	contenders = 3
 	// usualVMs is how many VMs are assumed before the list of them was read.
 	usualVMs = 6
+	// usualDataCentres is over how many data centres they are taken to be spread.
+	usualDataCentres = 3
 )
 
 // Options are what a Process is made from.
@@ -111,7 +113,7 @@
 	p.balancer = balance.New(balance.Settings{}, p.invariants)
 	p.pools = relay.NewPools()
 	p.budgets = relay.NewBudgets(relay.BudgetSettings{Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow}, usualVMs)
-	p.pools.SetVMs(usualVMs)
+	p.pools.SetSharers(layers.Sharers{DataCentre: s.VM.DataCentre, All: usualVMs, Home: usualVMs / usualDataCentres})
 	p.view = &view{
 		wiring: p.Wiring, pools: p.pools, balancer: p.balancer, invariants: p.invariants, logger: p.Logger,
 		listed: map[string]relay.Replica{}, vanished: map[string]relay.Replica{},
@@ -141,7 +143,7 @@
 
 func (p *Process) onVMs(vms []census.VM) {
 	p.table.SetVMs(len(vms))
-	p.pools.SetVMs(len(vms))
+	p.pools.SetSharers(p.sharers(vms))
 	p.budgets.SetVMs(len(vms))
 	addresses := append([]string(nil), p.Settings.Peers.Seeds...)
 	for _, vm := range vms {
@@ -150,6 +152,16 @@
 	p.peers.SetPeers(addresses)
 }
 
+func (p *Process) sharers(vms []census.VM) layers.Sharers {
+	s := layers.Sharers{DataCentre: p.Settings.VM.DataCentre, All: len(vms)}
+	for _, vm := range vms {
+		if vm.DataCentre == s.DataCentre {
+			s.Home++
+		}
+	}
+	return s
+}
+
 func (p *Process) buildRequestPath() {
 	p.admission = admission.New(admission.Settings{}, p.invariants)
 	p.handler = relay.New(relay.Options{
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// shareSlack is how far above its even share of a replica's memory one VM may go:
-	// callers are spread over the VMs by a hash, so some VMs have twice the mean.
-	shareSlack = 1.0
 	// suspectCost is added for a stage on a suspected replica. It is longer than any
 	// path takes, so such a stage is used only where nobody else holds the layers.
 	suspectCost = 100 * time.Second
@@ -183,7 +180,7 @@
 }
 
 func (s *search) enter(r *state) float64 {
-	if s.entry && r.first >= s.shareOf(float64(s.table.spec.Slots)) {
+	if s.entry && r.first >= max(1, int(s.share(r)*float64(s.table.spec.Slots))) {
 		return math.Inf(1)
 	}
 	if s.fromDC == "" || s.fromDC == r.DataCentre {
@@ -195,11 +192,8 @@
 	return s.crossing()
 }
 
-// shareOf is this VM's part of something that all VMs share, at least 1.
-func (s *search) shareOf(whole float64) int {
-	share := min(1, shareSlack/float64(s.table.vms))
-	return max(1, int(whole*share))
-}
+// share is this VM's part of what all VMs share of a replica.
+func (s *search) share(r *state) float64 { return s.table.sharers.share(r.DataCentre) }
 
 // crossing is the cost of sending the request's activations to another data centre.
 func (s *search) crossing() float64 {
@@ -219,9 +213,9 @@
 func (s *search) stageCost(r *state, n int) float64 {
 	spec := s.table.spec
 	amount := s.need.tokens() * float64(n)
-	share := r.capacity / float64(s.table.vms)
+	share := r.capacity * s.share(r)
 	used := r.reserved / max(1, share)
-	if r.reserved+amount > r.capacity*min(1, shareSlack/float64(s.table.vms)) {
+	if r.reserved+amount > share {
 		return math.Inf(1)
 	}
 	part := float64(n) / float64(spec.Layers)
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -13,19 +13,19 @@
 	mu       sync.Mutex // guards the fields below
 	spec     *Spec
 	replicas map[string]*state // by ID
-	vms      int
+	sharers  Sharers
 }
 
 // NewTable returns a table without replicas.
 func NewTable() *Table {
-	return &Table{spec: &Spec{}, replicas: map[string]*state{}, vms: 1}
+	return &Table{spec: &Spec{}, replicas: map[string]*state{}, sharers: Sharers{All: 1, Home: 1}}
 }
 
-// SetVMs tells how many VMs share the replicas' memory.
-func (t *Table) SetVMs(n int) {
+// SetSharers tells how many VMs share the replicas' memory.
+func (t *Table) SetSharers(s Sharers) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.vms = max(1, n)
+	t.sharers = s
 }
 
 // Update takes over the model's description and the replicas as discovery lists
--- a/internal/relay/pools.go
+++ b/internal/relay/pools.go
@@ -8,13 +8,13 @@
 
 // Pools holds the view of each model's replicas. It is safe for concurrent use.
 type Pools struct {
-	mu     sync.RWMutex // guards the fields below
-	tables map[string]*layers.Table
-	vms    int
+	mu      sync.RWMutex // guards the fields below
+	tables  map[string]*layers.Table
+	sharers layers.Sharers
 }
 
 // NewPools returns no pools.
-func NewPools() *Pools { return &Pools{tables: map[string]*layers.Table{}, vms: 1} }
+func NewPools() *Pools { return &Pools{tables: map[string]*layers.Table{}} }
 
 // of returns the table of a service, nil for a plain one.
 func (p *Pools) of(service string) *layers.Table {
@@ -29,20 +29,20 @@
 	table := p.tables[service]
 	if table == nil {
 		table = layers.NewTable()
-		table.SetVMs(p.vms)
+		table.SetSharers(p.sharers)
 		p.tables[service] = table
 	}
 	p.mu.Unlock()
 	table.Update(spec, replicas)
 }
 
-// SetVMs tells how many VMs share the replicas.
-func (p *Pools) SetVMs(n int) {
+// SetSharers tells how many VMs share the replicas.
+func (p *Pools) SetSharers(s layers.Sharers) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms = n
+	p.sharers = s
 	for _, table := range p.tables {
-		table.SetVMs(n)
+		table.SetSharers(s)
 	}
 }
 
