relay: end a stream that stands still only when its next path is reserved; share loads

The next path and the retry are now taken first; without them the stream is left to its replica. Also a suspicion is ended only by requests sent since it began: streams that a leaving replica finished had ended it, and 95 requests in two seconds were turned away by one replica. Suspects are used only where nobody else holds their layers. The holder of the placement asks replicas for their load each second and peers copy it, so that a VM may fill more than its share where others leave room.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -17,6 +17,7 @@
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/lease"
+	"geraniumcroft/internal/loads"
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/placer"
 	"geraniumcroft/internal/platform"
@@ -72,6 +73,8 @@
 	admission  *admission.Controller
 	census     *census.Census
 	leases     *lease.Manager
+	board      *loads.Board
+	keeper     *loads.Keeper
 	mirror     *mirror.Server
 	peers      *mirror.Client
 
@@ -122,6 +125,10 @@
 	p.view.replicas = p.follower(p.Wiring.ReplicaTable, p.view.onReplicas)
 	own := census.VM{Name: s.VM.Name, Address: s.Peers.Address, DataCentre: s.VM.DataCentre}
 	p.census = census.New(p.table, own, p.onVMs, p.Logger)
+	p.board = loads.NewBoard(p.pools.SetLoads, p.Logger)
+	p.keeper = loads.NewKeeper(loads.Options{
+		Board: p.board, Replicas: p.Wiring.Engines, Peers: p.peers, Tenure: p.tenure, Listed: p.view.engines, Logger: p.Logger,
+	})
 	p.leases = lease.NewManager(lease.Options{
 		Table: p.table, VM: s.VM.Name, Duties: []string{placer.Duty}, TTL: leaseTTL,
 		VMs: func() int { return min(contenders, len(p.census.VMs())) }, Invariants: p.invariants, Logger: p.Logger,
@@ -135,7 +142,10 @@
 // tableView is what peers are given.
 func (p *Process) tableView(table string) (*platform.TableView, time.Duration) {
 	follower := p.view.operator
-	if table == p.Wiring.ReplicaTable {
+	switch table {
+	case loads.TableName:
+		return p.board.View()
+	case p.Wiring.ReplicaTable:
 		follower = p.view.replicas
 	}
 	return follower.View(), follower.Age()
@@ -207,6 +217,7 @@
 	p.spawn(func() { p.view.replicas.Run(p.ctx) })
 	p.spawn(func() { p.census.Run(p.ctx) })
 	p.spawn(p.contend)
+	p.spawn(func() { p.keeper.Run(p.ctx) })
 	p.spawn(p.becomeReady)
 	p.spawn(p.lookAround)
 	p.Logger.Info("started", zap.String("dataCentre", s.VM.DataCentre), zap.String("callers", s.Callers.Address))
@@ -271,6 +282,12 @@
 
 // Holds implements placer.Holder.
 func (p *Process) Holds() bool {
+	_, ok := p.tenure()
+	return ok
+}
+
+// tenure returns the number of this VM's tenure of the placement.
+func (p *Process) tenure() (uint64, bool) {
 	held, ok := p.leases.Held(placer.Duty)
-	return ok && held.Check() == nil
+	return held.Fencing, ok && held.Check() == nil
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -199,6 +199,16 @@
 	return c.Services[name].Model, replicas
 }
 
+// engines returns the replicas of all models.
+func (v *view) engines() []layers.Replica {
+	var all []layers.Replica
+	for _, name := range v.models() {
+		_, replicas := v.model(name)
+		all = append(all, replicas...)
+	}
+	return all
+}
+
 // models names the services that serve a model.
 func (v *view) models() []string {
 	c := v.config.Load()
--- a/internal/entry/wiring.go
+++ b/internal/entry/wiring.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"geraniumcroft/internal/loads"
 	"geraniumcroft/internal/placer"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/relay"
@@ -26,4 +27,5 @@
 type Engines interface {
 	relay.Engines
 	placer.Engines
+	loads.Replicas
 }
--- /dev/null
+++ b/internal/layers/load.go
@@ -0,0 +1,41 @@
+package layers
+
+import "time"
+
+// loadTrust is how long a reported load is believed. Boards come each second and take
+// one or two more to reach every VM.
+const loadTrust = 4 * time.Second
+
+// Load is what a replica reports of itself.
+type Load struct {
+	// Used and Total are its memory for requests, in tokens times layers.
+	Used  float64 `json:"used"`
+	Total float64 `json:"total"`
+	// Pace above 1 means that the replica is slower than its kind.
+	Pace float64 `json:"pace"`
+	// Down says that the replica did not answer.
+	Down bool `json:"down,omitempty"`
+	// At is when this VM could first know it.
+	At time.Time `json:"-"`
+}
+
+// SetLoads takes over what the replicas reported, by ID.
+func (t *Table) SetLoads(loads map[string]Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for id, load := range loads {
+		s := t.replicas[id]
+		if s == nil {
+			continue
+		}
+		if load.Down {
+			s.suspect(now)
+			continue
+		}
+		s.load, s.reservedThen = load, s.reserved
+		if load.Pace > 0 {
+			s.pace, s.paceAt = load.Pace, load.At
+		}
+	}
+}
--- a/internal/layers/reservation.go
+++ b/internal/layers/reservation.go
@@ -6,6 +6,7 @@
 type Reservation struct {
 	table *Table
 	need  Need
+	sent  time.Time
 
 	// The table's lock guards the fields below.
 	path     Path
@@ -79,7 +80,7 @@
 	}
 	for _, stage := range r.path {
 		if s := t.replicas[stage.Replica.ID]; s != nil {
-			s.failures, s.suspectUntil = 0, time.Time{}
+			s.served(r.sent)
 		}
 	}
 }
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"geraniumcroft/internal/config"
 )
 
@@ -48,6 +50,8 @@
 	toDC   string
 	// entry says that the path begins at its caller and not behind another stage.
 	entry bool
+	// doubtful lets suspected replicas in.
+	doubtful bool
 
 	holders []*state
 	dcs     []string
@@ -63,9 +67,20 @@
 	dc     int
 }
 
-// run finds the path. The walk may leave a replica for a faster one within its range
-// and come back, which engines refuse; the faster one is then left out.
+// run finds the path. Suspected replicas are used only where nobody else holds their
+// layers: waiting for room elsewhere is better than being turned away again.
 func (s *search) run() (Path, error) {
+	path, err := s.withoutRepeats()
+	if errors.Is(err, ErrNoPath) {
+		s.doubtful = true
+		path, err = s.withoutRepeats()
+	}
+	return path, err
+}
+
+// withoutRepeats finds a path that names no replica twice. The walk may leave a replica for a faster one within its range
+// and come back, which engines refuse; the faster one is then left out.
+func (s *search) withoutRepeats() (Path, error) {
 	for {
 		path, err := s.once()
 		between := path.betweenRepeats()
@@ -99,7 +114,7 @@
 func (s *search) collect() {
 	s.cuts = []int{s.from, s.to}
 	for _, r := range s.table.replicas {
-		if r.Draining || r.Held.Len() <= 0 || s.need.Avoid[r.Address] || r.Held.To <= s.from || r.Held.From >= s.to {
+		if r.Draining || r.Held.Len() <= 0 || s.need.Avoid[r.Address] || !s.doubtful && r.suspected(s.now) || r.Held.To <= s.from || r.Held.From >= s.to {
 			continue
 		}
 		s.holders = append(s.holders, r)
@@ -213,11 +228,10 @@
 func (s *search) stageCost(r *state, n int) float64 {
 	spec := s.table.spec
 	amount := s.need.tokens() * float64(n)
-	share := r.capacity * s.share(r)
-	used := r.reserved / max(1, share)
-	if r.reserved+amount > share {
+	if !r.fits(amount, s.share(r), s.now) {
 		return math.Inf(1)
 	}
+	used := r.fullness(s.share(r), s.now)
 	part := float64(n) / float64(spec.Layers)
 	batch := used * r.capacity / max(1, float64(r.Held.Len())) / s.need.tokens()
 	context := s.need.tokens() / 1000
--- a/internal/layers/state.go
+++ b/internal/layers/state.go
@@ -8,10 +8,14 @@
 	// restarted replica needs to come back, the bound what a long one costs at most.
 	firstSuspicion = time.Second
 	maxSuspicion   = 8 * time.Second
-	// slowGain is the weight of a new measurement in a replica's moving average pace.
-	slowGain = 0.5
 	// paceTrust is how long a replica's reported pace is believed.
-	paceTrust = 3 * time.Second
+	paceTrust = loadTrust
+	// growth is by how much the requests that a replica reports will still grow: they
+	// are on the average half way through their answers.
+	growth = 1.12
+	// fullAt is the part of a replica's memory up to which a VM may go beyond its own
+	// share. The rest covers what others send before the next report.
+	fullAt = 0.8
 )
 
 // state is what this VM knows of a replica.
@@ -25,7 +29,12 @@
 	// first is how many of this VM's requests enter here.
 	first int
 
+	// load is what the replica last reported, reservedThen what this VM had reserved.
+	load         Load
+	reservedThen float64
+
 	failures     int
+	suspectedAt  time.Time
 	suspectUntil time.Time
 	// pace is what the replica's report says; above 1 it is slower than its kind.
 	pace   float64
@@ -35,20 +44,62 @@
 // reset takes over what discovery lists now and keeps what this VM has learned.
 func (s *state) reset(spec *Spec, r Replica) {
 	if s.ID != r.ID {
-		s.failures, s.suspectUntil, s.pace = 0, time.Time{}, 0
+		s.failures, s.suspectUntil, s.pace, s.load = 0, time.Time{}, 0, Load{}
+	}
+	if s.Held != r.Held {
+		s.load = Load{} // it was about another range
 	}
 	s.Replica = r
 	s.kind = spec.kind(r.Kind)
 	s.capacity = spec.room(s.kind, r.Held.Len()) * float64(r.Held.Len())
 }
 
+// usage estimates the memory that all VMs' requests hold here, and whether it is known.
+func (s *state) usage(now time.Time) (float64, bool) {
+	if s.load.Total <= 0 || now.Sub(s.load.At) > loadTrust {
+		return 0, false
+	}
+	return max(s.reserved, growth*s.load.Used+s.reserved-s.reservedThen), true
+}
+
+// fits reports whether this VM may put the amount here, as its share of the replica is.
+func (s *state) fits(amount, share float64, now time.Time) bool {
+	own := s.reserved+amount <= s.capacity*share
+	usage, known := s.usage(now)
+	if !known {
+		return own
+	}
+	bound := fullAt
+	if own {
+		bound = 1
+	}
+	return usage+amount <= bound*s.capacity
+}
+
+// fullness is the part of the memory that is taken, as far as this VM knows.
+func (s *state) fullness(share float64, now time.Time) float64 {
+	if usage, known := s.usage(now); known {
+		return usage / max(1, s.capacity)
+	}
+	return s.reserved / max(1, s.capacity*share)
+}
+
 func (s *state) suspect(now time.Time) {
 	if now.Before(s.suspectUntil) {
 		return
 	}
 	wait := min(maxSuspicion, firstSuspicion<<min(s.failures, 8))
 	s.failures++
-	s.suspectUntil = now.Add(wait)
+	s.suspectedAt, s.suspectUntil = now, now.Add(wait)
+}
+
+// served ends the suspicion after a request went well that was sent since it began. An
+// older one says nothing: a replica that is about to leave finishes what it has and
+// turns away whatever is new.
+func (s *state) served(sent time.Time) {
+	if sent.After(s.suspectedAt) {
+		s.failures, s.suspectUntil = 0, time.Time{}
+	}
 }
 
 func (s *state) suspected(now time.Time) bool { return now.Before(s.suspectUntil) }
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Reservation{table: t, need: need, path: path}
+	r := &Reservation{table: t, need: need, sent: s.now, path: path}
 	r.hold(1)
 	return r, nil
 }
--- /dev/null
+++ b/internal/loads/doc.go
@@ -0,0 +1,12 @@
+// Package loads shares what replicas report of themselves among the VMs.
+//
+// A VM knows the requests that it has sent itself, and without more could fill only
+// its even share of each replica: where a zone loses replicas, its VMs would refuse
+// requests that the replicas of other zones have room for. Asking every replica from
+// every VM would cost more calls than requests. So the holder of the placement, which
+// has to know the replicas anyway, asks each one a second, and the others copy the
+// board of answers from peers, as they copy the operator's tables.
+//
+// The board is a hint and may be seconds old or missing: after its holder died there is
+// none for the time of a lease. The choice of paths then falls back on even shares.
+package loads
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,10 +35,19 @@
 	table *layers.Table
 	avoid map[string]bool
 
-	// lastEvent is the id of the last event that the caller has, events how many. The
-	// count is read while the stream is watched.
+	// events is how many events the caller has, sends how often the request was sent.
+	events atomic.Int64
+	sends  atomic.Int32
+
+	mu sync.Mutex // guards the fields below against the watch of a stalled stream
+	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
-	events    atomic.Int64
+	// runs counts the replicas that may have run the request.
+	runs int
+	// prepared is a path for the next send, reserved before the present one was ended.
+	prepared *layers.Reservation
+	// ended says that no further send will follow.
+	ended bool
 	// begun says that the answer's head has gone out.
 	begun bool
 }
@@ -46,6 +56,7 @@
 func (h *Handler) generate(ctx context.Context, w http.ResponseWriter, q *request) {
 	g := &generation{h: h, q: q, w: w, table: h.Pools.of(q.service), avoid: map[string]bool{}, lastEvent: q.LastEventID}
 	failure := g.run(ctx)
+	g.close()
 	h.finish(q, failure)
 	switch {
 	case failure == nil:
@@ -59,45 +70,97 @@
 }
 
 func (g *generation) run(ctx context.Context) *outcome.Failure {
+	reservation, failure := g.admit(ctx)
+	if failure != nil {
+		return failure
+	}
 	for sends := 1; ; sends++ {
-		reservation, failure := g.admit(ctx)
-		if failure != nil {
-			return g.truthful(failure)
-		}
+		g.sends.Store(int32(sends))
 		err := g.send(ctx, reservation)
 		if err == nil {
 			return nil
 		}
 		g.q.story.add("send failed", zap.Error(err), zap.Int64("events", g.events.Load()))
-		if !g.again(ctx, sends) {
-			return failureOf(ctx, g.q, err)
+		if reservation = g.takePrepared(); reservation == nil {
+			if reservation, failure = g.again(ctx, err); failure != nil {
+				return failure
+			}
 		}
 		g.h.Observer.Retry("resume")
 	}
 }
 
-// truthful turns a refusal by admission into what holds after an earlier send.
-func (g *generation) truthful(f *outcome.Failure) *outcome.Failure {
-	if !g.q.boundary.MayHaveRun() {
-		return f
+// again waits for a path for one more send after one has ended.
+func (g *generation) again(ctx context.Context, err error) (*layers.Reservation, *outcome.Failure) {
+	if ctx.Err() != nil || !g.mayResend() || !g.pay() {
+		return nil, failureOf(ctx, g.q, err)
+	}
+	reservation, failure := g.admit(ctx)
+	if failure != nil && g.q.boundary.MayHaveRun() {
+		failure = outcome.Uncertain(outcome.ReasonTargetFailed, "the replica failed and no other one had room").WithCause(err)
 	}
-	return outcome.Uncertain(outcome.ReasonTargetFailed, "the replica failed and no other one had room").WithCause(f)
+	return reservation, failure
 }
 
-// again reports whether the generation may be sent once more.
-func (g *generation) again(ctx context.Context, sends int) bool {
+// mayResend reports whether the generation may be sent once more.
+func (g *generation) mayResend() bool {
 	mayRepeat := g.q.profile.Repeatable() || !g.q.boundary.MayHaveRun()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	resumable := g.events.Load() == 0 || g.q.profile.Resumable && g.lastEvent != ""
-	if ctx.Err() != nil || !mayRepeat || !resumable || sends >= maxSends || g.q.runs >= max(1, g.q.profile.MaxAttempts) {
+	return mayRepeat && resumable && int(g.sends.Load()) < maxSends && g.runs < max(1, g.q.profile.MaxAttempts)
+}
+
+// pay takes one more send out of the retry budget.
+func (g *generation) pay() bool {
+	return g.h.Budgets.of(g.q.service).Take(g.q.urgency())
+}
+
+// prepare reserves a path for one more send while the present one still stands, and
+// reports whether the present one may be ended. Without that a stream would be cut off
+// that its replica might yet have gone on with.
+func (g *generation) prepare(address string) bool {
+	if !g.mayResend() {
+		return false
+	}
+	need := g.need()
+	need.Avoid = map[string]bool{address: true}
+	reservation, err := g.table.Reserve(need)
+	if err != nil {
+		return false
+	}
+	if !g.pay() {
+		reservation.Done(false)
 		return false
 	}
-	if !g.h.Budgets.of(g.q.service).Take(g.q.urgency()) {
-		g.q.story.add("retry budget spent")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended || g.prepared != nil {
+		reservation.Done(false)
 		return false
 	}
+	g.prepared = reservation
 	return true
 }
 
+func (g *generation) takePrepared() *layers.Reservation {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reservation := g.prepared
+	g.prepared = nil
+	return reservation
+}
+
+// close ends the generation's sends and lets go of a path that was prepared in vain.
+func (g *generation) close() {
+	g.mu.Lock()
+	g.ended = true
+	g.mu.Unlock()
+	if reservation := g.takePrepared(); reservation != nil {
+		reservation.Done(false)
+	}
+}
+
 func (g *generation) need() layers.Need {
 	q := g.q
 	prompt, answer := q.PromptTokens, q.LikelyAnswerTokens
@@ -168,7 +231,10 @@
 	if x.answer.NotRun {
 		return g.turnedAway(x, first.Address)
 	}
-	g.q.runs++
+	g.mu.Lock()
+	g.runs++
+	g.q.runs = g.runs
+	g.mu.Unlock()
 	if x.resp.StatusCode != http.StatusOK {
 		return g.passFailure(x)
 	}
@@ -274,7 +340,9 @@
 	}
 	g.events.Add(1)
 	if e.ID != "" {
+		g.mu.Lock()
 		g.lastEvent = e.ID
+		g.mu.Unlock()
 	}
 	return nil
 }
--- a/internal/relay/pools.go
+++ b/internal/relay/pools.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// SetLoads takes over what replicas of any pool reported, by ID.
+func (p *Pools) SetLoads(loads map[string]layers.Load) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, table := range p.tables {
+		table.SetLoads(loads)
+	}
+}
+
 // Covered reports whether every model's layers are all held.
 func (p *Pools) Covered() bool {
 	p.mu.RLock()
--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -89,7 +89,7 @@
 	switch {
 	case w.ctx.Err() != nil || !w.still():
 	case err != nil:
-		w.unanswered(first.Address, err)
+		w.unanswered(first.Address)
 	default:
 		w.judge(first, report)
 	}
@@ -102,7 +102,7 @@
 	return !w.stopped && time.Since(w.last) >= eventPatience
 }
 
-func (w *stallWatch) unanswered(address string, err error) {
+func (w *stallWatch) unanswered(address string) {
 	w.mu.Lock()
 	w.unheard++
 	lost := w.unheard >= unanswered
@@ -111,9 +111,7 @@
 		w.later(askAgain)
 		return
 	}
-	w.g.h.Logger.Warn("replica left", zap.String("address", address), zap.String("requestId", w.g.q.RequestID),
-		zap.String("why", "its stream stands still and it does not answer"), zap.Error(err))
-	w.giveUp(address)
+	w.giveUp(address, "it does not answer")
 }
 
 func (w *stallWatch) judge(first layers.Replica, report EngineReport) {
@@ -129,7 +127,7 @@
 		}
 	}
 	if stood > longStall {
-		w.giveUp(first.Address)
+		w.giveUp(first.Address, "it names no fault")
 		return
 	}
 	w.later(askAgain)
@@ -151,13 +149,21 @@
 		return
 	}
 	if err != nil {
-		w.giveUp(stopped)
+		w.giveUp(stopped, "its layers found no other holder")
 		return
 	}
 	w.later(movePatience)
 }
 
-func (w *stallWatch) giveUp(address string) {
+// giveUp ends the send if the stream can go on elsewhere. If it cannot, the stream is
+// left to its replica, which may yet go on with it: silence alone is no reason to cut
+// an answer off.
+func (w *stallWatch) giveUp(address, why string) {
 	w.g.table.Suspect(address)
+	if !w.g.prepare(address) {
+		w.later(askAgain)
+		return
+	}
+	w.g.h.Logger.Info("stream sent elsewhere", zap.String("requestId", w.g.q.RequestID), zap.String("from", address), zap.String("why", why))
 	w.cancel(&stallError{Address: address})
 }
