relay: move a stalled stream nearby or send it along another path

Cause: when a stage died, all streams through it were moved to holders in another data centre; reading all tokens so far there sends 25 MB each over the shared link (100 streams: 1.8 s), so streams paused 1.0 to 1.7 s and new ones waited behind. Ruled out: late naming of the stage; the first replica's report names it within 250 ms. Now a stream moves only to another holder in the stage's data centre, else it goes on along another path, else far away. Questions start after 150 ms (300 for the first event) instead of 350 and 600.

--- a/internal/layers/reservation.go
+++ b/internal/layers/reservation.go
@@ -22,8 +22,11 @@
 
 // Detour returns the path with the stage at address replaced by other holders of
 // its layers, and holds room there. The first stage cannot be replaced: the request
-// is connected to it. The stage is suspected in any case.
-func (r *Reservation) Detour(address string, written int) (Path, error) {
+// is connected to it. Written is how many tokens the answer has so far. With near the
+// other holders are in the stage's data centre: they read all tokens so far, whose
+// activations take longer over the link between data centres than reading the prompt
+// anew on another path does.
+func (r *Reservation) Detour(address string, written int, near bool) (Path, error) {
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -42,6 +45,9 @@
 	need.Avoid = avoid
 	need.Prompt += written
 	s := search{table: t, need: need, now: time.Now(), from: r.path[at].Layers.From, to: r.path[at].Layers.To, fromDC: r.path[at-1].Replica.DataCentre}
+	if near {
+		s.onlyDC = r.path[at].Replica.DataCentre
+	}
 	if at+1 < len(r.path) {
 		s.toDC = r.path[at+1].Replica.DataCentre
 	}
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -50,6 +50,8 @@
 	toDC   string
 	// entry says that the path begins at its caller and not behind another stage.
 	entry bool
+	// onlyDC, if not empty, leaves out the replicas of other data centres.
+	onlyDC string
 	// doubtful lets suspected replicas in.
 	doubtful bool
 
@@ -114,7 +116,7 @@
 func (s *search) collect() {
 	s.cuts = []int{s.from, s.to}
 	for _, r := range s.table.replicas {
-		if r.Draining || r.Held.Len() <= 0 || s.need.Avoid[r.Address] || !s.doubtful && r.suspected(s.now) || r.Held.To <= s.from || r.Held.From >= s.to {
+		if !s.admits(r) {
 			continue
 		}
 		s.holders = append(s.holders, r)
@@ -127,6 +129,16 @@
 	s.cuts = slices.Compact(s.cuts)
 }
 
+func (s *search) admits(r *state) bool {
+	switch {
+	case r.Draining, s.need.Avoid[r.Address], !s.doubtful && r.suspected(s.now):
+		return false
+	case s.onlyDC != "" && r.DataCentre != s.onlyDC:
+		return false
+	}
+	return r.Held.Len() > 0 && r.Held.To > s.from && r.Held.From < s.to
+}
+
 // covered reports whether the holders hold every layer, with room or without.
 func (s *search) covered() bool {
 	for i := 0; i+1 < len(s.cuts); i++ {
--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -10,7 +10,7 @@
 
 // reportFresh is how long a replica's report answers for it. Streams that stand still
 // together ask together, and the report itself lags by more.
-const reportFresh = 100 * time.Millisecond
+const reportFresh = 50 * time.Millisecond
 
 // asking asks replicas for their reports, once for all streams that want to know.
 type asking struct {
--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -12,12 +12,13 @@
 
 const (
 	// firstPatience is how long a stream may take to its first event, and eventPatience
-	// between events, before its first replica is asked why. Streams that run well bring
-	// an event every 30 to 100 ms.
-	firstPatience = 600 * time.Millisecond
-	eventPatience = 350 * time.Millisecond
+	// between events, before its first replica is asked why. Streams that run well begin
+	// within 100 ms and bring an event every 30 to 100 ms; a pause of more than 200 ms is
+	// what callers notice.
+	firstPatience = 300 * time.Millisecond
+	eventPatience = 150 * time.Millisecond
 	// askAgain is the pause between two questions; reports lag by some 200 ms.
-	askAgain = 150 * time.Millisecond
+	askAgain = 100 * time.Millisecond
 	// askTimeout bounds a question.
 	askTimeout = 200 * time.Millisecond
 	// moveTimeout bounds the order to take another path.
@@ -111,7 +112,9 @@
 		w.later(askAgain)
 		return
 	}
-	w.giveUp(address, "it does not answer")
+	if !w.elsewhere(address, "it does not answer") {
+		w.later(askAgain)
+	}
 }
 
 func (w *stallWatch) judge(first layers.Replica, report EngineReport) {
@@ -126,44 +129,51 @@
 			return
 		}
 	}
-	if stood > longStall {
-		w.giveUp(first.Address, "it names no fault")
+	if stood > longStall && w.elsewhere(first.Address, "it names no fault") {
 		return
 	}
 	w.later(askAgain)
 }
 
-// move takes the stream round the replica that stopped.
+// move takes the stream round the replica that stopped: to another holder of its
+// layers nearby, else along another path from its last event on, else to a holder far
+// away. If none has room it asks again.
 func (w *stallWatch) move(first layers.Replica, stopped string) {
 	w.g.table.Suspect(stopped)
-	path, err := w.reservation.Detour(stopped, int(w.g.events.Load()))
-	if err == nil {
-		ctx, cancel := context.WithTimeout(w.ctx, moveTimeout)
-		w.g.q.progress.moves.Add(1)
-		err = w.g.h.Engines.Repath(ctx, first, w.g.q.RequestID, path)
-		cancel()
-	}
-	w.g.h.Logger.Info("stream moved", zap.String("requestId", w.g.q.RequestID), zap.String("from", stopped),
-		zap.Stringer("path", path), zap.NamedError("failed", err))
-	if w.ctx.Err() != nil || !w.still() {
+	if w.detour(first, stopped, true) || w.elsewhere(stopped, "a stage of its path stopped") || w.detour(first, stopped, false) {
 		return
 	}
+	w.later(askAgain)
+}
+
+// detour moves the stream without sending it again, and reports whether it did.
+func (w *stallWatch) detour(first layers.Replica, stopped string, near bool) bool {
+	path, err := w.reservation.Detour(stopped, int(w.g.events.Load()), near)
 	if err != nil {
-		w.giveUp(stopped, "its layers found no other holder")
-		return
+		return false
+	}
+	w.g.q.progress.moves.Add(1)
+	ctx, cancel := context.WithTimeout(w.ctx, moveTimeout)
+	err = w.g.h.Engines.Repath(ctx, first, w.g.q.RequestID, path)
+	cancel()
+	w.g.h.Logger.Info("stream moved", zap.String("requestId", w.g.q.RequestID), zap.String("from", stopped),
+		zap.Bool("near", near), zap.Stringer("path", path), zap.NamedError("failed", err))
+	if err != nil {
+		return false
 	}
 	w.later(movePatience)
+	return true
 }
 
-// giveUp ends the send if the stream can go on elsewhere. If it cannot, the stream is
-// left to its replica, which may yet go on with it: silence alone is no reason to cut
-// an answer off.
-func (w *stallWatch) giveUp(address, why string) {
+// elsewhere ends the send if the stream can go on along another path, and reports
+// whether it did. If it cannot, the stream is left to its replica, which may yet go on
+// with it: silence alone is no reason to cut an answer off.
+func (w *stallWatch) elsewhere(address, why string) bool {
 	w.g.table.Suspect(address)
-	if !w.g.prepare(address) {
-		w.later(askAgain)
-		return
+	if !w.still() || !w.g.prepare(address) {
+		return false
 	}
 	w.g.h.Logger.Info("stream sent elsewhere", zap.String("requestId", w.g.q.RequestID), zap.String("from", address), zap.String("why", why))
 	w.cancel(&stallError{Address: address})
+	return true
 }
