--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -243,7 +243,7 @@
 	if !r.fits(amount, s.share(r), s.now) {
 		return math.Inf(1)
 	}
-	used := r.fullness(s.share(r), s.now)
+	used := r.fullness(s.share(r))
 	part := float64(n) / float64(spec.Layers)
 	batch := used * r.capacity / max(1, float64(r.Held.Len())) / s.need.tokens()
 	context := s.need.tokens() / 1000
--- a/internal/layers/state.go
+++ b/internal/layers/state.go
@@ -76,13 +76,10 @@
 	return usage+amount <= bound*s.capacity
 }
 
-// fullness is the part of the memory that is taken, as far as this VM knows.
-func (s *state) fullness(share float64, now time.Time) float64 {
-	if usage, known := s.usage(now); known {
-		return usage / max(1, s.capacity)
-	}
-	return s.reserved / max(1, s.capacity*share)
-}
+// fullness is how much of its share of the memory this VM uses. The reported load does
+// not count here: it is seconds old and the same for all VMs, which would all turn to
+// the replica that looked emptiest, and fill it before the next report.
+func (s *state) fullness(share float64) float64 { return s.reserved / max(1, s.capacity*share) }
 
 func (s *state) suspect(now time.Time) {
 	if now.Before(s.suspectUntil) {
