--- a/internal/layers/replica.go
+++ b/internal/layers/replica.go
@@ -13,6 +13,9 @@
 	Kind string
 	// Held is the range of layers that the replica reports; empty after a start.
 	Held config.LayerRange
+	// Loading says that Held was ordered and is not reported yet. Only the placement
+	// knows such replicas.
+	Loading bool
 	// Draining replicas take no new requests and are about to leave.
 	Draining bool
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -144,8 +144,8 @@
 	expected := make([]layers.Replica, len(replicas))
 	for i, r := range replicas {
 		expected[i] = r
-		if o, ok := p.ordered[r.ID]; ok && now.Before(o.until) {
-			expected[i].Held = o.held
+		if o, ok := p.ordered[r.ID]; ok && now.Before(o.until) && o.held != r.Held {
+			expected[i].Held, expected[i].Loading = o.held, true
 		}
 	}
 	return expected
