layers: cards widen before they leave layers; joining cards wait for a hole

Cause: a card that gives layers up waits for all streams that pass through it before it loads the others (seconds, up to 7 s seen), and a card that replaces another was given duplicates a second before the other's layers became a hole, which then holders moved into. Holders now widen unless only leaving layers closes a hole, and a card that joins a complete set waits 2.5 s.

--- a/internal/layers/coverage.go
+++ b/internal/layers/coverage.go
@@ -68,16 +68,25 @@
 // best returns the range for a card, whose present range is not counted in c, that
 // leaves the least shortage, and that shortage.
 func (c *coverage) best(k Kind) (config.LayerRange, float64) {
+	return c.bestWithin(k, config.LayerRange{})
+}
+
+// bestWithin is best among the ranges that contain another one. It returns that one
+// itself where none is better.
+func (c *coverage) bestWithin(k Kind, inner config.LayerRange) (config.LayerRange, float64) {
 	before := c.sums(0)
 	total := before[c.spec.Layers]
-	best, least := config.LayerRange{}, total
-	for n := 1; n <= c.spec.maxLayers(k); n++ {
+	best, least := inner, total
+	for n := max(1, inner.Len()); n <= c.spec.maxLayers(k); n++ {
 		room := c.requests(k, n)
-		if room < 1 {
+		if room < 1 && n > inner.Len() {
 			break
 		}
 		with := c.sums(room)
 		for from := 0; from+n <= c.spec.Layers; from++ {
+			if inner.Len() > 0 && (from > inner.From || from+n < inner.To) {
+				continue
+			}
 			shortage := total - (before[from+n] - before[from]) + (with[from+n] - with[from])
 			if shortage < least {
 				best, least = config.LayerRange{From: from, To: from + n}, shortage
@@ -87,6 +96,16 @@
 	return best, least
 }
 
+// hasHole reports whether nobody holds some layer of the range.
+func (c *coverage) hasHole(held config.LayerRange) bool {
+	for l := max(0, held.From); l < min(held.To, c.spec.Layers); l++ {
+		if c.room[l] < uncovered {
+			return true
+		}
+	}
+	return false
+}
+
 // sums returns the running sums of the shortage if every layer had more room.
 func (c *coverage) sums(more float64) []float64 {
 	sums := make([]float64, c.spec.Layers+1)
--- a/internal/layers/improve.go
+++ b/internal/layers/improve.go
@@ -10,6 +10,10 @@
 	// nearlyBest is the part of the best move's gain from which a cheaper card is moved
 	// instead.
 	nearlyBest = 0.8
+	// leavingCost multiplies the cost of a move that gives layers up. The card takes
+	// nothing new for them and loads the others only when all streams that pass through
+	// it have ended, which takes seconds; a card that only widens goes on as before.
+	leavingCost = 1000
 	// movesAtOnce bounds the moves of one look at a group; the next look sees what they
 	// have brought.
 	movesAtOnce = 3
@@ -60,21 +64,25 @@
 	for i, r := range group {
 		k := spec.kind(r.Kind)
 		held := placed[r.ID]
-		fresh := held.Len() == 0
-		if !fresh && r.Loading {
-			continue
-		}
 		c.add(k, held, -1)
 		to, left := c.best(k)
+		wider, leftWider := c.bestWithin(k, held)
 		c.add(k, held, 1)
-		m := move{card: i, to: to, gain: now - left}
-		if to.Len() == 0 || to == held || m.gain <= 0 || !fresh && (m.gain < worthMoving*now || !settled.spares(held, to)) {
-			continue
-		}
-		if !fresh {
-			m.cost = k.MemoryMB / max(1, k.StepPace)
+		switch {
+		case held.Len() == 0:
+			if to.Len() > 0 && now > left && (!r.Joining || c.hasHole(to)) {
+				moves = append(moves, move{card: i, to: to, gain: now - left})
+			}
+		case r.Loading:
+		default:
+			cost := k.MemoryMB / max(1, k.StepPace)
+			if gain := now - leftWider; wider != held && gain >= worthMoving*now {
+				moves = append(moves, move{card: i, to: wider, gain: gain, cost: cost})
+			}
+			if gain := now - left; to != held && c.hasHole(to) && gain >= worthMoving*now && settled.spares(held, to) {
+				moves = append(moves, move{card: i, to: to, gain: gain, cost: cost * leavingCost})
+			}
 		}
-		moves = append(moves, m)
 	}
 	return moves
 }
--- a/internal/layers/replica.go
+++ b/internal/layers/replica.go
@@ -16,6 +16,9 @@
 	// Loading says that Held was ordered and is not reported yet. Only the placement
 	// knows such replicas.
 	Loading bool
+	// Joining replicas were listed a moment ago. Where nothing is missing they wait: a
+	// replica that is replaced leaves right after its successor has come.
+	Joining bool
 	// Draining replicas take no new requests and are about to leave.
 	Draining bool
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -33,6 +33,10 @@
 	// heartbeats; a layout for the first few of them leaves them without room for
 	// requests, and every later one would have to move layers.
 	gathering = 1500 * time.Millisecond
+	// joining is how long a replica that joins a complete set waits for a hole. In a
+	// rolling replacement the old one begins to leave about a second after the new one
+	// has come.
+	joining = 2500 * time.Millisecond
 	// orderRetry is the pause before a replica is ordered again that did not answer.
 	orderRetry = 700 * time.Millisecond
 )
@@ -56,9 +60,9 @@
 type Placer struct {
 	Options
 
-	// known are the replicas that were ever listed, the newest one since lastNew. Run
+	// known says since when replicas have been listed, the newest one since lastNew. Run
 	// alone uses them.
-	known   map[string]bool
+	known   map[string]time.Time
 	lastNew time.Time
 
 	mu      sync.Mutex // guards the field below
@@ -76,7 +80,7 @@
 
 // New returns a placer; Run makes it work.
 func New(o Options) *Placer {
-	return &Placer{Options: o, known: map[string]bool{}, ordered: map[string]order{}}
+	return &Placer{Options: o, known: map[string]time.Time{}, ordered: map[string]order{}}
 }
 
 // Run orders replicas while this VM holds the duty, until ctx ends.
@@ -102,9 +106,9 @@
 func (p *Placer) gathered(replicas []layers.Replica) bool {
 	holding := false
 	for _, r := range replicas {
-		if !p.known[r.ID] {
-			p.known[r.ID] = true
+		if _, known := p.known[r.ID]; !known {
 			p.lastNew = time.Now()
+			p.known[r.ID] = p.lastNew
 		}
 		holding = holding || r.Held.Len() > 0
 	}
@@ -144,6 +148,7 @@
 	expected := make([]layers.Replica, len(replicas))
 	for i, r := range replicas {
 		expected[i] = r
+		expected[i].Joining = now.Sub(p.known[r.ID]) < joining
 		if o, ok := p.ordered[r.ID]; ok && now.Before(o.until) && o.held != r.Held {
 			expected[i].Held, expected[i].Loading = o.held, true
 		}
