--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -8,8 +8,10 @@
 package census
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,9 +25,9 @@
 
 const (
 	// interval is the least pause between two writes of a VM's row, perVM what each VM
-	// adds to it: at 320 VMs each writes every 80 s.
+	// adds to it: at 320 VMs each writes every 128 s.
 	interval = 8 * time.Second
-	perVM    = 250 * time.Millisecond
+	perVM    = 400 * time.Millisecond
 	// expiryRounds is how many rounds a row may stay unchanged: two lost writes.
 	expiryRounds = 3
 	// firstInterval is the pause until the first write has succeeded and all VMs that
@@ -78,20 +80,23 @@
 	return c.vms
 }
 
-// Among reports whether this VM is one of the first n in the order of a hash of their
-// names, which is the same on all VMs that have the same list.
+// First returns the first n VMs in the order of a hash of their names, which is the
+// same on all VMs that have the same list.
+func (c *Census) First(n int) []VM {
+	vms := slices.Clone(c.VMs())
+	slices.SortFunc(vms, func(a, b VM) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+	})
+	return vms[:min(n, len(vms))]
+}
+
+// Among reports whether this VM is one of the first n.
 func (c *Census) Among(n int) bool {
-	before := 0
-	for _, vm := range c.VMs() {
-		if xxhash.Sum64String(vm.Name) < xxhash.Sum64String(c.own.Name) {
-			before++
-		}
-	}
-	return before < n
+	return slices.ContainsFunc(c.First(n), func(vm VM) bool { return vm.Name == c.own.Name })
 }
 
 // pause is the time until the next round. It grows with the fleet, so that the calls of
-// all VMs together stay at eight a second.
+// all VMs together stay at five a second.
 func (c *Census) pause(round int) time.Duration {
 	if round < firstRounds {
 		return firstInterval
@@ -117,6 +122,7 @@
 		return err
 	}
 	c.take(rows)
+	c.onChange(c.VMs())
 	return c.write(ctx, rows)
 }
 
@@ -168,5 +174,4 @@
 		c.logger.Info("VMs counted", zap.Int("vms", len(vms)), zap.Int("before", len(c.vms)))
 	}
 	c.vms = vms
-	c.onChange(vms)
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -41,6 +41,10 @@
 	// their names. If all of them die, others are counted among them when the list of
 	// VMs has noticed.
 	contenders = 3
+	// feedFollowers is how many VMs follow the store's feed, in the same order as the
+	// contenders. The others ask two of them at a time; with eight, a fault of a zone or
+	// of the store towards some VMs leaves enough of them.
+	feedFollowers = 8
 	// usualVMs is how many VMs are assumed before the list of them was read.
 	usualVMs = 6
 	// usualDataCentres is over how many data centres they are taken to be spread.
@@ -177,9 +181,12 @@
 }
 
 func (p *Process) follower(table string, onChange func(platform.TableView)) *follow.Follower {
-	return follow.New(follow.Options{Table: table, Feed: p.Wiring.Feed, Peers: p.peers, Logger: p.Logger, OnChange: onChange})
+	return follow.New(follow.Options{Table: table, Feed: p.Wiring.Feed, Peers: p.peers, Logger: p.Logger, Follows: p.followsFeed, OnChange: onChange})
 }
 
+// followsFeed reports whether this VM is one of those that follow the store's feed.
+func (p *Process) followsFeed() bool { return p.census.Among(feedFollowers) }
+
 // tableView is what peers are given.
 func (p *Process) tableView(table string) (*platform.TableView, time.Duration) {
 	follower := p.view.operator
@@ -196,11 +203,15 @@
 	p.table.SetVMs(len(vms))
 	p.pools.SetSharers(p.sharers(vms))
 	p.budgets.SetVMs(len(vms))
-	addresses := append([]string(nil), p.Settings.Peers.Seeds...)
-	for _, vm := range vms {
-		addresses = append(addresses, vm.Address)
+	p.peers.SetPeers(addressesOf(p.census.First(feedFollowers)), append(addressesOf(vms), p.Settings.Peers.Seeds...))
+}
+
+func addressesOf(vms []census.VM) []string {
+	addresses := make([]string, len(vms))
+	for i, vm := range vms {
+		addresses[i] = vm.Address
 	}
-	p.peers.SetPeers(addresses)
+	return addresses
 }
 
 func (p *Process) sharers(vms []census.VM) layers.Sharers {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -18,14 +18,20 @@
 	// the pause each one's change would cost every VM a call; with it changes are seen
 	// within half a second, a quarter of the time in which they have to be in force.
 	feedPause = 500 * time.Millisecond
-	// gossipPause is how often a peer is asked whether it has a later copy. The store may
-	// hold a call without ever answering it, and only a peer shows that.
-	gossipPause = time.Second
+	// gossipPause is how often peers are asked whether they have a later copy. The store
+	// may hold a call without ever answering it, and only a peer shows that; and VMs that
+	// don't follow the feed themselves learn all changes that way.
+	gossipPause = 800 * time.Millisecond
+	// peersStale is the age of the copy from which a VM that learns by its peers turns to
+	// the store: those that follow the feed may all be gone or cut off.
+	peersStale = 4 * time.Second
+	// followLook is the pause between two looks at whether to follow the feed.
+	followLook = 200 * time.Millisecond
 	// retryPause is the wait after a failed read of the store and its peers.
 	retryPause = 200 * time.Millisecond
-	// readTimeout bounds a read of a whole table, peerTimeout the answer of one peer.
+	// readTimeout bounds a read of a whole table, peerTimeout the answers of peers.
 	readTimeout = time.Second
-	peerTimeout = 400 * time.Millisecond
+	peerTimeout = 700 * time.Millisecond
 	// feedTimeout bounds one call to the feed, which itself waits for changes up to
 	// FeedWait.
 	feedTimeout = FeedWait + time.Second
@@ -53,6 +59,9 @@
 	Feed   platform.Feed
 	Peers  Peers
 	Logger *zap.Logger
+	// Follows says whether this VM follows the store's feed. In a large fleet a few do,
+	// and the others copy from them: each change would otherwise cost a call of every VM.
+	Follows func() bool
 	// OnChange is called with each new view, one at a time.
 	OnChange func(platform.TableView)
 }
@@ -95,6 +104,10 @@
 	defer gossip.Wait()
 	reread := true
 	for ctx.Err() == nil {
+		if f.learnsByPeers() {
+			sleep.For(ctx, followLook)
+			continue
+		}
 		err := f.step(ctx, reread)
 		if ctx.Err() != nil {
 			return
@@ -114,6 +127,11 @@
 	}
 }
 
+// learnsByPeers reports whether this VM may leave the store alone for now.
+func (f *Follower) learnsByPeers() bool {
+	return f.View() != nil && !f.Follows() && f.Age() < peersStale
+}
+
 func (f *Follower) gossip(ctx context.Context) {
 	for sleep.For(ctx, gossipPause) {
 		f.askPeers(ctx)
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -92,7 +92,7 @@
 func following(t *testing.T, test func(feed *fakeFeed, peers *fakePeers, f *Follower, value func() string)) {
 	synctest.Test(t, func(t *testing.T) {
 		feed, peers := newFakeFeed(), &fakePeers{}
-		f := New(Options{Table: "t", Feed: feed, Peers: peers, Logger: zap.NewNop(), OnChange: func(platform.TableView) {}})
+		f := New(Options{Table: "t", Feed: feed, Peers: peers, Logger: zap.NewNop(), Follows: func() bool { return true }, OnChange: func(platform.TableView) {}})
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { f.Run(ctx) })
@@ -190,6 +190,34 @@
 	})
 }
 
+// A VM of a large fleet learns by its peers and asks the store nothing. When they fall
+// silent it turns to the store by itself.
+func TestFewFollowTheFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, peers := newFakeFeed(), &fakePeers{}
+		peers.have(1, "1")
+		f := New(Options{Table: "t", Feed: feed, Peers: peers, Logger: zap.NewNop(), Follows: func() bool { return false }, OnChange: func(platform.TableView) {}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { f.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		feed.set(func() { feed.view = platform.TableView{Revision: 5, Rows: map[string][]byte{"a": []byte("store")}} })
+		time.Sleep(2 * time.Second)
+		if value := string(f.View().Rows["a"]); value != "1" {
+			t.Errorf("value %q, only the store has it", value)
+		}
+		peers.mu.Lock()
+		peers.ok = false
+		peers.mu.Unlock()
+		time.Sleep(peersStale + 2*time.Second)
+		if value := string(f.View().Rows["a"]); value != "store" {
+			t.Errorf("value %q after the peers fell silent", value)
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
 // A peer's confirmation is as old as the peer's own knowledge.
 func TestAgeOfACopy(t *testing.T) {
 	following(t, func(feed *fakeFeed, peers *fakePeers, f *Follower, _ func() string) {
--- a/internal/loads/keeper.go
+++ b/internal/loads/keeper.go
@@ -18,7 +18,7 @@
 	interval = time.Second
 	// askTimeout bounds the question to one replica, peerTimeout that to peers.
 	askTimeout  = 300 * time.Millisecond
-	peerTimeout = 400 * time.Millisecond
+	peerTimeout = 700 * time.Millisecond
 	// askedAtOnce bounds the replicas that are asked at the same moment.
 	askedAtOnce = 16
 	// missedAnswers is how many questions in a row a replica may leave unanswered before
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -20,6 +20,8 @@
 	// asked is how many peers one question goes to. One may be turned away by the store
 	// as well; of two at random, one that is served is likely among them.
 	asked = 2
+	// askTimeout bounds one round of questions.
+	askTimeout = 300 * time.Millisecond
 	// maxRetryDelay bounds the pause before a peer that was away is dialled again.
 	maxRetryDelay = time.Second
 	// idleTimeout closes connections to peers that are not asked any more.
@@ -33,36 +35,54 @@
 	own    string
 	logger *zap.Logger
 
-	mu    sync.Mutex // guards the fields below
-	peers []string
-	conns map[string]*grpc.ClientConn
+	mu        sync.Mutex // guards the fields below
+	preferred []string
+	peers     []string
+	conns     map[string]*grpc.ClientConn
 }
 
 // NewClient returns a client of a VM whose own address is never asked.
 func NewClient(own string, seeds []string, logger *zap.Logger) *Client {
 	c := &Client{own: own, logger: logger, conns: map[string]*grpc.ClientConn{}}
-	c.SetPeers(seeds)
+	c.SetPeers(nil, seeds)
 	return c
 }
 
-// SetPeers replaces the addresses, IP:port, that are asked.
-func (c *Client) SetPeers(addresses []string) {
+// SetPeers replaces the addresses, IP:port, that are asked: the preferred ones first,
+// the others where none of those answers.
+func (c *Client) SetPeers(preferred, others []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peers = nil
+	c.preferred, c.peers = c.withoutOwn(preferred), c.withoutOwn(others)
+}
+
+func (c *Client) withoutOwn(addresses []string) []string {
+	var rest []string
 	for _, address := range addresses {
 		if address != c.own {
-			c.peers = append(c.peers, address)
+			rest = append(rest, address)
 		}
 	}
+	return rest
 }
 
 // Fetch asks some peers and returns the newest copy that they have, with the time since
 // it was confirmed. Ok is false when none answered; the rows are nil when none has a
 // newer one.
 func (c *Client) Fetch(ctx context.Context, table string, after uint64) (view platform.TableView, age time.Duration, ok bool) {
-	peers := c.some()
-	var newest answer
+	c.mu.Lock()
+	preferred, others := c.preferred, c.peers
+	c.mu.Unlock()
+	newest, ok := c.fetch(ctx, some(preferred), table, after)
+	if !ok {
+		newest, ok = c.fetch(ctx, some(others), table, after)
+	}
+	return newest.TableView, time.Duration(newest.AgeMS) * time.Millisecond, ok
+}
+
+func (c *Client) fetch(ctx context.Context, peers []string, table string, after uint64) (newest answer, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	views := make(chan *answer, len(peers))
 	for _, address := range peers {
 		go func() { views <- c.ask(ctx, address, table, after) }()
@@ -78,13 +98,12 @@
 		}
 		ok = true
 	}
-	return newest.TableView, time.Duration(newest.AgeMS) * time.Millisecond, ok
+	return newest, ok
 }
 
-func (c *Client) some() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	peers := append([]string(nil), c.peers...)
+// some picks a few of the addresses at random.
+func some(addresses []string) []string {
+	peers := append([]string(nil), addresses...)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers[:min(asked, len(peers))]
 }
