--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -157,7 +157,7 @@
 		VMs: usualVMs, WritesPerSecond: s.Platform.WritesPerSecond, ReadsPerSecond: s.Platform.ReadsPerSecond,
 	})
 	p.peers = mirror.NewClient(p.PeersAddress(), s.Peers.Seeds, p.Logger)
-	p.mirror = mirror.NewServer(p.tableView)
+	p.mirror = mirror.NewServer(p.since)
 	p.balancer = balance.New(balance.Settings{}, p.invariants)
 	p.pools = relay.NewPools()
 	p.budgets = relay.NewBudgets(relay.BudgetSettings{Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow}, usualVMs)
@@ -187,16 +187,15 @@
 // followsFeed reports whether this VM is one of those that follow the store's feed.
 func (p *Process) followsFeed() bool { return p.census.Among(feedFollowers) }
 
-// tableView is what peers are given.
-func (p *Process) tableView(table string) (*platform.TableView, time.Duration) {
-	follower := p.view.operator
+// since is what peers are given.
+func (p *Process) since(table string, after uint64) (platform.TableChange, time.Duration, bool) {
 	switch table {
 	case loads.TableName:
-		return p.board.View()
+		return p.board.Since(after)
 	case p.Wiring.ReplicaTable:
-		follower = p.view.replicas
+		return p.view.replicas.Since(after)
 	}
-	return follower.View(), follower.Age()
+	return p.view.operator.Since(after)
 }
 
 func (p *Process) onVMs(vms []census.VM) {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -35,6 +35,9 @@
 	// feedTimeout bounds one call to the feed, which itself waits for changes up to
 	// FeedWait.
 	feedTimeout = FeedWait + time.Second
+	// peersSettleTime is how long a peer's word that it is settling holds: a question and
+	// a half.
+	peersSettleTime = 1200 * time.Millisecond
 	// settleTime is how long after an outage of the store a row that vanished may still
 	// come back, as its writer has to reach the store first.
 	settleTime = 2200 * time.Millisecond
@@ -47,10 +50,10 @@
 
 // Peers asks other VMs for their copy of a table.
 type Peers interface {
-	// Fetch returns a peer's copy if it is newer than the revision. Ok is false when
-	// no peer answered. The age is the time since the peer's copy was confirmed to be
-	// the newest; a view without rows brings no news.
-	Fetch(ctx context.Context, table string, after uint64) (view platform.TableView, age time.Duration, ok bool)
+	// Fetch returns what a peer's copy has beyond the revision; 0 asks for the whole
+	// table. Ok is false when no peer answered. The age is the time since the peer's copy
+	// was confirmed to be the newest.
+	Fetch(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool)
 }
 
 // Options configure a Follower.
@@ -73,11 +76,14 @@
 	// confirmed is when the store or a peer last answered that the view is current.
 	confirmed atomic.Pointer[time.Time]
 
-	publishing sync.Mutex // one view at a time
+	publishing sync.Mutex // one view at a time; guards the field below
+	history    history
 
 	mu        sync.Mutex // guards the fields below
 	storeDown bool
 	regained  time.Time
+	// peersSettled is when a peer last said that it is settling.
+	peersSettled time.Time
 }
 
 // New returns a follower without a copy; Run fills it.
@@ -105,6 +111,7 @@
 	reread := true
 	for ctx.Err() == nil {
 		if f.learnsByPeers() {
+			f.forgetStore()
 			sleep.For(ctx, followLook)
 			continue
 		}
@@ -162,15 +169,11 @@
 	if err != nil {
 		return err
 	}
-	// Peers may have brought a later copy while the store waited for changes.
-	if now := f.View(); now.Revision != at.Revision {
-		return nil
-	}
-	if len(change.Written)+len(change.Deleted) == 0 {
+	if change.Empty() {
 		f.confirm(time.Now())
 		return nil
 	}
-	f.publish(at.Apply(change), "store", time.Now())
+	f.applyTo(at.Revision, change, "store", time.Now())
 	return nil
 }
 
@@ -182,19 +185,42 @@
 		revision = at.Revision
 	}
 	asked := time.Now()
-	view, age, ok := f.Peers.Fetch(ctx, f.Table, revision)
-	if !ok {
-		return
+	change, age, ok := f.Peers.Fetch(ctx, f.Table, revision)
+	if ok && change.Settling {
+		f.peersSettle()
 	}
-	if view.Rows != nil {
-		f.publish(view, "peer", asked.Add(-age))
-		return
-	}
-	if view.Revision >= revision {
+	switch {
+	case !ok:
+	case change.Whole:
+		f.publish(platform.TableView{Revision: change.Revision, Rows: change.Written}, "peer", asked.Add(-age))
+	case !change.Empty():
+		f.applyTo(revision, change, "peer", asked.Add(-age))
+	case change.Revision >= revision:
 		f.confirm(asked.Add(-age))
 	}
 }
 
+// applyTo publishes a change of the copy of a revision, unless the copy has moved on.
+func (f *Follower) applyTo(revision uint64, change platform.TableChange, from string, at time.Time) {
+	if now := f.View(); now != nil && now.Revision == revision {
+		f.publish(now.Apply(change), from, at)
+	}
+}
+
+// Since returns what a copy of a revision lacks of this VM's, nothing before this VM
+// has one, and the time since this VM's was confirmed to be the newest.
+func (f *Follower) Since(after uint64) (change platform.TableChange, age time.Duration, ok bool) {
+	f.publishing.Lock()
+	defer f.publishing.Unlock()
+	view := f.View()
+	if view == nil {
+		return platform.TableChange{}, 0, false
+	}
+	change = f.history.since(*view, after)
+	change.Settling = f.Settling()
+	return change, f.Age(), true
+}
+
 // confirm notes that this VM's copy was the newest at that time.
 func (f *Follower) confirm(at time.Time) {
 	for {
@@ -219,6 +245,9 @@
 		f.confirm(at)
 		return
 	}
+	if old != nil {
+		f.history.add(*old, view)
+	}
 	f.view.Store(&view)
 	f.confirm(at)
 	if from == "peer" {
@@ -242,10 +271,28 @@
 	f.storeDown = down
 }
 
+// forgetStore ends what this VM knows of the store itself, once it learns by peers: they
+// say whether the store is away.
+func (f *Follower) forgetStore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeDown {
+		f.Logger.Info("table followed by peers", zap.String("table", f.Table))
+	}
+	f.storeDown, f.regained = false, time.Time{}
+}
+
+func (f *Follower) peersSettle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peersSettled = time.Now()
+}
+
 // Settling reports whether rows that are missing may still come back after an outage
-// of the store.
+// of the store, as this VM or a peer saw it.
 func (f *Follower) Settling() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.storeDown || !f.regained.IsZero() && time.Since(f.regained) < settleTime
+	own := f.storeDown || !f.regained.IsZero() && time.Since(f.regained) < settleTime
+	return own || !f.Follows() && !f.peersSettled.IsZero() && time.Since(f.peersSettled) < peersSettleTime
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -70,16 +70,24 @@
 	view platform.TableView
 	age  time.Duration
 	ok   bool
+	// settling is what the peer says of itself.
+	settling bool
 }
 
-func (p *fakePeers) Fetch(_ context.Context, _ string, after uint64) (platform.TableView, time.Duration, bool) {
+func (p *fakePeers) settle(settling bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	view := p.view
-	if view.Revision <= after {
-		view.Rows = nil
+	p.settling = settling
+}
+
+func (p *fakePeers) Fetch(_ context.Context, _ string, after uint64) (platform.TableChange, time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change := platform.TableChange{Revision: p.view.Revision, Settling: p.settling}
+	if p.view.Revision > after {
+		change.Whole, change.Written = true, p.view.Rows
 	}
-	return view, p.age, p.ok
+	return change, p.age, p.ok
 }
 
 func (p *fakePeers) have(revision uint64, value string) {
@@ -218,6 +226,32 @@
 	})
 }
 
+// A VM that learns by its peers lost the store before. Its own old outage must not count
+// on: what vanished would be kept for good. A peer that is settling counts.
+func TestSettlingOfAVMThatLearnsByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, peers := newFakeFeed(), &fakePeers{}
+		feed.err = errors.New("down")
+		f := New(Options{Table: "t", Feed: feed, Peers: peers, Logger: zap.NewNop(), Follows: func() bool { return false }, OnChange: func(platform.TableView) {}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { f.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		peers.have(1, "1")
+		time.Sleep(2 * time.Second)
+		if f.Settling() {
+			t.Error("still settling, though it learns by its peers")
+		}
+		peers.settle(true)
+		time.Sleep(time.Second)
+		if !f.Settling() {
+			t.Error("not settling, though its peers are")
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
 // A peer's confirmation is as old as the peer's own knowledge.
 func TestAgeOfACopy(t *testing.T) {
 	following(t, func(feed *fakeFeed, peers *fakePeers, f *Follower, _ func() string) {
--- a/internal/layers/load.go
+++ b/internal/layers/load.go
@@ -9,12 +9,12 @@
 // Load is what a replica reports of itself.
 type Load struct {
 	// Used and Total are its memory for requests, in tokens times layers.
-	Used  float64 `json:"used"`
-	Total float64 `json:"total"`
+	Used  float64 `json:"u"`
+	Total float64 `json:"t"`
 	// Pace above 1 means that the replica is slower than its kind.
-	Pace float64 `json:"pace"`
+	Pace float64 `json:"p"`
 	// Down says that the replica did not answer.
-	Down bool `json:"down,omitempty"`
+	Down bool `json:"d,omitempty"`
 	// At is when this VM could first know it.
 	At time.Time `json:"-"`
 }
--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -14,14 +14,19 @@
 // TableName names the board among the tables that peers copy from each other.
 const TableName = "loads"
 
+// boardKey is the key of the board's only row. All loads change each second, so there is
+// nothing to gain from rows of their own.
+const boardKey = "all"
+
 // Board is this VM's copy of the replicas' loads.
 type Board struct {
 	onChange func(map[string]layers.Load)
 	logger   *zap.Logger
 
-	mu   sync.Mutex // guards the fields below
-	view *platform.TableView
-	at   time.Time
+	mu       sync.Mutex // guards the fields below
+	revision uint64
+	row      []byte
+	at       time.Time
 }
 
 // NewBoard returns an empty board; each newer one goes to onChange.
@@ -29,57 +34,52 @@
 	return &Board{onChange: onChange, logger: logger}
 }
 
-// View returns the board for peers, and its age. It is nil before the first.
-func (b *Board) View() (*platform.TableView, time.Duration) {
+// Since returns the board for a peer whose copy has a revision, and the board's age.
+// There is none before the first.
+func (b *Board) Since(after uint64) (platform.TableChange, time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.view, time.Since(b.at)
+	change := platform.TableChange{Revision: b.revision}
+	if b.revision > after {
+		change.Whole, change.Written = true, map[string][]byte{boardKey: b.row}
+	}
+	return change, time.Since(b.at), b.row != nil
 }
 
-func (b *Board) revision() uint64 {
+// Revision is that of the present board, 0 before the first.
+func (b *Board) Revision() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.view == nil {
-		return 0
-	}
-	return b.view.Revision
+	return b.revision
 }
 
 // publish puts up what this VM has learned as the holder of the duty.
 func (b *Board) publish(revision uint64, loads map[string]layers.Load) {
-	view := platform.TableView{Revision: revision, Rows: make(map[string][]byte, len(loads))}
-	for id, load := range loads {
-		row, err := json.Marshal(load)
-		if err != nil {
-			b.logger.Error("load not encoded", zap.String("replica", id), zap.Error(err))
-			continue
-		}
-		view.Rows[id] = row
+	row, err := json.Marshal(loads)
+	if err != nil {
+		b.logger.Error("loads not encoded", zap.Error(err))
+		return
 	}
-	b.put(view, time.Now(), loads)
+	b.put(revision, row, time.Now(), loads)
 }
 
 // take copies a peer's board, which has the given age, if it is newer.
-func (b *Board) take(view platform.TableView, age time.Duration) {
-	loads := make(map[string]layers.Load, len(view.Rows))
-	for id, row := range view.Rows {
-		var load layers.Load
-		if err := json.Unmarshal(row, &load); err != nil {
-			b.logger.Warn("load not read", zap.String("replica", id), zap.Error(err))
-			continue
-		}
-		loads[id] = load
+func (b *Board) take(change platform.TableChange, age time.Duration) {
+	var loads map[string]layers.Load
+	if err := json.Unmarshal(change.Written[boardKey], &loads); err != nil {
+		b.logger.Warn("loads not read", zap.Error(err))
+		return
 	}
-	b.put(view, time.Now().Add(-age), loads)
+	b.put(change.Revision, change.Written[boardKey], time.Now().Add(-age), loads)
 }
 
-func (b *Board) put(view platform.TableView, at time.Time, loads map[string]layers.Load) {
+func (b *Board) put(revision uint64, row []byte, at time.Time, loads map[string]layers.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.view != nil && view.Revision <= b.view.Revision {
+	if revision <= b.revision {
 		return
 	}
-	b.view, b.at = &view, at
+	b.revision, b.row, b.at = revision, row, at
 	for id, load := range loads {
 		load.At = at
 		loads[id] = load
--- a/internal/loads/keeper.go
+++ b/internal/loads/keeper.go
@@ -36,7 +36,7 @@
 
 // Peers asks other VMs for their copy of the board.
 type Peers interface {
-	Fetch(ctx context.Context, table string, after uint64) (platform.TableView, time.Duration, bool)
+	Fetch(ctx context.Context, table string, after uint64) (platform.TableChange, time.Duration, bool)
 }
 
 // Options configure a Keeper.
@@ -76,9 +76,9 @@
 func (k *Keeper) copy(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	view, age, ok := k.Peers.Fetch(ctx, TableName, k.Board.revision())
-	if ok && view.Rows != nil {
-		k.Board.take(view, age)
+	change, age, ok := k.Peers.Fetch(ctx, TableName, k.Board.Revision())
+	if ok && change.Whole {
+		k.Board.take(change, age)
 	}
 }
 
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -66,10 +66,9 @@
 	return rest
 }
 
-// Fetch asks some peers and returns the newest copy that they have, with the time since
-// it was confirmed. Ok is false when none answered; the rows are nil when none has a
-// newer one.
-func (c *Client) Fetch(ctx context.Context, table string, after uint64) (view platform.TableView, age time.Duration, ok bool) {
+// Fetch asks some peers what they have beyond a revision and returns the newest answer,
+// with the time since that copy was confirmed. Ok is false when none answered.
+func (c *Client) Fetch(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool) {
 	c.mu.Lock()
 	preferred, others := c.preferred, c.peers
 	c.mu.Unlock()
@@ -77,7 +76,7 @@
 	if !ok {
 		newest, ok = c.fetch(ctx, some(others), table, after)
 	}
-	return newest.TableView, time.Duration(newest.AgeMS) * time.Millisecond, ok
+	return newest.TableChange, time.Duration(newest.AgeMS) * time.Millisecond, ok
 }
 
 func (c *Client) fetch(ctx context.Context, peers []string, table string, after uint64) (newest answer, ok bool) {
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -14,19 +14,19 @@
 	"geraniumcroft/internal/platform"
 )
 
-// Views returns this VM's copy of a table, nil if it has none, and the time since it
-// was confirmed to be the newest.
-type Views func(table string) (*platform.TableView, time.Duration)
+// Since returns what a copy of a table at a revision lacks of this VM's, with the time
+// since this VM's was confirmed to be the newest. Ok is false if this VM has none.
+type Since func(table string, after uint64) (change platform.TableChange, age time.Duration, ok bool)
 
 // Server gives this VM's copies to peers.
 type Server struct {
-	views Views
+	since Since
 	grpc  *grpc.Server
 }
 
 // NewServer returns a server; Serve makes it answer.
-func NewServer(views Views) *Server {
-	s := &Server{views: views, grpc: grpc.NewServer()}
+func NewServer(since Since) *Server {
+	s := &Server{since: since, grpc: grpc.NewServer()}
 	s.grpc.RegisterService(&serviceDesc, s)
 	return s
 }
@@ -42,15 +42,11 @@
 	if err := json.Unmarshal(request.GetValue(), &q); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	view, age := s.views(q.Table)
-	if view == nil {
+	change, age, ok := s.since(q.Table, q.After)
+	if !ok {
 		return nil, status.Error(codes.NotFound, "this VM has no copy of the table")
 	}
-	answer := answer{AgeMS: age.Milliseconds()}
-	answer.Revision = view.Revision
-	if view.Revision > q.After {
-		answer.Rows = view.Rows
-	}
+	answer := answer{TableChange: change, AgeMS: age.Milliseconds()}
 	body, err := json.Marshal(answer)
 	if err != nil {
 		return nil, status.Error(codes.Internal, err.Error())
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -30,9 +30,9 @@
 	return server.(fetcher).fetch(ctx, request)
 }
 
-// answer is a copy, without rows if it is not newer than what was asked for.
+// answer is what a copy has beyond the revision that was asked for.
 type answer struct {
-	platform.TableView
+	platform.TableChange
 	// AgeMS is the time since the copy was confirmed to be the newest.
 	AgeMS int64 `json:"ageMs"`
 }
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -28,15 +28,26 @@
 	Rows     map[string][]byte `json:"rows"`
 }
 
-// TableChange is what changed in a table up to a revision.
+// TableChange is what changed in a table up to a revision. Whole says that Written is the
+// whole table.
 type TableChange struct {
-	Revision uint64
-	Written  map[string][]byte
-	Deleted  []string
+	Revision uint64            `json:"revision"`
+	Whole    bool              `json:"whole,omitempty"`
+	Written  map[string][]byte `json:"written,omitempty"`
+	Deleted  []string          `json:"deleted,omitempty"`
+	// Settling says, in what peers tell each other, that the store was away a moment ago,
+	// so rows that are missing may still come back.
+	Settling bool `json:"settling,omitempty"`
 }
 
+// Empty reports whether nothing changed.
+func (c TableChange) Empty() bool { return !c.Whole && len(c.Written)+len(c.Deleted) == 0 }
+
 // Apply returns the view with the change made. The view itself stays as it is.
 func (v TableView) Apply(c TableChange) TableView {
+	if c.Whole {
+		return TableView{Revision: c.Revision, Rows: c.Written}
+	}
 	rows := make(map[string][]byte, len(v.Rows)+len(c.Written))
 	for key, value := range v.Rows {
 		rows[key] = value
