--- /dev/null
+++ b/internal/cli/explaincmd/doc.go
@@ -0,0 +1,3 @@
+// Package explaincmd implements "explain": the story of one request from the logs of
+// several VMs.
+package explaincmd
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -10,6 +10,7 @@
 
 	"geraniumcroft/internal/cli/admincmd"
 	"geraniumcroft/internal/cli/experimentcmd"
+	"geraniumcroft/internal/cli/explaincmd"
 	"geraniumcroft/internal/cli/loadcmd"
 )
 
@@ -39,6 +40,7 @@
 	c.Register(&versionCommand{}, "help")
 	c.Register(&serveCommand{}, "running")
 	c.Register(&checkCommand{}, "running")
+	c.Register(&explaincmd.Command{}, "running")
 	c.Register(&demoCommand{}, "trying")
 	c.Register(&standinCommand{}, "trying")
 	admincmd.Register(c)
