census, loads: tests; relay: an unknown key is refused as such while the store is in touch

Cause: in calm times the store confirms the configuration every 8 s, and from 4 s on an unknown key was answered 503, so callers whose keys were revoked came back in vain.

--- /dev/null
+++ b/internal/census/census_test.go
@@ -0,0 +1,96 @@
+package census
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/platform"
+)
+
+// fakeTable is a table without faults.
+type fakeTable struct {
+	mu       sync.Mutex // guards the fields below
+	rows     map[string]platform.Row
+	revision uint64
+	writes   int
+}
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range txn.Conditions {
+		if f.rows[c.Key].Revision != c.Revision {
+			return &platform.RefusedError{}
+		}
+	}
+	f.revision++
+	f.writes++
+	for _, w := range txn.Writes {
+		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision, TxnID: txn.ID}
+	}
+	return nil
+}
+
+func (f *fakeTable) Get(context.Context, ...string) ([]platform.Row, error) { return nil, nil }
+
+func (f *fakeTable) Scan(_ context.Context, from, to string, _ int) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range f.rows {
+		if key >= from && key < to {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// Six VMs start together and count each other. One dies; after some rounds without its
+// row changing it is not counted any more, and the others agree on who is first.
+func TestVMsCountEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: map[string]platform.Row{}}
+		var running sync.WaitGroup
+		var vms []*Census
+		var kills []context.CancelFunc
+		for i := range 6 {
+			ctx, kill := context.WithCancel(t.Context())
+			c := New(table, VM{Name: fmt.Sprint("vm-", i), Address: fmt.Sprint("address-", i)}, func([]VM) {}, zap.NewNop())
+			vms, kills = append(vms, c), append(kills, kill)
+			running.Go(func() { c.Run(ctx) })
+		}
+		time.Sleep(10 * time.Second)
+		for i, c := range vms {
+			if n := len(c.VMs()); n != 6 {
+				t.Errorf("vm %d counts %d", i, n)
+			}
+		}
+		kills[2]()
+		time.Sleep(2 * time.Minute)
+		among := 0
+		for i, c := range vms {
+			if i == 2 {
+				continue
+			}
+			if n := len(c.VMs()); n != 5 {
+				t.Errorf("vm %d counts %d after a death", i, n)
+			}
+			if c.Among(3) {
+				among++
+			}
+		}
+		if among != 3 {
+			t.Errorf("%d VMs hold themselves for the first 3", among)
+		}
+		for _, kill := range kills {
+			kill()
+		}
+		running.Wait()
+	})
+}
--- /dev/null
+++ b/internal/loads/loads_test.go
@@ -0,0 +1,111 @@
+package loads
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/platform"
+)
+
+// fakeReplicas report their loads; one may be silent.
+type fakeReplicas struct {
+	mu     sync.Mutex // guards the fields below
+	silent string
+	asked  int
+}
+
+func (f *fakeReplicas) Load(_ context.Context, address string) (layers.Load, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	if address == f.silent {
+		return layers.Load{}, errors.New("no answer")
+	}
+	return layers.Load{Used: 10, Total: 100, Pace: 1}, nil
+}
+
+// onePeer gives another VM's board.
+type onePeer struct{ board *Board }
+
+func (p onePeer) Fetch(_ context.Context, _ string, after uint64) (platform.TableChange, time.Duration, bool) {
+	return p.board.Since(after)
+}
+
+// kept is a VM's board with the loads that it last handed on.
+type kept struct {
+	board *Board
+	mu    sync.Mutex // guards the field below
+	loads map[string]layers.Load
+}
+
+func newKept() *kept {
+	k := &kept{}
+	k.board = NewBoard(func(loads map[string]layers.Load) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.loads = loads
+	}, zap.NewNop())
+	return k
+}
+
+func (k *kept) of(id string) (layers.Load, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	load, ok := k.loads[id]
+	return load, ok
+}
+
+// The holder asks the replicas, and another VM has their loads from it without asking
+// any. A replica that does not answer twice is shown as down to both.
+func TestBoardReachesTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replicas := &fakeReplicas{silent: "2"}
+		listed := func() []layers.Replica {
+			return []layers.Replica{{ID: "1", Address: "1"}, {ID: "2", Address: "2"}}
+		}
+		holder, other := newKept(), newKept()
+		idle := &fakeReplicas{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() {
+			NewKeeper(Options{Board: holder.board, Replicas: replicas, Peers: onePeer{other.board}, Listed: listed, Logger: zap.NewNop(),
+				Tenure: func() (uint64, bool) { return 3, true }}).Run(ctx)
+		})
+		running.Go(func() {
+			NewKeeper(Options{Board: other.board, Replicas: idle, Peers: onePeer{holder.board}, Listed: listed, Logger: zap.NewNop(),
+				Tenure: func() (uint64, bool) { return 0, false }}).Run(ctx)
+		})
+		time.Sleep(5 * time.Second)
+		for name, vm := range map[string]*kept{"holder": holder, "other": other} {
+			if load, ok := vm.of("1"); !ok || load.Used != 10 || load.At.IsZero() {
+				t.Errorf("%s: %+v, %v", name, load, ok)
+			}
+			if load, ok := vm.of("2"); !ok || !load.Down {
+				t.Errorf("%s: the silent replica is %+v, %v", name, load, ok)
+			}
+		}
+		if idle.asked != 0 {
+			t.Errorf("the VM without the duty asked %d times", idle.asked)
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
+// A holder that was frozen wakes and publishes. Its board is of an older tenure and must
+// not replace that of its successor.
+func TestOlderTenureDoesNotReplaceANewer(t *testing.T) {
+	vm := newKept()
+	vm.board.publish(5<<tenureShift|1, map[string]layers.Load{"1": {Used: 50}})
+	vm.board.publish(4<<tenureShift|9999, map[string]layers.Load{"1": {Used: 1}})
+	if load, _ := vm.of("1"); load.Used != 50 {
+		t.Errorf("%+v", load)
+	}
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -28,8 +28,9 @@
 	// bodyTime bounds the reading of a request's body.
 	bodyTime = 10 * time.Second
 	// staleAfter is the age of the configuration from which an unknown key or path may
-	// be this VM's ignorance and not the caller's mistake.
-	staleAfter = 4 * time.Second
+	// be this VM's ignorance and not the caller's mistake. In calm times the store
+	// confirms it every 8 s, when a call to the feed ends.
+	staleAfter = 10 * time.Second
 	// soon is when a request comes back that this VM could not serve for a reason that
 	// passes or that other VMs don't have.
 	soon = 200 * time.Millisecond
