--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -240,7 +240,7 @@
 func (s *search) stageCost(r *state, n int) float64 {
 	spec := s.table.spec
 	amount := s.need.tokens() * float64(n)
-	if !r.fits(amount, s.share(r), s.now) {
+	if !r.fits(amount, s.share(r), s.table.sharers.freePart(), s.now) {
 		return math.Inf(1)
 	}
 	used := r.fullness(s.share(r))
--- a/internal/layers/sharers.go
+++ b/internal/layers/sharers.go
@@ -5,6 +5,10 @@
 // there; then two data centres carry what three did.
 const awayPart = 0.5
 
+// goBeyond is how many even parts of the room that a report shows free one VM may take:
+// a third of the VMs at most go beyond their share at the same time.
+const goBeyond = 3.0
+
 // Sharers says how many VMs send requests to the same replicas. Each sees its own
 // requests only and keeps to its share.
 type Sharers struct {
@@ -22,3 +26,7 @@
 	}
 	return awayPart / float64(max(1, s.All-s.Home))
 }
+
+// freePart is the part of the room that a report shows free which this VM may take
+// until the next one. Few VMs go beyond their share at the same time.
+func (s Sharers) freePart() float64 { return min(1, goBeyond/float64(max(1, s.All))) }
--- a/internal/layers/state.go
+++ b/internal/layers/state.go
@@ -62,18 +62,20 @@
 	return max(s.reserved, growth*s.load.Used+s.reserved-s.reservedThen), true
 }
 
-// fits reports whether this VM may put the amount here, as its share of the replica is.
-func (s *state) fits(amount, share float64, now time.Time) bool {
+// fits reports whether this VM may put the amount here: within its share as long as the
+// replica is not full, and beyond it within its part of the room that was reported free.
+// Without that part all VMs would fill the same room before the next report.
+func (s *state) fits(amount, share, part float64, now time.Time) bool {
 	own := s.reserved+amount <= s.capacity*share
 	usage, known := s.usage(now)
-	if !known {
+	switch {
+	case !known:
 		return own
+	case own:
+		return usage+amount <= s.capacity
 	}
-	bound := fullAt
-	if own {
-		bound = 1
-	}
-	return usage+amount <= bound*s.capacity
+	free := fullAt*s.capacity - growth*s.load.Used
+	return s.reserved-s.reservedThen+amount <= part*free
 }
 
 // fullness is how much of its share of the memory this VM uses. The reported load does
