--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -31,6 +31,9 @@
 	// be this VM's ignorance and not the caller's mistake. In calm times the store
 	// confirms it every 8 s, when a call to the feed ends.
 	staleAfter = 10 * time.Second
+	// maxHeldBodies bounds the bytes of all bodies in hand, beside one more for each
+	// connection that is being read. A VM has 184 MB and more.
+	maxHeldBodies = 48 << 20
 	// soon is when a request comes back that this VM could not serve for a reason that
 	// passes or that other VMs don't have.
 	soon = 200 * time.Millisecond
@@ -71,6 +74,8 @@
 	Options
 	asking *asking
 	inHand atomic.Int64
+	// heldBodies is how many bytes of bodies are in hand.
+	heldBodies atomic.Int64
 }
 
 // New returns a handler.
@@ -90,6 +95,7 @@
 		Inbound: h.Codec.Decode(r.Header), method: r.Method, host: r.Host, url: r.URL, header: r.Header, arrival: time.Now(),
 	}
 	q.story.id = q.RequestID
+	defer func() { h.heldBodies.Add(-int64(len(q.body))) }()
 	if failure := h.begin(q, w, r); failure != nil {
 		h.finish(q, failure)
 		h.refuse(w, q, failure)
@@ -178,6 +184,9 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	if h.heldBodies.Load() > maxHeldBodies {
+		return outcome.Refuse(outcome.ReasonOverloaded, "this VM holds too many bodies").WithRetryAfter(soon)
+	}
 	if limit > 0 && r.ContentLength > limit {
 		return outcome.Refuse(outcome.ReasonTooLarge, "the body is larger than allowed")
 	}
@@ -197,6 +206,7 @@
 		return outcome.Refuse(outcome.ReasonBadRequest, "the body did not arrive whole").WithCause(err)
 	}
 	q.body = whole
+	h.heldBodies.Add(int64(len(whole)))
 	return nil
 }
 
--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -45,16 +45,29 @@
 	var b strings.Builder
 	b.WriteString(pageHead)
 	for _, section := range sectionNames(Keys) {
-		fmt.Fprintf(&b, "\n## [%s]\n\n%s\n\n| Key | Allowed | Default | Meaning |\n| --- | --- | --- | --- |\n", section, sectionDocs[section])
+		fmt.Fprintf(&b, "\n## [%s]\n\n%s\n\n%s", section, sectionDocs[section], tableHead)
 		for _, key := range Keys {
 			if key.Section == section {
 				fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", key.Name, key.Allowed(), key.defaultText(), key.Doc)
 			}
 		}
 	}
+	b.WriteString(relayHead + strings.ReplaceAll(strings.Replace(tableHead, "| Key", "| Section | Key", 1), "| --- | --- | --- | --- |", "| --- | --- | --- | --- | --- |"))
+	for _, key := range RelayKeys {
+		fmt.Fprintf(&b, "| %s | `%s` | %s | %s | %s |\n", key.Section, key.Name, key.Allowed(), key.defaultText(), key.Doc)
+	}
 	return b.String()
 }
 
+const tableHead = "| Key | Allowed | Default | Meaning |\n| --- | --- | --- | --- |\n"
+
+const relayHead = `
+## Relaying VMs
+
+` + "`geraniumcroft relay -settings FILE`" + ` reads these keys; its log goes to standard output.
+
+`
+
 func (k Key) defaultText() string {
 	switch {
 	case k.Required:
