--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -53,14 +53,6 @@
 	return t.spec.Layers
 }
 
-// Usable reports whether the replica is listed and not about to leave.
-func (t *Table) Usable(id string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.replicas[id]
-	return s != nil && !s.Draining
-}
-
 // Covered reports whether the replicas hold every layer.
 func (t *Table) Covered() bool {
 	t.mu.Lock()
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -71,3 +71,6 @@
 		}
 	}
 }
+
+// isEnd reports whether a stream ended where its replica ended it.
+func isEnd(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/outcome"
 )
@@ -215,7 +216,7 @@
 	}()
 	path := reservation.Path()
 	first := path.First()
-	g.h.Invariants.Check(path.Covers(g.table.Layers()), layersOnce, "path %s", path)
+	g.h.Invariants.Check(path.Covers(g.table.Layers()), invariant.LayersOnceInOrder, "path %s", path)
 	g.q.progress.path = path.String()
 	g.q.progress.sends++
 	g.q.story.add("path chosen", zap.String("path", g.q.progress.path), zap.Duration("left", g.q.left()), zap.String("lastEvent", g.lastEvent))
