--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -261,7 +261,9 @@
 			t.Errorf("age %s without store and peers", f.Age())
 		}
 		peers.have(1, "1")
+		peers.mu.Lock()
 		peers.age = 3 * time.Second
+		peers.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		if age := f.Age(); age < 3*time.Second || age > 5*time.Second {
 			t.Errorf("age %s, the peer's is 3 s", age)
