--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 	"strings"
-	"time"
 
 	"geraniumcroft/internal/layers"
 )
@@ -40,8 +39,6 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	// HeadTime is how long a caller may take for a request's head.
-	HeadTime time.Duration
 }
 
 // NewConfig indexes the profiles and the workspaces' keys.
--- a/internal/relay/profile.go
+++ b/internal/relay/profile.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"time"
-
-	"geraniumcroft/internal/config"
-)
+import "time"
 
 // Profile says how the requests of one host and path prefix are served.
 type Profile struct {
@@ -12,7 +8,6 @@
 	Host string
 	// Prefix begins the paths of the profile's requests; it ends with a slash.
 	Prefix string
-	Class  config.RequestClass
 	// Idempotent requests may run more than once.
 	Idempotent bool
 	// Resumable generations may go on at another replica behind the last event.
@@ -27,6 +22,8 @@
 	MaxAttempts int
 	// Priority ranks requests; 0 goes first.
 	Priority int
+	// Backends are where requests go; which of them serve a model along a path is in
+	// Config.Services.
 	Backends []Backend
 }
 
--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -26,9 +26,9 @@
 	// movePatience is how long a moved stream may take: the new stage reads all tokens
 	// so far first.
 	movePatience = 600 * time.Millisecond
-	// unanswered is how many questions in a row the first replica may leave without an
+	// maxUnanswered is how many questions in a row the first replica may leave without an
 	// answer before it is taken for dead.
-	unanswered = 2
+	maxUnanswered = 2
 	// longStall is when a stream is sent elsewhere though its first replica answers and
 	// names no fault. Callers leave after two seconds.
 	longStall = 1500 * time.Millisecond
@@ -81,6 +81,7 @@
 	}
 }
 
+// check asks the first replica why its stream stands still.
 func (w *stallWatch) check() {
 	if w.ctx.Err() != nil {
 		return
@@ -90,7 +91,7 @@
 	switch {
 	case w.ctx.Err() != nil || !w.still():
 	case err != nil:
-		w.unanswered(first.Address)
+		w.noAnswer(first.Address)
 	default:
 		w.judge(first, report)
 	}
@@ -103,10 +104,12 @@
 	return !w.stopped && time.Since(w.last) >= eventPatience
 }
 
-func (w *stallWatch) unanswered(address string) {
+// noAnswer counts a question that the first replica left without an answer, and leaves
+// the replica after the last one it may.
+func (w *stallWatch) noAnswer(address string) {
 	w.mu.Lock()
 	w.unheard++
-	lost := w.unheard >= unanswered
+	lost := w.unheard >= maxUnanswered
 	w.mu.Unlock()
 	if !lost {
 		w.later(askAgain)
@@ -117,6 +120,7 @@
 	}
 }
 
+// judge acts on what the first replica says of the stream.
 func (w *stallWatch) judge(first layers.Replica, report EngineReport) {
 	w.mu.Lock()
 	w.unheard = 0
