entry: all VMs compete for the placement while nobody renews the loads

Cause: three VMs compete; if all of them were lost at once, nobody placed layers until the list of VMs forgot them, 24 s with six VMs and minutes with 83. The loads that the holder renews each second reach every VM, so their age of 8 s tells that there is no holder.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -38,9 +38,11 @@
 	// models that the configuration added.
 	settleInterval = 250 * time.Millisecond
 	// contenders is how many VMs compete for the placement, in the order of a hash of
-	// their names. If all of them die, others are counted among them when the list of
-	// VMs has noticed.
+	// their names.
 	contenders = 3
+	// holderSilence is the age of the board of loads, which the holder renews each second,
+	// from which all VMs compete: the contenders may all have died at once.
+	holderSilence = 8 * time.Second
 	// feedFollowers is how many VMs follow the store's feed, in the same order as the
 	// contenders. The others ask two of them at a time; with eight, a fault of a zone or
 	// of the store towards some VMs leaves enough of them.
@@ -87,16 +89,17 @@
 	probes    *http.Server
 	admin     *http.Server
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	work   sync.WaitGroup
-	placed map[string]bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	started time.Time
+	work    sync.WaitGroup
+	placed  map[string]bool
 }
 
 // New puts a process together and opens its listeners, so that their addresses are
 // known. Nothing runs until Start.
 func New(o Options) (*Process, error) {
-	p := &Process{Options: o, gate: &router.Gate{}, placed: map[string]bool{}}
+	p := &Process{Options: o, gate: &router.Gate{}, started: time.Now(), placed: map[string]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if err := p.listen(); err != nil {
 		return nil, err
@@ -267,22 +270,28 @@
 
 func (p *Process) spawn(f func()) { p.work.Go(f) }
 
-// contend competes for the placement while this VM is among the few that do. With all
-// of a large fleet reading the lease's row, most calls to the store would be that.
+// contend competes for the placement while this VM is among the few that do, or while
+// there seems to be no holder. With all of a large fleet reading the lease's row, most
+// calls to the store would be that.
 func (p *Process) contend() {
 	for p.ctx.Err() == nil {
-		if p.census.Among(contenders) {
-			p.contendWhileAmong()
+		if p.Contends() {
+			p.contendForNow()
 		}
 		sleep.For(p.ctx, settleInterval)
 	}
 }
 
-func (p *Process) contendWhileAmong() {
+// Contends reports whether this VM competes for the placement now. A holder goes on, whoever is counted.
+func (p *Process) Contends() bool {
+	return p.Holds() || p.census.Among(contenders) || p.board.Age(p.started) > holderSilence
+}
+
+func (p *Process) contendForNow() {
 	ctx, cancel := context.WithCancel(p.ctx)
 	var competing sync.WaitGroup
 	competing.Go(func() { p.leases.Run(ctx) })
-	for p.census.Among(contenders) && sleep.For(ctx, settleInterval) {
+	for p.Contends() && sleep.For(ctx, settleInterval) {
 	}
 	cancel()
 	competing.Wait()
--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -46,6 +46,16 @@
 	return change, time.Since(b.at), b.row != nil
 }
 
+// Age is the time since the board was made, or since start before the first one.
+func (b *Board) Age(start time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.row == nil {
+		return time.Since(start)
+	}
+	return time.Since(b.at)
+}
+
 // Revision is that of the present board, 0 before the first.
 func (b *Board) Revision() uint64 {
 	b.mu.Lock()
