relay: a stream in part waits for the retry budget; time over is told as such

A stream that its caller has in part now waits for the budget and for room as long as the caller does. And a silent call ended as 502 instead of 504 when its connection's deadline fired before the context's (TestSilentReplicaEndsAtTheTimeLimit, on a busy machine): the time itself decides now.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -84,12 +84,14 @@
 
 // failureOf says what is true of a request whose sends all ended without an answer.
 func failureOf(ctx context.Context, q *request, err error) *outcome.Failure {
+	// The connection has the same deadline as the context, and may be the first to end.
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(q.deadline)
 	switch {
-	case !q.boundary.MayHaveRun() && ctx.Err() != nil:
+	case !q.boundary.MayHaveRun() && (late || ctx.Err() != nil):
 		return outcome.Refuse(outcome.ReasonDeadline, "the request could not start in time").WithRetryAfter(soon).WithCause(err)
 	case !q.boundary.MayHaveRun():
 		return outcome.Refuse(outcome.ReasonNoTarget, "no replica took the request").WithRetryAfter(soon).WithCause(err)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case late:
 		return outcome.Uncertain(outcome.ReasonTargetSilent, "no answer came in time; the request may have run").WithCause(err)
 	case ctx.Err() != nil:
 		return outcome.Uncertain(outcome.ReasonCallerGone, "the caller left").WithCause(err)
@@ -100,7 +102,7 @@
 func (h *Handler) admitCall(ctx context.Context, q *request) (*balance.Slot, *outcome.Failure) {
 	var slot *balance.Slot
 	var none error
-	failure := h.admit(ctx, q, 1, func() bool {
+	failure := h.admit(ctx, q, 1, false, func() bool {
 		picked, err := h.Balancer.Pick(h.query(q, nil))
 		none = nil
 		if errors.Is(err, balance.ErrNoTarget) {
@@ -119,12 +121,17 @@
 	return slot, nil
 }
 
-// admit waits for the request's turn; try takes capacity.
-func (h *Handler) admit(ctx context.Context, q *request, cost int, try func() bool) *outcome.Failure {
+// admit waits for the request's turn; try takes capacity. A request that resumes goes
+// first and may wait as long as its caller does.
+func (h *Handler) admit(ctx context.Context, q *request, cost int, resume bool, try func() bool) *outcome.Failure {
 	queued := time.Now()
+	most := h.queueWait(q)
+	if resume {
+		most = 0
+	}
 	err := h.Admission.Admit(ctx, &admission.Request{
 		ID: q.RequestID, Workspace: q.workspace, Profile: q.profile.Name, Pool: q.service, Urgency: q.urgency(),
-		Cost: cost, Arrival: q.arrival, Deadline: q.deadline, MaxQueueWait: h.queueWait(q),
+		Cost: cost, Arrival: q.arrival, Deadline: q.deadline, MaxQueueWait: most, Resume: resume,
 	}, try)
 	waited := time.Since(queued)
 	h.Observer.Queued(q.urgency(), waited)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -14,12 +14,18 @@
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/sleep"
 )
 
 const (
 	// maxSends bounds the sends of one generation, those that were turned away
 	// included.
 	maxSends = 4
+	// maxResends bounds them for a stream that its caller has in part: replicas may turn
+	// it away while they are full, which costs little beside the answer so far.
+	maxResends = 12
+	// budgetPause is the pause between two looks at a retry budget that is spent.
+	budgetPause = 100 * time.Millisecond
 	// usualPrompt and usualAnswer are the sizes of a generation that states none.
 	usualPrompt = 800
 	usualAnswer = 200
@@ -93,7 +99,7 @@
 
 // again waits for a path for one more send after one has ended.
 func (g *generation) again(ctx context.Context, err error) (*layers.Reservation, *outcome.Failure) {
-	if ctx.Err() != nil || !g.mayResend() || !g.pay() {
+	if ctx.Err() != nil || !g.mayResend() || !g.payInTime(ctx) {
 		return nil, failureOf(ctx, g.q, err)
 	}
 	reservation, failure := g.admit(ctx)
@@ -109,7 +115,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	resumable := g.events.Load() == 0 || g.q.profile.Resumable && g.lastEvent != ""
-	return mayRepeat && resumable && int(g.sends.Load()) < maxSends && g.runs < max(1, g.q.profile.MaxAttempts)
+	most := maxSends
+	if g.events.Load() > 0 {
+		most = maxResends
+	}
+	return mayRepeat && resumable && int(g.sends.Load()) < most && g.runs < max(1, g.q.profile.MaxAttempts)
 }
 
 // pay takes one more send out of the retry budget.
@@ -117,6 +127,17 @@
 	return g.h.Budgets.of(g.q.service).Take(g.q.urgency())
 }
 
+// payInTime is pay, but a stream that its caller has in part waits for the budget. To
+// end it would cut off an answer that other replicas can still go on with.
+func (g *generation) payInTime(ctx context.Context) bool {
+	for !g.pay() {
+		if !g.begun || !sleep.For(ctx, budgetPause) {
+			return false
+		}
+	}
+	return true
+}
+
 // prepare reserves a path for one more send while the present one still stands, and
 // reports whether the present one may be ended. Without that a stream would be cut off
 // that its replica might yet have gone on with.
@@ -183,7 +204,7 @@
 	var reservation *layers.Reservation
 	var none error
 	need := g.need()
-	failure := g.h.admit(ctx, g.q, need.Prompt+need.Answer, func() bool {
+	failure := g.h.admit(ctx, g.q, need.Prompt+need.Answer, g.begun, func() bool {
 		r, err := g.table.Reserve(need)
 		none = nil
 		if errors.Is(err, layers.ErrNoPath) {
