--- a/internal/layers/place.go
+++ b/internal/layers/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"geraniumcroft/internal/config"
@@ -49,7 +50,7 @@
 	}
 	var whole [][]Replica
 	var rest []Replica
-	for _, name := range sortedKeys(byDataCentre) {
+	for _, name := range slices.Sorted(maps.Keys(byDataCentre)) {
 		group := byDataCentre[name]
 		slices.SortFunc(group, func(a, b Replica) int { return compareReplicas(spec, a, b) })
 		if sets(spec, group) >= 1 {
@@ -144,12 +145,3 @@
 		}
 	}
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -1,6 +1,8 @@
 package layers
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -130,7 +132,7 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	dumps := make([]Dump, 0, len(t.replicas))
-	for _, id := range sortedKeys(t.replicas) {
+	for _, id := range slices.Sorted(maps.Keys(t.replicas)) {
 		s := t.replicas[id]
 		dumps = append(dumps, Dump{
 			ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Kind: s.Kind, Held: s.Held,
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -11,11 +11,16 @@
 
 // Load reads a settings file. The settings are nil when there is any finding.
 func Load(path string) (*Settings, []Finding) {
+	return load(path, Parse)
+}
+
+// load reads a file and parses it as its kind of settings.
+func load(path string, parse func(path string, file []byte) (*Settings, []Finding)) (*Settings, []Finding) {
 	file, err := os.ReadFile(path)
 	if err != nil {
 		return nil, []Finding{{File: path, Section: "file", Problem: "cannot be read: " + err.Error(), Allowed: "a readable INI file"}}
 	}
-	return Parse(path, file)
+	return parse(path, file)
 }
 
 // Parse is Load for a file that has been read; path is for the findings.
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -1,9 +1,6 @@
 package settings
 
-import (
-	"os"
-	"time"
-)
+import "time"
 
 // Relay are the static settings of a VM that relays requests for an operator whose
 // configuration lies in the platform's store.
@@ -24,11 +21,7 @@
 // LoadRelay reads the settings file of a relaying VM. The settings are nil when there
 // is any finding.
 func LoadRelay(path string) (*Settings, []Finding) {
-	file, err := os.ReadFile(path)
-	if err != nil {
-		return nil, []Finding{{File: path, Section: "file", Problem: "cannot be read: " + err.Error(), Allowed: "a readable INI file"}}
-	}
-	return ParseRelay(path, file)
+	return load(path, ParseRelay)
 }
 
 // ParseRelay is LoadRelay for a file that has been read; path is for the findings.
