loads: the holder offers its boards, so that VMs which don't ask it learn them

Cause: in a fleet above eight VMs everybody asks the same eight for tables, and the first VM to start holds the placement whether it is one of them or not.

Ruled out: other callers of the store. Letting a holder that is not among those who are asked give the duty back was weighed: each such change of the list would cost a lease's time without orders.

Test: loads TestBoardOfAHolderThatNobodyAsks fails without the offer.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -160,7 +160,7 @@
 		VMs: usualVMs, WritesPerSecond: s.Platform.WritesPerSecond, ReadsPerSecond: s.Platform.ReadsPerSecond,
 	})
 	p.peers = mirror.NewClient(p.PeersAddress(), s.Peers.Seeds, p.Logger)
-	p.mirror = mirror.NewServer(p.since)
+	p.mirror = mirror.NewServer(p.since, p.take)
 	p.balancer = balance.New(balance.Settings{}, p.invariants)
 	p.pools = relay.NewPools()
 	p.budgets = relay.NewBudgets(relay.BudgetSettings{Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow}, usualVMs)
@@ -201,6 +201,14 @@
 	return p.view.operator.Since(after)
 }
 
+// take is given what peers offer. Only loads are offered: the operator's tables are
+// asked for, so that a VM knows how old its answer is.
+func (p *Process) take(table string, change platform.TableChange, age time.Duration) {
+	if table == loads.TableName {
+		p.board.Take(change, age)
+	}
+}
+
 func (p *Process) onVMs(vms []census.VM) {
 	p.table.SetVMs(len(vms))
 	p.pools.SetSharers(p.sharers(vms))
--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -73,8 +73,11 @@
 	b.put(revision, row, time.Now(), loads)
 }
 
-// take copies a peer's board, which has the given age, if it is newer.
-func (b *Board) take(change platform.TableChange, age time.Duration) {
+// Take copies a peer's board, which has the given age, if it is newer.
+func (b *Board) Take(change platform.TableChange, age time.Duration) {
+	if !change.Whole {
+		return
+	}
 	var loads map[string]layers.Load
 	if err := json.Unmarshal(change.Written[boardKey], &loads); err != nil {
 		b.logger.Warn("loads not read", zap.Error(err))
--- a/internal/loads/keeper.go
+++ b/internal/loads/keeper.go
@@ -34,8 +34,11 @@
 	Load(ctx context.Context, address string) (layers.Load, error)
 }
 
-// Peers asks other VMs for their copy of the board.
+// Peers exchanges copies of the board with other VMs.
 type Peers interface {
+	// Offer hands the board to some of the VMs that the others ask.
+	Offer(ctx context.Context, table string, change platform.TableChange, age time.Duration)
+	// Fetch returns a peer's copy of the board if it is newer than a revision.
 	Fetch(ctx context.Context, table string, after uint64) (platform.TableChange, time.Duration, bool)
 }
 
@@ -77,8 +80,8 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	change, age, ok := k.Peers.Fetch(ctx, TableName, k.Board.Revision())
-	if ok && change.Whole {
-		k.Board.take(change, age)
+	if ok {
+		k.Board.Take(change, age)
 	}
 }
 
@@ -115,4 +118,15 @@
 	k.missed = missed
 	k.round++
 	k.Board.publish(tenure<<tenureShift|k.round, loads)
+	k.offer(ctx)
+}
+
+// offer hands the new board on. The others ask a few VMs only, and the holder of the
+// duty need not be among those: without this its boards would reach nobody.
+func (k *Keeper) offer(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if change, age, ok := k.Board.Since(0); ok {
+		k.Peers.Offer(ctx, TableName, change, age)
+	}
 }
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -31,9 +31,13 @@
 	return layers.Load{Used: 10, Total: 100, Pace: 1}, nil
 }
 
-// onePeer gives another VM's board.
+// onePeer exchanges boards with one other VM.
 type onePeer struct{ board *Board }
 
+func (p onePeer) Offer(_ context.Context, _ string, change platform.TableChange, age time.Duration) {
+	p.board.Take(change, age)
+}
+
 func (p onePeer) Fetch(_ context.Context, _ string, after uint64) (platform.TableChange, time.Duration, bool) {
 	return p.board.Since(after)
 }
@@ -99,6 +103,34 @@
 	})
 }
 
+// Callers of a large fleet are refused or sent far away when its VMs don't know the
+// replicas' loads. The VMs ask a few of them only, and the holder of the duty, which is
+// not among those, is asked by nobody. It offers its boards to one that is asked.
+func TestBoardOfAHolderThatNobodyAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listed := func() []layers.Replica { return []layers.Replica{{ID: "1", Address: "1"}} }
+		holder, asked, other := newKept(), newKept(), newKept()
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		run := func(vm *kept, peer *Board, holds bool) {
+			running.Go(func() {
+				NewKeeper(Options{Board: vm.board, Replicas: &fakeReplicas{}, Peers: onePeer{peer}, Listed: listed, Logger: zap.NewNop(),
+					Tenure: func() (uint64, bool) { return 3, holds }}).Run(ctx)
+			})
+		}
+		run(holder, asked.board, true)
+		run(asked, other.board, false)
+		run(other, asked.board, false)
+		const late = 30 * time.Second
+		time.Sleep(late)
+		if load, ok := other.of("1"); !ok || time.Since(load.At) > 3*interval {
+			t.Errorf("%+v, %v, of %s ago", load, ok, time.Since(load.At))
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
 // A holder that was frozen wakes and publishes. Its board is of an older tenure and must
 // not replace that of its successor.
 func TestOlderTenureDoesNotReplaceANewer(t *testing.T) {
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -107,29 +107,55 @@
 	return peers[:min(asked, len(peers))]
 }
 
+// Offer hands a copy to some of the preferred peers, from which the others learn it. A
+// VM that makes something need not be one of those that are asked.
+func (c *Client) Offer(ctx context.Context, table string, change platform.TableChange, age time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	c.mu.Lock()
+	peers := some(c.preferred)
+	c.mu.Unlock()
+	var offering sync.WaitGroup
+	for _, address := range peers {
+		offering.Go(func() {
+			c.invoke(ctx, address, offerMethod, offered{Table: table, answer: answer{TableChange: change, AgeMS: age.Milliseconds()}})
+		})
+	}
+	offering.Wait()
+}
+
 func (c *Client) ask(ctx context.Context, address, table string, after uint64) *answer {
+	reply := c.invoke(ctx, address, fetchMethod, question{Table: table, After: after})
+	if reply == nil {
+		return nil
+	}
+	var view answer
+	if err := json.Unmarshal(reply.GetValue(), &view); err != nil {
+		c.logger.Warn("peer's answer not read", zap.String("peer", address), zap.Error(err))
+		return nil
+	}
+	return &view
+}
+
+// invoke calls a peer's method. It returns nil when the peer did not answer.
+func (c *Client) invoke(ctx context.Context, address, method string, request any) *wrapperspb.BytesValue {
 	conn, err := c.conn(address)
 	if err != nil {
 		c.logger.Warn("peer not dialled", zap.String("peer", address), zap.Error(err))
 		return nil
 	}
-	body, err := json.Marshal(question{Table: table, After: after})
+	body, err := json.Marshal(request)
 	if err != nil {
-		c.logger.Error("question to a peer not encoded", zap.Error(err))
+		c.logger.Error("call of a peer not encoded", zap.Error(err))
 		return nil
 	}
 	reply := &wrapperspb.BytesValue{}
-	if err := conn.Invoke(ctx, fetchMethod, wrapperspb.Bytes(body), reply); err != nil {
+	if err := conn.Invoke(ctx, method, wrapperspb.Bytes(body), reply); err != nil {
 		c.logger.Debug("peer not heard", zap.String("peer", address), zap.Error(err))
 		c.drop(address, conn)
 		return nil
 	}
-	var view answer
-	if err := json.Unmarshal(reply.GetValue(), &view); err != nil {
-		c.logger.Warn("peer's answer not read", zap.String("peer", address), zap.Error(err))
-		return nil
-	}
-	return &view
+	return reply
 }
 
 func (c *Client) conn(address string) (*grpc.ClientConn, error) {
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,97 @@
+package mirror
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/platform"
+)
+
+// shelf is a VM's copy of one table, served to peers.
+type shelf struct {
+	mu     sync.Mutex // guards the fields below
+	change platform.TableChange
+	age    time.Duration
+}
+
+func (s *shelf) since(string, uint64) (platform.TableChange, time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.change, s.age, s.change.Whole
+}
+
+func (s *shelf) take(_ string, change platform.TableChange, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change, s.age = change, age
+}
+
+// serve starts a VM's server and returns its address.
+func serve(t *testing.T, s *shelf) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(s.since, s.take)
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		if err := server.Serve(lis); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		server.Stop()
+		serving.Wait()
+	})
+	return lis.Addr().String()
+}
+
+// What one VM offers to a preferred peer, another one gets by asking that peer, with its
+// age. A peer that has nothing to give does not answer, and another one is asked.
+func TestOfferedCopyIsFetched(t *testing.T) {
+	empty, kept := &shelf{}, &shelf{}
+	emptyAt, keptAt := serve(t, empty), serve(t, kept)
+
+	maker := NewClient("", nil, zap.NewNop())
+	defer maker.Close()
+	maker.SetPeers([]string{keptAt}, nil)
+	offered := platform.TableChange{Revision: 7, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}
+	offer(t, maker, kept, offered)
+
+	asking := NewClient("", nil, zap.NewNop())
+	defer asking.Close()
+	asking.SetPeers([]string{emptyAt}, []string{keptAt})
+	change, age, ok := fetch(t, asking)
+	if !ok || change.Revision != 7 || string(change.Written["all"]) != "loads" || age != time.Second {
+		t.Errorf("%+v, %s, %v", change, age, ok)
+	}
+}
+
+// offer offers until the peer has it: a busy machine may let one round time out.
+func offer(t *testing.T, c *Client, at *shelf, change platform.TableChange) {
+	t.Helper()
+	for range 100 {
+		c.Offer(context.Background(), "loads", change, time.Second)
+		if _, _, ok := at.since("", 0); ok {
+			return
+		}
+	}
+	t.Fatal("the peer never got what was offered")
+}
+
+func fetch(t *testing.T, c *Client) (platform.TableChange, time.Duration, bool) {
+	t.Helper()
+	for range 100 {
+		if change, age, ok := c.Fetch(context.Background(), "loads", 0); ok {
+			return change, age, ok
+		}
+	}
+	t.Fatal("no peer answered")
+	return platform.TableChange{}, 0, false
+}
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -18,15 +18,20 @@
 // since this VM's was confirmed to be the newest. Ok is false if this VM has none.
 type Since func(table string, after uint64) (change platform.TableChange, age time.Duration, ok bool)
 
-// Server gives this VM's copies to peers.
+// Take is given what a peer offers of a table, with the time since the peer's copy was
+// confirmed to be the newest. What is older than this VM's copy is to be passed over.
+type Take func(table string, change platform.TableChange, age time.Duration)
+
+// Server gives this VM's copies to peers and takes what they offer.
 type Server struct {
 	since Since
+	take  Take
 	grpc  *grpc.Server
 }
 
 // NewServer returns a server; Serve makes it answer.
-func NewServer(since Since) *Server {
-	s := &Server{since: since, grpc: grpc.NewServer()}
+func NewServer(since Since, take Take) *Server {
+	s := &Server{since: since, take: take, grpc: grpc.NewServer()}
 	s.grpc.RegisterService(&serviceDesc, s)
 	return s
 }
@@ -53,3 +58,12 @@
 	}
 	return wrapperspb.Bytes(body), nil
 }
+
+func (s *Server) offer(_ context.Context, request *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error) {
+	var o offered
+	if err := json.Unmarshal(request.GetValue(), &o); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	s.take(o.Table, o.TableChange, time.Duration(o.AgeMS)*time.Millisecond)
+	return &wrapperspb.BytesValue{}, nil
+}
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -9,25 +9,35 @@
 	"geraniumcroft/internal/platform"
 )
 
-const fetchMethod = "/geraniumcroft.mirror.Mirror/Fetch"
+const (
+	fetchMethod = "/geraniumcroft.mirror.Mirror/Fetch"
+	offerMethod = "/geraniumcroft.mirror.Mirror/Offer"
+)
 
-// fetcher is the service's interface, as generated code would have it.
-type fetcher interface {
+// mirrorServer is the service's interface, as generated code would have it.
+type mirrorServer interface {
 	fetch(ctx context.Context, request *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error)
+	offer(ctx context.Context, request *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error)
 }
 
 var serviceDesc = grpc.ServiceDesc{
 	ServiceName: "geraniumcroft.mirror.Mirror",
-	HandlerType: (*fetcher)(nil),
-	Methods:     []grpc.MethodDesc{{MethodName: "Fetch", Handler: handleFetch}},
+	HandlerType: (*mirrorServer)(nil),
+	Methods: []grpc.MethodDesc{
+		{MethodName: "Fetch", Handler: handle(mirrorServer.fetch)},
+		{MethodName: "Offer", Handler: handle(mirrorServer.offer)},
+	},
 }
 
-func handleFetch(server any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
-	request := &wrapperspb.BytesValue{}
-	if err := decode(request); err != nil {
-		return nil, err
+// handle makes a gRPC handler of a method.
+func handle(method func(mirrorServer, context.Context, *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error)) grpc.MethodHandler {
+	return func(server any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		request := &wrapperspb.BytesValue{}
+		if err := decode(request); err != nil {
+			return nil, err
+		}
+		return method(server.(mirrorServer), ctx, request)
 	}
-	return server.(fetcher).fetch(ctx, request)
 }
 
 // answer is what a copy has beyond the revision that was asked for.
@@ -42,3 +52,9 @@
 	Table string `json:"table"`
 	After uint64 `json:"after"`
 }
+
+// offered is a copy that its maker hands on without being asked.
+type offered struct {
+	Table string `json:"table"`
+	answer
+}
