layers: a new layout is the one that carries most, also after a loss

Cause: after a few cards had died on 83 VMs' sites, streams took 3 to 4 s and waited for room. The layer with the least room had room for 270 requests, the mean layer for 536; at 84 streams a second and 3.5 s each that least layer was full. The layout's three constants (memory for a set of layers, room for 120 requests, layers doubled 1.25 times) had been tried on 13 cards a data centre and do not fit 34.

Change: layouts over a small grid of those three are compared by what they carry: room at the least layer, and the same after the loss of one card on average over all cards, over the time of a token.

Test: TestLayoutIsEven fails with the layout before (least 270 of 536).

--- a/internal/layers/coverage.go
+++ b/internal/layers/coverage.go
@@ -19,15 +19,24 @@
 
 // add adds or, with sign -1, takes away what a card gives with a range.
 func (c *coverage) add(k Kind, held config.LayerRange, sign float64) {
-	room := sign * c.requests(k, held.Len())
 	for l := max(0, held.From); l < min(held.To, c.spec.Layers); l++ {
-		c.room[l] += room
+		c.room[l] += sign * c.requestsAt(k, held.Len(), l)
 	}
 }
 
 // requests is how many usual requests fit beside n layers of a card.
 func (c *coverage) requests(k Kind, n int) float64 { return c.spec.room(k, n) / c.spec.usualTokens() }
 
+// requestsAt is requests for one of the layers. Those that enter at a card are bounded by
+// its slots too: the first event of one more waits until another request has ended.
+func (c *coverage) requestsAt(k Kind, n, layer int) float64 {
+	room := c.requests(k, n)
+	if layer == 0 && c.spec.Slots > 0 {
+		return min(room, float64(c.spec.Slots))
+	}
+	return room
+}
+
 // layersFor is how many layers a card holds beside room for so many requests.
 func (c *coverage) layersFor(k Kind, room float64) int {
 	perLayer := c.spec.LayerMB + room*c.spec.usualTokens()*c.spec.KVBytes/float64(c.spec.Layers)/1e6
@@ -36,10 +45,10 @@
 
 // roomFor is the room for requests that the cards can have and still hold the model
 // with some of it doubled.
-func (c *coverage) roomFor(set []Replica) float64 {
+func (c *coverage) roomFor(set []Replica, l layout) float64 {
 	const steps = 1.1
-	for _, wanted := range []float64{redundancy, 1} {
-		for room := enoughRoom; room >= leastRoom; room /= steps {
+	for _, wanted := range []float64{l.redundancy, 1} {
+		for room := l.room; room >= leastRoom; room /= steps {
 			held := 0
 			for _, r := range set {
 				held += c.layersFor(c.spec.kind(r.Kind), room)
--- /dev/null
+++ b/internal/layers/layout.go
@@ -0,0 +1,153 @@
+package layers
+
+import (
+	"math"
+	"slices"
+
+	"geraniumcroft/internal/config"
+)
+
+const (
+	// lossWeight is the weight of the room that is left on average after the loss of one
+	// card against that of the whole group. Cards die several times a day; a layer with
+	// one holder then stops all streams of the data centre.
+	lossWeight = 0.7
+	// usualFill is how full cards are taken to be for the time of a step.
+	usualFill = 0.6
+)
+
+// Parameters of the layouts that are compared. Fewer sets leave more memory for
+// requests, and more room in a card keeps layers off it.
+var (
+	triedRooms        = []float64{60, 90, 120, 150, 180, 240}
+	triedRedundancies = []float64{1, 1.12, 1.25, 1.5}
+)
+
+// layout is a way to give the cards of a group that holds nothing their layers.
+type layout struct {
+	// sets is how many whole sets of layers are laid out.
+	sets int
+	// room is for how many usual requests a card needs no more room.
+	room float64
+	// redundancy is how many times the cards of a set shall be able to hold the model
+	// beside requests. What is above 1 doubles layers.
+	redundancy float64
+}
+
+// layOut gives the cards of a group that holds nothing whole sets of layers, in the way
+// that carries the most requests a second.
+func layOut(spec *Spec, group []Replica, placed map[string]config.LayerRange) {
+	var best map[string]config.LayerRange
+	most := math.Inf(-1)
+	for _, l := range layouts(spec, group) {
+		tried := map[string]config.LayerRange{}
+		l.place(spec, group, tried)
+		if merit := merit(spec, group, tried); merit > most {
+			best, most = tried, merit
+		}
+	}
+	for id, held := range best {
+		placed[id] = held
+	}
+}
+
+// layouts lists the layouts to compare.
+func layouts(spec *Spec, group []Replica) []layout {
+	var all []layout
+	for sets := 1; sets <= max(1, mostSets(spec, group)); sets++ {
+		for _, room := range triedRooms {
+			for _, redundancy := range triedRedundancies {
+				all = append(all, layout{sets: sets, room: room, redundancy: redundancy})
+			}
+		}
+	}
+	return all
+}
+
+// place splits the group into sets of like memory.
+func (l layout) place(spec *Spec, group []Replica, placed map[string]config.LayerRange) {
+	memory := 0.0
+	for _, r := range group {
+		memory += spec.kind(r.Kind).MemoryMB
+	}
+	share := memory / float64(l.sets)
+	start, sum := 0, 0.0
+	for i, r := range group {
+		sum += spec.kind(r.Kind).MemoryMB
+		if sum >= share || i == len(group)-1 {
+			l.placeSet(spec, group[start:i+1], placed)
+			start, sum = i+1, sum-share
+		}
+	}
+}
+
+// placeSet gives a set of cards one set of layers, the fast cards first and as many as
+// leave room for enough requests. The cards that are left double those layers that have
+// the least room.
+//
+// Each token passes every stage, so a layer costs a request its card's pace: with the
+// layers where they are fastest a request is done sooner, holds its memory for less
+// time and is less likely to be under way when a card dies. What is doubled is there
+// at once when one does, without crossing to another data centre.
+func (l layout) placeSet(spec *Spec, set []Replica, placed map[string]config.LayerRange) {
+	c := newCoverage(spec)
+	room := c.roomFor(set, l)
+	from := 0
+	var left []Replica
+	for _, r := range set {
+		k := spec.kind(r.Kind)
+		n := min(c.layersFor(k, room), spec.Layers-from)
+		if n <= 0 {
+			left = append(left, r)
+			continue
+		}
+		placed[r.ID] = config.LayerRange{From: from, To: from + n}
+		c.add(k, placed[r.ID], 1)
+		from += n
+	}
+	for _, r := range left {
+		k := spec.kind(r.Kind)
+		if held, _ := c.best(k); held.Len() > 0 {
+			placed[r.ID] = held
+			c.add(k, held, 1)
+		}
+	}
+}
+
+// merit estimates how many requests a second the group carries: the room at the layer
+// that has the least, over the time that a request holds it.
+func merit(spec *Spec, group []Replica, placed map[string]config.LayerRange) float64 {
+	c := newCoverage(spec)
+	pace := make([]float64, spec.Layers)
+	stages := make([]float64, spec.Layers)
+	for _, r := range group {
+		k, held := spec.kind(r.Kind), placed[r.ID]
+		c.add(k, held, 1)
+		for layer := held.From; layer < held.To; layer++ {
+			room := c.requestsAt(k, held.Len(), layer)
+			pace[layer] += room * spec.stepTime(k, usualFill*room)
+			stages[layer] += room / float64(held.Len())
+		}
+	}
+	if slices.Min(c.room) <= 0 {
+		return 0
+	}
+	token := 0.0 // seconds
+	for layer, room := range c.room {
+		token += (1+stageOverhead)*pace[layer]/room/float64(spec.Layers) + hopCost.Seconds()*stages[layer]/room
+	}
+	return ((1-lossWeight)*slices.Min(c.room) + lossWeight*roomAfterLoss(c, group, placed)) / token
+}
+
+// roomAfterLoss is the room at the layer that has the least after the loss of one card,
+// on average over all cards.
+func roomAfterLoss(c *coverage, group []Replica, placed map[string]config.LayerRange) float64 {
+	sum := 0.0
+	for _, r := range group {
+		k, held := c.spec.kind(r.Kind), placed[r.ID]
+		c.add(k, held, -1)
+		sum += max(0, slices.Min(c.room))
+		c.add(k, held, 1)
+	}
+	return sum / float64(max(1, len(group)))
+}
--- a/internal/layers/place_test.go
+++ b/internal/layers/place_test.go
@@ -114,6 +114,37 @@
 	return nil
 }
 
+// In a data centre with many small cards drafts wait for room at one layer while others
+// have twice as much. What is laid out leaves the layer that has the least room at
+// least two thirds of the mean, and every layer another holder when one card dies.
+func TestLayoutIsEven(t *testing.T) {
+	spec := testSpec()
+	group := slices.Concat(cards("a", "large", 1), cards("a", "fast", 2), cards("a", "slow", 13), cards("a", "small", 18))
+	held := carriedOut(group, Place(spec, group))
+	c := newCoverage(spec)
+	for _, r := range held {
+		c.add(spec.kind(r.Kind), r.Held, 1)
+	}
+	mean := 0.0
+	for _, room := range c.room {
+		mean += room / float64(spec.Layers)
+	}
+	if least := slices.Min(c.room); least < mean*2/3 {
+		t.Errorf("the least room is %.0f requests, the mean %.0f", least, mean)
+	}
+	if low := slices.Min(holders(spec, held, "a")); low < 2 {
+		t.Errorf("a layer has %d holders", low)
+	}
+}
+
+func BenchmarkLayOut(b *testing.B) {
+	spec := testSpec()
+	group := slices.Concat(cards("a", "large", 1), cards("a", "fast", 2), cards("a", "slow", 13), cards("a", "small", 18))
+	for b.Loop() {
+		layOut(spec, group, map[string]config.LayerRange{})
+	}
+}
+
 // A card that joins beside a hole takes the hole, and nobody else has to move.
 func TestJoiningCardClosesHole(t *testing.T) {
 	spec := testSpec()
--- a/internal/layers/spec.go
+++ b/internal/layers/spec.go
@@ -58,3 +58,10 @@
 
 // usualTokens is the context of a usual request at its end.
 func (s *Spec) usualTokens() float64 { return float64(max(1, s.UsualPrompt+s.UsualAnswer)) }
+
+// stepTime is the time of a token step over all layers on a card, in seconds, beside so
+// many usual requests.
+func (s *Spec) stepTime(k Kind, batch float64) float64 {
+	context := s.usualTokens() / 1000
+	return (s.Step.Seconds() + batch*(s.PerSequence.Seconds()+context*s.PerContext.Seconds())) * k.StepPace
+}
