relay, loads: unsent requests cost no retry; the holder's questions tell of dead cards

A range whose holders died was loaded elsewhere 8 s later: discovery drops a silent replica after three heartbeats, and the new holder tells of its layers at its next one.

Changes: a send that certainly did not leave costs no retry budget. The holder of the placement asks a silent replica once more after 100 ms, so the board shows it as down in one round, and leaves it out of the placement at once; not if over 0.3 of all are silent, as then the holder is cut off. Boards carry the ranges that replicas report, which count when they are newer than discovery's, and how many requests have entered: a card whose slots are taken is not entered, which had made drafts wait there for 0.5 s and more.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -334,10 +335,19 @@
 func (p *Process) place(service string) {
 	placer.New(placer.Options{
 		Engines: p.Wiring.Engines, Holder: p, Logger: p.Logger,
-		Model: func() (*layers.Spec, []layers.Replica) { return p.view.model(service) },
+		Model: func() (*layers.Spec, []layers.Replica) { return p.living(service) },
 	}).Run(p.ctx)
 }
 
+// living returns a model's description and the replicas that answered the holder of the
+// placement. Discovery drops a dead one after three missing heartbeats only, some 5 s in
+// which its layers may be nobody's.
+func (p *Process) living(service string) (*layers.Spec, []layers.Replica) {
+	spec, replicas := p.view.model(service)
+	down := p.board.Down()
+	return spec, slices.DeleteFunc(replicas, func(r layers.Replica) bool { return down[r.ID] })
+}
+
 // Holds implements placer.Holder.
 func (p *Process) Holds() bool {
 	_, ok := p.tenure()
--- a/internal/layers/load.go
+++ b/internal/layers/load.go
@@ -1,6 +1,15 @@
 package layers
 
-import "time"
+import (
+	"time"
+
+	"geraniumcroft/internal/config"
+)
+
+// reportLag is by how much a report may be older than the board that it stands on: the
+// round in which the replicas were asked, and the few hundred ms by which replicas say
+// that their reports lag.
+const reportLag = time.Second
 
 // loadTrust is how long a reported load is believed. Boards come each second and take
 // one or two more to reach every VM.
@@ -13,6 +22,10 @@
 	Total float64 `json:"t"`
 	// Pace above 1 means that the replica is slower than its kind.
 	Pace float64 `json:"p"`
+	// Entered is how many requests run or wait here as the first replica of their paths.
+	Entered int `json:"n,omitempty"`
+	// Held are the layers that the replica has loaded.
+	Held config.LayerRange `json:"h"`
 	// Down says that the replica did not answer.
 	Down bool `json:"d,omitempty"`
 	// At is when this VM could first know it.
@@ -33,7 +46,8 @@
 			s.suspect(now)
 			continue
 		}
-		s.load, s.reservedThen = load, s.reserved
+		s.takeHeld(t.spec, load)
+		s.load, s.reservedThen, s.firstThen = load, s.reserved, s.first
 		if load.Pace > 0 {
 			s.pace, s.paceAt = load.Pace, load.At
 		}
--- a/internal/layers/path_test.go
+++ b/internal/layers/path_test.go
@@ -195,6 +195,64 @@
 	}
 }
 
+// A dead card's layers were loaded elsewhere, and drafts wait for them. The new holder
+// tells discovery at its next heartbeat only; its report is seconds earlier and counts,
+// until discovery shows another range.
+func TestReportedRangeCountsBeforeDiscovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		spec := testSpec()
+		table := NewTable()
+		replicas := cards("a", "large", 3)
+		replicas[0].Held = config.LayerRange{From: 0, To: 30}
+		replicas[1].Held = config.LayerRange{From: 30, To: 60}
+		table.Update(spec, replicas)
+		time.Sleep(2 * reportLag)
+		if _, err := table.Reserve(usual); !errors.Is(err, ErrNoPath) {
+			t.Fatalf("a path without the last layers: %v", err)
+		}
+		loaded := config.LayerRange{From: 60, To: 80}
+		table.SetLoads(map[string]Load{replicas[2].ID: {Held: loaded, At: time.Now()}})
+		if _, err := table.Reserve(usual); err != nil {
+			t.Errorf("no path though the last layers were reported: %v", err)
+		}
+		table.Update(spec, replicas)
+		if _, err := table.Reserve(usual); err != nil {
+			t.Errorf("an older entry of discovery took the layers away: %v", err)
+		}
+		replicas[2].Held = config.LayerRange{From: 70, To: 80}
+		table.Update(spec, replicas)
+		table.SetLoads(map[string]Load{replicas[2].ID: {Held: loaded, At: time.Now()}})
+		if _, err := table.Reserve(usual); !errors.Is(err, ErrNoPath) {
+			t.Errorf("a report of before the newest entry counts: %v", err)
+		}
+	})
+}
+
+// Drafts begin late though all cards have room: those that enter at one card are more
+// than it takes at once, and wait there. A card that reports this gets no more.
+func TestCardWithoutSlotsIsNotEntered(t *testing.T) {
+	spec := testSpec()
+	table := NewTable()
+	first, other := cards("a", "large", 5)[:3], cards("a", "large", 5)[3:]
+	for i := range first {
+		first[i].Held = config.LayerRange{From: 27 * i, To: min(80, 27*(i+1))}
+	}
+	other[0].Held = config.LayerRange{From: 0, To: 27}
+	table.Update(spec, append(first, other[0]))
+	reportAll(table, 0.1)
+	full := table.replicas[first[0].ID]
+	full.load.Entered = spec.Slots
+	for range 5 {
+		reservation, err := table.Reserve(usual)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if reservation.Path().First().ID != other[0].ID {
+			t.Fatal("a draft enters at the card whose slots are taken")
+		}
+	}
+}
+
 func BenchmarkReserve(b *testing.B) {
 	table := placedTable(testSpec(), threeDataCentres())
 	for b.Loop() {
--- a/internal/layers/pipe_test.go
+++ b/internal/layers/pipe_test.go
@@ -28,7 +28,7 @@
 	loads := map[string]Load{}
 	for _, d := range table.Dump() {
 		total := spec.room(spec.kind(d.Kind), d.Held.Len()) * float64(d.Held.Len())
-		loads[d.ID] = Load{Used: used * total, Total: total, Pace: 1, At: time.Now()}
+		loads[d.ID] = Load{Used: used * total, Total: total, Pace: 1, Held: d.Held, At: time.Now()}
 	}
 	table.SetLoads(loads)
 }
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -210,7 +210,7 @@
 }
 
 func (s *search) enter(r *state) float64 {
-	if s.entry && r.first >= max(leastEntries, int(boost*s.share(r)*float64(s.table.spec.Slots))) {
+	if s.entry && !r.enters(s.table.spec.Slots, s.table.sharers.allowance(r.DataCentre), s.now) {
 		return math.Inf(1)
 	}
 	if s.fromDC == "" || s.fromDC == r.DataCentre {
--- a/internal/layers/state.go
+++ b/internal/layers/state.go
@@ -1,6 +1,10 @@
 package layers
 
-import "time"
+import (
+	"time"
+
+	"geraniumcroft/internal/config"
+)
 
 const (
 	// firstSuspicion is how long a replica is avoided after its first failure; each
@@ -32,6 +36,10 @@
 	// load is what the replica last reported, reservedThen what this VM had reserved.
 	load         Load
 	reservedThen float64
+	firstThen    int
+	// listed is the range that discovery shows, listedAt when this VM first saw it.
+	listed   config.LayerRange
+	listedAt time.Time
 
 	failures     int
 	suspectedAt  time.Time
@@ -43,15 +51,34 @@
 
 // reset takes over what discovery lists now and keeps what this VM has learned.
 func (s *state) reset(spec *Spec, r Replica) {
+	held := s.Held
 	if s.ID != r.ID {
 		s.failures, s.suspectUntil, s.pace, s.load = 0, time.Time{}, 0, Load{}
 	}
-	if s.Held != r.Held {
-		s.load = Load{} // it was about another range
+	if s.ID != r.ID || s.listed != r.Held {
+		held, s.listed, s.listedAt = r.Held, r.Held, time.Now()
 	}
 	s.Replica = r
 	s.kind = spec.kind(r.Kind)
-	s.capacity = spec.room(s.kind, r.Held.Len()) * float64(r.Held.Len())
+	s.hold(spec, held)
+}
+
+// hold takes over the range that the replica holds.
+func (s *state) hold(spec *Spec, held config.LayerRange) {
+	if s.Held != held {
+		s.load = Load{} // it was about another range
+	}
+	s.Held = held
+	s.capacity = spec.room(s.kind, held.Len()) * float64(held.Len())
+}
+
+// takeHeld takes over the range that a report shows if it is newer than what discovery
+// shows: a replica tells discovery of its layers at its next heartbeat only, and a range
+// that was missing would be so for a second or two longer.
+func (s *state) takeHeld(spec *Spec, load Load) {
+	if load.Held != s.Held && load.At.Add(-reportLag).After(s.listedAt) {
+		s.hold(spec, load.Held)
+	}
 }
 
 // usage estimates the memory that all VMs' requests hold here, and whether it is known.
@@ -84,6 +111,19 @@
 	return s.reserved-s.reservedThen+amount <= a.free*free
 }
 
+// enters reports whether one more of this VM's requests may enter here, as with fits.
+func (s *state) enters(slots int, a allowance, now time.Time) bool {
+	own := s.first < max(leastEntries, int(a.share*float64(slots)))
+	if s.load.Total <= 0 || now.Sub(s.load.At) > loadTrust {
+		return own
+	}
+	after := s.load.Entered + s.first - s.firstThen + 1
+	if own {
+		return after <= slots
+	}
+	return s.first < int(a.most*float64(slots)) && float64(after) <= fullAt*float64(slots)
+}
+
 // fullness is how much of its share of the memory this VM uses. The reported load does
 // not count here: it is seconds old and the same for all VMs, which would all turn to
 // the replica that looked emptiest, and fill it before the next report.
--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -14,6 +14,10 @@
 // TableName names the board among the tables that peers copy from each other.
 const TableName = "loads"
 
+// mostDown is the part of all replicas that may be taken for dead at once. Where more do
+// not answer, the VM that asks is cut off itself.
+const mostDown = 0.3
+
 // boardKey is the key of the board's only row. All loads change each second, so there is
 // nothing to gain from rows of their own.
 const boardKey = "all"
@@ -27,6 +31,8 @@
 	revision uint64
 	row      []byte
 	at       time.Time
+	down     map[string]bool
+	count    int
 }
 
 // NewBoard returns an empty board; each newer one goes to onChange.
@@ -56,6 +62,17 @@
 	return time.Since(b.at)
 }
 
+// Down returns the replicas, by ID, that did not answer when they were last asked. There
+// are none if many did not: then it is this VM's view that is broken.
+func (b *Board) Down() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if float64(len(b.down)) > mostDown*float64(b.count) {
+		return nil
+	}
+	return b.down
+}
+
 // Revision is that of the present board, 0 before the first.
 func (b *Board) Revision() uint64 {
 	b.mu.Lock()
@@ -93,9 +110,13 @@
 		return
 	}
 	b.revision, b.row, b.at = revision, row, at
+	b.down, b.count = map[string]bool{}, len(loads)
 	for id, load := range loads {
 		load.At = at
 		loads[id] = load
+		if load.Down {
+			b.down[id] = true
+		}
 	}
 	b.onChange(loads)
 }
--- a/internal/loads/keeper.go
+++ b/internal/loads/keeper.go
@@ -14,16 +14,17 @@
 )
 
 const (
-	// interval is the pause between two boards, and between two questions to peers.
+	// interval is the time between two boards, and between two questions to peers.
 	interval = time.Second
-	// askTimeout bounds the question to one replica, peerTimeout that to peers.
-	askTimeout  = 300 * time.Millisecond
+	// askTimeout bounds the question to one replica, which answers within some 2 ms;
+	// peerTimeout that to peers.
+	askTimeout  = 250 * time.Millisecond
 	peerTimeout = 700 * time.Millisecond
+	// askAgain is the pause before a replica that did not answer is asked once more. A
+	// dead one is so known after one round, and an answer that was lost harms nobody.
+	askAgain = 100 * time.Millisecond
 	// askedAtOnce bounds the replicas that are asked at the same moment.
 	askedAtOnce = 16
-	// missedAnswers is how many questions in a row a replica may leave unanswered before
-	// the board shows it as down.
-	missedAnswers = 2
 	// tenureShift leaves room for the boards of one tenure below the tenure's number,
 	// so that a later holder's boards replace an earlier one's.
 	tenureShift = 32
@@ -58,21 +59,24 @@
 // Keeper keeps a board up to date.
 type Keeper struct {
 	Options
-	round  uint64
-	missed map[string]int
+	round uint64
+	// down are the replicas that did not answer in the last round.
+	down map[string]bool
 }
 
 // NewKeeper returns a keeper; Run makes it work.
-func NewKeeper(o Options) *Keeper { return &Keeper{Options: o, missed: map[string]int{}} }
+func NewKeeper(o Options) *Keeper { return &Keeper{Options: o, down: map[string]bool{}} }
 
 // Run asks replicas while this VM has the duty, and peers otherwise, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	for sleep.For(ctx, interval) {
+	for pause := interval; sleep.For(ctx, pause); {
+		began := time.Now()
 		if tenure, ok := k.Tenure(); ok {
 			k.ask(ctx, tenure)
-			continue
+		} else {
+			k.copy(ctx)
 		}
-		k.copy(ctx)
+		pause = max(0, interval-time.Since(began))
 	}
 }
 
@@ -88,39 +92,55 @@
 // ask makes a new board of the replicas' own answers.
 func (k *Keeper) ask(ctx context.Context, tenure uint64) {
 	listed := k.Listed()
-	var mu sync.Mutex // guards the maps below
+	var mu sync.Mutex // guards the map below
 	loads := make(map[string]layers.Load, len(listed))
-	missed := make(map[string]int, len(listed))
 	var asking errgroup.Group
 	asking.SetLimit(askedAtOnce)
 	for _, r := range listed {
 		asking.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, askTimeout)
-			defer cancel()
-			load, err := k.Replicas.Load(ctx, r.Address)
+			load, err := k.load(ctx, r.Address)
+			if err != nil {
+				load = layers.Load{Down: true}
+			}
 			mu.Lock()
 			defer mu.Unlock()
-			if err == nil {
-				loads[r.ID] = load
-				return nil
-			}
-			missed[r.ID] = k.missed[r.ID] + 1
-			if missed[r.ID] >= missedAnswers {
-				loads[r.ID] = layers.Load{Down: true}
-			}
-			if missed[r.ID] == missedAnswers {
+			loads[r.ID] = load
+			if load.Down && !k.down[r.ID] {
 				k.Logger.Warn("replica does not answer", zap.String("replica", r.ID), zap.String("address", r.Address), zap.Error(err))
 			}
 			return nil
 		})
 	}
 	_ = asking.Wait() // an answer that is missing is noted above
-	k.missed = missed
+	if ctx.Err() != nil {
+		return
+	}
+	k.down = map[string]bool{}
+	for id, load := range loads {
+		if load.Down {
+			k.down[id] = true
+		}
+	}
 	k.round++
 	k.Board.publish(tenure<<tenureShift|k.round, loads)
 	k.offer(ctx)
 }
 
+// load asks a replica, and once more if it does not answer.
+func (k *Keeper) load(ctx context.Context, address string) (layers.Load, error) {
+	load, err := k.loadOnce(ctx, address)
+	if err != nil && sleep.For(ctx, askAgain) {
+		load, err = k.loadOnce(ctx, address)
+	}
+	return load, err
+}
+
+func (k *Keeper) loadOnce(ctx context.Context, address string) (layers.Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return k.Replicas.Load(ctx, address)
+}
+
 // offer hands the new board on. The others ask a few VMs only, and the holder of the
 // duty need not be among those: without this its boards would reach nobody.
 func (k *Keeper) offer(ctx context.Context) {
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -131,6 +132,28 @@
 	})
 }
 
+// A dead card is replaced long before discovery drops it, as it answers no question. A
+// VM that is cut off from many cards sees them all as dead; it must not have the others
+// take over their layers.
+func TestDownAreFewOrNone(t *testing.T) {
+	vm := newKept()
+	board := func(down int) map[string]layers.Load {
+		loads := map[string]layers.Load{}
+		for i := range 10 {
+			loads[strconv.Itoa(i)] = layers.Load{Down: i < down}
+		}
+		return loads
+	}
+	vm.board.publish(1, board(2))
+	if down := vm.board.Down(); len(down) != 2 || !down["0"] || !down["1"] {
+		t.Errorf("down: %v", down)
+	}
+	vm.board.publish(2, board(5))
+	if down := vm.board.Down(); len(down) != 0 {
+		t.Errorf("down, though half did not answer: %v", down)
+	}
+}
+
 // A holder that was frozen wakes and publishes. Its board is of an older tenure and must
 // not replace that of its successor.
 func TestOlderTenureDoesNotReplaceANewer(t *testing.T) {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -64,7 +64,7 @@
 		if err == nil {
 			last = result
 		}
-		next := h.nextSlot(ctx, q, tried)
+		next := h.nextSlot(ctx, q, tried, err == nil || mayHaveArrived(err))
 		if next == nil {
 			return h.giveUp(ctx, q, last, err)
 		}
@@ -159,8 +159,9 @@
 	return balance.Query{Pool: q.service, Urgency: q.urgency(), Exclude: exclude, DataCentre: h.DataCentre}
 }
 
-// nextSlot returns a slot for one more attempt, or nil.
-func (h *Handler) nextSlot(ctx context.Context, q *request, tried []string) *balance.Slot {
+// nextSlot returns a slot for one more attempt, or nil. The attempt is paid for if the
+// one before may have arrived.
+func (h *Handler) nextSlot(ctx context.Context, q *request, tried []string, arrived bool) *balance.Slot {
 	mayRepeat := q.profile.Repeatable() || !q.boundary.MayHaveRun()
 	if ctx.Err() != nil || !mayRepeat || len(tried) >= max(1, q.profile.MaxAttempts) {
 		return nil
@@ -170,7 +171,7 @@
 		q.story.add("no other replica", zap.Error(err))
 		return nil
 	}
-	if !h.Budgets.of(q.service).Take(q.urgency()) {
+	if arrived && !h.Budgets.of(q.service).Take(q.urgency()) {
 		slot.Release(balance.ResultNeutral)
 		q.story.add("retry budget spent")
 		return nil
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -99,7 +99,7 @@
 
 // again waits for a path for one more send after one has ended.
 func (g *generation) again(ctx context.Context, err error) (*layers.Reservation, *outcome.Failure) {
-	if ctx.Err() != nil || !g.mayResend() || !g.payInTime(ctx) {
+	if ctx.Err() != nil || !g.mayResend() || mayHaveArrived(err) && !g.payInTime(ctx) {
 		return nil, failureOf(ctx, g.q, err)
 	}
 	reservation, failure := g.admit(ctx)
--- a/internal/relay/send_error.go
+++ b/internal/relay/send_error.go
@@ -1,6 +1,10 @@
 package relay
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
 
 // sendError reports a send without an answer's head.
 type sendError struct {
@@ -18,5 +22,13 @@
 	return fmt.Sprintf("not sent to %s: %v", e.Address, e.Cause)
 }
 
+// mayHaveArrived reports whether a send that failed may have reached a replica. One that
+// did not is no repetition when the request is sent once more, and costs no retry budget:
+// else a few dead replicas use up what is needed for those that answer.
+func mayHaveArrived(err error) bool {
+	var failed *sendError
+	return !errors.As(err, &failed) || failed.Sent
+}
+
 // Unwrap implements the errors package's convention.
 func (e *sendError) Unwrap() error { return e.Cause }
