layers: suspicion as a type of its own; one step time, one look-up by address

A report without a range is passed over now: boards of an earlier version have none, and in a rolling replacement would have taken all layers away. Behaviour is otherwise the same.

--- a/internal/layers/doc.go
+++ b/internal/layers/doc.go
@@ -9,6 +9,12 @@
 // for each request among the ranges that the replicas report, whatever the
 // placement intended; ranges need not line up, and a part of a range may be used.
 //
+// A VM keeps to its part of what all share: a few even shares of a card's memory and
+// slots while the card is reported as not full, and of the link between two data
+// centres. Of several layouts the one that carries most is chosen, also with one card
+// lost; later single cards move to where room is short, and a card that took over a dead
+// neighbour's layers gives them up again when others hold them.
+//
 // What happens when a replica dies: a path through it stalls, its requests are
 // moved to another holder of the same layers, and the replica is avoided until it
 // has proved itself again. Because every data centre has all layers, the missing
--- a/internal/layers/layout.go
+++ b/internal/layers/layout.go
@@ -125,7 +125,7 @@
 		c.add(k, held, 1)
 		for layer := held.From; layer < held.To; layer++ {
 			room := c.requestsAt(k, held.Len(), layer)
-			pace[layer] += room * spec.stepTime(k, usualFill*room)
+			pace[layer] += room * spec.stepTime(k, usualFill*room, spec.usualTokens())
 			stages[layer] += room / float64(held.Len())
 		}
 	}
--- a/internal/layers/path_test.go
+++ b/internal/layers/path_test.go
@@ -216,13 +216,7 @@
 		table := placedTable(spec, replicas)
 		table.SetSharers(Sharers{DataCentre: "a", All: 10, Home: 10})
 		reportAll(table, used)
-		n := 0
-		for ; n < 1000; n++ {
-			if _, err := table.Reserve(usual); err != nil {
-				break
-			}
-		}
-		return n
+		return countRoom(table)
 	}
 	idle, full := count(0), count(0.95)
 	if idle < 3*full || full == 0 && idle < 10 {
--- a/internal/layers/pipe_test.go
+++ b/internal/layers/pipe_test.go
@@ -33,6 +33,17 @@
 	table.SetLoads(loads)
 }
 
+// countRoom counts the requests that find room.
+func countRoom(table *Table) int {
+	n := 0
+	for ; n < 1000; n++ {
+		if _, err := table.Reserve(usual); err != nil {
+			break
+		}
+	}
+	return n
+}
+
 // Callers see streams that begin late and stand still. Where the own data centre is
 // short of room many VMs turn to paths that cross; the link passes prompts one after
 // another, so the crossing requests take longer, hold their room for longer, and more
@@ -98,13 +109,7 @@
 		table := placedTable(spec, cards("a", "large", 3))
 		table.SetSharers(Sharers{DataCentre: "a", All: 3 * home, Home: home})
 		reportAll(table, used)
-		n := 0
-		for ; n < 1000; n++ {
-			if _, err := table.Reserve(usual); err != nil {
-				break
-			}
-		}
-		return n
+		return countRoom(table)
 	}
 	half, full := count(0.5), count(0.85)
 	if half < 2*full {
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -253,8 +253,7 @@
 	used := r.fullness(s.share(r))
 	part := float64(n) / float64(spec.Layers)
 	batch := used * r.capacity / max(1, float64(r.Held.Len())) / s.need.tokens()
-	context := s.need.tokens() / 1000
-	step := (spec.Step.Seconds() + batch*(spec.PerSequence.Seconds()+context*spec.PerContext.Seconds())) * r.kind.StepPace * part
+	step := spec.stepTime(r.kind, batch, s.need.tokens()) * part
 	slow := r.slowness(s.now)
 	write := float64(s.need.Answer) * (step*(1+stageOverhead)*slow + hopCost.Seconds())
 	read := float64(s.need.Prompt) / max(1, spec.ReadPerSecond) * r.kind.ReadPace * part * slow
--- a/internal/layers/spec.go
+++ b/internal/layers/spec.go
@@ -60,8 +60,8 @@
 func (s *Spec) usualTokens() float64 { return float64(max(1, s.UsualPrompt+s.UsualAnswer)) }
 
 // stepTime is the time of a token step over all layers on a card, in seconds, beside so
-// many usual requests.
-func (s *Spec) stepTime(k Kind, batch float64) float64 {
-	context := s.usualTokens() / 1000
+// many requests of that many tokens.
+func (s *Spec) stepTime(k Kind, batch, tokens float64) float64 {
+	context := tokens / 1000
 	return (s.Step.Seconds() + batch*(s.PerSequence.Seconds()+context*s.PerContext.Seconds())) * k.StepPace
 }
--- a/internal/layers/state.go
+++ b/internal/layers/state.go
@@ -7,17 +7,6 @@
 )
 
 const (
-	// firstSuspicion is how long a replica is avoided after its first failure; each
-	// failure in a row doubles it up to maxSuspicion. The first is about what a
-	// restarted replica needs to come back, the bound what a long one costs at most.
-	firstSuspicion = time.Second
-	maxSuspicion   = 8 * time.Second
-	// leavingSuspicion and maxLeaving take their place for a replica that turned a request
-	// away though it has room: it is about to leave, or gives the layers up, and stays so
-	// for seconds. While the store is away discovery does not tell of it; with the short
-	// suspicion 83 VMs sent 350 requests in 6 s to three such cards.
-	leavingSuspicion = 4 * time.Second
-	maxLeaving       = 16 * time.Second
 	// paceTrust is how long a replica's reported pace is believed.
 	paceTrust = loadTrust
 	// growth is by how much the requests that a replica reports will still grow: they
@@ -31,6 +20,7 @@
 // state is what this VM knows of a replica.
 type state struct {
 	Replica
+	suspicion
 	kind Kind
 	// reserved is the memory that this VM's requests hold here, in tokens times layers.
 	reserved float64
@@ -47,13 +37,6 @@
 	listed   config.LayerRange
 	listedAt time.Time
 
-	failures     int
-	suspectedAt  time.Time
-	suspectUntil time.Time
-	// downUntil is for how long the replica is avoided as it did not answer another VM.
-	// Without it each VM would try it again after its own first suspicion: one dead card
-	// of 98 turned 228 requests of 89 VMs away within 5 s.
-	downUntil time.Time
 	// pace is what the replica's report says; above 1 it is slower than its kind.
 	pace   float64
 	paceAt time.Time
@@ -63,7 +46,7 @@
 func (s *state) reset(spec *Spec, r Replica) {
 	held := s.Held
 	if s.ID != r.ID {
-		s.failures, s.suspectUntil, s.downUntil, s.pace, s.load = 0, time.Time{}, time.Time{}, 0, Load{}
+		s.suspicion, s.pace, s.load = suspicion{}, 0, Load{}
 	}
 	if s.ID != r.ID || s.listed != r.Held {
 		held, s.listed, s.listedAt = r.Held, r.Held, time.Now()
@@ -84,9 +67,10 @@
 
 // takeHeld takes over the range that a report shows if it is newer than what discovery
 // shows: a replica tells discovery of its layers at its next heartbeat only, and a range
-// that was missing would be so for a second or two longer.
+// that was missing would be so for a second or two longer. A report without a range, as
+// an earlier version's boards have none, says nothing.
 func (s *state) takeHeld(spec *Spec, load Load) {
-	if load.Held != s.Held && load.At.Add(-reportLag).After(s.listedAt) {
+	if load.Held.Len() > 0 && load.Held != s.Held && load.At.Add(-reportLag).After(s.listedAt) {
 		s.hold(spec, load.Held)
 	}
 }
@@ -139,8 +123,6 @@
 // the replica that looked emptiest, and fill it before the next report.
 func (s *state) fullness(share float64) float64 { return s.reserved / max(1, s.capacity*share) }
 
-func (s *state) suspect(now time.Time) { s.avoid(now, firstSuspicion, maxSuspicion) }
-
 // turnedAway avoids the replica after it, or one that knows, did not take a request.
 func (s *state) turnedAway(now time.Time) {
 	if usage, known := s.usage(now); known && usage < fullAt*s.capacity {
@@ -150,29 +132,6 @@
 	s.suspect(now)
 }
 
-// avoid avoids the replica for the first time span, doubled with each failure in a row.
-func (s *state) avoid(now time.Time, first, most time.Duration) {
-	if now.Before(s.suspectUntil) {
-		return
-	}
-	wait := min(most, first<<min(s.failures, 8))
-	s.failures++
-	s.suspectedAt, s.suspectUntil = now, now.Add(wait)
-}
-
-// served ends the suspicion after a request went well that was sent since it began. An
-// older one says nothing: a replica that is about to leave finishes what it has and
-// turns away whatever is new.
-func (s *state) served(sent time.Time) {
-	if sent.After(s.suspectedAt) {
-		s.failures, s.suspectUntil = 0, time.Time{}
-	}
-}
-
-func (s *state) suspected(now time.Time) bool {
-	return now.Before(s.suspectUntil) || now.Before(s.downUntil)
-}
-
 // slowness is by how much the replica is slower than its kind, at least 1.
 func (s *state) slowness(now time.Time) float64 {
 	if s.pace <= 1 || now.Sub(s.paceAt) > paceTrust {
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -94,33 +94,26 @@
 // Suspect avoids a replica for a while: a request found it dead, silent or without
 // the layers that it reported.
 func (t *Table) Suspect(address string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.replicas {
-		if s.Address == address {
-			s.suspect(time.Now())
-		}
-	}
+	t.at(address, func(s *state) { s.suspect(time.Now()) })
 }
 
 // TurnedAway avoids a replica that did not take a request, for longer if it has room.
 func (t *Table) TurnedAway(address string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.replicas {
-		if s.Address == address {
-			s.turnedAway(time.Now())
-		}
-	}
+	t.at(address, func(s *state) { s.turnedAway(time.Now()) })
 }
 
 // Pace takes what a replica's report says of its speed.
 func (t *Table) Pace(address string, pace float64) {
+	t.at(address, func(s *state) { s.pace, s.paceAt = pace, time.Now() })
+}
+
+// at changes what this VM knows of the replica at an address.
+func (t *Table) at(address string, change func(*state)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.replicas {
 		if s.Address == address {
-			s.pace, s.paceAt = pace, time.Now()
+			change(s)
 		}
 	}
 }
--- a/internal/loads/doc.go
+++ b/internal/loads/doc.go
@@ -7,6 +7,13 @@
 // has to know the replicas anyway, asks each one a second, and the others copy the
 // board of answers from peers, as they copy the operator's tables.
 //
+// A large fleet asks a few VMs only. The holder need not be one of them, so it offers
+// each new board to some of those.
+//
+// A replica that does not answer twice in a row stands on the board as down: all VMs
+// avoid it and the placement gives its layers to others, seconds before discovery drops
+// it. While the store is away the last holder goes on.
+//
 // The board is a hint and may be seconds old or missing: after its holder died there is
 // none for the time of a lease. The choice of paths then falls back on even shares.
 package loads
