--- a/internal/layers/improve.go
+++ b/internal/layers/improve.go
@@ -11,12 +11,14 @@
 	// layers already. Its present layers serve nobody new once it is ordered, and the
 	// load takes from the source that all loads share.
 	worthMoving = 0.15
-	// worthNarrowing is the same for a card that gives layers up which others hold, and
-	// loads none.
+	// worthNarrowing is the same for a card that gives layers up which others hold. It
+	// loads nothing and serves its other layers on, so a small gain is enough; at 0.15 a
+	// data centre of 14 cards whose h100 came back kept room for 59 requests in place of 192.
 	worthNarrowing = 0.01
 	// crowded is the room, in usual requests, below which a card may give layers up to
 	// others, as after it widened over a dead neighbour's. Above it a layer stays where it
-	// is: others may be slower by ten times, and more room there would serve nobody.
+	// is: others may be slower by ten times, and more room there would serve nobody. 120
+	// is the room that was best for the fast cards of 13.
 	crowded = 120
 	// nearlyBest is the part of the best move's gain from which a cheaper card is moved
 	// instead.
--- a/internal/layers/layout.go
+++ b/internal/layers/layout.go
@@ -10,14 +10,17 @@
 const (
 	// lossWeight is the weight of the room that is left on average after the loss of one
 	// card against that of the whole group. Cards die several times a day; a layer with
-	// one holder then stops all streams of the data centre.
+	// one holder then stops all streams of the data centre. At 0.5 a data centre of 12 cards
+	// got layers with one holder throughout; at 0.7 it doubles a quarter.
 	lossWeight = 0.7
-	// usualFill is how full cards are taken to be for the time of a step.
+	// usualFill is how full cards are taken to be for the time of a step. It is a guess:
+	// from 0 to 1 a step takes about twice as long, on all kinds alike.
 	usualFill = 0.6
 )
 
 // Parameters of the layouts that are compared. Fewer sets leave more memory for
-// requests, and more room in a card keeps layers off it.
+// requests, and more room in a card keeps layers off it. The grid spans what was best on
+// 13 cards a data centre (120 and 1.25) and on 34 (240 and 1).
 var (
 	triedRooms        = []float64{60, 90, 120, 150, 180, 240}
 	triedRedundancies = []float64{1, 1.12, 1.25, 1.5}
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -33,7 +33,8 @@
 	// its cost is 1 + loadWeight times that of an empty one.
 	loadWeight = 2.0
 	// leastEntries is how many of this VM's requests may enter at a replica at the same
-	// time however many VMs share it.
+	// time however many VMs share it. The even part of 192 slots far away is one for each
+	// of 83 VMs, and at most a third of them go beyond their data centre at once.
 	leastEntries = 2
 	// maxStages is the longest path that engines take.
 	maxStages = 32
--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -16,7 +16,8 @@
 
 const (
 	// mostDown is the part of all replicas that may be taken for dead at once. Where more
-	// do not answer, the VM that asks is cut off itself.
+	// do not answer, the VM that asks is more likely cut off from a data centre, which has
+	// a third of them or a quarter.
 	mostDown = 0.3
 	// fewDown may be in any case, however few replicas there are.
 	fewDown = 2
--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -11,9 +11,9 @@
 	// budgetMargin is how much of the allowance this VM uses. The rest covers VMs that
 	// this one does not know of, and requests that are counted at another moment.
 	budgetMargin = 0.85
-	// unknownVMs is how many VMs are taken to share the slack before they were counted. A
-	// whole fleet may start while the store is away, and each VM must not take the part
-	// that it would have in a small one.
+	// unknownVMs is how many VMs are taken to share the slack before they were counted, a
+	// few more than the largest fleet of today has. A whole fleet may start while the
+	// store is away, and each VM must not take the part that it would have in a small one.
 	unknownVMs = 100
 )
 
