One piece for what stood twice: whether a report is believed; a follower that learns by peers

The age of a replica's report was checked in two places of its state, and three tests started and stopped the same follower. Behaviour and assertions are as they were.

--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -207,16 +207,26 @@
 	})
 }
 
+// learnByPeers runs a follower of a VM that does not follow the feed, until stop is called.
+func learnByPeers(t *testing.T, feed *fakeFeed, peers *fakePeers) (f *Follower, stop func()) {
+	f = New(Options{Table: "t", Feed: feed, Peers: peers, Logger: zap.NewNop(), Follows: func() bool { return false }, OnChange: func(platform.TableView) {}})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { f.Run(ctx) })
+	return f, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // A VM of a large fleet learns by its peers and asks the store nothing. When they fall
 // silent it turns to the store by itself.
 func TestFewFollowTheFeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		feed, peers := newFakeFeed(), &fakePeers{}
 		peers.have(1, "1")
-		f := New(Options{Table: "t", Feed: feed, Peers: peers, Logger: zap.NewNop(), Follows: func() bool { return false }, OnChange: func(platform.TableView) {}})
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { f.Run(ctx) })
+		f, stop := learnByPeers(t, feed, peers)
+		defer stop()
 		time.Sleep(10 * time.Second)
 		feed.set(func() { feed.view = platform.TableView{Revision: 5, Rows: map[string][]byte{"a": []byte("store")}} })
 		time.Sleep(2 * time.Second)
@@ -230,8 +240,6 @@
 		if value := string(f.View().Rows["a"]); value != "store" {
 			t.Errorf("value %q after the peers fell silent", value)
 		}
-		cancel()
-		running.Wait()
 	})
 }
 
@@ -242,10 +250,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		feed, peers := newFakeFeed(), &fakePeers{}
 		peers.have(1, "1")
-		f := New(Options{Table: "t", Feed: feed, Peers: peers, Logger: zap.NewNop(), Follows: func() bool { return false }, OnChange: func(platform.TableView) {}})
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { f.Run(ctx) })
+		f, stop := learnByPeers(t, feed, peers)
+		defer stop()
 		time.Sleep(2 * time.Second)
 		feed.set(func() { feed.err = errors.New("down") })
 		peers.mu.Lock()
@@ -265,8 +271,6 @@
 		if value := string(f.View().Rows["a"]); value != "store" {
 			t.Errorf("value %q after the store's return", value)
 		}
-		cancel()
-		running.Wait()
 	})
 }
 
@@ -276,10 +280,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		feed, peers := newFakeFeed(), &fakePeers{}
 		feed.err = errors.New("down")
-		f := New(Options{Table: "t", Feed: feed, Peers: peers, Logger: zap.NewNop(), Follows: func() bool { return false }, OnChange: func(platform.TableView) {}})
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { f.Run(ctx) })
+		f, stop := learnByPeers(t, feed, peers)
+		defer stop()
 		time.Sleep(3 * time.Second)
 		peers.have(1, "1")
 		time.Sleep(2 * time.Second)
@@ -291,8 +293,6 @@
 		if !f.Settling() {
 			t.Error("not settling, though its peers are")
 		}
-		cancel()
-		running.Wait()
 	})
 }
 
--- a/internal/layers/state.go
+++ b/internal/layers/state.go
@@ -75,9 +75,14 @@
 	}
 }
 
+// reported says whether there is a report of the replica that is believed yet.
+func (s *state) reported(now time.Time) bool {
+	return s.load.Total > 0 && now.Sub(s.load.At) <= loadTrust
+}
+
 // usage estimates the memory that all VMs' requests hold here, and whether it is known.
 func (s *state) usage(now time.Time) (float64, bool) {
-	if s.load.Total <= 0 || now.Sub(s.load.At) > loadTrust {
+	if !s.reported(now) {
 		return 0, false
 	}
 	return max(s.reserved, growth*s.load.Used+s.reserved-s.reservedThen), true
@@ -108,7 +113,7 @@
 // enters reports whether one more of this VM's requests may enter here, as with fits.
 func (s *state) enters(slots int, a allowance, now time.Time) bool {
 	own := s.first < max(leastEntries, int(a.share*float64(slots)))
-	if s.load.Total <= 0 || now.Sub(s.load.At) > loadTrust {
+	if !s.reported(now) {
 		return own
 	}
 	after := s.load.Entered + s.first - s.firstThen + 1
