mirror: a configuration travels packed, from one near peer, along a tree that grows with the fleet

On 88 VMs a change of a configuration of 1,770 profiles was in force up to 5.1 s after its first VM had it (bound 3 s); one VM refused a request with 404 as an older version says. With questions that end after 300 ms most never arrived whole. Ruled out: the store's outage (it was back at 26.0 s, the version came at 26.9 s; version 25 took as long with the store up), back-off (each VM asked every 0.8 s), the table of replicas (small changes).

Now two peers tell their revision, and the nearer one that has news sends it, packed once for all who lack the same. Three followers a data centre or one for 16 VMs, so that what one sends does not grow with the fleet. A peer that does not answer is passed over for 10 s. Boards of loads go the same way, one copy a second from a near peer in place of two from anywhere.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -83,11 +83,17 @@
 // First returns the first n VMs in the order of a hash of their names, which is the
 // same on all VMs that have the same list.
 func (c *Census) First(n int) []VM {
-	vms := slices.Clone(c.VMs())
+	vms := inOrder(c.VMs())
+	return vms[:min(n, len(vms))]
+}
+
+// inOrder returns the VMs in the order of a hash of their names.
+func inOrder(all []VM) []VM {
+	vms := slices.Clone(all)
 	slices.SortFunc(vms, func(a, b VM) int {
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
-	return vms[:min(n, len(vms))]
+	return vms
 }
 
 // Among reports whether this VM is one of the first n.
@@ -95,6 +101,41 @@
 	return slices.ContainsFunc(c.First(n), func(vm VM) bool { return vm.Name == c.own.Name })
 }
 
+const (
+	// leastFollowers is how many VMs of each data centre follow the store's feed. The others
+	// learn from them; with three, a fault of the store towards some VMs leaves one.
+	leastFollowers = 3
+	// vmsPerFollower is how many VMs learn from one follower at most. A configuration of
+	// 1,770 profiles is some 40 KB to each, 0.3 s of a link of 20 Mbit/s for 16.
+	vmsPerFollower = 16
+)
+
+// Followers returns the VMs that follow the store's feed, by data centre, in the order of
+// a hash of their names, which is the same on all VMs that have the same list.
+func (c *Census) Followers() map[string][]VM { return FollowersOf(c.VMs()) }
+
+// FollowersOf is Followers for a list of VMs.
+func FollowersOf(all []VM) map[string][]VM {
+	followers := map[string][]VM{}
+	vms := inOrder(all)
+	counts := map[string]int{}
+	for _, vm := range vms {
+		counts[vm.DataCentre]++
+	}
+	for _, vm := range vms {
+		most := max(leastFollowers, (counts[vm.DataCentre]+vmsPerFollower-1)/vmsPerFollower)
+		if len(followers[vm.DataCentre]) < most {
+			followers[vm.DataCentre] = append(followers[vm.DataCentre], vm)
+		}
+	}
+	return followers
+}
+
+// Follows reports whether this VM is one of those.
+func (c *Census) Follows() bool {
+	return slices.ContainsFunc(c.Followers()[c.own.DataCentre], func(vm VM) bool { return vm.Name == c.own.Name })
+}
+
 // pause is the time until the next round. It grows with the fleet, so that the calls of
 // all VMs together stay at five a second.
 func (c *Census) pause(round int) time.Duration {
--- a/internal/census/census_test.go
+++ b/internal/census/census_test.go
@@ -94,3 +94,24 @@
 		running.Wait()
 	})
 }
+
+// In a fleet of any size some VMs of each data centre follow the store, three at least, and
+// no more than sixteen VMs learn from one of them: the links of small VMs carry that.
+func TestFollowersGrowWithTheFleet(t *testing.T) {
+	for _, size := range []int{1, 6, 90, 320, 1000} {
+		var all []VM
+		counts := map[string]int{}
+		for i := range size {
+			vm := VM{Name: fmt.Sprint("vm-", i), DataCentre: fmt.Sprint("dc", i%3)}
+			all = append(all, vm)
+			counts[vm.DataCentre]++
+		}
+		followers := FollowersOf(all)
+		for dataCentre, vms := range counts {
+			n := len(followers[dataCentre])
+			if n < min(vms, leastFollowers) || vms > n*vmsPerFollower {
+				t.Errorf("%d followers for the %d VMs of a data centre", n, vms)
+			}
+		}
+	}
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -44,10 +44,6 @@
 	// holderSilence is the age of the board of loads, which the holder renews each second,
 	// from which all VMs compete: the contenders may all have died at once.
 	holderSilence = 8 * time.Second
-	// feedFollowers is how many VMs follow the store's feed, in the same order as the
-	// contenders. The others ask two of them at a time; with eight, a fault of a zone or
-	// of the store towards some VMs leaves enough of them.
-	feedFollowers = 8
 	// usualVMs is how many VMs are assumed before the list of them was read.
 	usualVMs = 6
 	// usualDataCentres is over how many data centres they are taken to be spread.
@@ -162,7 +158,7 @@
 		VMs: usualVMs, WritesPerSecond: s.Platform.WritesPerSecond, ReadsPerSecond: s.Platform.ReadsPerSecond,
 	})
 	p.peers = mirror.NewClient(p.PeersAddress(), s.Peers.Seeds, p.Logger)
-	p.mirror = mirror.NewServer(p.since, p.take)
+	p.mirror = mirror.NewServer(p.since, p.take, p.Logger)
 	p.balancer = balance.New(balance.Settings{}, p.invariants)
 	p.pools = relay.NewPools()
 	p.budgets = relay.NewBudgets(relay.BudgetSettings{Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow})
@@ -191,7 +187,7 @@
 }
 
 // followsFeed reports whether this VM is one of those that follow the store's feed.
-func (p *Process) followsFeed() bool { return p.census.Among(feedFollowers) }
+func (p *Process) followsFeed() bool { return p.census.Follows() }
 
 // since is what peers are given.
 func (p *Process) since(table string, after uint64) (platform.TableChange, time.Duration, bool) {
@@ -216,7 +212,20 @@
 	p.table.SetVMs(len(vms))
 	p.pools.SetSharers(p.sharers(vms))
 	p.budgets.SetVMs(len(vms))
-	p.peers.SetPeers(addressesOf(p.census.First(feedFollowers)), append(addressesOf(vms), p.Settings.Peers.Seeds...))
+	p.peers.SetPeers(p.peersAmong(vms))
+}
+
+// peersAmong says whom of the VMs this one asks.
+func (p *Process) peersAmong(vms []census.VM) mirror.Peers {
+	peers := mirror.Peers{Others: append(addressesOf(vms), p.Settings.Peers.Seeds...)}
+	for dataCentre, followers := range p.census.Followers() {
+		if dataCentre == p.Settings.VM.DataCentre {
+			peers.Near = addressesOf(followers)
+			continue
+		}
+		peers.Far = append(peers.Far, addressesOf(followers))
+	}
+	return peers
 }
 
 func addressesOf(vms []census.VM) []string {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -34,9 +34,10 @@
 	// 83 VMs asked it 2,400 times in 14 s, where the few that follow the feed find out as
 	// well that it is back.
 	calmRetryPause = 2 * time.Second
-	// readTimeout bounds a read of a whole table, peerTimeout the answers of peers.
+	// readTimeout bounds a read of a whole table.
 	readTimeout = time.Second
-	peerTimeout = 700 * time.Millisecond
+	// peerTimeout bounds the answers of peers: one that is dead, and a large copy from another.
+	peerTimeout = 2500 * time.Millisecond
 	// feedTimeout bounds one call to the feed, which itself waits for changes up to
 	// FeedWait.
 	feedTimeout = FeedWait + time.Second
--- a/internal/loads/keeper.go
+++ b/internal/loads/keeper.go
@@ -37,10 +37,10 @@
 
 // Peers exchanges copies of the board with other VMs.
 type Peers interface {
-	// Offer hands the board to some of the VMs that the others ask.
+	// Offer hands the board to one of the VMs that others ask in each data centre.
 	Offer(ctx context.Context, table string, change platform.TableChange, age time.Duration)
-	// Fetch returns a peer's copy of the board if it is newer than a revision.
-	Fetch(ctx context.Context, table string, after uint64) (platform.TableChange, time.Duration, bool)
+	// FetchOne returns one peer's copy of the board if it is newer than a revision.
+	FetchOne(ctx context.Context, table string, after uint64) (platform.TableChange, time.Duration, bool)
 }
 
 // Options configure a Keeper.
@@ -83,7 +83,7 @@
 func (k *Keeper) copy(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	change, age, ok := k.Peers.Fetch(ctx, TableName, k.Board.Revision())
+	change, age, ok := k.Peers.FetchOne(ctx, TableName, k.Board.Revision())
 	if ok {
 		k.Board.Take(change, age)
 	}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -39,7 +39,7 @@
 	p.board.Take(change, age)
 }
 
-func (p onePeer) Fetch(_ context.Context, _ string, after uint64) (platform.TableChange, time.Duration, bool) {
+func (p onePeer) FetchOne(_ context.Context, _ string, after uint64) (platform.TableChange, time.Duration, bool) {
 	return p.board.Since(after)
 }
 
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
+	"maps"
 	"sync"
 	"time"
 
@@ -17,11 +17,17 @@
 )
 
 const (
-	// asked is how many peers one question goes to. One may be turned away by the store
-	// as well; of two at random, one that is served is likely among them.
-	asked = 2
-	// askTimeout bounds one round of questions.
+	// tried is how many peers are asked one after the other until one answers.
+	tried = 3
+	// askTimeout bounds a question for a revision, and for a copy that is small.
 	askTimeout = 300 * time.Millisecond
+	// copyTimeout bounds a question for what a copy has. A configuration of 1,770 profiles
+	// takes 20 ms over a link of 20 Mbit/s, and some VMs ask the same peer at once; one fifty
+	// times as large still arrives.
+	copyTimeout = 2 * time.Second
+	// silence is for how long a peer that did not answer is passed over. The list of VMs has
+	// dead ones for up to half a minute, and each of them costs a question its time limit.
+	silence = 10 * time.Second
 	// maxRetryDelay bounds the pause before a peer that was away is dialled again.
 	maxRetryDelay = time.Second
 	// idleTimeout closes connections to peers that are not asked any more.
@@ -34,107 +40,159 @@
 type Client struct {
 	own    string
 	logger *zap.Logger
+	// asker asks a peer; tests put a network of their own in its place.
+	asker func(ctx context.Context, address string, q question) *answer
 
-	mu        sync.Mutex // guards the fields below
-	preferred []string
-	peers     []string
-	conns     map[string]*grpc.ClientConn
+	mu    sync.Mutex // guards the fields below
+	peers Peers
+	// silent says until when a peer that did not answer is asked only if no other is left.
+	silent map[string]time.Time
+	conns  map[string]*grpc.ClientConn
 }
 
 // NewClient returns a client of a VM whose own address is never asked.
 func NewClient(own string, seeds []string, logger *zap.Logger) *Client {
-	c := &Client{own: own, logger: logger, conns: map[string]*grpc.ClientConn{}}
-	c.SetPeers(nil, seeds)
+	c := &Client{own: own, logger: logger, silent: map[string]time.Time{}, conns: map[string]*grpc.ClientConn{}}
+	c.asker = c.askPeer
+	c.SetPeers(Peers{Others: seeds})
 	return c
 }
 
-// SetPeers replaces the addresses, IP:port, that are asked: the preferred ones first,
-// the others where none of those answers.
-func (c *Client) SetPeers(preferred, others []string) {
+// SetPeers replaces the addresses that are asked.
+func (c *Client) SetPeers(peers Peers) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.preferred, c.peers = c.withoutOwn(preferred), c.withoutOwn(others)
+	c.peers = peers.withoutAny(map[string]time.Time{c.own: {}})
 }
 
-func (c *Client) withoutOwn(addresses []string) []string {
-	var rest []string
-	for _, address := range addresses {
-		if address != c.own {
-			rest = append(rest, address)
-		}
-	}
-	return rest
+// known returns the peers that may be asked now.
+func (c *Client) known() Peers {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(c.silent, func(_ string, until time.Time) bool { return now.After(until) })
+	return c.peers.withoutAny(c.silent)
 }
 
-// Fetch asks some peers what they have beyond a revision and returns the newest answer,
-// with the time since that copy was confirmed. Ok is false when none answered.
-func (c *Client) Fetch(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool) {
+// heard notes whether a peer answered.
+func (c *Client) heard(address string, answered bool) {
 	c.mu.Lock()
-	preferred, others := c.preferred, c.peers
-	c.mu.Unlock()
-	newest, ok := c.fetch(ctx, some(preferred), table, after)
-	if !ok {
-		newest, ok = c.fetch(ctx, some(others), table, after)
+	defer c.mu.Unlock()
+	if answered {
+		delete(c.silent, address)
+	} else {
+		c.silent[address] = time.Now().Add(silence)
 	}
-	return newest.TableChange, time.Duration(newest.AgeMS) * time.Millisecond, ok
 }
 
-func (c *Client) fetch(ctx context.Context, peers []string, table string, after uint64) (newest answer, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	views := make(chan *answer, len(peers))
-	for _, address := range peers {
-		go func() { views <- c.ask(ctx, address, table, after) }()
+// Fetch asks two peers for their revisions, one of them of another data centre if there is
+// one, as the store may turn the first one away. What the newer copy has beyond this VM's
+// is then fetched from the nearer peer that has it. It returns that with the time since the
+// copy was confirmed. Ok is false when no peer answered.
+func (c *Client) Fetch(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool) {
+	peers := c.known()
+	order := peers.order()
+	if len(order) == 0 {
+		return change, 0, false
+	}
+	brief := question{Table: table, After: after, Brief: true}
+	second := peers.second(order[0])
+	answers := make(chan *answer, 1)
+	go func() { answers <- c.ask(ctx, second, brief) }()
+	newest, from := c.ask(ctx, order[0], brief), order[0]
+	switch other := <-answers; {
+	case newest == nil && other == nil:
+		return c.FetchOne(ctx, table, after)
+	case newest == nil || other != nil && other.Revision > newest.Revision:
+		newest, from = other, second
+	case other != nil && other.Revision == newest.Revision:
+		newest.AgeMS = min(newest.AgeMS, other.AgeMS)
+		newest.Settling = newest.Settling || other.Settling
 	}
-	for range peers {
-		view := <-views
-		if view == nil {
+	if newest.Revision <= after {
+		return c.opened(newest)
+	}
+	return c.opened(c.ask(ctx, from, question{Table: table, After: after}))
+}
+
+// FetchOne asks one peer after another until one answers. It is for copies that change all
+// the time, of which any recent one will do.
+func (c *Client) FetchOne(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool) {
+	order := c.known().order()
+	for _, address := range order[:min(tried, len(order))] {
+		if c.ask(ctx, address, question{Table: table, After: after, Brief: true}) == nil {
 			continue
 		}
-		later := view.Revision > newest.Revision || view.Revision == newest.Revision && view.AgeMS < newest.AgeMS
-		if !ok || later {
-			newest = *view
+		if a := c.ask(ctx, address, question{Table: table, After: after}); a != nil {
+			return c.opened(a)
 		}
-		ok = true
 	}
-	return newest, ok
+	return change, 0, false
 }
 
-// some picks a few of the addresses at random.
-func some(addresses []string) []string {
-	peers := append([]string(nil), addresses...)
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(asked, len(peers))]
+// opened unpacks an answer, if there is one.
+func (c *Client) opened(a *answer) (platform.TableChange, time.Duration, bool) {
+	change := platform.TableChange{}
+	if a == nil {
+		return change, 0, false
+	}
+	if len(a.Change) > 0 {
+		unpacked, err := unpack(a.Change)
+		if err != nil {
+			c.logger.Warn("peer's answer not read", zap.Error(err))
+			return change, 0, false
+		}
+		change = unpacked
+	}
+	change.Revision, change.Settling = a.Revision, a.Settling
+	return change, time.Duration(a.AgeMS) * time.Millisecond, true
 }
 
-// Offer hands a copy to some of the preferred peers, from which the others learn it. A
-// VM that makes something need not be one of those that are asked.
+// Offer hands a copy to one follower of each data centre, from which the others learn it.
+// A VM that makes something need not be one of those that are asked.
 func (c *Client) Offer(ctx context.Context, table string, change platform.TableChange, age time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	c.mu.Lock()
-	peers := some(c.preferred)
-	c.mu.Unlock()
+	packed, err := pack(change)
+	if err != nil {
+		c.logger.Error("copy not offered", zap.String("table", table), zap.Error(err))
+		return
+	}
+	o := offered{Table: table, answer: answer{Revision: change.Revision, AgeMS: age.Milliseconds(), Change: packed}}
 	var offering sync.WaitGroup
-	for _, address := range peers {
-		offering.Go(func() {
-			c.invoke(ctx, address, offerMethod, offered{Table: table, answer: answer{TableChange: change, AgeMS: age.Milliseconds()}})
-		})
+	for _, address := range c.known().onePerDataCentre() {
+		offering.Go(func() { c.invoke(ctx, address, offerMethod, o) })
 	}
 	offering.Wait()
 }
 
-func (c *Client) ask(ctx context.Context, address, table string, after uint64) *answer {
-	reply := c.invoke(ctx, address, fetchMethod, question{Table: table, After: after})
+// ask asks one peer. It returns nil when the peer did not answer, or there is none.
+func (c *Client) ask(ctx context.Context, address string, q question) *answer {
+	if address == "" {
+		return nil
+	}
+	timeout := copyTimeout
+	if q.Brief {
+		timeout = askTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a := c.asker(ctx, address, q)
+	c.heard(address, a != nil)
+	return a
+}
+
+func (c *Client) askPeer(ctx context.Context, address string, q question) *answer {
+	reply := c.invoke(ctx, address, fetchMethod, q)
 	if reply == nil {
 		return nil
 	}
-	var view answer
-	if err := json.Unmarshal(reply.GetValue(), &view); err != nil {
+	var a answer
+	if err := json.Unmarshal(reply.GetValue(), &a); err != nil {
 		c.logger.Warn("peer's answer not read", zap.String("peer", address), zap.Error(err))
 		return nil
 	}
-	return &view
+	return &a
 }
 
 // invoke calls a peer's method. It returns nil when the peer did not answer.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(s.since, s.take)
+	server := NewServer(s.since, s.take, zap.NewNop())
 	var serving sync.WaitGroup
 	serving.Go(func() {
 		if err := server.Serve(lis); err != nil {
@@ -60,13 +60,13 @@
 
 	maker := NewClient("", nil, zap.NewNop())
 	defer maker.Close()
-	maker.SetPeers([]string{keptAt}, nil)
+	maker.SetPeers(Peers{Near: []string{keptAt}})
 	offered := platform.TableChange{Revision: 7, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}
 	offer(t, maker, kept, offered)
 
 	asking := NewClient("", nil, zap.NewNop())
 	defer asking.Close()
-	asking.SetPeers([]string{emptyAt}, []string{keptAt})
+	asking.SetPeers(Peers{Near: []string{emptyAt}, Others: []string{keptAt}})
 	change, age, ok := fetch(t, asking)
 	if !ok || change.Revision != 7 || string(change.Written["all"]) != "loads" || age != time.Second {
 		t.Errorf("%+v, %s, %v", change, age, ok)
@@ -95,3 +95,30 @@
 	t.Fatal("no peer answered")
 	return platform.TableChange{}, 0, false
 }
+
+// A peer is dead and still listed. It is asked once; for a while the others are asked in its
+// place, so that it does not cost each question its time limit.
+func TestSilentPeerIsPassedOver(t *testing.T) {
+	kept := &shelf{change: platform.TableChange{Revision: 3, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}}
+	keptAt := serve(t, kept)
+	asked := map[string]int{}
+	c := NewClient("", nil, zap.NewNop())
+	defer c.Close()
+	c.SetPeers(Peers{Near: []string{"dead"}, Others: []string{keptAt}})
+	askPeer := c.asker
+	c.asker = func(ctx context.Context, address string, q question) *answer {
+		asked[address]++
+		if address == "dead" {
+			return nil
+		}
+		return askPeer(ctx, address, q)
+	}
+	for range 5 {
+		if _, _, ok := c.FetchOne(context.Background(), "loads", 0); !ok {
+			t.Fatal("no answer")
+		}
+	}
+	if asked["dead"] != 1 {
+		t.Errorf("the dead peer was asked %d times", asked["dead"])
+	}
+}
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -24,14 +25,16 @@
 
 // Server gives this VM's copies to peers and takes what they offer.
 type Server struct {
-	since Since
-	take  Take
-	grpc  *grpc.Server
+	since  Since
+	take   Take
+	packed *packedChanges
+	logger *zap.Logger
+	grpc   *grpc.Server
 }
 
 // NewServer returns a server; Serve makes it answer.
-func NewServer(since Since, take Take) *Server {
-	s := &Server{since: since, take: take, grpc: grpc.NewServer()}
+func NewServer(since Since, take Take, logger *zap.Logger) *Server {
+	s := &Server{since: since, take: take, packed: newPackedChanges(), logger: logger, grpc: grpc.NewServer()}
 	s.grpc.RegisterService(&serviceDesc, s)
 	return s
 }
@@ -47,16 +50,32 @@
 	if err := json.Unmarshal(request.GetValue(), &q); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	answer, err := s.answer(q)
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return wrapperspb.Bytes(body), nil
+}
+
+func (s *Server) answer(q question) (*answer, error) {
 	change, age, ok := s.since(q.Table, q.After)
 	if !ok {
 		return nil, status.Error(codes.NotFound, "this VM has no copy of the table")
 	}
-	answer := answer{TableChange: change, AgeMS: age.Milliseconds()}
-	body, err := json.Marshal(answer)
+	a := &answer{Revision: change.Revision, AgeMS: age.Milliseconds(), Settling: change.Settling}
+	if q.Brief || change.Empty() {
+		return a, nil
+	}
+	packed, err := s.packed.of(q.Table, q.After, change)
 	if err != nil {
 		return nil, status.Error(codes.Internal, err.Error())
 	}
-	return wrapperspb.Bytes(body), nil
+	a.Change = packed
+	return a, nil
 }
 
 func (s *Server) offer(_ context.Context, request *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error) {
@@ -64,6 +83,11 @@
 	if err := json.Unmarshal(request.GetValue(), &o); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	s.take(o.Table, o.TableChange, time.Duration(o.AgeMS)*time.Millisecond)
+	change, err := unpack(o.Change)
+	if err != nil {
+		s.logger.Warn("peer's offer not read", zap.String("table", o.Table), zap.Error(err))
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	s.take(o.Table, change, time.Duration(o.AgeMS)*time.Millisecond)
 	return &wrapperspb.BytesValue{}, nil
 }
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -5,8 +5,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/types/known/wrapperspb"
-
-	"geraniumcroft/internal/platform"
 )
 
 const (
@@ -40,17 +38,23 @@
 	}
 }
 
-// answer is what a copy has beyond the revision that was asked for.
-type answer struct {
-	platform.TableChange
-	// AgeMS is the time since the copy was confirmed to be the newest.
-	AgeMS int64 `json:"ageMs"`
-}
-
 // question asks for a table if it is newer than a revision.
 type question struct {
 	Table string `json:"table"`
 	After uint64 `json:"after"`
+	// Brief asks for the revision and its age alone.
+	Brief bool `json:"brief,omitempty"`
+}
+
+// answer is what a copy has beyond the revision that was asked for.
+type answer struct {
+	Revision uint64 `json:"revision"`
+	// AgeMS is the time since the copy was confirmed to be the newest.
+	AgeMS int64 `json:"ageMs"`
+	// Settling says that the store was away a moment ago.
+	Settling bool `json:"settling,omitempty"`
+	// Change is the packed change, without it if there is none or none was asked for.
+	Change []byte `json:"change,omitempty"`
 }
 
 // offered is a copy that its maker hands on without being asked.
