--- /dev/null
+++ b/internal/cli/causescmd/doc.go
@@ -0,0 +1,3 @@
+// Package causescmd implements "causes": where requests were lost, from the logs of
+// several VMs.
+package causescmd
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -9,6 +9,7 @@
 	"github.com/google/subcommands"
 
 	"geraniumcroft/internal/cli/admincmd"
+	"geraniumcroft/internal/cli/causescmd"
 	"geraniumcroft/internal/cli/experimentcmd"
 	"geraniumcroft/internal/cli/explaincmd"
 	"geraniumcroft/internal/cli/loadcmd"
@@ -41,6 +42,7 @@
 	c.Register(&serveCommand{}, "running")
 	c.Register(&checkCommand{}, "running")
 	c.Register(&explaincmd.Command{}, "running")
+	c.Register(&causescmd.Command{}, "running")
 	c.Register(&demoCommand{}, "trying")
 	c.Register(&standinCommand{}, "trying")
 	admincmd.Register(c)
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -49,6 +49,16 @@
 	t.replicas = next
 }
 
+// dataCentres names the data centres that have replicas, in order. The table is locked.
+func (t *Table) dataCentres() []string {
+	var names []string
+	for _, s := range t.replicas {
+		names = append(names, s.DataCentre)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Layers returns how many layers the model has.
 func (t *Table) Layers() int {
 	t.mu.Lock()
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -135,6 +135,7 @@
 	}, try)
 	waited := time.Since(queued)
 	h.Observer.Queued(q.urgency(), waited)
+	q.progress.waitedFor(waited)
 	q.story.add("admission", zap.Duration("waited", waited), zap.Bool("admitted", err == nil))
 	var failure *outcome.Failure
 	if errors.As(err, &failure) {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -43,7 +43,8 @@
 		fields = append(fields, zap.Uint64("configVersion", q.config.Version))
 	}
 	if q.profile != nil {
-		fields = append(fields, zap.String("profile", q.profile.Name), zap.String("workspace", q.workspace))
+		fields = append(fields, zap.String("profile", q.profile.Name), zap.String("workspace", q.workspace),
+			zap.Duration("objective", q.profile.Objective), zap.Duration("gap", q.profile.Gap))
 	}
 	fields = append(fields, q.progress.fields()...)
 	if failure == nil {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -215,6 +215,7 @@
 		return err == nil
 	})
 	if failure != nil {
+		g.q.story.add("no room", zap.String("why", g.table.Bottleneck(need)))
 		return nil, failure
 	}
 	if none != nil && len(g.avoid) > 0 {
@@ -274,12 +275,14 @@
 	switch {
 	case errors.As(cause, &stalled):
 		g.avoid[stalled.Address] = true
+		g.q.progress.left(stalled.Address, stalled.Why)
 		return cause
 	case ctx.Err() != nil:
 		return err
 	}
 	g.avoid[address] = true
 	g.table.Suspect(address)
+	g.q.progress.left(address, "its connection broke")
 	return err
 }
 
@@ -291,6 +294,7 @@
 	}
 	g.avoid[fault] = true
 	g.table.TurnedAway(fault)
+	g.q.progress.left(fault, "it turned the request away")
 	return &notRunError{Address: first, Status: x.resp.StatusCode, Fault: fault}
 }
 
--- a/internal/relay/profile.go
+++ b/internal/relay/profile.go
@@ -18,6 +18,9 @@
 	Timeout time.Duration
 	// Objective is the time to the answer, or to the first event, that callers expect.
 	Objective time.Duration
+	// Gap is the longest pause between two events of a generation that callers expect, 0 if
+	// the operator does not say.
+	Gap time.Duration
 	// MaxAttempts is how many replicas one request may run on.
 	MaxAttempts int
 	// Priority ranks requests; 0 goes first.
--- a/internal/relay/stall_error.go
+++ b/internal/relay/stall_error.go
@@ -6,7 +6,11 @@
 type stallError struct {
 	// Address is the replica that stopped.
 	Address string
+	// Why is the evidence against it.
+	Why string
 }
 
 // Error implements error.
-func (e *stallError) Error() string { return fmt.Sprintf("the stream stands still at %s", e.Address) }
+func (e *stallError) Error() string {
+	return fmt.Sprintf("the stream stands still at %s: %s", e.Address, e.Why)
+}
--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -178,6 +178,6 @@
 		return false
 	}
 	w.g.h.Logger.Info("stream sent elsewhere", zap.String("requestId", w.g.q.RequestID), zap.String("from", address), zap.String("why", why))
-	w.cancel(&stallError{Address: address})
+	w.cancel(&stallError{Address: address, Why: why})
 	return true
 }
