relay: refused callers are told to come back when the shortage may be over

A shortage that has lasted for a while lasts as long again, as a best guess: that is what is told now, for lack of configuration, path or room, at most 6 s, spread by a quarter either way. A VM that stops still says 200 ms, as others take the request at once.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -139,7 +139,7 @@
 	q.story.add("admission", zap.Duration("waited", waited), zap.Bool("admitted", err == nil))
 	var failure *outcome.Failure
 	if errors.As(err, &failure) {
-		return failure.WithRetryAfter(max(soon, failure.RetryAfter))
+		return failure.WithRetryAfter(h.shortages.retryAfter(lackOfRoom+q.service, max(soon, failure.RetryAfter)))
 	}
 	if err != nil {
 		return outcome.Refuse(outcome.ReasonInternal, "the request was not admitted").WithRetryAfter(soon).WithCause(err)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -223,7 +223,8 @@
 		return g.admit(ctx)
 	}
 	if none != nil {
-		return nil, outcome.Refuse(outcome.ReasonNoTarget, "no path covers the model").WithRetryAfter(soon).WithCause(none)
+		return nil, outcome.Refuse(outcome.ReasonNoTarget, "no path covers the model").
+			WithRetryAfter(g.h.shortages.retryAfter(lackOfPath+g.q.service, soon)).WithCause(none)
 	}
 	return reservation, nil
 }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -73,7 +73,9 @@
 type Handler struct {
 	Options
 	asking *asking
-	inHand atomic.Int64
+	// shortages tell refused callers when to come back.
+	shortages *shortages
+	inHand    atomic.Int64
 	// heldBodies is how many bytes of bodies are in hand.
 	heldBodies atomic.Int64
 }
@@ -81,7 +83,7 @@
 // New returns a handler.
 func New(o Options) *Handler {
 	o.Balancer.OnFree(o.Admission.Wake)
-	return &Handler{Options: o, asking: newAsking(o.Engines)}
+	return &Handler{Options: o, asking: newAsking(o.Engines), shortages: newShortages()}
 }
 
 // InHand returns how many requests have arrived and not ended.
@@ -113,12 +115,15 @@
 // begin looks the request up and reads it whole. Nothing has been sent, so every
 // failure is "not run".
 func (h *Handler) begin(q *request, w http.ResponseWriter, r *http.Request) *outcome.Failure {
+	q.config = h.Source.Config()
 	if failure := h.Gate.Check(); failure != nil {
+		if q.config == nil {
+			return failure.WithRetryAfter(h.shortages.retryAfter(lackOfConfig, soon))
+		}
 		return failure.WithRetryAfter(soon)
 	}
-	q.config = h.Source.Config()
 	if q.config == nil {
-		return outcome.Refuse(outcome.ReasonStopping, "this VM has no configuration yet").WithRetryAfter(soon)
+		return outcome.Refuse(outcome.ReasonStopping, "this VM has no configuration yet").WithRetryAfter(h.shortages.retryAfter(lackOfConfig, soon))
 	}
 	if failure := h.look(q, r); failure != nil {
 		return failure
