layers: a placement that carries too little whole is not looked at further

A look after a change cost 32 ms of a core for 34 cards, most of it for what each loss would leave. No loss lets a group carry more, so placements below the best one so far need not be followed; the choice is the same.

--- a/internal/layers/better.go
+++ b/internal/layers/better.go
@@ -43,7 +43,8 @@
 func (r *revision) bestChange(now float64) (best []change, most float64) {
 	most = now
 	consider := func(worth float64, changes ...change) {
-		if m := merit(r.spec, r.group, r.after(changes)); m > max(most, now*(1+worth)) {
+		bound := max(most, now*(1+worth))
+		if m := newJudged(r.spec, r.group, r.after(changes), nil).meritOver(bound); m > bound {
 			best, most = changes, m
 		}
 	}
--- a/internal/layers/holes.go
+++ b/internal/layers/holes.go
@@ -66,7 +66,7 @@
 		if len(changes) == 0 {
 			return
 		}
-		if value := factor * newJudged(r.spec, r.group, r.after(changes), others).merit(); value > best.value {
+		if value := factor * newJudged(r.spec, r.group, r.after(changes), others).meritOver(best.value/factor); value > best.value {
 			best = closing{changes: changes, value: value}
 		}
 	}
--- a/internal/layers/layout.go
+++ b/internal/layers/layout.go
@@ -72,7 +72,7 @@
 	for _, l := range layouts(spec, group) {
 		tried := map[string]config.LayerRange{}
 		l.place(spec, group, tried)
-		if merit := merit(spec, group, tried); merit > most {
+		if merit := newJudged(spec, group, tried, nil).meritOver(max(0, most)); merit > most {
 			best, most = l, merit
 		}
 	}
--- a/internal/layers/merit.go
+++ b/internal/layers/merit.go
@@ -21,7 +21,7 @@
 // card's layers are taken over by cards that hold none, which takes them a second, or by
 // their neighbours, which have little room left then. It is 0 where a layer is nobody's.
 func merit(spec *Spec, group []Replica, placed map[string]config.LayerRange) float64 {
-	return newJudged(spec, group, placed, nil).merit()
+	return newJudged(spec, group, placed, nil).meritOver(0)
 }
 
 // judged is a placement of a group while it is being judged.
@@ -104,15 +104,22 @@
 	return 1 / math.Sqrt(math.Cbrt(scarce/float64(j.spec.Layers)))
 }
 
-func (j *judged) merit() float64 {
+// meritOver is the merit if it is above a bound, else 0. No loss lets the group carry more,
+// so one that carries too little whole need not be looked at further; that halves the time
+// of a look at 34 cards.
+func (j *judged) meritOver(bound float64) float64 {
 	if j.hole {
 		return 0
 	}
+	whole := j.room(j.scarce) / j.token
+	if whole <= bound {
+		return 0
+	}
 	lost := 0.0
 	for _, r := range j.group {
 		lost += j.afterLoss(r)
 	}
-	return (1-lossWeight)*j.room(j.scarce)/j.token + lossWeight*lost/float64(max(1, len(j.group)))
+	return (1-lossWeight)*whole + lossWeight*lost/float64(max(1, len(j.group)))
 }
 
 // afterLoss is how many requests a second are carried once the others have taken over
