--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"time"
+
+	"geraniumcroft/internal/census"
+	"geraniumcroft/internal/follow"
+	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/loads"
+	"geraniumcroft/internal/mirror"
+	"geraniumcroft/internal/platform"
+)
+
+func (p *Process) follower(table string, onChange func(platform.TableView)) *follow.Follower {
+	return follow.New(follow.Options{Table: table, Feed: p.Wiring.Feed, Peers: p.peers, Logger: p.Logger, Follows: p.followsFeed, OnChange: onChange})
+}
+
+// followsFeed reports whether this VM is one of those that follow the store's feed.
+func (p *Process) followsFeed() bool { return p.census.Follows() }
+
+// since is what peers are given.
+func (p *Process) since(table string, after uint64) (platform.TableChange, time.Duration, bool) {
+	switch table {
+	case loads.TableName:
+		return p.board.Since(after)
+	case p.Wiring.ReplicaTable:
+		return p.view.replicas.Since(after)
+	}
+	return p.view.operator.Since(after)
+}
+
+// take is given what peers offer. Only loads are offered: the operator's tables are
+// asked for, so that a VM knows how old its answer is.
+func (p *Process) take(table string, change platform.TableChange, age time.Duration) {
+	if table == loads.TableName {
+		p.board.Take(change, age)
+	}
+}
+
+func (p *Process) onVMs(vms []census.VM) {
+	p.table.SetVMs(len(vms))
+	p.pools.SetSharers(p.sharers(vms))
+	p.budgets.SetVMs(len(vms))
+	p.peers.SetPeers(p.peersAmong(vms))
+}
+
+// peersAmong says whom of the VMs this one asks.
+func (p *Process) peersAmong(vms []census.VM) mirror.Peers {
+	peers := mirror.Peers{Others: append(addressesOf(vms), p.Settings.Peers.Seeds...)}
+	for dataCentre, followers := range p.census.Followers() {
+		if dataCentre == p.Settings.VM.DataCentre {
+			peers.Near = addressesOf(followers)
+			continue
+		}
+		peers.Far = append(peers.Far, addressesOf(followers))
+	}
+	return peers
+}
+
+func addressesOf(vms []census.VM) []string {
+	addresses := make([]string, len(vms))
+	for i, vm := range vms {
+		addresses[i] = vm.Address
+	}
+	return addresses
+}
+
+func (p *Process) sharers(vms []census.VM) layers.Sharers {
+	s := layers.Sharers{DataCentre: p.Settings.VM.DataCentre, All: len(vms)}
+	for _, vm := range vms {
+		if vm.DataCentre == s.DataCentre {
+			s.Home++
+		}
+	}
+	return s
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,14 +13,12 @@
 	"geraniumcroft/internal/admission"
 	"geraniumcroft/internal/balance"
 	"geraniumcroft/internal/census"
-	"geraniumcroft/internal/follow"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/lease"
 	"geraniumcroft/internal/loads"
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/placer"
-	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/resilient"
 	"geraniumcroft/internal/relay"
 	"geraniumcroft/internal/router"
@@ -182,70 +179,6 @@
 	p.tenure = &tenure{leases: p.leases, board: p.board, logger: p.Logger}
 }
 
-func (p *Process) follower(table string, onChange func(platform.TableView)) *follow.Follower {
-	return follow.New(follow.Options{Table: table, Feed: p.Wiring.Feed, Peers: p.peers, Logger: p.Logger, Follows: p.followsFeed, OnChange: onChange})
-}
-
-// followsFeed reports whether this VM is one of those that follow the store's feed.
-func (p *Process) followsFeed() bool { return p.census.Follows() }
-
-// since is what peers are given.
-func (p *Process) since(table string, after uint64) (platform.TableChange, time.Duration, bool) {
-	switch table {
-	case loads.TableName:
-		return p.board.Since(after)
-	case p.Wiring.ReplicaTable:
-		return p.view.replicas.Since(after)
-	}
-	return p.view.operator.Since(after)
-}
-
-// take is given what peers offer. Only loads are offered: the operator's tables are
-// asked for, so that a VM knows how old its answer is.
-func (p *Process) take(table string, change platform.TableChange, age time.Duration) {
-	if table == loads.TableName {
-		p.board.Take(change, age)
-	}
-}
-
-func (p *Process) onVMs(vms []census.VM) {
-	p.table.SetVMs(len(vms))
-	p.pools.SetSharers(p.sharers(vms))
-	p.budgets.SetVMs(len(vms))
-	p.peers.SetPeers(p.peersAmong(vms))
-}
-
-// peersAmong says whom of the VMs this one asks.
-func (p *Process) peersAmong(vms []census.VM) mirror.Peers {
-	peers := mirror.Peers{Others: append(addressesOf(vms), p.Settings.Peers.Seeds...)}
-	for dataCentre, followers := range p.census.Followers() {
-		if dataCentre == p.Settings.VM.DataCentre {
-			peers.Near = addressesOf(followers)
-			continue
-		}
-		peers.Far = append(peers.Far, addressesOf(followers))
-	}
-	return peers
-}
-
-func addressesOf(vms []census.VM) []string {
-	addresses := make([]string, len(vms))
-	for i, vm := range vms {
-		addresses[i] = vm.Address
-	}
-	return addresses
-}
-
-func (p *Process) sharers(vms []census.VM) layers.Sharers {
-	s := layers.Sharers{DataCentre: p.Settings.VM.DataCentre, All: len(vms)}
-	for _, vm := range vms {
-		if vm.DataCentre == s.DataCentre {
-			s.Home++
-		}
-	}
-	return s
-}
-
 func (p *Process) buildRequestPath() {
 	p.admission = admission.New(admission.Settings{}, p.invariants)
 	p.handler = relay.New(relay.Options{
@@ -290,33 +223,6 @@
 
 func (p *Process) spawn(f func()) { p.work.Go(f) }
 
-// contend competes for the placement while this VM is among the few that do, or while
-// there seems to be no holder. With all of a large fleet reading the lease's row, most
-// calls to the store would be that.
-func (p *Process) contend() {
-	for p.ctx.Err() == nil {
-		if p.Contends() {
-			p.contendForNow()
-		}
-		sleep.For(p.ctx, settleInterval)
-	}
-}
-
-// Contends reports whether this VM competes for the placement now. A holder goes on, whoever is counted.
-func (p *Process) Contends() bool {
-	return p.Holds() || p.census.Among(contenders) || p.board.Age(p.started) > holderSilence
-}
-
-func (p *Process) contendForNow() {
-	ctx, cancel := context.WithCancel(p.ctx)
-	var competing sync.WaitGroup
-	competing.Go(func() { p.leases.Run(ctx) })
-	for p.Contends() && sleep.For(ctx, settleInterval) {
-	}
-	cancel()
-	competing.Wait()
-}
-
 // becomeReady waits for the configuration and the replicas.
 func (p *Process) becomeReady() {
 	const pause = 20 * time.Millisecond
@@ -341,26 +247,3 @@
 		}
 	}
 }
-
-// place gives the replicas of a model's service their layers.
-func (p *Process) place(service string) {
-	placer.New(placer.Options{
-		Engines: p.Wiring.Engines, Holder: p, Logger: p.Logger,
-		Model: func() (*layers.Spec, []layers.Replica) { return p.living(service) },
-	}).Run(p.ctx)
-}
-
-// living returns a model's description and the replicas that answered the holder of the
-// placement. Discovery drops a dead one after three missing heartbeats only, some 5 s in
-// which its layers may be nobody's.
-func (p *Process) living(service string) (*layers.Spec, []layers.Replica) {
-	spec, replicas := p.view.model(service)
-	down := p.board.Down()
-	return spec, slices.DeleteFunc(replicas, func(r layers.Replica) bool { return down[r.ID] })
-}
-
-// Holds implements placer.Holder.
-func (p *Process) Holds() bool {
-	_, ok := p.tenure.now()
-	return ok
-}
