--- a/internal/layers/better.go
+++ b/internal/layers/better.go
@@ -7,6 +7,8 @@
 	"geraniumcroft/internal/config"
 )
 
+// How much better a change has to be. Both are guesses above the noise of the estimate; the
+// tests that play losses hold that changes come to rest with them.
 const (
 	// worthLoading is by how much more a group has to carry for a card without layers to
 	// load some. The load takes from the source that all loads share, and the card is no
--- a/internal/layers/holes.go
+++ b/internal/layers/holes.go
@@ -7,6 +7,9 @@
 	"geraniumcroft/internal/config"
 )
 
+// What a way to close a hole is worth against one that works in the second that a load
+// takes. Holes last seconds at most, so a way that takes longer has to carry clearly more;
+// the figures are guesses and were not varied.
 const (
 	// laterValue is what a hole that is closed after some seconds is worth against one that
 	// is closed in a second: cards that double others take new layers only when the requests
--- a/internal/layers/merit.go
+++ b/internal/layers/merit.go
@@ -9,7 +9,8 @@
 const (
 	// lossWeight is the weight of what is carried on average after the loss of one card,
 	// once others have taken its layers over, against that of the whole group. Cards die
-	// several times a day.
+	// several times a day. With 0.25 days with losses came out alike (a difference of 0.003
+	// in what is served, within the error of 0.01, 20 pairs of days).
 	lossWeight = 0.5
 	// usualFill is how full cards are taken to be for the time of a step. It is a guess:
 	// from 0 to 1 a step takes about twice as long, on all kinds alike.
--- a/internal/relay/shortages.go
+++ b/internal/relay/shortages.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// calmAfter is how long nothing must have been refused for a shortage to be over.
+	// calmAfter is how long nothing must have been refused for a shortage to be over: at 5
+	// requests a second to a small VM, a second without a refusal is no chance.
 	calmAfter = time.Second
 	// longestReturn bounds what callers are told to wait. They pass over more than a third
 	// of the time that they have left, 6.6 s of 20 s.
