--- a/internal/layers/coverage.go
+++ b/internal/layers/coverage.go
@@ -1,10 +1,6 @@
 package layers
 
-import (
-	"slices"
-
-	"geraniumcroft/internal/config"
-)
+import "geraniumcroft/internal/config"
 
 // uncovered stands for the room of a layer that nobody holds, in requests. It keeps
 // the shortage finite, and far above that of any layer with room for one request.
@@ -127,17 +123,6 @@
 	return best, least
 }
 
-// usualRoom is the room of the layer in the middle, when they are put in the order of
-// their rooms, and crowded where that is nothing.
-func (c *coverage) usualRoom() float64 {
-	rooms := slices.Clone(c.room)
-	slices.Sort(rooms)
-	if room := rooms[len(rooms)/2]; room >= 1 {
-		return room
-	}
-	return crowded
-}
-
 // hasHole reports whether nobody holds some layer of the range.
 func (c *coverage) hasHole(held config.LayerRange) bool {
 	for l := max(0, held.From); l < min(held.To, c.spec.Layers); l++ {
--- a/internal/layers/doc.go
+++ b/internal/layers/doc.go
@@ -12,15 +12,13 @@
 // A VM keeps to its part of what all share: a few even shares of a card's memory and
 // slots while the card is reported as not full, and of the link between two data
 // centres. Of several layouts the one that carries most is chosen, also with one card
-// lost. Cards that it can do without hold nothing: they take over what a lost card held
-// within the second that a load takes, where a card that holds layers waits first for the
-// requests that pass through it. When the card is back, or a better one has come, it takes
-// the layers again and the stand-ins are spares once more.
+// lost; later single cards move to where room is short, and a card that took over a dead
+// neighbour's layers gives them up again when others hold them.
 //
 // What happens when a replica dies: a path through it stalls, its requests are
 // moved to another holder of the same layers, and the replica is avoided until it
 // has proved itself again. Because every data centre has all layers, the missing
-// range is found in another one at once, until spares hold it. Where there is none the
-// neighbours of the hole widen, which leaves them little room. The last holders of a range are used even when they are
+// range is found in another one at once, and the placement then widens the
+// neighbours of the hole. The last holders of a range are used even when they are
 // suspected: a doubtful answer is better than a certain refusal.
 package layers
--- a/internal/layers/improve.go
+++ b/internal/layers/improve.go
@@ -1,7 +1,7 @@
 package layers
 
 import (
-	"slices"
+	"math"
 
 	"geraniumcroft/internal/config"
 )
@@ -45,81 +45,31 @@
 	cost float64
 }
 
-// improve changes the layers of a group's cards. First every hole is closed: by cards that
-// hold nothing, else by cards whose layers others hold as well, else by the neighbours.
-// Where there is no hole single changes are made that let the group carry more.
+// improve moves cards of a group that holds layers, one after another, each to where
+// it lessens the shortage most. A card that joined or doubles others goes into a hole;
+// where there is none, the neighbours of the hole widen.
 func improve(spec *Spec, group []Replica, placed map[string]config.LayerRange) {
-	r := newRevision(spec, group, placed)
-	if r.closeHoles() {
-		r.better()
-		return
-	}
-	r.lessenShortage()
-}
-
-// revision is a group's placement while it is being changed.
-type revision struct {
-	spec   *Spec
-	group  []Replica
-	placed map[string]config.LayerRange
-	c      *coverage
-	// settled counts the cards that report a layer, without those that are to give it up.
-	settled holderCounts
-	// moves counts the cards that held layers before and were changed.
-	moves int
-}
-
-func newRevision(spec *Spec, group []Replica, placed map[string]config.LayerRange) *revision {
-	r := &revision{spec: spec, group: group, placed: placed, c: newCoverage(spec), settled: settledHolders(spec, group)}
-	for _, card := range group {
-		placed[card.ID] = card.Held
-		r.c.add(spec.kind(card.Kind), card.Held, 1)
-	}
-	return r
-}
-
-// change gives a card another range.
-func (r *revision) change(card Replica, to config.LayerRange) {
-	k := r.spec.kind(card.Kind)
-	before := r.placed[card.ID]
-	r.c.add(k, before, -1)
-	r.c.add(k, to, 1)
-	r.placed[card.ID] = to
-	if before.Len() > 0 {
-		r.settled.add(before, -1)
-		r.moves++
-	}
-}
-
-// empty lists the cards that hold nothing. One that is to give its layers up in this
-// revision is none yet: it takes others only when its requests have ended.
-func (r *revision) empty() []Replica {
-	var cards []Replica
-	for _, card := range r.group {
-		if r.placed[card.ID].Len() == 0 && card.Held.Len() == 0 {
-			cards = append(cards, card)
-		}
+	c := newCoverage(spec)
+	for _, r := range group {
+		placed[r.ID] = r.Held
+		c.add(spec.kind(r.Kind), r.Held, 1)
 	}
-	return cards
-}
-
-// without returns the cards of which the function does not hold.
-func without(cards []Replica, is func(Replica) bool) []Replica {
-	return slices.DeleteFunc(slices.Clone(cards), is)
-}
-
-func isBusy(card Replica) bool    { return card.Busy }
-func isJoining(card Replica) bool { return card.Joining }
-
-// lessenShortage moves cards one after another, each to where it lessens the shortage most.
-// It is for groups with holes that cannot be closed whole.
-func (r *revision) lessenShortage() {
-	for r.moves < movesAtOnce {
-		m, ok := chooseMove(movesOf(r.spec, r.group, r.placed, r.c, r.settled))
+	settled := settledHolders(spec, group)
+	for moves := 0; moves < movesAtOnce; {
+		m, ok := chooseMove(movesOf(spec, group, placed, c, settled))
 		if !ok {
 			return
 		}
-		r.change(r.group[m.card], m.to)
+		r := group[m.card]
+		k := spec.kind(r.Kind)
+		before := placed[r.ID]
+		c.add(k, before, -1)
+		c.add(k, m.to, 1)
+		placed[r.ID] = m.to
+		if before.Len() > 0 {
+			settled.add(before, -1)
+			moves++
+		}
 	}
 }
 
@@ -129,9 +79,11 @@
 	var moves []move
 	for i, r := range group {
 		switch held := placed[r.ID]; {
-		case r.Busy:
 		case held.Len() == 0:
 			to, left := c.best(spec.kind(r.Kind))
+			if part, leftPart := bestPart(spec, group, placed, c, r); part.Len() > 0 && leftPart < left {
+				to, left = part, leftPart
+			}
 			if to.Len() > 0 && now > left && (!r.Joining || c.hasHole(to)) {
 				moves = append(moves, move{card: i, to: to, gain: now - left})
 			}
@@ -166,6 +118,42 @@
 	return moves
 }
 
+// bestPart returns the part of another card's range that is best taken over by an empty
+// card, and the shortage once the other one has narrowed to the rest. A card that widened
+// over a dead neighbour's layers has little room; an empty card that only doubled what
+// has the least room would leave it so for good.
+func bestPart(spec *Spec, group []Replica, placed map[string]config.LayerRange, c *coverage, empty Replica) (config.LayerRange, float64) {
+	k := spec.kind(empty.Kind)
+	var best config.LayerRange
+	least := math.Inf(1)
+	for _, other := range group {
+		held := placed[other.ID]
+		holder := spec.kind(other.Kind)
+		if other.Loading || held.Len() < 2 || c.requests(holder, held.Len()) >= crowded {
+			continue
+		}
+		c.add(holder, held, -1)
+		for cut := held.From + 1; cut < held.To; cut++ {
+			low, high := config.LayerRange{From: held.From, To: cut}, config.LayerRange{From: cut, To: held.To}
+			for _, split := range [][2]config.LayerRange{{low, high}, {high, low}} {
+				part, rest := split[0], split[1]
+				if c.requests(k, part.Len()) < 1 {
+					continue
+				}
+				c.add(k, part, 1)
+				c.add(holder, rest, 1)
+				if left := c.shortage(); left < least {
+					best, least = part, left
+				}
+				c.add(holder, rest, -1)
+				c.add(k, part, -1)
+			}
+		}
+		c.add(holder, held, 1)
+	}
+	return best, least
+}
+
 // chooseMove returns the cheapest of the moves that gain nearly as much as the best
 // one. The card with the most memory and the fastest steps would often gain most, and
 // all that runs through it would have to go elsewhere.
--- a/internal/layers/layout.go
+++ b/internal/layers/layout.go
@@ -2,17 +2,28 @@
 
 import (
 	"math"
+	"slices"
 
 	"geraniumcroft/internal/config"
 )
 
+const (
+	// lossWeight is the weight of the room that is left on average after the loss of one
+	// card against that of the whole group. Cards die several times a day; a layer with
+	// one holder then stops all streams of the data centre. At 0.5 a data centre of 12 cards
+	// got layers with one holder throughout; at 0.7 it doubles a quarter.
+	lossWeight = 0.7
+	// usualFill is how full cards are taken to be for the time of a step. It is a guess:
+	// from 0 to 1 a step takes about twice as long, on all kinds alike.
+	usualFill = 0.6
+)
+
 // Parameters of the layouts that are compared. Fewer sets leave more memory for
 // requests, and more room in a card keeps layers off it. The grid spans what was best on
 // 13 cards a data centre (120 and 1.25) and on 34 (240 and 1).
 var (
 	triedRooms        = []float64{60, 90, 120, 150, 180, 240}
 	triedRedundancies = []float64{1, 1.12, 1.25, 1.5}
-	triedDoubling     = []float64{0, 0.5, 1}
 )
 
 // layout is a way to give the cards of a group that holds nothing their layers.
@@ -24,10 +35,6 @@
 	// redundancy is how many times the cards of a set shall be able to hold the model
 	// beside requests. What is above 1 doubles layers.
 	redundancy float64
-	// doubling is the part of the cards left over that double layers. The others hold
-	// nothing, and take over what a card that dies held: a card that is empty has it in a
-	// second, one that holds layers has to wait first for the requests that pass through it.
-	doubling float64
 }
 
 // cellCards is how many cards are laid out together. Larger groups are dealt into cells of
@@ -72,7 +79,7 @@
 	for _, l := range layouts(spec, group) {
 		tried := map[string]config.LayerRange{}
 		l.place(spec, group, tried)
-		if merit := newJudged(spec, group, tried, nil).meritOver(max(0, most)); merit > most {
+		if merit := merit(spec, group, tried); merit > most {
 			best, most = l, merit
 		}
 	}
@@ -85,9 +92,7 @@
 	for sets := 1; sets <= max(1, mostSets(spec, group)); sets++ {
 		for _, room := range triedRooms {
 			for _, redundancy := range triedRedundancies {
-				for _, doubling := range triedDoubling {
-					all = append(all, layout{sets: sets, room: room, redundancy: redundancy, doubling: doubling})
-				}
+				all = append(all, layout{sets: sets, room: room, redundancy: redundancy})
 			}
 		}
 	}
@@ -135,7 +140,7 @@
 		c.add(k, placed[r.ID], 1)
 		from += n
 	}
-	for _, r := range left[:int(l.doubling*float64(len(left)))] {
+	for _, r := range left {
 		k := spec.kind(r.Kind)
 		if held, _ := c.best(k); held.Len() > 0 {
 			placed[r.ID] = held
@@ -143,3 +148,41 @@
 		}
 	}
 }
+
+// merit estimates how many requests a second the group carries: the room at the layer
+// that has the least, over the time that a request holds it.
+func merit(spec *Spec, group []Replica, placed map[string]config.LayerRange) float64 {
+	c := newCoverage(spec)
+	pace := make([]float64, spec.Layers)
+	stages := make([]float64, spec.Layers)
+	for _, r := range group {
+		k, held := spec.kind(r.Kind), placed[r.ID]
+		c.add(k, held, 1)
+		for layer := held.From; layer < held.To; layer++ {
+			room := c.requestsAt(k, held.Len(), layer)
+			pace[layer] += room * spec.stepTime(k, usualFill*room, spec.usualTokens())
+			stages[layer] += room / float64(held.Len())
+		}
+	}
+	if slices.Min(c.room) <= 0 {
+		return 0
+	}
+	token := 0.0 // seconds
+	for layer, room := range c.room {
+		token += (1+stageOverhead)*pace[layer]/room/float64(spec.Layers) + hopCost.Seconds()*stages[layer]/room
+	}
+	return ((1-lossWeight)*slices.Min(c.room) + lossWeight*roomAfterLoss(c, group, placed)) / token
+}
+
+// roomAfterLoss is the room at the layer that has the least after the loss of one card,
+// on average over all cards.
+func roomAfterLoss(c *coverage, group []Replica, placed map[string]config.LayerRange) float64 {
+	sum := 0.0
+	for _, r := range group {
+		k, held := c.spec.kind(r.Kind), placed[r.ID]
+		c.add(k, held, -1)
+		sum += max(0, slices.Min(c.room))
+		c.add(k, held, 1)
+	}
+	return sum / float64(max(1, len(group)))
+}
--- a/internal/layers/replica.go
+++ b/internal/layers/replica.go
@@ -19,9 +19,6 @@
 	// Joining replicas were listed a moment ago. Where nothing is missing they wait: a
 	// replica that is replaced leaves right after its successor has come.
 	Joining bool
-	// Busy replicas take no order now: they load layers, or wait for the requests that pass
-	// through layers that they give up. Only the placement knows of it.
-	Busy bool
 	// Draining replicas take no new requests and are about to leave.
 	Draining bool
 }
--- a/internal/placer/engines.go
+++ b/internal/placer/engines.go
@@ -3,23 +3,16 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
-
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/layers"
 )
 
-// ErrRefused marks the error of an order that the replica refused: it will not be carried
-// out. Any other error leaves that open.
-var ErrRefused = errors.New("order refused")
-
 // Engines asks and orders replicas.
 type Engines interface {
 	// State returns what the replica at the address holds.
 	State(ctx context.Context, address string) (State, error)
 	// Place orders a replica to hold the range, if it has taken as many orders as the
-	// sequence says. An error does not mean that the order will not be carried out, unless it
-	// is ErrRefused.
+	// sequence says. An error does not mean that the order will not be carried out.
 	Place(ctx context.Context, replica layers.Replica, held config.LayerRange, sequence uint64) error
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -40,10 +39,6 @@
 	// rolling replacement the old one begins to leave about a second after the new one
 	// has come.
 	joining = 2500 * time.Millisecond
-	// busyPause is for how long a replica that was found busy gets no other order. It loads, or
-	// waits for its requests to end, which takes up to several seconds; others may do its part
-	// meanwhile.
-	busyPause = 700 * time.Millisecond
 	// orderRetry is the pause before a replica is ordered again that did not answer.
 	orderRetry = 700 * time.Millisecond
 )
@@ -74,10 +69,8 @@
 	// last is what the placement was last computed from and gave. Only Run uses it.
 	last placed
 
-	mu      sync.Mutex // guards the fields below
+	mu      sync.Mutex // guards the field below
 	ordered map[string]order
-	// busy says until when replicas get no order, by ID.
-	busy map[string]time.Time
 }
 
 // placed is a placement with what it was computed from.
@@ -98,7 +91,7 @@
 
 // New returns a placer; Run makes it work.
 func New(o Options) *Placer {
-	return &Placer{Options: o, known: map[string]time.Time{}, ordered: map[string]order{}, busy: map[string]time.Time{}}
+	return &Placer{Options: o, known: map[string]time.Time{}, ordered: map[string]order{}}
 }
 
 // Run orders replicas while this VM holds the duty, until ctx ends.
@@ -137,7 +130,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.ordered)
-	clear(p.busy)
 }
 
 // step orders every replica that is to hold another range than it does.
@@ -177,7 +169,6 @@
 	expected := make([]layers.Replica, len(replicas))
 	for i, r := range replicas {
 		expected[i] = r
-		expected[i].Busy = now.Before(p.busy[r.ID])
 		expected[i].Joining = now.Sub(p.known[r.ID]) < joining
 		if o, ok := p.ordered[r.ID]; ok && now.Before(o.until) && o.held != r.Held {
 			expected[i].Held, expected[i].Loading = o.held, true
@@ -209,10 +200,6 @@
 		p.remember(spec, r, held, false)
 		return
 	}
-	if err == nil && state.Busy {
-		p.setBusy(r, held)
-		return
-	}
 	if err == nil && !p.Holder.Holds() {
 		return
 	}
@@ -222,22 +209,9 @@
 	p.Logger.Info("replica ordered", zap.String("replica", r.ID), zap.String("address", r.Address), zap.String("kind", r.Kind),
 		zap.String("dataCentre", r.DataCentre), zap.Stringer("held", r.Held), zap.Stringer("wanted", held),
 		zap.Uint64("sequence", state.Sequence), zap.Error(err))
-	if errors.Is(err, ErrRefused) {
-		p.setBusy(r, held)
-		return
-	}
 	p.remember(spec, r, held, err != nil)
 }
 
-// setBusy notes that a replica does not take an order now.
-func (p *Placer) setBusy(r layers.Replica, held config.LayerRange) {
-	p.Logger.Info("replica busy", zap.String("replica", r.ID), zap.String("address", r.Address), zap.Stringer("wanted", held))
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.ordered, r.ID)
-	p.busy[r.ID] = time.Now().Add(busyPause)
-}
-
 func (p *Placer) remember(spec *layers.Spec, r layers.Replica, held config.LayerRange, failed bool) {
 	share := float64(held.Len()) / float64(max(1, spec.Layers))
 	load := time.Duration(loadSlack * share * float64(spec.LoadTime))
