mirror, follow: the fresher of two peers says whether rows may come back; a VM that is turned away does not

Cause: the store turned some VMs away; each of these told the others that rows may come back, and since a VM asks two peers, the word of either was taken. So replicas that had left stayed among those that may return. Ruled out: the way of the table (known everywhere in time), spares (the replica is a plain service's).

Of two copies the one that was confirmed later is believed, and a VM that the store turns away but that learns from peers has what is in force and does not say so. TestFresherPeerSaysWhetherRowsMayComeBack and TestTurnedAwayVMDoesNotSettleOthers fail on the code before.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -234,7 +234,7 @@
 		return platform.TableChange{}, 0, false
 	}
 	change = f.history.since(*view, after)
-	change.Settling = f.Settling()
+	change.Settling = f.tellsSettling()
 	return change, f.Age(), true
 }
 
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -314,3 +314,25 @@
 		}
 	})
 }
+
+// The store turns this VM away and serves the others, from which it learns. It must not tell
+// peers that rows may come back: a replica that has left stayed among those that may, and
+// callers' requests reached it 3.2 s after all knew that it was gone. Once nobody hears from
+// the store it does tell, as rows run out unseen meanwhile.
+func TestTurnedAwayVMDoesNotSettleOthers(t *testing.T) {
+	following(t, func(feed *fakeFeed, peers *fakePeers, f *Follower, _ func() string) {
+		peers.have(1, "1")
+		feed.set(func() { feed.err = errors.New("turned away") })
+		time.Sleep(10 * time.Second)
+		if change, age, ok := f.Since(1); !ok || change.Settling {
+			t.Errorf("turned away: tells %+v, its copy is %s old", change, age)
+		}
+		peers.mu.Lock()
+		peers.age = time.Minute
+		peers.mu.Unlock()
+		time.Sleep(2 * peersStale)
+		if change, age, ok := f.Since(1); !ok || !change.Settling {
+			t.Errorf("nobody hears from the store: tells %+v, its copy is %s old", change, age)
+		}
+	})
+}
--- a/internal/follow/settling.go
+++ b/internal/follow/settling.go
@@ -49,3 +49,13 @@
 	own := f.storeDown || !f.regained.IsZero() && time.Since(f.regained) < settleTime
 	return own || !f.Follows() && !f.peersSettled.IsZero() && time.Since(f.peersSettled) < peersSettleTime
 }
+
+// tellsSettling reports whether peers are to be told that rows may come back. A VM that the
+// store turns away, but that learns by peers, has what is in force: were it to say so, the
+// others would go on with replicas that have left, 3 s after that was known everywhere.
+func (f *Follower) tellsSettling() bool {
+	f.mu.Lock()
+	turnedAway := f.storeDown && f.Age() < peersStale
+	f.mu.Unlock()
+	return f.Settling() && !turnedAway
+}
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -105,14 +105,20 @@
 		return c.FetchOne(ctx, table, after)
 	case newest == nil || other != nil && other.Revision > newest.Revision:
 		newest, from = other, second
-	case other != nil && other.Revision == newest.Revision:
-		newest.AgeMS = min(newest.AgeMS, other.AgeMS)
-		newest.Settling = newest.Settling || other.Settling
+	case other != nil && other.Revision == newest.Revision && other.AgeMS < newest.AgeMS:
+		newest = other // says more of what is in force now; the nearer one has the same copy
 	}
 	if newest.Revision <= after {
 		return c.opened(newest)
 	}
-	return c.opened(c.ask(ctx, from, question{Table: table, After: after}))
+	whole := c.ask(ctx, from, question{Table: table, After: after})
+	if whole == nil && from != second {
+		whole = c.ask(ctx, second, question{Table: table, After: after})
+	}
+	if whole != nil && whole.Revision == newest.Revision && newest.AgeMS < whole.AgeMS {
+		whole.AgeMS, whole.Settling = newest.AgeMS, newest.Settling
+	}
+	return c.opened(whole)
 }
 
 // FetchOne asks one peer after another until one answers. It is for copies that change all
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -122,3 +122,33 @@
 		t.Errorf("the dead peer was asked %d times", asked["dead"])
 	}
 }
+
+// The store turns one of two peers away, which therefore says that rows may be missing for a
+// moment; the other is served and says they are not. A VM that asks both must believe the
+// one whose copy is fresher: otherwise it keeps a replica that has left among those that may
+// come back, and callers' requests reach it seconds later than they may.
+func TestFresherPeerSaysWhetherRowsMayComeBack(t *testing.T) {
+	turnedAway := &shelf{change: platform.TableChange{Revision: 5, Whole: true, Settling: true}, age: 3 * time.Second}
+	served := &shelf{change: platform.TableChange{Revision: 5, Whole: true}, age: time.Second / 2}
+	turnedAwayAt, servedAt := serve(t, turnedAway), serve(t, served)
+	for name, peers := range map[string]Peers{
+		"the near one is turned away": {Near: []string{turnedAwayAt}, Far: [][]string{{servedAt}}},
+		"the far one is turned away":  {Near: []string{servedAt}, Far: [][]string{{turnedAwayAt}}},
+	} {
+		for after, what := range map[uint64]string{4: "news", 5: "no news"} {
+			c := NewClient("", nil, zap.NewNop())
+			c.SetPeers(peers)
+			for range 100 {
+				change, age, ok := c.Fetch(context.Background(), "servers", after)
+				if !ok || age >= 3*time.Second {
+					continue // a busy machine let a question time out
+				}
+				if change.Settling {
+					t.Errorf("%s, %s: settling, at an age of %s", name, what, age)
+				}
+				break
+			}
+			c.Close()
+		}
+	}
+}
