--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -65,13 +65,17 @@
 	c.peers = peers.withoutAny(map[string]time.Time{c.own: {}})
 }
 
-// known returns the peers that may be asked now.
+// known returns the peers that may be asked now. Where all were silent, as after this VM was
+// cut off, all may be asked: else it would go on without news for as long again.
 func (c *Client) known() Peers {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	maps.DeleteFunc(c.silent, func(_ string, until time.Time) bool { return now.After(until) })
-	return c.peers.withoutAny(c.silent)
+	if heard := c.peers.withoutAny(c.silent); len(heard.order()) > 0 {
+		return heard
+	}
+	return c.peers
 }
 
 // heard notes whether a peer answered.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -152,3 +152,29 @@
 		}
 	}
 }
+
+// This VM was cut off, and each of its few peers was silent. When the cut ends it must hear
+// from them with its next question, not after the time for which silent peers are passed over.
+func TestAllPeersSilentAreAskedAgain(t *testing.T) {
+	kept := &shelf{change: platform.TableChange{Revision: 3, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}}
+	keptAt := serve(t, kept)
+	c := NewClient("", nil, zap.NewNop())
+	defer c.Close()
+	c.SetPeers(Peers{Near: []string{keptAt}, Far: [][]string{{"dead"}}})
+	askPeer := c.asker
+	c.asker = func(context.Context, string, question) *answer { return nil }
+	for range 3 {
+		if _, _, ok := c.Fetch(context.Background(), "loads", 0); ok {
+			t.Fatal("an answer while cut off")
+		}
+	}
+	c.asker = func(ctx context.Context, address string, q question) *answer {
+		if address == "dead" {
+			return nil
+		}
+		return askPeer(ctx, address, q)
+	}
+	if change, _, _ := fetch(t, c); change.Revision != 3 {
+		t.Errorf("%+v", change)
+	}
+}
