census, entry: a fleet that starts together asks the store less

Now two readings and one write, and the lease is read once the list is known. The rounds no longer count tries but look for the VM's own row, so a VM that starts while the store is away is counted within 2 s of its return. In virtual time 195 VMs make 585 calls for it in place of 1,170, and count each other as soon as before.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -30,14 +30,12 @@
 	perVM    = 400 * time.Millisecond
 	// expiryRounds is how many rounds a row may stay unchanged: two lost writes.
 	expiryRounds = 3
-	// firstInterval is the pause until the first write has succeeded and all VMs that
-	// started together are seen.
+	// firstInterval is the pause between two rounds until this VM has seen its own row, and so
+	// those of all VMs that started together with it, which do so within some 300 ms.
 	firstInterval = 2 * time.Second
-	// firstRounds is how many rounds are made at firstInterval.
-	firstRounds = 2
-	prefix      = "vm/"
-	prefixEnd   = "vm0"
-	maxVMs      = 500
+	prefix        = "vm/"
+	prefixEnd     = "vm0"
+	maxVMs        = 500
 )
 
 // VM is one row.
@@ -60,6 +58,8 @@
 	mu   sync.Mutex // guards the fields below
 	seen map[string]sighting
 	vms  []VM
+	// known says that the list was read, settled that this VM's own row stood in it.
+	known, settled bool
 }
 
 // sighting is when a row's present revision was first read.
@@ -138,8 +138,8 @@
 
 // pause is the time until the next round. It grows with the fleet, so that the calls of
 // all VMs together stay at five a second.
-func (c *Census) pause(round int) time.Duration {
-	if round < firstRounds {
+func (c *Census) pause() time.Duration {
+	if !c.isSettled() {
 		return firstInterval
 	}
 	return max(interval, time.Duration(len(c.VMs()))*perVM)
@@ -148,11 +148,11 @@
 // Run writes this VM's row and reads the others' until ctx ends.
 func (c *Census) Run(ctx context.Context) {
 	ctx = platform.WithPurpose(ctx, platform.PurposeVMs)
-	for round := 0; ctx.Err() == nil; round++ {
+	for ctx.Err() == nil {
 		if err := c.round(ctx); err != nil && ctx.Err() == nil {
 			c.logger.Info("list of VMs not read", zap.Error(err))
 		}
-		sleep.For(ctx, c.pause(round))
+		sleep.For(ctx, c.pause())
 	}
 }
 
@@ -165,9 +165,45 @@
 	}
 	c.take(rows)
 	c.onChange(c.VMs())
+	if !c.isSettled() && c.wrote(rows) {
+		c.settle()
+		return nil
+	}
 	return c.write(ctx, rows)
 }
 
+// wrote reports whether this VM's newest row stands in the table. The first look at it needs
+// no write: when all VMs of a fleet start together, two writes each were a tenth of what the
+// store was asked in the first minute (390 of 3,271 calls of 195 VMs).
+func (c *Census) wrote(rows []platform.Row) bool {
+	for _, row := range rows {
+		var vm VM
+		if row.Key == prefix+c.own.Name && json.Unmarshal(row.Value, &vm) == nil {
+			return vm == c.own
+		}
+	}
+	return false
+}
+
+// Known reports whether the list of VMs was ever read. Until then this VM counts itself alone.
+func (c *Census) Known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known
+}
+
+func (c *Census) isSettled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled
+}
+
+func (c *Census) settle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settled = true
+}
+
 // write rewrites this VM's row. The row may be that of an earlier process of the same
 // name, which is gone.
 func (c *Census) write(ctx context.Context, rows []platform.Row) error {
@@ -212,6 +248,7 @@
 		}
 	}
 	c.seen = seen
+	c.known = true
 	if len(vms) != len(c.vms) {
 		c.logger.Info("VMs counted", zap.Int("vms", len(vms)), zap.Int("before", len(c.vms)))
 	}
--- a/internal/census/census_test.go
+++ b/internal/census/census_test.go
@@ -19,11 +19,17 @@
 	rows     map[string]platform.Row
 	revision uint64
 	writes   int
+	scans    int
+	// away says that the table answers nobody.
+	away bool
 }
 
 func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.away {
+		return platform.ErrUnavailable
+	}
 	for _, c := range txn.Conditions {
 		if f.rows[c.Key].Revision != c.Revision {
 			return &platform.RefusedError{}
@@ -42,6 +48,10 @@
 func (f *fakeTable) Scan(_ context.Context, from, to string, _ int) ([]platform.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.scans++
+	if f.away {
+		return nil, platform.ErrUnavailable
+	}
 	var rows []platform.Row
 	for key, row := range f.rows {
 		if key >= from && key < to {
@@ -115,3 +125,67 @@
 		}
 	}
 }
+
+// All power was lost, and 195 VMs start within 300 ms of each other. The store, which all of
+// them need at that moment, is asked for the list of VMs twice by each and written to once;
+// each VM then counts all others, so that no share of memory or retries is too large.
+func TestFleetThatStartsTogetherAsksLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			size     = 195
+			together = 300 * time.Millisecond
+			// mostCalls is one write and two readings a VM.
+			mostCalls = 3 * size
+		)
+		table := &fakeTable{rows: map[string]platform.Row{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var vms []*Census
+		for i := range size {
+			c := New(table, VM{Name: fmt.Sprint("vm-", i), Address: fmt.Sprint("address-", i)}, func([]VM) {}, zap.NewNop())
+			vms = append(vms, c)
+			running.Go(func() {
+				time.Sleep(time.Duration(i) * together / size)
+				c.Run(ctx)
+			})
+		}
+		time.Sleep(2 * firstInterval)
+		for i, c := range vms {
+			if n := len(c.VMs()); n != size {
+				t.Errorf("vm %d counts %d", i, n)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		if calls := table.writes + table.scans; calls > mostCalls {
+			t.Errorf("%d calls, %d of them writes", calls, table.writes)
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
+// A VM starts while the store is away: it counts itself alone, and knows that it does not
+// know. Once the store is back the VM is counted within the pause of a first round, not after
+// that of a settled fleet.
+func TestVMThatStartsWithoutTheStoreIsCountedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: map[string]platform.Row{}, away: true}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		c := New(table, VM{Name: "vm", Address: "address"}, func([]VM) {}, zap.NewNop())
+		running.Go(func() { c.Run(ctx) })
+		time.Sleep(9 * time.Second)
+		if c.Known() {
+			t.Error("it knows a list that it never read")
+		}
+		table.mu.Lock()
+		table.away = false
+		table.mu.Unlock()
+		time.Sleep(2 * firstInterval)
+		if !c.Known() || table.writes != 1 {
+			t.Errorf("known %t, %d writes", c.Known(), table.writes)
+		}
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -22,9 +22,12 @@
 	}
 }
 
-// Contends reports whether this VM competes for the placement now. A holder goes on, whoever is counted.
+// Contends reports whether this VM competes for the placement now. A holder goes on, whoever is
+// counted. A VM that has not read the list of VMs holds itself for the only one: of 195 that
+// start together all would read the lease, where the few first ones are enough.
 func (p *Process) Contends() bool {
-	return p.Holds() || p.census.Among(contenders) || p.board.Age(p.started) > holderSilence
+	first := p.census.Known() && p.census.Among(contenders)
+	return p.Holds() || first || p.board.Age(p.started) > holderSilence
 }
 
 func (p *Process) contendForNow() {
