--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -1,21 +1,11 @@
-// Package census knows which VMs relay requests: how many share what is shared, and
-// whom to ask when the store does not answer.
-//
-// Each VM rewrites a row of its own at an interval. A VM whose row has not changed for
-// a while is not counted any more; until then its share of a budget lies idle, which
-// is the safe side. Nothing is decided by it that would be wrong with a VM too many or
-// too few, so it needs neither clocks that agree nor a failure detector.
 package census
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
@@ -38,18 +28,6 @@
 	maxVMs        = 500
 )
 
-// VM is one row.
-type VM struct {
-	Name string `json:"name"`
-	// Address is IP:port of the listener for peers.
-	Address    string `json:"address"`
-	DataCentre string `json:"dataCentre"`
-	// Cores is the part of a core that the VM has, 0 if it does not say.
-	Cores float64 `json:"cores,omitempty"`
-	// Beat changes with each write.
-	Beat uint64 `json:"beat"`
-}
-
 // Census keeps the list of VMs.
 type Census struct {
 	table    platform.Table
@@ -82,65 +60,6 @@
 	return c.vms
 }
 
-// First returns the first n VMs by size, and by a hash of their names among equals, which is
-// the same on all VMs that have the same list.
-func (c *Census) First(n int) []VM {
-	vms := inOrder(c.VMs())
-	return vms[:min(n, len(vms))]
-}
-
-// inOrder returns the VMs by size, the largest first, and in the order of a hash of their names
-// among equals. What few VMs do for all others, answering their peers and asking all replicas
-// each second, is thus done by those that have the processor time and the link for it: at 195
-// VMs 15 have four times the time and ten times the link of the others.
-func inOrder(all []VM) []VM {
-	vms := slices.Clone(all)
-	slices.SortFunc(vms, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
-	})
-	return vms
-}
-
-// Among reports whether this VM is one of the first n.
-func (c *Census) Among(n int) bool {
-	return slices.ContainsFunc(c.First(n), func(vm VM) bool { return vm.Name == c.own.Name })
-}
-
-const (
-	// leastFollowers is how many VMs of each data centre follow the store's feed. The others
-	// learn from them; with three, a fault of the store towards some VMs leaves one.
-	leastFollowers = 3
-	// vmsPerFollower is how many VMs learn from one follower at most. A configuration of
-	// 1,770 profiles is some 40 KB to each, 0.3 s of a link of 20 Mbit/s for 16.
-	vmsPerFollower = 16
-)
-
-// Followers returns the VMs that follow the store's feed, by data centre: the largest, and by a
-// hash of their names among equals, which is the same on all VMs that have the same list.
-func (c *Census) Followers() map[string][]VM { return FollowersOf(c.VMs()) }
-
-// FollowersOf is Followers for a list of VMs.
-func FollowersOf(all []VM) map[string][]VM {
-	followers := map[string][]VM{}
-	vms := inOrder(all)
-	counts := map[string]int{}
-	for _, vm := range vms {
-		counts[vm.DataCentre]++
-	}
-	for _, vm := range vms {
-		most := max(leastFollowers, (counts[vm.DataCentre]+vmsPerFollower-1)/vmsPerFollower)
-		if len(followers[vm.DataCentre]) < most {
-			followers[vm.DataCentre] = append(followers[vm.DataCentre], vm)
-		}
-	}
-	return followers
-}
-
-// Follows reports whether this VM is one of those.
-func (c *Census) Follows() bool {
-	return slices.ContainsFunc(c.Followers()[c.own.DataCentre], func(vm VM) bool { return vm.Name == c.own.Name })
-}
-
 // pause is the time until the next round. It grows with the fleet, so that the calls of
 // all VMs together stay at five a second.
 func (c *Census) pause() time.Duration {
