--- a/internal/claim/claims_bench_test.go
+++ b/internal/claim/claims_bench_test.go
@@ -11,11 +11,11 @@
 
 	"golang.org/x/time/rate"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 const (
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -9,11 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 const testDeadline = 30 * time.Second
--- a/internal/claim/group_test.go
+++ b/internal/claim/group_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/outcome"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // A caller's time runs out while its claim waits behind a slow group. It is told
--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
+	"geraniumcroft/internal/harness/testseed"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
-	"geraniumcroft/internal/testseed"
 )
 
 const (
--- a/internal/claim/outage_test.go
+++ b/internal/claim/outage_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // The table is out. Callers with a key are told unknown at once, with a time to come
--- a/internal/claim/sweep_test.go
+++ b/internal/claim/sweep_test.go
@@ -6,8 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/outcome"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // A tombstone lands after its claim was swept, and the key is used anew. The tombstone
--- a/internal/cli/admincmd/admincmd_test.go
+++ b/internal/cli/admincmd/admincmd_test.go
@@ -18,8 +18,8 @@
 
 	"geraniumcroft/internal/adminapi"
 	"geraniumcroft/internal/confstore"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/invariant"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 const token = "operators-token"
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -11,7 +11,7 @@
 	"github.com/google/subcommands"
 
 	"geraniumcroft/internal/cli/exit"
-	"geraniumcroft/internal/demo"
+	"geraniumcroft/internal/harness/demo"
 )
 
 // demoCommand implements "demo".
--- a/internal/cli/experimentcmd/experimentcmd.go
+++ b/internal/cli/experimentcmd/experimentcmd.go
@@ -12,7 +12,7 @@
 	"github.com/google/subcommands"
 
 	"geraniumcroft/internal/cli/exit"
-	"geraniumcroft/internal/experiment"
+	"geraniumcroft/internal/harness/experiment"
 )
 
 // Register adds the command to the commander.
--- a/internal/cli/loadcmd/loadcmd.go
+++ b/internal/cli/loadcmd/loadcmd.go
@@ -13,7 +13,7 @@
 	"github.com/google/subcommands"
 
 	"geraniumcroft/internal/cli/exit"
-	"geraniumcroft/internal/loadgen"
+	"geraniumcroft/internal/harness/loadgen"
 )
 
 // command implements "load".
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -11,7 +11,7 @@
 	"github.com/google/subcommands"
 
 	"geraniumcroft/internal/cli/exit"
-	"geraniumcroft/internal/standin"
+	"geraniumcroft/internal/harness/standin"
 )
 
 // standinCommand implements "standin".
--- a/internal/confstore/history_check_test.go
+++ b/internal/confstore/history_check_test.go
@@ -15,8 +15,8 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/testseed"
 	"geraniumcroft/internal/platform"
-	"geraniumcroft/internal/testseed"
 )
 
 const (
--- a/internal/confstore/platform_test.go
+++ b/internal/confstore/platform_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // As the process runs it: over the platform's client, which resolves lost answers
--- a/internal/baseline/router_test.go
+++ b/internal/harness/baseline/router_test.go
@@ -9,12 +9,12 @@
 	"testing"
 	"time"
 
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine/httpengine"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 	"geraniumcroft/internal/service/httpservice"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
 	"geraniumcroft/internal/transport"
 )
 
--- a/internal/demo/demo.go
+++ b/internal/harness/demo/demo.go
@@ -14,12 +14,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/rig"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 	"geraniumcroft/internal/invariant"
-	"geraniumcroft/internal/rig"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
 )
 
 const (
--- a/internal/demo/hints.go
+++ b/internal/harness/demo/hints.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"geraniumcroft/internal/rig"
+	"geraniumcroft/internal/harness/rig"
 )
 
 // Hints returns curl lines to try on the fleet while it is kept up.
--- a/internal/demo/steps.go
+++ b/internal/harness/demo/steps.go
@@ -8,10 +8,10 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 )
 
 const (
--- a/internal/experiment/arrivals.go
+++ b/internal/harness/experiment/arrivals.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"geraniumcroft/internal/loadgen"
+	"geraniumcroft/internal/harness/loadgen"
 	"geraniumcroft/internal/sleep"
 )
 
--- a/internal/experiment/baseline_server.go
+++ b/internal/harness/experiment/baseline_server.go
@@ -4,9 +4,9 @@
 	"net"
 	"net/http"
 
-	"geraniumcroft/internal/baseline"
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/engine/httpengine"
+	"geraniumcroft/internal/harness/baseline"
+	"geraniumcroft/internal/harness/callclient"
 	"geraniumcroft/internal/service/httpservice"
 	"geraniumcroft/internal/transport"
 )
--- a/internal/experiment/change_faults.go
+++ b/internal/harness/experiment/change_faults.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/sleep"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // changesBeforeOutage takes the table away as soon as a VM has put a change in
--- a/internal/experiment/counter.go
+++ b/internal/harness/experiment/counter.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"sync/atomic"
 
-	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/harness/callclient"
 )
 
 type counter struct{ atomic.Int64 }
--- a/internal/experiment/measure_both.go
+++ b/internal/harness/experiment/measure_both.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/harness/callclient"
 )
 
 // measureBoth runs an experiment's phases on one scene for the product and then
--- a/internal/experiment/mixed_graph.go
+++ b/internal/harness/experiment/mixed_graph.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/enginesim"
 	"geraniumcroft/internal/plan"
-	"geraniumcroft/internal/standin/enginesim"
 )
 
 const (
--- a/internal/experiment/muffler.go
+++ b/internal/harness/experiment/muffler.go
@@ -5,10 +5,10 @@
 	"sync"
 
 	"geraniumcroft/internal/engine/httpengine"
+	"geraniumcroft/internal/harness/standin/faultnet"
 	"geraniumcroft/internal/node"
 	"geraniumcroft/internal/platform/httpplatform"
 	"geraniumcroft/internal/service/httpservice"
-	"geraniumcroft/internal/standin/faultnet"
 	"geraniumcroft/internal/transport"
 )
 
--- a/internal/experiment/overhead.go
+++ b/internal/harness/experiment/overhead.go
@@ -7,8 +7,8 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 )
 
 const (
--- a/internal/experiment/pools.go
+++ b/internal/harness/experiment/pools.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"geraniumcroft/internal/config"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 )
 
 // pool describes engines that hold a model in halves, and instances of a service.
--- a/internal/experiment/recovery.go
+++ b/internal/harness/experiment/recovery.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 )
 
 const (
--- a/internal/experiment/recovery_calls.go
+++ b/internal/harness/experiment/recovery_calls.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/harness/callclient"
 	"geraniumcroft/internal/sleep"
 )
 
--- a/internal/experiment/recovery_drafts.go
+++ b/internal/harness/experiment/recovery_drafts.go
@@ -7,9 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/standin/enginesim"
 	"geraniumcroft/internal/sleep"
-	"geraniumcroft/internal/standin/enginesim"
 )
 
 // draftRecovery strikes one engine in each round, of one half of the layers and
--- a/internal/experiment/recovery_losses.go
+++ b/internal/harness/experiment/recovery_losses.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"geraniumcroft/internal/standin/servicesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 )
 
 // loseOne makes one instance lose its next answer.
--- a/internal/experiment/relay.go
+++ b/internal/harness/experiment/relay.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/enginesim"
 	"geraniumcroft/internal/sleep"
-	"geraniumcroft/internal/standin/enginesim"
 )
 
 const (
--- a/internal/experiment/saturation.go
+++ b/internal/harness/experiment/saturation.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/enginesim"
 	"geraniumcroft/internal/sleep"
-	"geraniumcroft/internal/standin/enginesim"
 )
 
 const (
--- a/internal/experiment/scene.go
+++ b/internal/harness/experiment/scene.go
@@ -6,11 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/rig"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/node"
-	"geraniumcroft/internal/rig"
 )
 
 const (
--- a/internal/experiment/sizes.go
+++ b/internal/harness/experiment/sizes.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 	"geraniumcroft/internal/node"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
 )
 
 const (
--- a/internal/experiment/sizes_deaths.go
+++ b/internal/harness/experiment/sizes_deaths.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"geraniumcroft/internal/loadgen"
+	"geraniumcroft/internal/harness/loadgen"
 	"geraniumcroft/internal/sleep"
 )
 
--- a/internal/experiment/slow.go
+++ b/internal/harness/experiment/slow.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"geraniumcroft/internal/callclient"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 )
 
 const (
--- a/internal/experiment/tally.go
+++ b/internal/harness/experiment/tally.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/harness/callclient"
 )
 
 const (
--- a/internal/experiment/timed_draft.go
+++ b/internal/harness/experiment/timed_draft.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/harness/callclient"
 )
 
 // timedDraft is a draft with the moment at which each token came.
--- a/internal/experiment/traffic.go
+++ b/internal/harness/experiment/traffic.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"geraniumcroft/internal/callclient"
+	"geraniumcroft/internal/harness/callclient"
 )
 
 const promptWords = 24
--- a/internal/experiment/urgent.go
+++ b/internal/harness/experiment/urgent.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/callclient"
 	"geraniumcroft/internal/sleep"
 )
 
--- a/internal/fleettest/configure_test.go
+++ b/internal/harness/fleettest/configure_test.go
@@ -9,7 +9,7 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/confstore"
-	"geraniumcroft/internal/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/enginesim"
 )
 
 const (
--- a/internal/fleettest/incidents_test.go
+++ b/internal/harness/fleettest/incidents_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"geraniumcroft/internal/config"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/platformsim"
 )
 
 const (
--- a/internal/fleettest/links_test.go
+++ b/internal/harness/fleettest/links_test.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/pipenet"
 	"geraniumcroft/internal/orders"
 	"geraniumcroft/internal/platform"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/pipenet"
 )
 
 // platformLink is one VM's way to the platform. While it is cut nothing arrives
--- a/internal/fleettest/main_test.go
+++ b/internal/harness/fleettest/main_test.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"testing"
 
-	"geraniumcroft/internal/testseed"
+	"geraniumcroft/internal/harness/testseed"
 )
 
 const checksFlag = "rapid.checks"
--- a/internal/fleettest/oracle_test.go
+++ b/internal/harness/fleettest/oracle_test.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/outcome"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 const (
--- a/internal/fleettest/services_test.go
+++ b/internal/harness/fleettest/services_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/harness/standin/pipenet"
 	"geraniumcroft/internal/service"
-	"geraniumcroft/internal/standin/pipenet"
 )
 
 // serviceFault is what happens to one call.
--- a/internal/fleettest/world_test.go
+++ b/internal/harness/fleettest/world_test.go
@@ -14,14 +14,14 @@
 
 	"geraniumcroft/internal/adminapi"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/pipenet"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/node"
 	"geraniumcroft/internal/peer"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/settings"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/pipenet"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 const (
--- a/internal/rig/fleet.go
+++ b/internal/harness/rig/fleet.go
@@ -17,13 +17,13 @@
 	"geraniumcroft/internal/adminapi"
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/confstore"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/platformsim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/node"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/settings"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/platformsim"
-	"geraniumcroft/internal/standin/servicesim"
 )
 
 const loopback = "127.0.0.1:0"
--- a/internal/rig/fleet_test.go
+++ b/internal/harness/rig/fleet_test.go
@@ -9,13 +9,13 @@
 	"testing"
 	"time"
 
-	"geraniumcroft/internal/callclient"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/callclient"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/platformsim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/platform"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/platformsim"
-	"geraniumcroft/internal/standin/servicesim"
 )
 
 // testBound ends a test that hangs; nothing is measured by it.
--- a/internal/rig/prefix_test.go
+++ b/internal/harness/rig/prefix_test.go
@@ -8,7 +8,7 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
-	"geraniumcroft/internal/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/enginesim"
 )
 
 // Several engines hold the same layers. An engine has a long prompt cached and has
--- a/internal/rig/silence_test.go
+++ b/internal/harness/rig/silence_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"geraniumcroft/internal/engine/httpengine"
-	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/harness/standin/platformsim"
 )
 
 // A caller whose stream fell silent waits for the silence to be noticed before
--- a/internal/standin/engine_place.go
+++ b/internal/harness/standin/engine_place.go
@@ -1,6 +1,6 @@
 package standin
 
-import "geraniumcroft/internal/standin/enginesim"
+import "geraniumcroft/internal/harness/standin/enginesim"
 
 type enginePlace struct {
 	address, dataCentre, accelerator string
--- a/internal/standin/enginesim/engine.go
+++ b/internal/harness/standin/enginesim/engine.go
@@ -10,7 +10,7 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
-	"geraniumcroft/internal/standin/faultnet"
+	"geraniumcroft/internal/harness/standin/faultnet"
 )
 
 // The bounds of what an engine remembers of requests.
--- a/internal/standin/enginesim/fault_order.go
+++ b/internal/harness/standin/enginesim/fault_order.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"geraniumcroft/internal/standin/faultnet"
+	"geraniumcroft/internal/harness/standin/faultnet"
 )
 
 // faultOrder is the body of POST /faults: faults that happen once, and changes of
--- a/internal/standin/enginesim/start.go
+++ b/internal/harness/standin/enginesim/start.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumcroft/internal/standin/faultnet"
+	"geraniumcroft/internal/harness/standin/faultnet"
 )
 
 var errRunning = errors.New("the engine is running")
--- a/internal/standin/group.go
+++ b/internal/harness/standin/group.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/platform"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // Group is the stand-ins of one file.
--- a/internal/standin/load.go
+++ b/internal/harness/standin/load.go
@@ -8,9 +8,9 @@
 	"gopkg.in/ini.v1"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 	"geraniumcroft/internal/platform"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/servicesim"
 )
 
 // The kinds of sections, in the order in which they are read: engines name models.
--- a/internal/standin/load_test.go
+++ b/internal/harness/standin/load_test.go
@@ -52,7 +52,7 @@
 // The example starts as the README's commands use it, and describes its targets.
 func TestExampleIsRead(t *testing.T) {
 	Convey("The example has no finding and describes what it starts", t, func() {
-		g, err := Load("../../examples/local/standin.ini")
+		g, err := Load("../../../examples/local/standin.ini")
 		So(err, ShouldBeNil)
 		kinds := map[config.TargetKind]int{}
 		for _, target := range g.targets() {
--- a/internal/standin/service_place.go
+++ b/internal/harness/standin/service_place.go
@@ -1,6 +1,6 @@
 package standin
 
-import "geraniumcroft/internal/standin/servicesim"
+import "geraniumcroft/internal/harness/standin/servicesim"
 
 type servicePlace struct {
 	address, dataCentre string
--- a/internal/standin/servicesim/handler.go
+++ b/internal/harness/standin/servicesim/handler.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"geraniumcroft/internal/standin/faultnet"
+	"geraniumcroft/internal/harness/standin/faultnet"
 )
 
 const (
--- a/internal/standin/servicesim/service.go
+++ b/internal/harness/standin/servicesim/service.go
@@ -7,7 +7,7 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
-	"geraniumcroft/internal/standin/faultnet"
+	"geraniumcroft/internal/harness/standin/faultnet"
 )
 
 const (
--- a/internal/standin/servicesim/start.go
+++ b/internal/harness/standin/servicesim/start.go
@@ -7,7 +7,7 @@
 	"net"
 	"net/http"
 
-	"geraniumcroft/internal/standin/faultnet"
+	"geraniumcroft/internal/harness/standin/faultnet"
 )
 
 // Start listens on address, IP:port, and serves; port 0 takes a free one.
--- a/internal/lease/bench_test.go
+++ b/internal/lease/bench_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // BenchmarkHeldWithinBudget gives the share of the time in which a duty has a
--- a/internal/lease/failure_test.go
+++ b/internal/lease/failure_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"geraniumcroft/internal/config"
-	"geraniumcroft/internal/standin/platformsim"
+	"geraniumcroft/internal/harness/standin/platformsim"
 )
 
 // takeoverBound is what the operators were promised.
--- a/internal/lease/history_test.go
+++ b/internal/lease/history_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"geraniumcroft/internal/standin/platformsim"
-	"geraniumcroft/internal/testseed"
+	"geraniumcroft/internal/harness/standin/platformsim"
+	"geraniumcroft/internal/harness/testseed"
 )
 
 const (
--- a/internal/lease/vm_test.go
+++ b/internal/lease/vm_test.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
+	"geraniumcroft/internal/harness/standin/vmsim"
 	"geraniumcroft/internal/invariant"
-	"geraniumcroft/internal/standin/platformsim"
-	"geraniumcroft/internal/standin/vmsim"
 )
 
 const testDuty = "orders"
--- a/internal/orders/drainer_test.go
+++ b/internal/orders/drainer_test.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"geraniumcroft/internal/standin/vmsim"
+	"geraniumcroft/internal/harness/standin/vmsim"
 )
 
 // confirmAfter is how long the VMs take to confirm a drain.
--- a/internal/orders/failure_test.go
+++ b/internal/orders/failure_test.go
@@ -10,8 +10,8 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/lease"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 const (
--- a/internal/orders/fleet_test.go
+++ b/internal/orders/fleet_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/platformsim"
+	"geraniumcroft/internal/harness/standin/vmsim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/lease"
-	"geraniumcroft/internal/standin/platformsim"
-	"geraniumcroft/internal/standin/vmsim"
 )
 
 const modelLayers = 8
--- a/internal/orders/history_test.go
+++ b/internal/orders/history_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
+	"geraniumcroft/internal/harness/testseed"
 	"geraniumcroft/internal/lease"
-	"geraniumcroft/internal/standin/platformsim"
-	"geraniumcroft/internal/testseed"
 )
 
 const (
--- a/internal/orders/link_test.go
+++ b/internal/orders/link_test.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumcroft/internal/engine"
-	"geraniumcroft/internal/standin/vmsim"
+	"geraniumcroft/internal/harness/standin/vmsim"
 )
 
 // orderFault is what happens to one order.
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/pipenet"
 	"geraniumcroft/internal/invariant"
-	"geraniumcroft/internal/standin/pipenet"
 )
 
 // fleet is a number of whole nodes in one process, in virtual time.
--- a/internal/peer/push_listed_test.go
+++ b/internal/peer/push_listed_test.go
@@ -6,9 +6,9 @@
 	"testing/synctest"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/pipenet"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/platform"
-	"geraniumcroft/internal/standin/pipenet"
 )
 
 // An operator's change is pushed to a VM that this one knows from the platform's
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -13,7 +13,7 @@
 	"testing/synctest"
 	"time"
 
-	"geraniumcroft/internal/standin/pipenet"
+	"geraniumcroft/internal/harness/standin/pipenet"
 	"github.com/cockroachdb/errors"
 )
 
--- a/internal/plan/main_test.go
+++ b/internal/plan/main_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"geraniumcroft/internal/testseed"
+	"geraniumcroft/internal/harness/testseed"
 )
 
 func TestMain(m *testing.M) { testseed.Main(m) }
--- a/internal/platform/httpplatform/bench_test.go
+++ b/internal/platform/httpplatform/bench_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/httpplatform"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // BenchmarkVMList gives what one reading of the platform's list costs, for the 49
--- a/internal/platform/httpplatform/client_test.go
+++ b/internal/platform/httpplatform/client_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/httpplatform"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 func start(t *testing.T) (*platformsim.Server, *httpplatform.Client) {
--- a/internal/platform/resilient/ambiguous_test.go
+++ b/internal/platform/resilient/ambiguous_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // An operator is told that a change was not written, and later it is in force. Its
--- a/internal/platform/resilient/circuit_test.go
+++ b/internal/platform/resilient/circuit_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // The store hangs. The first few callers each pay an attempt's bound; from then on
--- a/internal/platform/resilient/client_test.go
+++ b/internal/platform/resilient/client_test.go
@@ -8,9 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 func wrap(t *testing.T, store *platformsim.Store, settings resilient.Settings) *resilient.Client {
--- a/internal/platform/resilient/http_test.go
+++ b/internal/platform/resilient/http_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/platform/httpplatform"
 	"geraniumcroft/internal/platform/resilient"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // The writer's commit succeeds over HTTP through each failure ordered: the answer is
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -9,8 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/membership"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 // knownMembers is a membership in which everyone known has everything in force.
--- a/internal/router/random_test.go
+++ b/internal/router/random_test.go
@@ -14,9 +14,9 @@
 
 	"geraniumcroft/internal/claim"
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/outcome"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 const (
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -17,10 +17,10 @@
 	"geraniumcroft/internal/dispatch"
 	"geraniumcroft/internal/engine"
 	"geraniumcroft/internal/generation"
+	"geraniumcroft/internal/harness/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/service"
-	"geraniumcroft/internal/standin/enginesim"
-	"geraniumcroft/internal/standin/platformsim"
 )
 
 const worldLayers = 8
--- a/internal/service/httpservice/bench_test.go
+++ b/internal/service/httpservice/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"geraniumcroft/internal/standin/servicesim"
+	"geraniumcroft/internal/harness/standin/servicesim"
 	"geraniumcroft/internal/transport"
 )
 
--- a/internal/watch/bench_test.go
+++ b/internal/watch/bench_test.go
@@ -13,7 +13,7 @@
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/engine"
 	"geraniumcroft/internal/engine/httpengine"
-	"geraniumcroft/internal/standin/enginesim"
+	"geraniumcroft/internal/harness/standin/enginesim"
 	"geraniumcroft/internal/transport"
 )
 
