census: who follows the feed is worked out once a list; entry, mirror tests: one piece for what stood twice

Each question of a peer now asks whether this VM follows the feed twice (what it settles, and what it says of itself), and each asked to order the whole list: 57 us at 195 VMs, some 65 questions a second at a follower. It is kept with the list it follows from. The VM's own row is looked for in one place, the version in force is read in one place in place of three, settled needs no lock. No behaviour is changed.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,12 +35,17 @@
 	own      VM
 	onChange func([]VM)
 	logger   *zap.Logger
+	// settled says that this VM's own row stood in the list. Run alone uses it.
+	settled bool
 
 	mu   sync.Mutex // guards the fields below
 	seen map[string]sighting
 	vms  []VM
-	// known says that the list was read, settled that this VM's own row stood in it.
-	known, settled bool
+	// follows says whether this VM is among the followers of vms: each question of a peer asks
+	// for it, and to order 195 VMs takes 57 us (a benchmark of one call).
+	follows bool
+	// known says that the list was read.
+	known bool
 }
 
 // sighting is when a row's present revision was first read.
@@ -50,7 +56,7 @@
 
 // New returns a census that knows of its own VM alone. Each new list goes to onChange.
 func New(table platform.Table, own VM, onChange func([]VM), logger *zap.Logger) *Census {
-	return &Census{table: table, own: own, onChange: onChange, logger: logger, seen: map[string]sighting{}, vms: []VM{own}}
+	return &Census{table: table, own: own, onChange: onChange, logger: logger, seen: map[string]sighting{}, vms: []VM{own}, follows: true}
 }
 
 // VMs returns the VMs that are counted, this one included.
@@ -63,7 +69,7 @@
 // pause is the time until the next round. It grows with the fleet, so that the calls of
 // all VMs together stay at five a second.
 func (c *Census) pause() time.Duration {
-	if !c.isSettled() {
+	if !c.settled {
 		return firstInterval
 	}
 	return max(interval, time.Duration(len(c.VMs()))*perVM)
@@ -89,8 +95,8 @@
 	}
 	c.take(rows)
 	c.onChange(c.VMs())
-	if !c.isSettled() && c.wrote(rows) {
-		c.settle()
+	if !c.settled && c.wrote(rows) {
+		c.settled = true
 		return nil
 	}
 	return c.write(ctx, rows)
@@ -100,13 +106,17 @@
 // no write: when all VMs of a fleet start together, two writes each were a tenth of what the
 // store was asked in the first minute (390 of 3,271 calls of 195 VMs, by their counters).
 func (c *Census) wrote(rows []platform.Row) bool {
-	for _, row := range rows {
-		var vm VM
-		if row.Key == prefix+c.own.Name && json.Unmarshal(row.Value, &vm) == nil {
-			return vm == c.own
-		}
+	var vm VM
+	return json.Unmarshal(c.ownRow(rows).Value, &vm) == nil && vm == c.own
+}
+
+// ownRow returns this VM's row, one of revision 0 without a value if there is none.
+func (c *Census) ownRow(rows []platform.Row) platform.Row {
+	key := prefix + c.own.Name
+	if i := slices.IndexFunc(rows, func(r platform.Row) bool { return r.Key == key }); i >= 0 {
+		return rows[i]
 	}
-	return false
+	return platform.Row{Key: key}
 }
 
 // Known reports whether the list of VMs was ever read. Until then this VM counts itself alone.
@@ -116,28 +126,10 @@
 	return c.known
 }
 
-func (c *Census) isSettled() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.settled
-}
-
-func (c *Census) settle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.settled = true
-}
-
 // write rewrites this VM's row. The row may be that of an earlier process of the same
 // name, which is gone.
 func (c *Census) write(ctx context.Context, rows []platform.Row) error {
-	key := prefix + c.own.Name
-	var revision uint64
-	for _, row := range rows {
-		if row.Key == key {
-			revision = row.Revision
-		}
-	}
+	row := c.ownRow(rows)
 	c.own.Beat++
 	value, err := json.Marshal(c.own)
 	if err != nil {
@@ -145,8 +137,8 @@
 	}
 	return c.table.Commit(ctx, platform.Txn{
 		ID:         uuid.NewString(),
-		Conditions: []platform.Condition{{Key: key, Revision: revision}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+		Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
+		Writes:     []platform.Write{{Key: row.Key, Value: value}},
 	})
 }
 
@@ -177,4 +169,5 @@
 		c.logger.Info("VMs counted", zap.Int("vms", len(vms)), zap.Int("before", len(c.vms)))
 	}
 	c.vms = vms
+	c.follows = c.isAmong(FollowersOf(vms)[c.own.DataCentre])
 }
--- a/internal/census/census_test.go
+++ b/internal/census/census_test.go
@@ -95,6 +95,9 @@
 			if c.Among(3) {
 				among++
 			}
+			if follows := c.isAmong(c.Followers()[c.own.DataCentre]); c.Follows() != follows {
+				t.Errorf("vm %d follows the feed: %t, by the list %t", i, c.Follows(), follows)
+			}
 		}
 		if among != 3 {
 			t.Errorf("%d VMs hold themselves for the first 3", among)
--- a/internal/census/followers.go
+++ b/internal/census/followers.go
@@ -1,7 +1,5 @@
 package census
 
-import "slices"
-
 const (
 	// leastFollowers is how many VMs of each data centre follow the store's feed. The others
 	// learn from them; with three, a fault of the store towards some VMs leaves one.
@@ -34,5 +32,7 @@
 
 // Follows reports whether this VM is one of those.
 func (c *Census) Follows() bool {
-	return slices.ContainsFunc(c.Followers()[c.own.DataCentre], func(vm VM) bool { return vm.Name == c.own.Name })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.follows
 }
--- a/internal/census/order.go
+++ b/internal/census/order.go
@@ -27,6 +27,8 @@
 }
 
 // Among reports whether this VM is one of the first n.
-func (c *Census) Among(n int) bool {
-	return slices.ContainsFunc(c.First(n), func(vm VM) bool { return vm.Name == c.own.Name })
+func (c *Census) Among(n int) bool { return c.isAmong(c.First(n)) }
+
+func (c *Census) isAmong(vms []VM) bool {
+	return slices.ContainsFunc(vms, func(vm VM) bool { return vm.Name == c.own.Name })
 }
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -52,15 +52,11 @@
 
 // setGauges updates the metrics of states, which no event counts, when they are read.
 func (p *Process) setGauges() {
-	version := uint64(0)
-	if c := p.view.Config(); c != nil {
-		version = c.Version
-	}
 	unusable, turned := p.view.unusableCounts()
 	for name, value := range map[string]float64{
 		"ready":              asGauge(p.gate.Ready()),
 		"requests_in_hand":   float64(p.handler.InHand()),
-		"config_version":     float64(version),
+		"config_version":     float64(p.view.configVersion()),
 		"config_age_seconds": min(p.view.ConfigAge(), time.Hour).Seconds(),
 		"vms":                float64(len(p.census.VMs())),
 		"placement_held":     asGauge(p.Holds()),
@@ -84,15 +80,12 @@
 
 func (p *Process) serveDump(w http.ResponseWriter, _ *http.Request) {
 	dump := Dump{
-		VM: p.Settings.VM.Name, Gate: p.gate.State(), InHand: p.handler.InHand(), ConfigAge: p.view.ConfigAge().String(),
+		VM: p.Settings.VM.Name, Gate: p.gate.State(), InHand: p.handler.InHand(), ConfigVersion: p.view.configVersion(), ConfigAge: p.view.ConfigAge().String(),
 		VMs: p.census.VMs(), HoldsDuty: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
 		LogDropped: p.LogDropped(),
 	}
 	dump.Unusable, dump.TurnedUnusable = p.view.unusableEntries()
-	if c := p.view.Config(); c != nil {
-		dump.ConfigVersion = c.Version
-	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(dump); err != nil {
 		p.Logger.Debug("dump not sent", zap.Error(err))
--- a/internal/entry/state_line.go
+++ b/internal/entry/state_line.go
@@ -17,17 +17,13 @@
 // tellState logs what this VM counts and believes, again and again.
 func (p *Process) tellState() {
 	for sleep.For(p.ctx, stateInterval) {
-		p.logState("state")
+		p.logState()
 	}
 }
 
-func (p *Process) logState(message string) {
-	version := uint64(0)
-	if c := p.view.Config(); c != nil {
-		version = c.Version
-	}
-	p.Logger.Info(message, zap.Bool("ready", p.gate.Ready()), zap.Int("inHand", p.handler.InHand()),
-		zap.Uint64("configVersion", version), zap.Duration("configAge", p.view.ConfigAge()), zap.Duration("replicasAge", p.view.replicas.Age()),
+func (p *Process) logState() {
+	p.Logger.Info("state", zap.Bool("ready", p.gate.Ready()), zap.Int("inHand", p.handler.InHand()),
+		zap.Uint64("configVersion", p.view.configVersion()), zap.Duration("configAge", p.view.ConfigAge()), zap.Duration("replicasAge", p.view.replicas.Age()),
 		zap.Duration("loadsAge", p.board.Age(p.started)), zap.Int("vms", len(p.census.VMs())), zap.Bool("followsFeed", p.followsFeed()),
 		zap.Bool("holdsPlacement", p.Holds()), zap.Any("storeCalls", p.store.Counts()), zap.Uint64("heapBytes", heapBytes()),
 		zap.Uint64("logLinesDropped", p.LogDropped()))
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -47,6 +47,14 @@
 // Config implements relay.Source.
 func (v *view) Config() *relay.Config { return v.config.Load() }
 
+// configVersion is that of the configuration in force, 0 before the first.
+func (v *view) configVersion() uint64 {
+	if c := v.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // ConfigAge implements relay.Source.
 func (v *view) ConfigAge() time.Duration { return v.operator.Age() }
 
--- a/internal/mirror/held_call_test.go
+++ b/internal/mirror/held_call_test.go
@@ -1,10 +1,8 @@
 package mirror
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,17 +61,13 @@
 		untilChange      = 10 * time.Millisecond
 	)
 	r := rand.New(rand.NewPCG(seed, 3))
-	ctx, cancel := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	for _, vm := range f.vms {
-		running.Go(func() { vm.follower.Run(ctx) })
-	}
+	stop := f.start(t)
 	time.Sleep(3*time.Second + time.Duration(r.IntN(1000))*time.Millisecond)
 	f.set(func() { f.view = platform.TableView{Revision: 2, Rows: configuration(profilesOfSilence, 2)} })
 	time.Sleep(untilCallsReturn)
 	f.set(func() { f.silent = true })
-	for i := range len(f.vms) {
-		f.vms[fmt.Sprintf("vm-%d", i)].dead.Store(r.Float64() < deadPart && i > 0)
+	for i, vm := range f.inOrder() {
+		vm.dead.Store(r.Float64() < deadPart && i > 0)
 	}
 	time.Sleep(outage)
 	f.set(func() { f.silent = false })
@@ -84,8 +78,7 @@
 	accepted := time.Now()
 	f.set(func() { f.view = platform.TableView{Revision: 3, Rows: configuration(profilesOfSilence, 3)} })
 	time.Sleep(bound + 10*time.Second)
-	cancel()
-	running.Wait()
+	stop()
 	return f.slowest(accepted)
 }
 
@@ -114,11 +107,7 @@
 		t.Run(fmt.Sprintf("%d VMs", c.vms), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newSpreadFleet(c.vms)
-				ctx, cancel := context.WithCancel(t.Context())
-				var running sync.WaitGroup
-				for _, vm := range f.vms {
-					running.Go(func() { vm.follower.Run(ctx) })
-				}
+				stop := f.start(t)
 				time.Sleep(5 * time.Second)
 				before := f.counted()
 				oldest := time.Duration(0)
@@ -131,8 +120,7 @@
 				if rate > c.most {
 					t.Errorf("%.2f calls a second", rate)
 				}
-				cancel()
-				running.Wait()
+				stop()
 			})
 		})
 	}
--- a/internal/mirror/spread_test.go
+++ b/internal/mirror/spread_test.go
@@ -83,6 +83,29 @@
 	vms   map[string]*spreadVM
 }
 
+// start runs all VMs; what it returns ends them and waits for that.
+func (f *spreadFleet) start(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for _, vm := range f.vms {
+		running.Go(func() { vm.follower.Run(ctx) })
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// inOrder returns the VMs by their numbers, so that what is drawn for each depends on the seed
+// alone.
+func (f *spreadFleet) inOrder() []*spreadVM {
+	vms := make([]*spreadVM, len(f.vms))
+	for i := range vms {
+		vms[i] = f.vms[fmt.Sprintf("vm-%d", i)]
+	}
+	return vms
+}
+
 func (f *spreadFleet) set(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -302,14 +325,9 @@
 func spread(t *testing.T, vms int, bound time.Duration, seed uint64, outage bool, deadPart, awayPart float64) (time.Duration, string) {
 	r := rand.New(rand.NewPCG(seed, 2))
 	f := newSpreadFleet(vms)
-	ctx, cancel := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	for _, vm := range f.vms {
-		running.Go(func() { vm.follower.Run(ctx) })
-	}
+	stop := f.start(t)
 	time.Sleep(3*time.Second + time.Duration(r.IntN(1000))*time.Millisecond)
-	for i := range vms {
-		vm := f.vms[fmt.Sprintf("vm-%d", i)]
+	for i, vm := range f.inOrder() {
 		vm.dead.Store(r.Float64() < deadPart && i > 0)
 		vm.turnedAway.Store(r.Float64() < awayPart && i > 0)
 	}
@@ -322,8 +340,7 @@
 	accepted := time.Now()
 	f.set(func() { f.view = platform.TableView{Revision: 2, Rows: configuration(1770, 2)} })
 	time.Sleep(bound + time.Second)
-	cancel()
-	running.Wait()
+	stop()
 	return f.slowest(accepted)
 }
 
--- a/internal/mirror/two_faults_test.go
+++ b/internal/mirror/two_faults_test.go
@@ -1,10 +1,8 @@
 package mirror
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,11 +54,7 @@
 // changeBeside makes a change as soon as the faults have been brought about, and returns how
 // long the slowest living VM took to have it, and which one that was.
 func (f *spreadFleet) changeBeside(t *testing.T, faults func(*spreadFleet), bound time.Duration) (time.Duration, string) {
-	ctx, cancel := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	for _, vm := range f.vms {
-		running.Go(func() { vm.follower.Run(ctx) })
-	}
+	stop := f.start(t)
 	time.Sleep(3 * time.Second)
 	faults(f)
 	for _, vm := range f.vms {
@@ -69,8 +63,7 @@
 	accepted := time.Now()
 	f.change()
 	time.Sleep(bound + 2*time.Second)
-	cancel()
-	running.Wait()
+	stop()
 	return f.slowest(accepted)
 }
 
@@ -101,8 +94,8 @@
 
 func (f *spreadFleet) turnAwayThird() {
 	r := rand.New(rand.NewPCG(4, 4))
-	for i := range len(f.vms) {
-		f.vms[fmt.Sprintf("vm-%d", i)].turnedAway.Store(r.Float64() < 0.33)
+	for _, vm := range f.inOrder() {
+		vm.turnedAway.Store(r.Float64() < 0.33)
 	}
 }
 
@@ -117,8 +110,8 @@
 func silenceAndDeaths(f *spreadFleet) {
 	f.set(func() { f.silent = true })
 	r := rand.New(rand.NewPCG(5, 5))
-	for i := range len(f.vms) {
-		f.vms[fmt.Sprintf("vm-%d", i)].dead.Store(r.Float64() < 0.5)
+	for _, vm := range f.inOrder() {
+		vm.dead.Store(r.Float64() < 0.5)
 	}
 	time.Sleep(6 * time.Second)
 	f.set(func() { f.silent = false })
@@ -144,8 +137,7 @@
 func cutAndDeaths(f *spreadFleet) {
 	cutDuringChanges(f)
 	r := rand.New(rand.NewPCG(6, 6))
-	for i := range len(f.vms) {
-		vm := f.vms[fmt.Sprintf("vm-%d", i)]
+	for _, vm := range f.inOrder() {
 		vm.dead.Store(vm.follows && vm.DataCentre != "dc1" && r.Float64() < 0.6)
 	}
 }
