follow: a peer's word on how far a copy is the newest counts once this VM has the peer's change

Found by reading the diff: the word was noted before the change was published. Between the two, or if the change couldn't be applied, a copy passed for the newest up to a revision behind the change, and whoever learned from it would have asked the store for later changes only. Test TestChangeThatIsNotAppliedLeavesTheCopyBehind, red before (9 in place of 2).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -53,10 +53,9 @@
 
 // Peers asks other VMs for their copy of a table.
 type Peers interface {
-	// Fetch returns what a peer's copy has beyond the revision; 0 asks for the whole
-	// table, and up to which revision it is the newest, at least its own. Ok is false when no
-	// peer answered. The age is the time since the peer's copy
-	// was confirmed to be the newest.
+	// Fetch returns what a peer's copy has beyond the revision, 0 asks for the whole table, and
+	// up to which revision that copy is the newest, its own at least. Ok is false when no peer
+	// answered. The age is the time since the peer's copy was confirmed to be the newest.
 	Fetch(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool)
 }
 
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -537,3 +537,42 @@
 		running.Wait()
 	})
 }
+
+// peersBehindAChange answer once with a change while this VM's copy moves on to another one.
+type peersBehindAChange struct {
+	meanwhile func()
+	change    platform.TableChange
+}
+
+func (p *peersBehindAChange) Fetch(context.Context, string, uint64) (platform.TableChange, time.Duration, bool) {
+	p.meanwhile()
+	return p.change, 0, true
+}
+
+// A peer sends a change and says that nothing came after it, up to a later revision. Meanwhile the
+// store has brought this VM an earlier change, so the peer's can't be applied. This VM must not
+// hold its copy for the newest up to that revision: it, and whoever learns from it, would ask
+// the store for later changes only, and callers were refused by the old configuration for good.
+func TestChangeThatIsNotAppliedLeavesTheCopyBehind(t *testing.T) {
+	peers := &peersBehindAChange{change: platform.TableChange{Revision: 5, Written: map[string][]byte{"a": []byte("5")}, UnchangedUpTo: 9}}
+	f := New(Options{
+		Table: "t", Feed: newFakeFeed(), Peers: peers, Logger: zap.NewNop(), Follows: func() bool { return true },
+		VMs: func() int { return 6 }, Tries: NewTries(), OnChange: func(platform.TableView) {},
+	})
+	publish := func(revision uint64) func() {
+		return func() {
+			f.publish(platform.TableView{Revision: revision, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
+		}
+	}
+	publish(1)()
+	peers.meanwhile = publish(2)
+	f.askPeers(t.Context(), time.Second)
+	if change, _, _ := f.Since(2); change.UnchangedUpTo != 2 {
+		t.Errorf("a copy of revision 2 passes for the newest up to %d", change.UnchangedUpTo)
+	}
+	peers.meanwhile = func() {}
+	f.askPeers(t.Context(), time.Second)
+	if change, _, _ := f.Since(5); change.UnchangedUpTo != 9 || string(f.View().Rows["a"]) != "5" {
+		t.Errorf("the change is not taken over: %s, newest up to %d", f.View().Rows["a"], change.UnchangedUpTo)
+	}
+}
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -44,23 +44,27 @@
 	switch {
 	case !ok:
 	case change.Whole:
-		f.unchangedUpTo(change.UnchangedUpTo)
 		f.publish(platform.TableView{Revision: change.Revision, Rows: change.Written}, "peer", asked.Add(-age))
 	case !change.Empty():
-		f.unchangedUpTo(change.UnchangedUpTo)
 		f.applyTo(revision, change, "peer", asked.Add(-age))
 	case change.UnchangedUpTo >= revision:
-		f.confirmByPeer(change, asked.Add(-age))
+		f.confirm(asked.Add(-age))
+	}
+	if ok {
+		f.unchangedByPeer(change)
 	}
 }
 
-// confirmByPeer notes that a peer has nothing beyond this VM's copy, which was the newest then. The
-// peer's copy may be of an earlier revision: VMs read a table at different revisions of the
-// store, between which other tables changed. Compared by their revisions alone the copies of
-// all VMs that had read later than those that follow the feed stood unconfirmed until the next
-// change; of 195 VMs after a loss of all power most asked the store every second, 3,000 calls
-// in a minute.
-func (f *Follower) confirmByPeer(change platform.TableChange, at time.Time) {
-	f.unchangedUpTo(change.UnchangedUpTo)
-	f.confirm(at)
+// unchangedByPeer notes up to which revision this VM's copy is the newest by a peer's word. Peers may
+// have the same copy of an earlier revision: VMs read a table at different revisions of the store,
+// between which other tables changed. Compared by their revisions alone the copies of all VMs
+// that had read later than those that follow the feed stood unconfirmed until the next change;
+// of 195 VMs after a loss of all power most asked the store every second, 3,000 calls in a minute.
+//
+// It comes after the change itself, and counts only if this VM has it: a copy that is said to be
+// the newest up to a revision behind the change would never get it.
+func (f *Follower) unchangedByPeer(change platform.TableChange) {
+	if f.revision() >= change.Revision {
+		f.unchangedUpTo(change.UnchangedUpTo)
+	}
 }
--- a/internal/lease/options.go
+++ b/internal/lease/options.go
@@ -91,11 +91,9 @@
 
 func (o *Options) view() time.Duration       { return o.TTL - o.TTL/marginFraction }
 func (o *Options) renewEvery() time.Duration { return o.TTL / renewFraction }
-func (o *Options) watchEvery() time.Duration {
-	return o.TTL / watchFraction
-}
-func (o *Options) tick() time.Duration    { return o.TTL / tickFraction }
-func (o *Options) penalty() time.Duration { return o.TTL / penaltyFraction }
+func (o *Options) watchEvery() time.Duration { return o.TTL / watchFraction }
+func (o *Options) tick() time.Duration       { return o.TTL / tickFraction }
+func (o *Options) penalty() time.Duration    { return o.TTL / penaltyFraction }
 func (o *Options) callTimeout() time.Duration {
 	return o.TTL / marginFraction
 }
