--- a/internal/layers/state.go
+++ b/internal/layers/state.go
@@ -15,6 +15,10 @@
 	// fullAt is the part of a replica's memory up to which a VM may go beyond its own
 	// share. The rest covers what others send before the next report.
 	fullAt = 0.8
+	// leastEntries is how many of this VM's requests may enter at a replica at the same
+	// time however many VMs share it. The even part of 192 slots far away is one for each
+	// of 83 VMs, and at most a third of them go beyond their data centre at once.
+	leastEntries = 2
 )
 
 // state is what this VM knows of a replica.
