--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -35,14 +35,14 @@
 	revision := f.revision()
 	asked := time.Now()
 	change, age, ok := f.Peers.Fetch(ctx, f.Table, revision)
-	if ok && change.Settling {
-		f.peersSettle(asked, change.SettlingLeft)
+	if !ok {
+		return
 	}
-	if ok {
-		f.hear(change.ByFeed)
+	f.hear(change.ByFeed)
+	if change.Settling {
+		f.peersSettle(asked, change.SettlingLeft)
 	}
 	switch {
-	case !ok:
 	case change.Whole:
 		f.publish(platform.TableView{Revision: change.Revision, Rows: change.Written}, "peer", asked.Add(-age))
 	case !change.Empty():
@@ -50,9 +50,7 @@
 	case change.UnchangedUpTo >= revision:
 		f.confirm(asked.Add(-age))
 	}
-	if ok {
-		f.unchangedByPeer(change)
-	}
+	f.unchangedByPeer(change)
 }
 
 // unchangedByPeer notes up to which revision this VM's copy is the newest by a peer's word. Peers may
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -74,9 +74,8 @@
 	}
 	whole := c.askEither(ctx, from, second, question{Table: table, After: after})
 	if whole != nil && whole.Revision == newest.Revision && newest.AgeMS < whole.AgeMS {
-		whole.AgeMS, whole.ByFeed = newest.AgeMS, byFeed
-		whole.Settling, whole.SettlingLeftMS = newest.Settling, newest.SettlingLeftMS
-		whole.UnchangedUpTo = max(whole.UnchangedUpTo, newest.UnchangedUpTo)
+		newest.UnchangedUpTo = max(whole.UnchangedUpTo, newest.UnchangedUpTo)
+		whole.standing = newest.standing
 	}
 	return c.opened(whole)
 }
@@ -130,7 +129,7 @@
 		c.logger.Error("copy not offered", zap.String("table", table), zap.Error(err))
 		return
 	}
-	o := offered{Table: table, answer: answer{Revision: change.Revision, AgeMS: age.Milliseconds(), Change: packed}}
+	o := offered{Table: table, answer: answer{Revision: change.Revision, standing: standing{AgeMS: age.Milliseconds()}, Change: packed}}
 	var offering sync.WaitGroup
 	for _, address := range c.known().onePerDataCentre() {
 		offering.Go(func() {
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -66,10 +66,10 @@
 	if !ok {
 		return nil, status.Error(codes.NotFound, "this VM has no copy of the table")
 	}
-	a := &answer{
-		Revision: change.Revision, UnchangedUpTo: change.UnchangedUpTo, AgeMS: age.Milliseconds(),
+	a := &answer{Revision: change.Revision, standing: standing{
+		UnchangedUpTo: change.UnchangedUpTo, AgeMS: age.Milliseconds(),
 		Settling: change.Settling, SettlingLeftMS: change.SettlingLeft.Milliseconds(), ByFeed: change.ByFeed,
-	}
+	}}
 	if q.Brief || change.Empty() {
 		return a, nil
 	}
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -49,6 +49,14 @@
 // answer is what a copy has beyond the revision that was asked for.
 type answer struct {
 	Revision uint64 `json:"revision"`
+	standing
+	// Change is the packed change, without it if there is none or none was asked for.
+	Change []byte `json:"change,omitempty"`
+}
+
+// standing is what a VM says of its copy. Of two answers about the same copy one's whole standing is
+// taken: a young age with an old revision kept later copies from being confirmed.
+type standing struct {
 	// UnchangedUpTo is the store's revision up to which the copy is the newest; 0, as a VM of an
 	// earlier version says, if that isn't known.
 	UnchangedUpTo uint64 `json:"unchangedUpTo,omitempty"`
@@ -61,8 +69,6 @@
 	SettlingLeftMS int64 `json:"settlingLeftMs,omitempty"`
 	// ByFeed says that the peer follows the store's feed itself.
 	ByFeed bool `json:"byFeed,omitempty"`
-	// Change is the packed change, without it if there is none or none was asked for.
-	Change []byte `json:"change,omitempty"`
 }
 
 // unchangedUpTo is the store's revision up to which the copy is the newest.
