--- a/scripts/before-landing.sh
+++ b/scripts/before-landing.sh
@@ -5,9 +5,10 @@
 #
 # PLAYER is the users' program that plays days of an installation (docs/developers.md). Of each
 # installation the standard days are scored and days are hunted, 40 on small ones and 8 where
-# there are 60 VMs or more; the hunts play deploy/days as well. STATE_DIR keeps the output of each step of this
-# commit, so that the command goes on where it was interrupted. JOBS says how many days are
-# played at a time: 2, as each day of a large fleet takes 3.4 GB. Exits 1 if anything is red.
+# there are 60 VMs or more; the hunts play deploy/days as well. STATE_DIR keeps the output of
+# each step of this commit, so that the command goes on where it was interrupted. JOBS says how
+# many days are played at a time: 2, as each day of a large fleet takes 3.4 GB. Exits 1 if
+# anything is red.
 set -euo pipefail
 if [ $# -lt 3 ]; then
   sed -n '2,11s/^# \{0,1\}//p' "$0" >&2
@@ -28,8 +29,9 @@
   awk '/^machines = \[$/,/^\]/' "$1" | grep -o 'count = [0-9]*' | awk '{n += $3} END {print n + 0}'
 }
 
-# finished says whether a step's output is whole: the player ends it with the snapshot's name.
-finished() { grep -q '^snapshot ' "$1" 2>/dev/null; }
+# finished says whether a step's output is whole, which is so once it has a verdict. The snapshot's
+# name alone says nothing: a player that is stopped prints that too, and its days passed for green.
+finished() { grep -qE '^score on |^[0-9]+ days on ' "$1" 2>/dev/null; }
 
 # step runs the player once, unless its output of this commit is there.
 step() {
