--- /dev/null
+++ b/scripts/before-landing.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Plays what is played before a landing and prints one table with what is red.
+#
+#   scripts/before-landing.sh PLAYER STATE_DIR SITE.toml...
+#
+# PLAYER is the users' program that plays days of an installation (docs/developers.md). Of each
+# installation the standard days are scored and days are hunted, 40 on small ones and 8 where
+# there are 60 VMs or more; the hunts play deploy/days as well. STATE_DIR keeps the output of each step of this
+# commit, so that the command goes on where it was interrupted. JOBS says how many days are
+# played at a time: 2, as each day of a large fleet takes 3.4 GB. Exits 1 if anything is red.
+set -euo pipefail
+if [ $# -lt 3 ]; then
+  sed -n '2,11s/^# \{0,1\}//p' "$0" >&2
+  exit 2
+fi
+player=$1 state=$2
+shift 2
+if [ -n "$(git status --porcelain -- ':!journal')" ]; then
+  echo "commit first: the figures have to belong to a commit" >&2
+  exit 2
+fi
+commit=$(git rev-parse --short HEAD)
+jobs=${JOBS:-2}
+mkdir -p "$state"
+
+# vms_of prints how many VMs an installation starts with.
+vms_of() {
+  awk '/^machines = \[$/,/^\]/' "$1" | grep -o 'count = [0-9]*' | awk '{n += $3} END {print n + 0}'
+}
+
+# finished says whether a step's output is whole: the player ends it with the snapshot's name.
+finished() { grep -q '^snapshot ' "$1" 2>/dev/null; }
+
+# step runs the player once, unless its output of this commit is there.
+step() {
+  local out=$1
+  shift
+  finished "$out" || "$player" "$@" --jobs "$jobs" --why "before a landing, $commit" >"$out" 2>&1 || true
+}
+
+red=0
+# row prints one line of the table.
+row() {
+  local name=$1 verb=$2 out=$3 verdict=green detail
+  detail=$(grep -hE '^score on|days on|GATE' "$out" | tr '\n' ' ' || true)
+  if ! finished "$out"; then
+    verdict=partial
+  elif grep -qE 'BROKEN|GATE failed' "$out"; then
+    verdict=RED
+  fi
+  [ "$verdict" = green ] || red=1
+  printf '%-28s %-6s %-8s %s\n' "$name" "$verb" "$verdict" "$detail"
+}
+
+table=$state/$commit.table
+: >"$table"
+for site in "$@"; do
+  name=$(basename "$site" .toml)
+  days=40
+  [ "$(vms_of "$site")" -lt 60 ] || days=8
+  step "$state/$commit-$name-score.log" score "$site"
+  step "$state/$commit-$name-hunt.log" hunt "$site" --days "$days"
+  row "$name" score "$state/$commit-$name-score.log" >>"$table"
+  row "$name" hunt "$state/$commit-$name-hunt.log" >>"$table"
+done
+cat "$table"
+exit "$red"
