relay: log lines say what a request asks for and how long a broken run had lasted

A digest of method, host, path, workspace and body in the lines that end a request: attempts of the same request at several VMs can now be told to be the same. The story of a failed request says how long each run had lasted since its answer's head, which tells a run that has just begun from one that was under way.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -46,6 +46,9 @@
 		fields = append(fields, zap.String("profile", q.profile.Name), zap.String("workspace", q.workspace),
 			zap.Duration("objective", q.profile.Objective), zap.Duration("gap", q.profile.Gap))
 	}
+	if q.boundary != nil {
+		fields = append(fields, zap.Stringer("digest", q.digest))
+	}
 	fields = append(fields, q.progress.fields()...)
 	if failure == nil {
 		h.Logger.Info("request complete", fields...)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -45,6 +45,8 @@
 	// events is how many events the caller has, sends how often the request was sent.
 	events atomic.Int64
 	sends  atomic.Int32
+	// answered is when the head of the present send's answer came, zero before.
+	answered time.Time
 
 	mu sync.Mutex // guards the fields below against the watch of a stalled stream
 	// lastEvent is the id of the last event that the caller has.
@@ -87,7 +89,7 @@
 		if err == nil {
 			return nil
 		}
-		g.q.story.add("send failed", zap.Error(err), zap.Int64("events", g.events.Load()))
+		g.q.story.add("send failed", zap.Error(err), zap.Int64("events", g.events.Load()), zap.Duration("ran", g.ran()))
 		if reservation = g.takePrepared(); reservation == nil {
 			if reservation, failure = g.again(ctx, err); failure != nil {
 				return failure
@@ -97,6 +99,14 @@
 	}
 }
 
+// ran is how long the present send has run since its answer's head came, 0 if none came.
+func (g *generation) ran() time.Duration {
+	if g.answered.IsZero() {
+		return 0
+	}
+	return time.Since(g.answered)
+}
+
 // again waits for a path for one more send after one has ended.
 func (g *generation) again(ctx context.Context, err error) (*layers.Reservation, *outcome.Failure) {
 	if ctx.Err() != nil || !g.mayResend() || mayHaveArrived(err) && !g.payInTime(ctx) {
--- a/internal/relay/generate_send.go
+++ b/internal/relay/generate_send.go
@@ -16,6 +16,7 @@
 // send sends the generation along the reserved path and passes its events on.
 func (g *generation) send(ctx context.Context, reservation *layers.Reservation) (err error) {
 	started := time.Now()
+	g.answered = time.Time{}
 	defer func() {
 		reservation.Done(err == nil)
 		g.h.Admission.Finished(g.q.service, time.Since(started))
@@ -39,6 +40,7 @@
 	if x.answer.NotRun {
 		return g.turnedAway(x, path)
 	}
+	g.answered = time.Now()
 	g.mu.Lock()
 	g.runs++
 	g.q.runs = g.runs
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -133,6 +133,7 @@
 	if failure := h.read(q, w, r); failure != nil {
 		return failure
 	}
+	q.digest = q.contentDigest()
 	q.deadline = q.arrival.Add(h.patience(q) - answerMargin)
 	q.boundary = dispatch.NewBoundary(q.RequestID, q.profile.Repeatable(), h.Invariants)
 	q.service = q.profile.service(q.hash())
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -9,6 +9,7 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/dispatch"
+	"geraniumcroft/internal/quarantine"
 )
 
 // request is one arrival in hand.
@@ -28,8 +29,10 @@
 	workspace string
 	priority  int
 	service   string
-	boundary  *dispatch.Boundary
-	story     story
+	// digest identifies the content once the body was read.
+	digest   quarantine.Digest
+	boundary *dispatch.Boundary
+	story    story
 	// progress of a generation, for the log.
 	progress progress
 	// runs counts the replicas that may have run the request.
@@ -38,6 +41,13 @@
 
 func (q *request) hash() uint64 { return xxhash.Sum64String(q.RequestID) }
 
+// contentDigest identifies what the request asks for; its body must have been read.
+func (q *request) contentDigest() quarantine.Digest {
+	return quarantine.DigestOf(quarantine.Content{
+		Method: q.method, Host: q.host, URI: q.url.RequestURI(), Workspace: q.workspace, Body: q.body,
+	})
+}
+
 // left is how long the request may still take.
 func (q *request) left() time.Duration { return time.Until(q.deadline) }
 
