relay, quarantine: a request that crashes the replicas that run it is refused

What callers saw: a draft that crashes whatever begins it was sent on without end. Each crash took one of the three replicas at which drafts begin, with all drafts on it, and for 80 s most drafts of all callers were refused or cut off.

Cause: every bound on repeats (attempts, sends, the retry budget) lives in one attempt or one VM. A request was forgotten with its outcome, and the next attempt came with another id, at another VM. The class: bounds on repeats in the one who repeats, where the harm belongs to what is repeated.

Why the mend works: requests are known again by a digest of method, host, path, workspace and body. A replica that is gone (its address refuses, or a later incarnation answers) after it broke a run off that had brought events for less than 0.3 s counts once against the request, whichever VM saw it. VMs tell each other at once and ask for what they missed; after three ends all refuse the request with 429. What is quarantined stands in the store and outlives the VMs. A run that went well clears a request.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -11,6 +11,7 @@
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/platform/accounted"
+	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/router"
 )
 
@@ -34,14 +35,17 @@
 	Store          any               `json:"store"`
 	// StoreCalls are the calls that reached the store since the start, by their purpose.
 	StoreCalls accounted.Counts `json:"storeCalls"`
-	Invariants invariant.Report `json:"invariants"`
-	LogDropped uint64           `json:"logLinesDropped"`
+	// Quarantine are the requests under which replicas have ended.
+	Quarantine []quarantine.Entry `json:"quarantine"`
+	Invariants invariant.Report   `json:"invariants"`
+	LogDropped uint64             `json:"logLinesDropped"`
 }
 
 func (p *Process) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", p.serveMetrics)
 	mux.HandleFunc("GET /dump", p.serveDump)
+	mux.HandleFunc("POST /quarantine/lift/{digest}", p.serveLift)
 	return mux
 }
 
@@ -53,6 +57,7 @@
 // setGauges updates the metrics of states, which no event counts, when they are read.
 func (p *Process) setGauges() {
 	unusable, turned := p.view.unusableCounts()
+	held := p.quarantine.Counts(time.Now())
 	for name, value := range map[string]float64{
 		"ready":              asGauge(p.gate.Ready()),
 		"requests_in_hand":   float64(p.handler.InHand()),
@@ -66,6 +71,8 @@
 		"placement_covered":       asGauge(p.pools.Covered()),
 		"store_healthy":           asGauge(p.table.Healthy()),
 		"log_lines_dropped":       float64(p.LogDropped()),
+		"requests_suspected":      float64(held.Suspected),
+		"requests_quarantined":    float64(held.Quarantined),
 	} {
 		p.metrics.Gauge(name).Update(value)
 	}
@@ -83,7 +90,7 @@
 		VM: p.Settings.VM.Name, Gate: p.gate.State(), InHand: p.handler.InHand(), ConfigVersion: p.view.configVersion(), ConfigAge: p.view.ConfigAge().String(),
 		VMs: p.census.VMs(), HoldsDuty: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
-		LogDropped: p.LogDropped(),
+		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()),
 	}
 	dump.Unusable, dump.TurnedUnusable = p.view.unusableEntries()
 	w.Header().Set("Content-Type", "application/json")
@@ -91,3 +98,16 @@
 		p.Logger.Debug("dump not sent", zap.Error(err))
 	}
 }
+
+// serveLift lifts a request from quarantine on all VMs.
+func (p *Process) serveLift(w http.ResponseWriter, r *http.Request) {
+	digest, err := quarantine.ParseDigest(r.PathValue("digest"))
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case !p.sharing.Lift(digest):
+		http.Error(w, "nothing is held against this request", http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -17,6 +17,8 @@
 	"geraniumcroft/internal/placer"
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/quarantine"
+	"geraniumcroft/internal/quarantine/sharing"
 	"geraniumcroft/internal/relay"
 )
 
@@ -60,6 +62,12 @@
 		Table: p.table, VM: s.VM.Name, Duties: []string{placer.Duty}, TTL: leaseTTL,
 		VMs: func() int { return min(contenders, len(p.census.VMs())) }, Invariants: p.invariants, Logger: p.Logger,
 	})
+	p.quarantine = quarantine.NewLedger(quarantine.DefaultSettings, time.Now())
+	p.sharing = sharing.New(sharing.Options{
+		Ledger: p.quarantine, Peers: p.peers, Table: p.table, Logger: p.Logger,
+		Reads: func() bool { return p.census.Known() && p.census.Follows() },
+	})
+	p.peers.OnNews, p.mirror.News = p.sharing.Heard, p.quarantine.Revision
 	p.tenure = &tenure{leases: p.leases, board: p.board, logger: p.Logger}
 }
 
@@ -73,6 +81,7 @@
 		DataCentre: p.Settings.VM.DataCentre, Source: p.view, Codec: p.Wiring.Codec, Gate: p.gate,
 		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, Budgets: p.budgets,
 		Engines: p.Wiring.Engines, Pool: p.Pool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
+		Quarantine: p.quarantine, News: p.sharing,
 	})
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -9,6 +9,7 @@
 	"geraniumcroft/internal/loads"
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/quarantine"
 )
 
 func (p *Process) follower(table string, onChange func(platform.TableView)) *follow.Follower {
@@ -23,17 +24,22 @@
 	switch table {
 	case loads.TableName:
 		return p.board.Since(after)
+	case quarantine.TableName:
+		return p.sharing.Since(after)
 	case p.Wiring.ReplicaTable:
 		return p.view.replicas.Since(after)
 	}
 	return p.view.operator.Since(after)
 }
 
-// take is given what peers offer. Only loads are offered: the operator's tables are
-// asked for, so that a VM knows how old its answer is.
+// take is given what peers offer. The operator's tables are not offered but asked for, so that a
+// VM knows how old its answer is.
 func (p *Process) take(table string, change platform.TableChange, age time.Duration) {
-	if table == loads.TableName {
+	switch table {
+	case loads.TableName:
 		p.board.Take(change, age)
+	case quarantine.TableName:
+		p.sharing.Take(change, age)
 	}
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -20,6 +20,8 @@
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/quarantine"
+	"geraniumcroft/internal/quarantine/sharing"
 	"geraniumcroft/internal/relay"
 	"geraniumcroft/internal/router"
 	"geraniumcroft/internal/settings"
@@ -75,6 +77,9 @@
 	keeper *loads.Keeper
 	mirror *mirror.Server
 	peers  *mirror.Client
+	// quarantine knows requests that crash replicas, and sharing exchanges it with other VMs.
+	quarantine *quarantine.Ledger
+	sharing    *sharing.Sharing
 
 	listeners struct{ callers, ready, metrics, peers net.Listener }
 	callers   *http.Server
@@ -164,6 +169,7 @@
 	p.spawn(func() { p.census.Run(p.ctx) })
 	p.spawn(p.contend)
 	p.spawn(func() { p.keeper.Run(p.ctx) })
+	p.spawn(func() { p.sharing.Run(p.ctx) })
 	p.spawn(p.becomeReady)
 	p.spawn(p.lookAround)
 	p.spawn(p.tellState)
--- a/internal/mirror/asking.go
+++ b/internal/mirror/asking.go
@@ -96,6 +96,9 @@
 	if a == withoutCopy {
 		return nil
 	}
+	if a != nil && a.News > 0 && c.OnNews != nil {
+		c.OnNews(address, a.News)
+	}
 	return a
 }
 
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,9 @@
 	logger *zap.Logger
 	// asker asks a peer; tests put a network of their own in its place.
 	asker func(ctx context.Context, address string, q question) *answer
+	// OnNews is told the revision of what a peer tells beside tables whenever an answer carries
+	// one. It must not block, and is set before the first question.
+	OnNews func(address string, revision uint64)
 
 	mu    sync.Mutex // guards the fields below
 	peers Peers
@@ -119,24 +123,43 @@
 	return change, time.Duration(a.AgeMS) * time.Millisecond, true
 }
 
+// FetchFrom asks one peer for what it has beyond a revision.
+func (c *Client) FetchFrom(ctx context.Context, address, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool) {
+	return c.opened(c.ask(ctx, address, question{Table: table, After: after}))
+}
+
 // Offer hands a copy to one follower of each data centre, from which the others learn it.
 // A VM that makes something need not be one of those that are asked.
 func (c *Client) Offer(ctx context.Context, table string, change platform.TableChange, age time.Duration) {
+	c.offer(ctx, c.known().onePerDataCentre(), table, change, age)
+}
+
+// OfferAll hands a change to all followers, and to all other VMs of a fleet that has few. It
+// returns how many took it.
+func (c *Client) OfferAll(ctx context.Context, table string, change platform.TableChange, age time.Duration) int {
+	return c.offer(ctx, c.known().offeredAll(), table, change, age)
+}
+
+func (c *Client) offer(ctx context.Context, addresses []string, table string, change platform.TableChange, age time.Duration) int {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	packed, err := pack(change)
 	if err != nil {
 		c.logger.Error("copy not offered", zap.String("table", table), zap.Error(err))
-		return
+		return 0
 	}
 	o := offered{Table: table, answer: answer{Revision: change.Revision, standing: standing{AgeMS: age.Milliseconds()}, Change: packed}}
 	var offering sync.WaitGroup
-	for _, address := range c.known().onePerDataCentre() {
+	var taken atomic.Int32
+	for _, address := range addresses {
 		offering.Go(func() {
 			if _, err := c.invoke(ctx, address, offerMethod, o); err != nil {
 				c.logger.Debug("copy not taken", zap.String("table", table), zap.String("peer", address), zap.Error(err))
+				return
 			}
+			taken.Add(1)
 		})
 	}
 	offering.Wait()
+	return int(taken.Load())
 }
--- a/internal/mirror/peers.go
+++ b/internal/mirror/peers.go
@@ -69,6 +69,19 @@
 	return some
 }
 
+// fewPeers is up to how many VMs a change is offered to all of them.
+const fewPeers = 16
+
+// offeredAll returns whom a change is offered to that is to be known everywhere at once: all VMs
+// where there are few, else the followers, which the others ask each second.
+func (p Peers) offeredAll() []string {
+	all := p.order()
+	if len(all) <= fewPeers {
+		return all
+	}
+	return slices.Concat(append([][]string{p.Near}, p.Far...)...)
+}
+
 func shuffled(addresses []string) []string {
 	order := slices.Clone(addresses)
 	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -30,6 +30,9 @@
 	packed *packedChanges
 	logger *zap.Logger
 	grpc   *grpc.Server
+	// News returns the revision of what this VM tells beside tables, which its answers carry; nil
+	// stands for 0. It is set before Serve.
+	News func() uint64
 }
 
 // NewServer returns a server; Serve makes it answer.
@@ -70,6 +73,9 @@
 		UnchangedUpTo: change.UnchangedUpTo, AgeMS: age.Milliseconds(),
 		Settling: change.Settling, SettlingLeftMS: change.SettlingLeft.Milliseconds(), ByFeed: change.ByFeed,
 	}}
+	if s.News != nil {
+		a.News = s.News()
+	}
 	if q.Brief || change.Empty() {
 		return a, nil
 	}
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -52,6 +52,8 @@
 	standing
 	// Change is the packed change, without it if there is none or none was asked for.
 	Change []byte `json:"change,omitempty"`
+	// News is the peer's revision of what it tells beside tables, 0 while there is nothing.
+	News uint64 `json:"news,omitempty"`
 }
 
 // standing is what a VM says of its copy. Of two answers about the same copy one's whole standing is
--- a/internal/outcome/reason.go
+++ b/internal/outcome/reason.go
@@ -16,9 +16,11 @@
 	ReasonKeyReused        Reason = "key-reused"
 	ReasonKeyInProgress    Reason = "key-in-progress"
 	// ReasonKeySpent: the key's request has ended and its answer is not kept.
-	ReasonKeySpent         Reason = "key-spent"
-	ReasonOverloaded       Reason = "overloaded"
-	ReasonWorkspaceLimit   Reason = "workspace-limit"
+	ReasonKeySpent       Reason = "key-spent"
+	ReasonOverloaded     Reason = "overloaded"
+	ReasonWorkspaceLimit Reason = "workspace-limit"
+	// ReasonQuarantined: replicas crashed each time that they ran the same request.
+	ReasonQuarantined      Reason = "quarantined"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNoTarget         Reason = "no-target"
 	ReasonStoreUnavailable Reason = "store-unavailable"
@@ -44,6 +46,7 @@
 	ReasonKeySpent:         409,
 	ReasonOverloaded:       503,
 	ReasonWorkspaceLimit:   429,
+	ReasonQuarantined:      429,
 	ReasonDeadline:         504,
 	ReasonNoTarget:         503,
 	ReasonStoreUnavailable: 503,
--- a/internal/platform/purpose.go
+++ b/internal/platform/purpose.go
@@ -20,14 +20,16 @@
 	PurposeLease
 	// PurposeProbe asks whether a store that failed answers again.
 	PurposeProbe
+	// PurposeQuarantine reads or writes requests that are quarantined.
+	PurposeQuarantine
 )
 
 // PurposeCount sizes arrays indexed by Purpose.
-const PurposeCount = 7
+const PurposeCount = 8
 
 // String returns the purpose's name as it stands in metrics, dump and log.
 func (p Purpose) String() string {
-	names := [PurposeCount]string{"other", "feed", "confirm", "read_all", "vms", "lease", "probe"}
+	names := [PurposeCount]string{"other", "feed", "confirm", "read_all", "vms", "lease", "probe", "quarantine"}
 	return names[p]
 }
 
--- a/internal/quarantine/digest_test.go
+++ b/internal/quarantine/digest_test.go
@@ -4,7 +4,7 @@
 
 func TestDigestTellsRequestsApart(t *testing.T) {
 	base := Content{Method: "POST", Host: "a.example", URI: "/draft/1", Workspace: "crew", Body: []byte("prompt")}
-	if DigestOf(base) != DigestOf(base) {
+	if again := base; DigestOf(again) != DigestOf(base) {
 		t.Error("the same content has two digests")
 	}
 	for name, change := range map[string]func(*Content){
--- /dev/null
+++ b/internal/quarantine/ledger_test.go
@@ -0,0 +1,175 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"geraniumcroft/internal/incarnation"
+)
+
+var start = time.Unix(1e9, 0)
+
+func replica(i int) incarnation.Key { return incarnation.Key{ID: fmt.Sprint("replica-", i), Born: 1} }
+
+func digestOf(i int) Digest { return DigestOf(Content{Body: []byte(fmt.Sprint(i))}) }
+
+func TestOneEndSeenByManyCountsOnce(t *testing.T) {
+	l := NewLedger(DefaultSettings, start)
+	d := digestOf(1)
+	for range 5 {
+		l.Ended(d, replica(1), start)
+		l.Ended(d, incarnation.Key{ID: "replica-1"}, start) // its start is not known there
+	}
+	if v := l.Judge(d, start); v.Ends != 1 {
+		t.Errorf("%+v", v)
+	}
+	l.Ended(d, incarnation.Key{ID: "replica-1", Born: 2}, start)
+	if v := l.Judge(d, start); v.Ends != 2 {
+		t.Errorf("a later incarnation: %+v", v)
+	}
+}
+
+// quarantined returns a ledger that holds a request for the last time at start.
+func quarantined(d Digest) *Ledger {
+	l := NewLedger(DefaultSettings, start)
+	for i := range DefaultSettings.MaxEnds {
+		l.Ended(d, replica(i), start)
+	}
+	return l
+}
+
+func TestQuarantineLastsWhileTheRequestIsAskedFor(t *testing.T) {
+	d := digestOf(1)
+	l, now := quarantined(d), start
+	for range 10 {
+		now = now.Add(DefaultSettings.HoldFor / 2)
+		if !l.Judge(d, now).Quarantined {
+			t.Fatalf("not quarantined after %s", now.Sub(start))
+		}
+		l.Refused(d, now)
+	}
+	now = now.Add(DefaultSettings.HoldFor)
+	if v := l.Judge(d, now); v.Quarantined || v.Ends != DefaultSettings.MaxEnds-1 {
+		t.Errorf("after a time without: %+v", v)
+	}
+	l.Ended(d, replica(99), now)
+	if !l.Judge(d, now).Quarantined {
+		t.Error("not quarantined after one more end")
+	}
+}
+
+func TestRunThatWentWellClearsARequest(t *testing.T) {
+	d := digestOf(1)
+	l := quarantined(d)
+	if !l.RanWell(d, start) || l.Judge(d, start).Ends != 0 {
+		t.Errorf("%+v", l.Judge(d, start))
+	}
+	l.Ended(d, replica(50), start.Add(time.Second))
+	if v := l.Judge(d, start.Add(time.Second)); v.Ends != 0 {
+		t.Errorf("an end right after: %+v", v)
+	}
+	later := start.Add(2 * DefaultSettings.WellFor)
+	l.Ended(d, replica(51), later)
+	if v := l.Judge(d, later); v.Ends != 1 {
+		t.Errorf("an end later: %+v", v)
+	}
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	settings := DefaultSettings
+	settings.MaxCases, settings.MaxWell = 10, 10
+	l := NewLedger(settings, start)
+	culprit := digestOf(-1)
+	for i := range settings.MaxEnds {
+		l.Ended(culprit, replica(i), start)
+	}
+	for i := range 1000 {
+		l.Ended(digestOf(i), replica(i), start.Add(time.Duration(i)))
+		l.RanWell(digestOf(10_000+i), start)
+	}
+	if reports, _ := l.Since(0, start); len(reports) > settings.MaxCases {
+		t.Errorf("%d requests are kept", len(reports))
+	}
+	if !l.Judge(culprit, start).Quarantined {
+		t.Error("a caller with ever new requests drives out one that is quarantined")
+	}
+	for i := range 100 {
+		l.Ended(culprit, replica(100+i), start)
+	}
+	if ends := l.Judge(culprit, start).Ends; ends > maxEndsKept {
+		t.Errorf("%d ends are kept", ends)
+	}
+}
+
+// Guards against VMs that judge a request differently for good because reports came late, twice
+// or in another order.
+func TestLedgersAgreeWhateverTheOrderOfReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := make([]*Ledger, rapid.IntRange(2, 5).Draw(t, "vms"))
+		for i := range vms {
+			vms[i] = NewLedger(DefaultSettings, start)
+		}
+		type sent struct {
+			reports []Report
+			epoch   time.Time
+		}
+		var under []sent
+		now := start
+		ends := map[Digest]map[incarnation.Key]bool{}
+		forgiven := map[Digest]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+			vm, d := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "vm")], digestOf(rapid.IntRange(0, 2).Draw(t, "request"))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				vm.RanWell(d, now)
+				forgiven[d] = true
+			case 1, 2, 3, 4:
+				k := replica(rapid.IntRange(0, 4).Draw(t, "replica"))
+				vm.Ended(d, k, now)
+				if ends[d] == nil {
+					ends[d] = map[incarnation.Key]bool{}
+				}
+				ends[d][k] = true
+			case 5, 6:
+				under = append(under, sent{vm.Reports(start, d), start})
+			default:
+				if len(under) > 0 {
+					m := under[rapid.IntRange(0, len(under)-1).Draw(t, "message")]
+					vm.Merge(m.reports, m.epoch, now)
+				}
+			}
+		}
+		exchange(vms, now)
+		for i := range 3 {
+			d := digestOf(i)
+			want := vms[0].Judge(d, now)
+			for _, vm := range vms[1:] {
+				if got := vm.Judge(d, now); got.Ends != want.Ends || got.Quarantined != want.Quarantined {
+					t.Fatalf("request %d: %+v and %+v", i, want, got)
+				}
+			}
+			if !forgiven[d] && want.Ends != len(ends[d]) {
+				t.Fatalf("request %d: %d ends are counted of %d", i, want.Ends, len(ends[d]))
+			}
+			if want.Ends > len(ends[d]) || want.Quarantined != (want.Ends >= DefaultSettings.MaxEnds) {
+				t.Fatalf("request %d: %+v after %d ends", i, want, len(ends[d]))
+			}
+		}
+	})
+}
+
+// exchange lets VMs ask each other until nobody has news.
+func exchange(vms []*Ledger, now time.Time) {
+	for range 2 * len(vms) {
+		for _, to := range vms {
+			for i := range vms {
+				reports, _ := vms[i].Since(0, start)
+				to.Merge(reports, start, now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/settings.go
@@ -0,0 +1,34 @@
+package quarantine
+
+import "time"
+
+// Settings are the bounds of a Ledger.
+type Settings struct {
+	// MaxEnds is under how many ended replicas a request is quarantined.
+	MaxEnds int
+	// YoungRun is how long a run must have brought events to clear its request. A replica that
+	// ends later was not crashed by it.
+	YoungRun time.Duration
+	// WellFor is how long a run that went well speaks for its request: no end counts against it
+	// meanwhile.
+	WellFor time.Duration
+	// SuspectFor is how long ends below MaxEnds are remembered.
+	SuspectFor time.Duration
+	// HoldFor is how long a request stays quarantined after it was last asked for.
+	HoldFor time.Duration
+	// MaxCases bounds the requests that are remembered. Those with the fewest ends go first.
+	MaxCases int
+	// MaxWell bounds the requests that are remembered for having run well.
+	MaxWell int
+}
+
+// DefaultSettings are those of a VM.
+var DefaultSettings = Settings{
+	MaxEnds:    3,
+	YoungRun:   300 * time.Millisecond,
+	WellFor:    time.Minute,
+	SuspectFor: 10 * time.Minute,
+	HoldFor:    time.Hour,
+	MaxCases:   1000,
+	MaxWell:    4096,
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -116,6 +116,12 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if slot != nil {
+		if failure := h.crashes.refusal(q); failure != nil {
+			slot.Release(balance.ResultNeutral)
+			return nil, failure
+		}
+	}
 	if none != nil {
 		return nil, outcome.Refuse(outcome.ReasonNoTarget, "no replica of the service can take work now").WithRetryAfter(soon).WithCause(none)
 	}
@@ -165,7 +171,7 @@
 // one before may have arrived.
 func (h *Handler) nextSlot(ctx context.Context, q *request, tried []string, arrived bool) *balance.Slot {
 	mayRepeat := q.profile.Repeatable() || !q.boundary.MayHaveRun()
-	if ctx.Err() != nil || !mayRepeat || len(tried) >= max(1, q.profile.MaxAttempts) {
+	if ctx.Err() != nil || !mayRepeat || h.crashes.judge(q).Quarantined || len(tried) >= max(1, q.profile.MaxAttempts) {
 		return nil
 	}
 	slot, err := h.Balancer.Pick(h.query(q, tried))
@@ -193,6 +199,12 @@
 	q.story.add("sent", zap.String("replica", replica.Name), zap.String("address", replica.Address), zap.Duration("left", q.left()))
 	result, err := h.exchange(ctx, q, target{address: replica.Address, incarnation: incarnation.Parse(replica.Name)})
 	slot.Release(verdict(ctx, result, err))
+	switch {
+	case err == nil:
+		h.crashes.ranWell(q)
+	case ctx.Err() == nil && brokeOff(err):
+		h.crashes.broke(q, incarnation.Parse(replica.Name), h.targetEnded(replica.Address))
+	}
 	if err != nil {
 		q.story.add("attempt failed", zap.String("replica", replica.Name), zap.Error(err))
 	}
--- /dev/null
+++ b/internal/relay/crash_guard_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/url"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/dispatch"
+	"geraniumcroft/internal/incarnation"
+	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/quarantine"
+)
+
+// told collects what other VMs would be told.
+type told struct{ digests []quarantine.Digest }
+
+func (n *told) Tell(d quarantine.Digest) { n.digests = append(n.digests, d) }
+
+func newTestGuard() (*crashGuard, *told) {
+	news := &told{}
+	return newCrashGuard(Options{
+		Quarantine: quarantine.NewLedger(quarantine.DefaultSettings, time.Now()), News: news, Logger: zap.NewNop(),
+	}), news
+}
+
+func newTestRequest() *request {
+	return &request{digest: quarantine.Digest{1}, boundary: dispatch.NewBoundary("r", true, invariant.NewRegistry(func(invariant.Violation) {}))}
+}
+
+func refusedDial() error {
+	return &url.Error{Op: "Get", URL: "http://192.0.2.1/", Err: &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}}
+}
+
+// Guards against resets and silence that are taken for the end of a replica.
+func TestOnlyAReplicaThatIsGoneHasEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers []error
+		ended   bool
+	}{
+		"refused":                     {[]error{refusedDial()}, true},
+		"answered":                    {[]error{nil}, false},
+		"silent, then refused":        {[]error{context.DeadlineExceeded, refusedDial()}, true},
+		"silent, then answered":       {[]error{os.ErrDeadlineExceeded, nil}, false},
+		"silent":                      {[]error{os.ErrDeadlineExceeded, os.ErrDeadlineExceeded}, false},
+		"reset while it was asked":    {[]error{syscall.ECONNRESET, nil}, false},
+		"an answer that is not right": {[]error{errors.New("status 500"), errors.New("status 500")}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard, news := newTestGuard()
+			q, asked := newTestRequest(), 0
+			guard.broke(q, incarnation.Key{ID: "a"}, func(context.Context) endedProbe {
+				asked++
+				return probeOf(c.answers[asked-1])
+			})
+			if got := guard.judge(q).Ends == 1; got != c.ended || (len(news.digests) == 1) != c.ended {
+				t.Errorf("counted: %t, others told: %d times", got, len(news.digests))
+			}
+			if asked != len(c.answers) {
+				t.Errorf("asked %d times", asked)
+			}
+		})
+	}
+}
+
+// Guards against "not run" being told of a request that ran and crashed its replicas.
+func TestQuarantinedRequestThatRanIsNotToldAsNotRun(t *testing.T) {
+	guard, _ := newTestGuard()
+	fresh, sent := newTestRequest(), newTestRequest()
+	if failure := guard.refusal(fresh); failure != nil {
+		t.Fatalf("refused before any replica ended: %v", failure)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		guard.broke(fresh, incarnation.Key{ID: id}, func(context.Context) endedProbe { return endedYes })
+	}
+	if failure := guard.refusal(fresh); failure == nil || failure.Outcome != outcome.NotRun || failure.Reason != outcome.ReasonQuarantined || failure.RetryAfter <= 0 {
+		t.Errorf("a new attempt: %+v", failure)
+	}
+	sent.boundary.Cross()
+	if failure := guard.refusal(sent); failure == nil || failure.Outcome != outcome.Unknown {
+		t.Errorf("an attempt that was sent: %+v", failure)
+	}
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -45,8 +45,12 @@
 	// events is how many events the caller has, sends how often the request was sent.
 	events atomic.Int64
 	sends  atomic.Int32
-	// answered is when the head of the present send's answer came, zero before.
+	// answered is when the head of the present send's answer came, began when its first event
+	// came, zero before.
 	answered time.Time
+	began    time.Time
+	// cleared says that a run of this generation went well.
+	cleared bool
 
 	mu sync.Mutex // guards the fields below against the watch of a stalled stream
 	// lastEvent is the id of the last event that the caller has.
@@ -109,6 +113,9 @@
 
 // again waits for a path for one more send after one has ended.
 func (g *generation) again(ctx context.Context, err error) (*layers.Reservation, *outcome.Failure) {
+	if failure := g.h.crashes.refusal(g.q); failure != nil {
+		return nil, failure.WithCause(err)
+	}
 	if ctx.Err() != nil || !g.mayResend() || mayHaveArrived(err) && !g.payInTime(ctx) {
 		return nil, failureOf(ctx, g.q, err)
 	}
@@ -152,7 +159,7 @@
 // reports whether the present one may be ended. Without that a stream would be cut off
 // that its replica might yet have gone on with.
 func (g *generation) prepare(without layers.Replica) bool {
-	if !g.mayResend() {
+	if !g.mayResend() || g.h.crashes.judge(g.q).Quarantined {
 		return false
 	}
 	need := g.need()
@@ -216,7 +223,11 @@
 	var reservation *layers.Reservation
 	var none error
 	need := g.need()
+	quarantined := false
 	failure := g.h.admit(ctx, g.q, need.Prompt+need.Answer, g.begun, func() bool {
+		if quarantined = g.h.crashes.judge(g.q).Quarantined; quarantined {
+			return true
+		}
 		r, err := g.table.Reserve(need)
 		none = nil
 		if errors.Is(err, layers.ErrNoPath) {
@@ -230,6 +241,9 @@
 		g.q.story.add("no room", zap.String("why", g.table.Bottleneck(need)))
 		return nil, failure
 	}
+	if quarantined {
+		return nil, g.h.crashes.refusal(g.q)
+	}
 	if none != nil && len(g.avoid) > 0 {
 		g.avoid = map[incarnation.Key]bool{}
 		return g.admit(ctx)
--- a/internal/relay/generate_send.go
+++ b/internal/relay/generate_send.go
@@ -16,7 +16,7 @@
 // send sends the generation along the reserved path and passes its events on.
 func (g *generation) send(ctx context.Context, reservation *layers.Reservation) (err error) {
 	started := time.Now()
-	g.answered = time.Time{}
+	g.answered, g.began = time.Time{}, time.Time{}
 	defer func() {
 		reservation.Done(err == nil)
 		g.h.Admission.Finished(g.q.service, time.Since(started))
@@ -70,6 +70,9 @@
 	g.avoid[first.Key()] = true
 	g.table.Suspect(first)
 	g.q.progress.left(first.Address, "its connection broke")
+	if mayHaveArrived(err) && g.young() {
+		g.h.crashes.broke(g.q, first.Key(), g.h.engineEnded(first.Address, first.Key()))
+	}
 	return err
 }
 
@@ -103,6 +106,7 @@
 	if err != nil {
 		return err
 	}
+	g.ranWell()
 	if g.begun {
 		return &sendError{Address: x.resp.Request.URL.Host, Sent: true, Cause: errors.Newf("status %d", x.resp.StatusCode)}
 	}
@@ -126,6 +130,7 @@
 			return err
 		}
 		watch.moved()
+		g.settled(time.Now())
 		g.q.progress.event(g.q.arrival, time.Now())
 		if !g.begun {
 			g.begin(x)
@@ -140,6 +145,7 @@
 
 // end ends a stream that its replica ended. One without any event is whole too.
 func (g *generation) end(x *exchange) error {
+	g.ranWell()
 	if !g.begun {
 		g.begin(x)
 		g.w.WriteHeader(http.StatusOK)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -16,6 +16,7 @@
 	"geraniumcroft/internal/dispatch"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/transport"
 )
 
@@ -68,6 +69,9 @@
 	Pool       *transport.Pool
 	Observer   Observer
 	Invariants *invariant.Registry
+	// Quarantine knows requests that crash replicas, and News tells other VMs of them.
+	Quarantine *quarantine.Ledger
+	News       News
 	Logger     *zap.Logger
 }
 
@@ -77,6 +81,7 @@
 	asking *asking
 	// shortages tell refused callers when to come back.
 	shortages *shortages
+	crashes   *crashGuard
 	inHand    atomic.Int64
 	// heldBodies is how many bytes of bodies are in hand.
 	heldBodies atomic.Int64
@@ -85,7 +90,7 @@
 // New returns a handler.
 func New(o Options) *Handler {
 	o.Balancer.OnFree(o.Admission.Wake)
-	return &Handler{Options: o, asking: newAsking(o.Engines), shortages: newShortages()}
+	return &Handler{Options: o, asking: newAsking(o.Engines), shortages: newShortages(), crashes: newCrashGuard(o)}
 }
 
 // InHand returns how many requests have arrived and not ended.
@@ -138,7 +143,7 @@
 	q.boundary = dispatch.NewBoundary(q.RequestID, q.profile.Repeatable(), h.Invariants)
 	q.service = q.profile.service(q.hash())
 	h.Budgets.of(q.service).Fresh()
-	return nil
+	return h.crashes.refusal(q)
 }
 
 // look finds the profile and the workspace.
--- a/internal/relay/send_error.go
+++ b/internal/relay/send_error.go
@@ -32,3 +32,10 @@
 
 // Unwrap implements the errors package's convention.
 func (e *sendError) Unwrap() error { return e.Cause }
+
+// brokeOff reports whether a send that failed had reached its replica, which did not say that it
+// did not run the request.
+func brokeOff(err error) bool {
+	var failed *sendError
+	return errors.As(err, &failed) && failed.Sent
+}
