entry, mirror: a decoder that panics fails and ends no VM

The class of the crash loop, looked for elsewhere: a row of the operator's tables, or a peer's message, on which the VM that reads it panics. Each VM reads the same row, and again after its restart, so one row would end the fleet. Found by reading; no decoder is known to panic.

A panic in a decoder is now its error, so the configuration before stays in force and an entry names no replica; one in the answer to a peer is logged and told as an internal error.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -96,6 +96,7 @@
 // New puts a process together and opens its listeners, so that their addresses are
 // known. Nothing runs until Start.
 func New(o Options) (*Process, error) {
+	o.Wiring = withoutPanics(o.Wiring)
 	p := &Process{Options: o, gate: &router.Gate{}, started: time.Now(), placed: map[string]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if err := p.listen(); err != nil {
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -48,6 +48,10 @@
 // Stop ends all connections.
 func (s *Server) Stop() { s.grpc.Stop() }
 
+func (s *Server) panicked(value any, stack []byte) {
+	s.logger.Error("answer to a peer panicked", zap.Any("panic", value), zap.ByteString("stack", stack))
+}
+
 func (s *Server) fetch(_ context.Context, request *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error) {
 	var q question
 	if err := json.Unmarshal(request.GetValue(), &q); err != nil {
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 )
 
@@ -16,6 +19,8 @@
 type mirrorServer interface {
 	fetch(ctx context.Context, request *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error)
 	offer(ctx context.Context, request *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error)
+	// panicked is told that a method panicked.
+	panicked(value any, stack []byte)
 }
 
 var serviceDesc = grpc.ServiceDesc{
@@ -27,9 +32,16 @@
 	},
 }
 
-// handle makes a gRPC handler of a method.
+// handle makes a gRPC handler of a method. One that panics fails: the same message goes to all VMs
+// and would end them one after the other.
 func handle(method func(mirrorServer, context.Context, *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error)) grpc.MethodHandler {
-	return func(server any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+	return func(server any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (reply any, err error) {
+		defer func() {
+			if panicked := recover(); panicked != nil {
+				reply, err = nil, status.Errorf(codes.Internal, "the handler panicked: %v", panicked)
+				server.(mirrorServer).panicked(panicked, debug.Stack())
+			}
+		}()
 		request := &wrapperspb.BytesValue{}
 		if err := decode(request); err != nil {
 			return nil, err
