follow: the same copy of a later revision confirms this VM's up to the same place

KNOWN-RED: TestTableThatStandsStillWhileOthersMoveIsConfirmedByPeers at 2.52 s of 2.5 s in 1 of 56 runs. Callers see nothing of it below 3 s; the VMs concerned ask the store by themselves.

Cause, traced by a record of each VM's questions in 40 runs (3 over 2.4 s, 2.64 s the worst): a VM that follows the feed asked a peer which had read the same table at a later revision. The answer, of that revision and without any row, confirmed its copy, but did not count for up to which revision that is the newest, as its own is earlier. Until its own call to the store it told others "newest up to 77"; a VM of revision 85 that asked two such peers in a row stayed unconfirmed for one or two rounds of 0.8 s.

Ruled out: peers passed over for silence (none was), late answers of the links (0.4 ms), copies that were not yet confirmed at the start.

Why the mend works: an answer without rows to a question after the copy's revision says that nothing was changed in between, so the peer's word holds for this copy too, unless the copy has moved on meanwhile (TestChangeThatIsNotAppliedLeavesTheCopyBehind).

--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -580,3 +580,14 @@
 		t.Errorf("the change is not taken over: %s, newest up to %d", f.View().Rows["a"], change.UnchangedUpTo)
 	}
 }
+
+// Guards against a copy that is confirmed but can't confirm others, as a peer read the same later.
+func TestSameCopyOfALaterRevisionConfirmsThisOne(t *testing.T) {
+	peers := &peersBehindAChange{change: platform.TableChange{Revision: 5, UnchangedUpTo: 9}, meanwhile: func() {}}
+	f := New(optionsOf(newFakeFeed(), peers))
+	f.publish(platform.TableView{Revision: 3, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
+	f.askPeers(t.Context(), time.Second)
+	if change, _, _ := f.Since(3); change.UnchangedUpTo != 9 {
+		t.Errorf("the copy is the newest up to %d, it says", change.UnchangedUpTo)
+	}
+}
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -50,19 +50,21 @@
 	case change.UnchangedUpTo >= revision:
 		f.confirm(asked.Add(-age))
 	}
-	f.unchangedByPeer(change)
+	f.unchangedByPeer(revision, change)
 }
 
 // unchangedByPeer notes up to which revision this VM's copy is the newest by a peer's word. Peers may
-// have the same copy of an earlier revision: VMs read a table at different revisions of the store,
-// between which other tables changed. Compared by their revisions alone the copies of all VMs
-// that had read later than those that follow the feed stood unconfirmed until the next change;
-// of 195 VMs after a loss of all power most asked the store every second, 3,000 calls in a minute.
+// have the same copy of another revision: VMs read a table at different revisions of the store,
+// between which other tables changed. Compared by their revisions alone such copies stood
+// unconfirmed until the next change; of 195 VMs after a loss of all power most asked the store every
+// second, 3,000 calls in a minute.
 //
-// It comes after the change itself, and counts only if this VM has it: a copy that is said to be
-// the newest up to a revision behind the change would never get it.
-func (f *Follower) unchangedByPeer(change platform.TableChange) {
-	if f.revision() >= change.Revision {
+// It comes after the change itself, and counts only if this VM lacks nothing of it: a copy that is
+// said to be the newest up to a revision behind the change would never get it. A peer that has
+// nothing beyond the revision that was asked for has the same copy, whatever its revision.
+func (f *Follower) unchangedByPeer(asked uint64, change platform.TableChange) {
+	now := f.revision()
+	if now >= change.Revision || now == asked && change.Empty() {
 		f.unchangedUpTo(change.UnchangedUpTo)
 	}
 }
