--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -13,13 +13,9 @@
 	"geraniumcroft/internal/quarantine"
 )
 
-const (
-	// endedProbes is how often a replica that broke a run off is asked whether it still runs, until
-	// it answers or refuses.
-	endedProbes = 2
-	// endedPause is the pause between two of these questions.
-	endedPause = 100 * time.Millisecond
-)
+// endedPause is the pause before a replica that broke a run off, and did not answer the question
+// whether it still runs, is asked once more.
+const endedPause = 100 * time.Millisecond
 
 // News tells other VMs of a change of what this VM knows of a request.
 type News interface {
@@ -31,10 +27,12 @@
 	ledger *quarantine.Ledger
 	news   News
 	logger *zap.Logger
+	// later does something that no request waits for.
+	later func(func())
 }
 
 func newCrashGuard(o Options) *crashGuard {
-	return &crashGuard{ledger: o.Quarantine, news: o.News, logger: o.Logger}
+	return &crashGuard{ledger: o.Quarantine, news: o.News, logger: o.Logger, later: func(do func()) { go do() }}
 }
 
 // judge says what is known of a request.
@@ -71,18 +69,39 @@
 	}
 }
 
-// broke notes that a young run broke off, if its replica has ended.
+// broke notes that a young run broke off, if its replica has ended. The request waits for one
+// question to the replica.
 func (c *crashGuard) broke(q *request, replica incarnation.Key, ended func(context.Context) endedProbe) {
-	if !c.confirm(ended) {
-		return
+	switch ask(ended) {
+	case endedYes:
+		c.ended(q.RequestID, q.digest, replica)
+	case endedUnknown:
+		id, digest := q.RequestID, q.digest
+		c.later(func() {
+			time.Sleep(endedPause)
+			if ask(ended) == endedYes {
+				c.ended(id, digest, replica)
+			}
+		})
 	}
-	if !c.ledger.Ended(q.digest, replica, time.Now()) {
+}
+
+// ask asks a replica whether it has ended.
+func ask(ended func(context.Context) endedProbe) endedProbe {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	return ended(ctx)
+}
+
+// ended notes that a replica ended under a young run.
+func (c *crashGuard) ended(requestID string, d quarantine.Digest, replica incarnation.Key) {
+	if !c.ledger.Ended(d, replica, time.Now()) {
 		return
 	}
-	verdict := c.judge(q)
-	c.logger.Warn("replica ended under a young run", zap.String("requestId", q.RequestID), zap.Stringer("digest", q.digest),
+	verdict := c.ledger.Judge(d, time.Now())
+	c.logger.Warn("replica ended under a young run", zap.String("requestId", requestID), zap.Stringer("digest", d),
 		zap.Stringer("replica", replica), zap.Int("ends", verdict.Ends), zap.Bool("quarantined", verdict.Quarantined))
-	c.news.Tell(q.digest)
+	c.news.Tell(d)
 }
 
 // endedProbe is what a question to a replica tells of whether it has ended.
@@ -108,21 +127,6 @@
 	return endedUnknown
 }
 
-func (c *crashGuard) confirm(ended func(context.Context) endedProbe) bool {
-	for i := range endedProbes {
-		if i > 0 {
-			time.Sleep(endedPause)
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-		probe := ended(ctx)
-		cancel()
-		if probe != endedUnknown {
-			return probe == endedYes
-		}
-	}
-	return false
-}
-
 // engineEnded asks an engine whether it has ended since it was sent a request.
 func (h *Handler) engineEnded(address string, replica incarnation.Key) func(context.Context) endedProbe {
 	return func(context.Context) endedProbe {
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -26,9 +26,11 @@
 
 func newTestGuard() (*crashGuard, *told) {
 	news := &told{}
-	return newCrashGuard(Options{
+	guard := newCrashGuard(Options{
 		Quarantine: quarantine.NewLedger(quarantine.DefaultSettings, time.Now()), News: news, Logger: zap.NewNop(),
-	}), news
+	})
+	guard.later = func(do func()) { do() }
+	return guard, news
 }
 
 func newTestRequest() *request {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -223,9 +223,9 @@
 	var reservation *layers.Reservation
 	var none error
 	need := g.need()
-	quarantined := false
+	var quarantined *outcome.Failure
 	failure := g.h.admit(ctx, g.q, need.Prompt+need.Answer, g.begun, func() bool {
-		if quarantined = g.h.crashes.judge(g.q).Quarantined; quarantined {
+		if quarantined = g.h.crashes.refusal(g.q); quarantined != nil {
 			return true
 		}
 		r, err := g.table.Reserve(need)
@@ -241,8 +241,8 @@
 		g.q.story.add("no room", zap.String("why", g.table.Bottleneck(need)))
 		return nil, failure
 	}
-	if quarantined {
-		return nil, g.h.crashes.refusal(g.q)
+	if quarantined != nil {
+		return nil, quarantined
 	}
 	if none != nil && len(g.avoid) > 0 {
 		g.avoid = map[incarnation.Key]bool{}
