--- a/internal/api/head.go
+++ b/internal/api/head.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"geraniumcroft/internal/listener"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/router"
 	"geraniumcroft/internal/secret"
@@ -19,7 +20,7 @@
 
 // checkConnection refuses the requests of a connection above the limit.
 func (x *exchange) checkConnection() *outcome.Failure {
-	if !aboveLimit(x.r.Context()) {
+	if !listener.AboveLimit(x.r.Context()) {
 		return nil
 	}
 	x.w.Header().Set("Connection", "close")
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"go.uber.org/zap"
+
+	"geraniumcroft/internal/listener"
 )
 
 // headLimitFactor is how far the server's own bound on a head lies above the one
@@ -34,7 +36,7 @@
 			MaxHeaderBytes:    headLimitFactor * o.MaxHeaderBytes,
 			TLSConfig:         o.TLS,
 			Protocols:         onlyHTTP1(),
-			ConnContext:       connContext,
+			ConnContext:       listener.ConnContext,
 			ErrorLog:          errorLog(o.Logger),
 		},
 	}
@@ -59,27 +61,27 @@
 
 // Start listens and serves in the background. It returns the address in use.
 func (s *Server) Start() (net.Addr, error) {
-	listener, err := s.listen()
+	accepting, err := s.listen()
 	if err != nil {
 		return nil, err
 	}
-	go s.serve(listener)
-	return listener.Addr(), nil
+	go s.serve(accepting)
+	return accepting.Addr(), nil
 }
 
 func (s *Server) listen() (net.Listener, error) {
 	if s.options.Listen != nil {
 		return s.options.Listen(s.address)
 	}
-	return listen(s.address, s.options.MaxConnections)
+	return listener.Listen(s.address, s.options.MaxConnections)
 }
 
-func (s *Server) serve(listener net.Listener) {
+func (s *Server) serve(accepting net.Listener) {
 	var err error
 	if s.options.TLS != nil {
-		err = s.http.ServeTLS(listener, "", "")
+		err = s.http.ServeTLS(accepting, "", "")
 	} else {
-		err = s.http.Serve(listener)
+		err = s.http.Serve(accepting)
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		s.options.Logger.Error("the callers' listener ended: " + err.Error())
--- a/internal/api/counted_conn.go
+++ b/internal/listener/counted_conn.go
@@ -1,4 +1,4 @@
-package api
+package listener
 
 import (
 	"net"
@@ -10,7 +10,7 @@
 // would see a reset in place of the answer.
 type countedConn struct {
 	*net.TCPConn
-	listener *limitListener
+	listener *Listener
 	above    bool
 	once     sync.Once
 }
--- /dev/null
+++ b/internal/listener/doc.go
@@ -0,0 +1,2 @@
+// Package listener bounds the connections that callers have open.
+package listener
--- a/internal/api/listener.go
+++ b/internal/listener/limit_listener.go
@@ -1,4 +1,4 @@
-package api
+package listener
 
 import (
 	"context"
@@ -22,16 +22,18 @@
 	closeFactor = 2
 )
 
-// limitListener counts connections. Those above the limit are accepted and their
+// Listener counts connections. Those above the limit are accepted and their
 // requests refused: to leave them waiting to be accepted would put urgent callers,
 // and the balancer's probes, in a line behind idle ones.
-type limitListener struct {
+type Listener struct {
 	*net.TCPListener
 	limit int64
 	open  atomic.Int64
 }
 
-func listen(address string, limit int) (*limitListener, error) {
+// Listen listens at IP:port for callers, of whose connections so many may be open. Connections to
+// callers that have silently gone are ended.
+func Listen(address string, limit int) (*Listener, error) {
 	config := net.ListenConfig{
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -42,7 +44,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &limitListener{TCPListener: listener.(*net.TCPListener), limit: int64(limit)}, nil
+	return New(listener.(*net.TCPListener), limit), nil
+}
+
+// New counts the connections of a listener, of which so many may be open.
+func New(listener *net.TCPListener, limit int) *Listener {
+	return &Listener{TCPListener: listener, limit: int64(limit)}
 }
 
 // setUserTimeout ends connections to callers that have silently gone while bytes
@@ -60,7 +67,7 @@
 }
 
 // Accept implements net.Listener.
-func (l *limitListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.AcceptTCP()
 		if err != nil {
@@ -77,8 +84,8 @@
 
 type aboveLimitKey struct{}
 
-// connContext marks the requests of connections above the limit.
-func connContext(ctx context.Context, conn net.Conn) context.Context {
+// ConnContext marks the requests of connections above the limit; it is http.Server's field.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	if secure, ok := conn.(*tls.Conn); ok {
 		conn = secure.NetConn()
 	}
@@ -88,4 +95,5 @@
 	return ctx
 }
 
-func aboveLimit(ctx context.Context) bool { return ctx.Value(aboveLimitKey{}) != nil }
+// AboveLimit reports whether a request came on a connection above the limit.
+func AboveLimit(ctx context.Context) bool { return ctx.Value(aboveLimitKey{}) != nil }
