entry: a relaying VM takes no more connections of callers than it has handles and memory for

Large fleet, its smallest VM under the worst moment (4,100 handles, 184 MB): what it does when it is short was not defined. Beyond the handles accept fails and is tried again, so callers wait unheard and sends fail; beyond the memory the process ends with all requests in its hands.

Settings vm.memory_mb and vm.max_handles, filled in from the platform's limits, bound the connections (1,472 on that VM); requests on more are refused at once with 503, a time to come back and the end of the connection, and the balancer's probes go on being answered. The heap has a soft limit of three quarters of the memory.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -12,6 +12,7 @@
 	"geraniumcroft/internal/follow"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/lease"
+	"geraniumcroft/internal/listener"
 	"geraniumcroft/internal/loads"
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/placer"
@@ -89,7 +90,7 @@
 	s := p.Settings
 	p.callers = &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: s.Callers.ReadTimeout, IdleTimeout: s.Callers.IdleTimeout,
-		MaxHeaderBytes: s.Callers.MaxHeaderBytes, ErrorLog: zap.NewStdLog(p.Logger.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
+		MaxHeaderBytes: s.Callers.MaxHeaderBytes, ConnContext: listener.ConnContext, ErrorLog: zap.NewStdLog(p.Logger.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
 	}
 	p.probes = &http.Server{Handler: http.HandlerFunc(p.answerProbe), ReadHeaderTimeout: s.Callers.ReadTimeout}
 	p.admin = &http.Server{Handler: p.adminHandler(), ReadHeaderTimeout: s.Callers.ReadTimeout}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -16,6 +16,7 @@
 	"geraniumcroft/internal/follow"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/lease"
+	"geraniumcroft/internal/listener"
 	"geraniumcroft/internal/loads"
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/platform/accounted"
@@ -161,7 +162,9 @@
 // Start begins all work. Requests are served once the configuration and the replicas
 // were read.
 func (p *Process) Start() {
-	p.spawn(func() { _ = p.callers.Serve(p.listeners.callers) }) // these end when their servers are closed
+	boundHeap(p.Settings.VM)
+	accepting := listener.New(p.listeners.callers.(*net.TCPListener), maxConnections(p.Settings.VM))
+	p.spawn(func() { _ = p.callers.Serve(accepting) }) // these end when their servers are closed
 	p.spawn(func() { _ = p.probes.Serve(p.listeners.ready) })
 	p.spawn(func() { _ = p.admin.Serve(p.listeners.metrics) })
 	p.spawn(func() { _ = p.mirror.Serve(p.listeners.peers) })
@@ -174,7 +177,8 @@
 	p.spawn(p.becomeReady)
 	p.spawn(p.lookAround)
 	p.spawn(p.tellState)
-	p.Logger.Info("started", zap.String("dataCentre", p.Settings.VM.DataCentre), zap.String("callers", p.CallersAddress()))
+	p.Logger.Info("started", zap.String("dataCentre", p.Settings.VM.DataCentre), zap.String("callers", p.CallersAddress()),
+		zap.Int("maxConnections", maxConnections(p.Settings.VM)))
 }
 
 func (p *Process) spawn(f func()) { p.work.Go(f) }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -15,6 +15,7 @@
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/dispatch"
 	"geraniumcroft/internal/invariant"
+	"geraniumcroft/internal/listener"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/transport"
@@ -123,6 +124,11 @@
 // failure is "not run".
 func (h *Handler) begin(q *request, w http.ResponseWriter, r *http.Request) *outcome.Failure {
 	q.config = h.Source.Config()
+	if listener.AboveLimit(r.Context()) {
+		w.Header().Set("Connection", "close")
+		return outcome.Refuse(outcome.ReasonOverloaded, "this VM has as many connections as it can serve").
+			WithRetryAfter(h.shortages.retryAfter(lackOfConnections, soon))
+	}
 	if failure := h.Gate.Check(); failure != nil {
 		if q.config == nil {
 			return failure.WithRetryAfter(h.shortages.retryAfter(lackOfConfig, soon))
--- a/internal/relay/shortages.go
+++ b/internal/relay/shortages.go
@@ -20,9 +20,10 @@
 
 // What may be lacking; of a service its name follows.
 const (
-	lackOfConfig = "configuration"
-	lackOfPath   = "path of "
-	lackOfRoom   = "room of "
+	lackOfConfig      = "configuration"
+	lackOfConnections = "connections"
+	lackOfPath        = "path of "
+	lackOfRoom        = "room of "
 )
 
 // shortages tell refused callers when to come back. A caller comes back once, so what
