--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -52,8 +52,7 @@
 }
 
 // leavesToFollowers reports whether a VM that follows the feed is heard, so that this one asks the
-// store in its turn only. In an outage of 8 s 195 VMs made 895 calls for one table when each
-// asked once beside its turns, and 715 without that (mirror, TestOutageIsMetInTurns).
+// store in its turn only.
 func (f *Follower) leavesToFollowers() bool { return !f.Follows() && f.hearsFollowers() }
 
 func confirmLimit() time.Duration {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -29,9 +29,8 @@
 	// retryPause is the wait after a failed read of the store and its peers.
 	retryPause = 200 * time.Millisecond
 	// calmRetryPause is the same, at least, for a VM that has a copy and learns by its peers
-	// as long as they hear from the store. In an outage all of a large fleet turn to the
-	// store; 83 VMs asked it 2,400 times in 14 s, where the few that follow the feed find out
-	// as well that it is back.
+	// as long as they hear from the store. In an outage all of a large fleet would turn to the
+	// store, where the few that follow the feed find out as well that it is back.
 	calmRetryPause = 2 * time.Second
 	// readTimeout bounds a read of a whole table.
 	readTimeout = time.Second
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -55,9 +55,8 @@
 
 // unchangedByPeer notes up to which revision this VM's copy is the newest by a peer's word. Peers may
 // have the same copy of another revision: VMs read a table at different revisions of the store,
-// between which other tables changed. Compared by their revisions alone such copies stood
-// unconfirmed until the next change; of 195 VMs after a loss of all power most asked the store every
-// second, 3,000 calls in a minute.
+// between which other tables changed. Compared by their revisions alone such copies would stand
+// unconfirmed until the next change, and each VM would ask the store.
 //
 // It comes after the change itself, and counts only if this VM lacks nothing of it: a copy that is
 // said to be the newest up to a revision behind the change would never get it. A peer that has
--- a/internal/layers/suspicion.go
+++ b/internal/layers/suspicion.go
@@ -10,8 +10,7 @@
 	maxSuspicion   = 8 * time.Second
 	// leavingSuspicion and maxLeaving take their place for a replica that turned a request
 	// away though it has room: it is about to leave, or gives the layers up, and stays so
-	// for seconds. While the store is away discovery does not tell of it; with the short
-	// suspicion 83 VMs sent 350 requests in 6 s to three such cards.
+	// for seconds. While the store is away discovery does not tell of it.
 	leavingSuspicion = 4 * time.Second
 	maxLeaving       = 16 * time.Second
 )
@@ -22,8 +21,7 @@
 	since    time.Time
 	until    time.Time
 	// downUntil is for how long the replica is avoided as it did not answer another VM.
-	// Without it each VM would try it again after its own first suspicion: one dead card
-	// of 98 turned 228 requests of 89 VMs away within 5 s.
+	// Without it each VM would try it again after its own first suspicion.
 	downUntil time.Time
 }
 
--- a/internal/quarantine/sharing/sharing.go
+++ b/internal/quarantine/sharing/sharing.go
@@ -34,15 +34,15 @@
 	// epoch is what the times of this VM's reports count from.
 	epoch   time.Time
 	pending chan quarantine.Digest
-	rows    *rows
+	// heard are peers with news.
+	heard chan string
+	rows  *rows
 
 	mu sync.Mutex // guards the fields below
 	// cursors are the revisions up to which peers' reports were taken over.
 	cursors map[string]uint64
 	// fetching are the peers that are being asked.
 	fetching map[string]bool
-	// heard are peers with news, with their revisions.
-	heard chan string
 }
 
 // New returns a sharing; Run makes it work.
--- a/internal/relay/generate_send.go
+++ b/internal/relay/generate_send.go
@@ -130,7 +130,7 @@
 			return err
 		}
 		watch.moved()
-		g.settled(time.Now())
+		g.progressed(time.Now())
 		g.q.progress.event(g.q.arrival, time.Now())
 		if !g.begun {
 			g.begin(x)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -31,9 +31,8 @@
 	bodyTime = 10 * time.Second
 	// staleAfter is the age of the configuration from which an unknown key or path may
 	// be this VM's ignorance and not the caller's mistake: a caller with a key that was
-	// added while the VM heard nothing would be told 401, and not come back. In calm times
-	// the oldest copy of 6 to 320 VMs was confirmed 1.9 s before (mirror,
-	// TestCalmFleetSharesItsQuestions); half as much again makes no doubt of a slow moment.
+	// added while the VM heard nothing would be told 401, and not come back. Copies are
+	// confirmed within 2 s in calm times.
 	staleAfter = 3 * time.Second
 	// maxHeldBodies bounds the bytes of all bodies in hand, beside one more for each
 	// connection that is being read. A VM has 184 MB and more.
--- a/internal/relay/run_age.go
+++ b/internal/relay/run_age.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// settled notes how far the present run has come; one that has run for a while clears its request.
-func (g *generation) settled(now time.Time) {
+// progressed notes an event of the present run; one that has run for a while clears its request.
+func (g *generation) progressed(now time.Time) {
 	if g.began.IsZero() {
 		g.began = now
 	}
--- a/internal/relay/shortages.go
+++ b/internal/relay/shortages.go
@@ -28,8 +28,7 @@
 
 // shortages tell refused callers when to come back. A caller comes back once, so what
 // counts is that the shortage is over by then. How long it will last nobody knows; of one
-// that has lasted for a while, as long again is the best guess. With a fixed 200 ms callers
-// of a VM that knew no configuration were refused twice within a second.
+// that has lasted for a while, as long again is the best guess.
 type shortages struct {
 	mu    sync.Mutex // guards the field below
 	spans map[string]shortage
