--- a/internal/quarantine/sharing/fleet_test.go
+++ b/internal/quarantine/sharing/fleet_test.go
@@ -54,8 +54,10 @@
 	silent map[string]bool
 }
 
-func newFleet(ctx context.Context, size int) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(uint64(size), 3)), table: newMemoryTable(), vms: map[string]*fleetVM{}, dead: map[string]bool{}}
+func newFleet(ctx context.Context, size int) *fleet { return newFleetOn(ctx, size, newMemoryTable()) }
+
+func newFleetOn(ctx context.Context, size int, table *memoryTable) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(uint64(size), 3)), table: table, vms: map[string]*fleetVM{}, dead: map[string]bool{}}
 	var all []census.VM
 	for i := range size {
 		all = append(all, census.VM{Name: fmt.Sprint("vm-", i), DataCentre: fmt.Sprint("dc-", i%5)})
@@ -195,6 +197,12 @@
 	return n
 }
 
+func (f *fleet) losesOffersFor(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseOffers = time.Now().Add(d)
+}
+
 func (f *fleet) kill(names ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -216,7 +224,7 @@
 		for name, fault := range map[string]func(f *fleet){
 			"the VM that saw the third end dies": func(f *fleet) { time.AfterFunc(deathAfter, func() { f.kill(last) }) },
 			"the store is away":                  func(f *fleet) { f.table.setAway(true) },
-			"offers are lost for a while":        func(f *fleet) { f.loseOffers = time.Now().Add(offersLost) },
+			"offers are lost for a while":        func(f *fleet) { f.losesOffersFor(offersLost) },
 			"a third of the followers is dead":   func(f *fleet) { f.kill(f.followers[:len(f.followers)/3]...) },
 		} {
 			t.Run(fmt.Sprint(size.vms, " VMs, ", name), func(t *testing.T) {
@@ -256,8 +264,7 @@
 		synctest.Wait()
 		time.Sleep(time.Minute)
 		again, stopAgain := context.WithCancel(t.Context())
-		f2 := newFleet(again, 6)
-		f2.table.rows, f2.table.revision = f.table.rows, f.table.revision
+		f2 := newFleetOn(again, 6, f.table)
 		time.Sleep(3 * time.Second)
 		if n := f2.unaware(crashing); n > 0 {
 			t.Errorf("%d VMs don't know the request any more", n)
@@ -272,7 +279,7 @@
 		if n := f2.unaware(crashing); n != len(f2.vms) {
 			t.Errorf("%d of %d VMs know that it was lifted", n, len(f2.vms))
 		}
-		if n := len(f2.table.rows); n != 0 {
+		if n := f2.table.size(); n != 0 {
 			t.Errorf("%d rows are left of a request that was lifted", n)
 		}
 		stopAgain()
@@ -286,7 +293,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		f := newFleet(ctx, 88)
 		time.Sleep(time.Minute)
-		if calls := f.table.calls; calls > len(f.followers) {
+		if calls := f.table.counted(); calls > len(f.followers) {
 			t.Errorf("%d calls to the store by %d followers", calls, len(f.followers))
 		}
 		for name, vm := range f.vms {
--- a/internal/quarantine/sharing/memory_table_test.go
+++ b/internal/quarantine/sharing/memory_table_test.go
@@ -28,6 +28,19 @@
 	m.away = away
 }
 
+// size returns how many rows there are, counted how many calls were made.
+func (m *memoryTable) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.rows)
+}
+
+func (m *memoryTable) counted() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
 // call counts a call and returns its error. m.mu is held.
 func (m *memoryTable) call() error {
 	m.calls++
