quarantine, sharing and platform tests: the project's own stand-in for the table; one set-up; one type a file

The sharing tests had a table of their own beside platformsim.Store, which does the same; its scans tell the table's clock now, as the platform's do. A package comment still spoke of ages.

Nothing checked is changed, and no behaviour of the product.

--- a/internal/harness/standin/platformsim/store.go
+++ b/internal/harness/standin/platformsim/store.go
@@ -123,7 +123,9 @@
 	rows := []platform.Row{}
 	at, _ := slices.BinarySearch(s.keys, from)
 	for ; at < len(s.keys) && s.keys[at] < to && len(rows) < limit; at++ {
-		rows = append(rows, s.row(s.keys[at]))
+		row := s.row(s.keys[at])
+		row.ReadAt = time.Since(s.clockZero)
+		rows = append(rows, row)
 	}
 	return rows
 }
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -11,6 +11,6 @@
 //   - An end counts once for each incarnation of a replica, whoever sees it and however often.
 //
 // VMs exchange what they know as Reports, which merge in any order and any number of times: ends
-// are only added, and forgiven. Times travel as ages, as VMs' clocks differ. The package has no
-// network and no clock of its own.
+// are only added, and forgiven. Their times count from an epoch of which the age is sent, as VMs'
+// clocks differ. The package has no network and no clock of its own.
 package quarantine
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -251,64 +251,6 @@
 	return l.revision
 }
 
-// Counts are a ledger's figures for metrics.
-type Counts struct {
-	// Suspected requests have fewer ends than Settings.MaxEnds.
-	Suspected   int
-	Quarantined int
-}
-
-// Counts returns how many requests are suspected and quarantined.
-func (l *Ledger) Counts(now time.Time) Counts {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var c Counts
-	for _, r := range l.records {
-		switch v := l.verdict(r, now); {
-		case v.Quarantined:
-			c.Quarantined++
-		case v.Ends > 0:
-			c.Suspected++
-		}
-	}
-	return c
-}
-
-// Entry is what is known of one request, for the dump.
-type Entry struct {
-	Digest      Digest   `json:"digest"`
-	Quarantined bool     `json:"quarantined"`
-	Ends        int      `json:"ends"`
-	Replicas    []string `json:"replicas"`
-	// Seen is the time since the request was last asked for while it was quarantined, or since
-	// its last end.
-	Seen string `json:"seen"`
-	// Left is for how long the request is refused if nobody asks for it again, "" if it is not.
-	Left string `json:"left,omitempty"`
-}
-
-// Dump returns the requests against which anything is held, those that are quarantined first.
-func (l *Ledger) Dump(now time.Time) []Entry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	entries := []Entry{}
-	for d, r := range l.records {
-		v := l.verdict(r, now)
-		if v.Ends == 0 {
-			continue
-		}
-		e := Entry{Digest: d, Quarantined: v.Quarantined, Ends: v.Ends, Replicas: r.replicas(), Seen: now.Sub(r.seen).String()}
-		if v.Quarantined {
-			e.Left = v.Left.String()
-		}
-		entries = append(entries, e)
-	}
-	slices.SortFunc(entries, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(b.Ends, a.Ends), strings.Compare(a.Digest.String(), b.Digest.String()))
-	})
-	return entries
-}
-
 // Replicas returns the replicas that ended under a request and are held against it.
 func (l *Ledger) Replicas(d Digest) []string {
 	l.mu.Lock()
--- a/internal/quarantine/sharing/fleet_test.go
+++ b/internal/quarantine/sharing/fleet_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/census"
+	"geraniumcroft/internal/harness/standin/platformsim"
 	"geraniumcroft/internal/incarnation"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/quarantine"
@@ -37,7 +38,7 @@
 // fleet are VMs that exchange reports in virtual time.
 type fleet struct {
 	random    *rand.Rand
-	table     *memoryTable
+	table     *platformsim.Store
 	vms       map[string]*fleetVM
 	followers []string
 
@@ -54,9 +55,11 @@
 	silent map[string]bool
 }
 
-func newFleet(ctx context.Context, size int) *fleet { return newFleetOn(ctx, size, newMemoryTable()) }
+func newFleet(ctx context.Context, size int) *fleet {
+	return newFleetOn(ctx, size, platformsim.NewStore())
+}
 
-func newFleetOn(ctx context.Context, size int, table *memoryTable) *fleet {
+func newFleetOn(ctx context.Context, size int, table *platformsim.Store) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(uint64(size), 3)), table: table, vms: map[string]*fleetVM{}, dead: map[string]bool{}}
 	var all []census.VM
 	for i := range size {
@@ -223,7 +226,7 @@
 		last := fmt.Sprint("vm-", size.vms-3) // sees the third end
 		for name, fault := range map[string]func(f *fleet){
 			"the VM that saw the third end dies": func(f *fleet) { time.AfterFunc(deathAfter, func() { f.kill(last) }) },
-			"the store is away":                  func(f *fleet) { f.table.setAway(true) },
+			"the store is away":                  func(f *fleet) { f.table.Faults.Set(platformsim.Order{Outage: platformsim.OutageUnavailable}) },
 			"offers are lost for a while":        func(f *fleet) { f.losesOffersFor(offersLost) },
 			"a third of the followers is dead":   func(f *fleet) { f.kill(f.followers[:len(f.followers)/3]...) },
 		} {
@@ -279,8 +282,8 @@
 		if n := f2.unaware(crashing); n != len(f2.vms) {
 			t.Errorf("%d of %d VMs know that it was lifted", n, len(f2.vms))
 		}
-		if n := f2.table.size(); n != 0 {
-			t.Errorf("%d rows are left of a request that was lifted", n)
+		if rows, err := f2.table.Scan(t.Context(), prefix, prefixEnd, maxRows); err != nil || len(rows) != 0 {
+			t.Errorf("%d rows are left of a request that was lifted, %v", len(rows), err)
 		}
 		stopAgain()
 		synctest.Wait()
@@ -293,7 +296,8 @@
 		ctx, stop := context.WithCancel(t.Context())
 		f := newFleet(ctx, 88)
 		time.Sleep(time.Minute)
-		if calls := f.table.counted(); calls > len(f.followers) {
+		commits, reads := f.table.Counts()
+		if calls := int(commits + reads); calls > len(f.followers) {
 			t.Errorf("%d calls to the store by %d followers", calls, len(f.followers))
 		}
 		for name, vm := range f.vms {
