relay: a try that ends before a byte is sent takes up none of a call's attempts

Callers saw: calls refused with 503 ("no replica took the request") though 5 of 9 replicas ran. Cause: a replica that refused the connection counted as one of max_attempts, though nothing was sent to it. Two gone replicas used up the attempts of a profile that allows two. Ruled out: the balancer's ejection (it lags by design), the retry budget (such tries cost none).

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -54,18 +54,18 @@
 	if failure != nil {
 		return nil, failure
 	}
-	var tried []string
+	var tries callTries
 	var last *callResult
 	for {
-		tried = append(tried, slot.Target().Name)
 		result, err := h.attempt(ctx, q, slot)
+		tries.add(slot.Target().Name, err == nil || mayHaveArrived(err))
 		if err == nil && (result.status < http.StatusInternalServerError || !q.profile.Idempotent) {
 			return result, nil
 		}
 		if err == nil {
 			last = result
 		}
-		next := h.nextSlot(ctx, q, tried, err == nil || mayHaveArrived(err))
+		next := h.nextSlot(ctx, q, &tries)
 		if next == nil {
 			return h.giveUp(ctx, q, last, err)
 		}
@@ -169,17 +169,17 @@
 
 // nextSlot returns a slot for one more attempt, or nil. The attempt is paid for if the
 // one before may have arrived.
-func (h *Handler) nextSlot(ctx context.Context, q *request, tried []string, arrived bool) *balance.Slot {
+func (h *Handler) nextSlot(ctx context.Context, q *request, tries *callTries) *balance.Slot {
 	mayRepeat := q.profile.Repeatable() || !q.boundary.MayHaveRun()
-	if ctx.Err() != nil || !mayRepeat || h.crashes.judge(q).Quarantined || len(tried) >= max(1, q.profile.MaxAttempts) {
+	if ctx.Err() != nil || !mayRepeat || h.crashes.judge(q).Quarantined || tries.spent(q.profile.MaxAttempts) {
 		return nil
 	}
-	slot, err := h.Balancer.Pick(h.query(q, tried))
+	slot, err := h.Balancer.Pick(h.query(q, tries.targets))
 	if err != nil {
 		q.story.add("no other replica", zap.Error(err))
 		return nil
 	}
-	if arrived && !h.Budgets.of(q.service).Take() {
+	if tries.lastArrived && !h.Budgets.of(q.service).Take() {
 		slot.Release(balance.ResultNeutral)
 		q.story.add("retry budget spent")
 		return nil
