relay: a plain replica that its supervisor restarts under a call counts as ended

Callers saw: a call that crashes its replica is run again and again (120 runs in a minute): the replica's address answers at once, so the question whether anybody listens says that it still runs. Cause: only a refused connection counted as an end; the row with a later start was not looked at. Change: after a broken run of a call discovery is watched for 3 s for a later incarnation of the replica; one watch a broken run, 256 at most. No request waits for it.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -82,7 +82,7 @@
 		DataCentre: p.Settings.VM.DataCentre, Source: p.view, Codec: p.Wiring.Codec, Gate: p.gate,
 		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, Budgets: p.budgets,
 		Engines: p.Wiring.Engines, Pool: p.Pool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
-		Quarantine: p.quarantine, News: p.sharing,
+		Quarantine: p.quarantine, News: p.sharing, Incarnations: p.view.listing.incarnations,
 	})
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -203,7 +203,7 @@
 	case err == nil:
 		h.crashes.ranWell(q)
 	case ctx.Err() == nil && brokeOff(err):
-		h.crashes.broke(q, incarnation.Parse(replica.Name), h.targetEnded(replica.Address))
+		h.crashes.brokeAt(q, incarnation.Parse(replica.Name), h.targetEnded(replica.Address))
 	}
 	if err != nil {
 		q.story.add("attempt failed", zap.String("replica", replica.Name), zap.Error(err))
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,26 +14,47 @@
 	"geraniumcroft/internal/quarantine"
 )
 
-// endedPause is the pause before a replica that broke a run off, and did not answer the question
-// whether it still runs, is asked once more.
-const endedPause = 100 * time.Millisecond
+const (
+	// endedPause is the pause before a replica that broke a run off, and did not answer the question
+	// whether it still runs, is asked once more.
+	endedPause = 100 * time.Millisecond
+	// restartNews is for how long after a broken run discovery may tell of its replica's restart,
+	// restartLook the pause between two looks.
+	restartNews = 3 * time.Second
+	restartLook = 250 * time.Millisecond
+	// maxRestartWatches bounds the broken runs whose replicas' restarts are waited for.
+	maxRestartWatches = 256
+)
 
 // News tells other VMs of a change of what this VM knows of a request.
 type News interface {
 	Tell(d quarantine.Digest)
 }
 
+// Incarnations tells which incarnation of a replica is the newest that is known.
+type Incarnations interface {
+	Newest(id string) incarnation.Key
+}
+
 // crashGuard keeps requests that crash the replicas that run them from being sent again.
 type crashGuard struct {
 	ledger *quarantine.Ledger
 	news   News
 	logger *zap.Logger
-	// later does something that no request waits for.
+	// incarnations is nil where restarts are not looked up.
+	incarnations Incarnations
+	// later does something that no request waits for, and sleep waits in it.
 	later func(func())
+	sleep func(time.Duration)
+	// watches is how many broken runs' replicas are being watched for a restart.
+	watches atomic.Int32
 }
 
 func newCrashGuard(o Options) *crashGuard {
-	return &crashGuard{ledger: o.Quarantine, news: o.News, logger: o.Logger, later: func(do func()) { go do() }}
+	return &crashGuard{
+		ledger: o.Quarantine, news: o.News, logger: o.Logger, incarnations: o.Incarnations,
+		later: func(do func()) { go do() }, sleep: time.Sleep,
+	}
 }
 
 // judge says what is known of a request.
@@ -78,7 +100,7 @@
 	case endedUnknown:
 		id, digest := q.RequestID, q.digest
 		c.later(func() {
-			time.Sleep(endedPause)
+			c.sleep(endedPause)
 			if ask(ended) == endedYes {
 				c.ended(id, digest, replica)
 			}
@@ -86,6 +108,40 @@
 	}
 }
 
+// brokeAt is broke for a run of a plain replica, which does not say which incarnation answers. One
+// that was started again at once refuses nobody, so discovery's word is waited for.
+func (c *crashGuard) brokeAt(q *request, replica incarnation.Key, ended func(context.Context) endedProbe) {
+	c.broke(q, replica, ended)
+	if c.incarnations == nil {
+		return
+	}
+	id, digest := q.RequestID, q.digest
+	if c.watches.Add(1) > maxRestartWatches {
+		c.watches.Add(-1)
+		c.logger.Warn("restart of a replica not watched for: too many broken runs", zap.String("requestId", id), zap.Stringer("replica", replica))
+		return
+	}
+	c.later(func() {
+		defer c.watches.Add(-1)
+		if c.restarted(replica) {
+			c.ended(id, digest, replica)
+		}
+	})
+}
+
+// restarted waits for discovery to tell of a later incarnation of the replica.
+func (c *crashGuard) restarted(replica incarnation.Key) bool {
+	for waited := time.Duration(0); ; waited += restartLook {
+		if c.incarnations.Newest(replica.ID).Succeeds(replica) {
+			return true
+		}
+		if waited >= restartNews {
+			return false
+		}
+		c.sleep(restartLook)
+	}
+}
+
 // ask asks a replica whether it has ended.
 func ask(ended func(context.Context) endedProbe) endedProbe {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -30,6 +30,7 @@
 		Quarantine: quarantine.NewLedger(quarantine.DefaultSettings, time.Now()), News: news, Logger: zap.NewNop(),
 	})
 	guard.later = func(do func()) { do() }
+	guard.sleep = func(time.Duration) {}
 	return guard, news
 }
 
@@ -90,3 +91,38 @@
 		t.Errorf("an attempt that was sent: %+v", failure)
 	}
 }
+
+// restartAfter shows a replica's next incarnation from its nth look on, 0 for never.
+type restartAfter struct{ looks, nth int }
+
+func (r *restartAfter) Newest(id string) incarnation.Key {
+	r.looks++
+	if r.nth > 0 && r.looks >= r.nth {
+		return incarnation.Key{ID: id, Born: 2}
+	}
+	return incarnation.Key{ID: id, Born: 1}
+}
+
+// Guards against a supervisor's restart, after which the address answers at once, hiding that a
+// call crashed its replica.
+func TestRestartThatDiscoveryTellsOfIsAnEnd(t *testing.T) {
+	const looks = int(restartNews/restartLook) + 1
+	for name, c := range map[string]struct {
+		nth   int
+		ended bool
+	}{
+		"known at once":     {1, true},
+		"told a second on":  {int(time.Second/restartLook) + 1, true},
+		"told by the last":  {looks, true},
+		"told after it":     {looks + 1, false},
+		"no restart at all": {0, false},
+	} {
+		guard, _ := newTestGuard()
+		guard.incarnations = &restartAfter{nth: c.nth}
+		q := newTestRequest()
+		guard.brokeAt(q, incarnation.Key{ID: "a", Born: 1}, func(context.Context) endedProbe { return endedNo })
+		if got := guard.judge(q).Ends == 1; got != c.ended {
+			t.Errorf("%s: counted: %t", name, got)
+		}
+	}
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -72,7 +72,9 @@
 	// Quarantine knows requests that crash replicas, and News tells other VMs of them.
 	Quarantine *quarantine.Ledger
 	News       News
-	Logger     *zap.Logger
+	// Incarnations are discovery's; nil leaves restarts of plain replicas uncounted.
+	Incarnations Incarnations
+	Logger       *zap.Logger
 }
 
 // Handler serves callers. It is safe for concurrent use.
