quarantine: two ends that lie 2 s apart are enough

Cause: three ends were asked for whatever lay between them. The third guards against innocent requests that were young on replicas which crashed together; ends that lie apart need no such guard, as a harmless request is cleared by 0.3 s of events in between. Change: MaxEnds less one is enough where 2 s lie between the first and the last end.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -122,17 +122,23 @@
 	ends, unseen := r.counted(), now.Sub(r.seen)
 	v := Verdict{Ends: ends}
 	switch {
-	case ends < l.settings.MaxEnds && unseen >= l.settings.SuspectFor:
+	case !l.enough(r) && unseen >= l.settings.SuspectFor:
 		v.Ends = 0
-	case ends < l.settings.MaxEnds:
+	case !l.enough(r):
 	case unseen < l.settings.HoldFor:
 		v.Quarantined, v.Left = true, l.settings.HoldFor-unseen
 	default:
-		v.Ends = l.settings.MaxEnds - 1 // the next end quarantines it again
+		v.Ends = min(ends, l.settings.MaxEnds-1) // the next end quarantines it again
 	}
 	return v
 }
 
+// enough reports whether the ends held against a request quarantine it. l.mu is held.
+func (l *Ledger) enough(r *record) bool {
+	ends := r.counted()
+	return ends >= l.settings.MaxEnds || ends == l.settings.MaxEnds-1 && r.span() >= l.settings.Apart
+}
+
 // of returns the request's record, a new one if there is none. l.mu is held.
 func (l *Ledger) of(d Digest, now time.Time) *record {
 	r := l.records[d]
@@ -151,7 +157,7 @@
 
 // kept is how long a record is of use after the request was last seen.
 func (l *Ledger) kept(r *record) time.Duration {
-	if r.counted() >= l.settings.MaxEnds {
+	if l.enough(r) {
 		return l.settings.HoldFor + l.settings.SuspectFor
 	}
 	return l.settings.SuspectFor
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -23,6 +23,20 @@
 	return e.replica.ID == k.ID && (e.replica.Born == k.Born || e.replica.Born <= 0 || k.Born <= 0)
 }
 
+// merge takes over another VM's word of the same end: the first to see it has its time. It reports
+// whether that is news.
+func (e *end) merge(other end) bool {
+	news := other.forgiven && !e.forgiven
+	e.forgiven = e.forgiven || other.forgiven
+	if e.at.Sub(other.at) > sameMoment {
+		e.at, news = other.at, true
+	}
+	return news
+}
+
+// sameMoment is the difference of times that says nothing: reports round them.
+const sameMoment = 10 * time.Millisecond
+
 // record is what is known of one request.
 type record struct {
 	ends []end
@@ -32,14 +46,10 @@
 	revision uint64
 }
 
-// add adds an end, or forgives one that is known. It reports whether that is news.
+// add adds an end, or takes over what is new of one that is known. It reports whether that is news.
 func (r *record) add(e end) bool {
 	if i := slices.IndexFunc(r.ends, func(known end) bool { return known.is(e.replica) }); i >= 0 {
-		if e.forgiven && !r.ends[i].forgiven {
-			r.ends[i].forgiven = true
-			return true
-		}
-		return false
+		return r.ends[i].merge(e)
 	}
 	if len(r.ends) >= maxEndsKept && !r.dropForgiven() {
 		return false
@@ -82,6 +92,23 @@
 	return n
 }
 
+// span is the time between the first and the last end that are held against the request.
+func (r *record) span() time.Duration {
+	var first, last time.Time
+	for _, e := range r.ends {
+		if e.forgiven {
+			continue
+		}
+		if first.IsZero() || e.at.Before(first) {
+			first = e.at
+		}
+		if e.at.After(last) {
+			last = e.at
+		}
+	}
+	return last.Sub(first)
+}
+
 // replicas names the replicas whose ends are held against the request.
 func (r *record) replicas() []string {
 	var names []string
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -6,6 +6,9 @@
 type Settings struct {
 	// MaxEnds is under how many ended replicas a request is quarantined.
 	MaxEnds int
+	// Apart is the time that must lie between two ends for one fewer to be enough: replicas that
+	// crash together for another reason leave the requests on them with ends of the same moment.
+	Apart time.Duration
 	// YoungRun is how long a run must have brought events to clear its request. A replica that
 	// ends later was not crashed by it.
 	YoungRun time.Duration
@@ -25,6 +28,7 @@
 // DefaultSettings are those of a VM.
 var DefaultSettings = Settings{
 	MaxEnds:    3,
+	Apart:      2 * time.Second,
 	YoungRun:   300 * time.Millisecond,
 	WellFor:    time.Minute,
 	SuspectFor: 10 * time.Minute,
