relay: a request that may crash replicas is kept from the last ones that paths can begin at

Cause: a request with an end against it was sent on at once, to the next holder of the first layers. Change: for 10 s after an end such a request is sent only where two other replicas are left that paths can begin at; else it is refused, not run, with when the 10 s are over (502 if it was sent). The rule is the ledger's, the count of replicas the table's.

--- a/internal/layers/need.go
+++ b/internal/layers/need.go
@@ -11,6 +11,9 @@
 	DataCentre string
 	// Avoid are the replicas that the request has failed on.
 	Avoid map[incarnation.Key]bool
+	// SpareEntries is how many other replicas must be left that a path can begin at, if the one
+	// that this path begins at should end. 0 asks for nothing.
+	SpareEntries int
 }
 
 // tokens is the context of the request at its end.
--- a/internal/layers/path_test.go
+++ b/internal/layers/path_test.go
@@ -293,3 +293,31 @@
 		reservation.Done(true)
 	}
 }
+
+// Guards against a request that may crash replicas being sent to one of the last at which paths
+// can begin.
+func TestSpareEntriesAreLeft(t *testing.T) {
+	table := NewTable()
+	table.Update(testSpec(), []Replica{
+		{ID: "1", Address: "1", DataCentre: "a", Kind: "large", Held: config.LayerRange{From: 0, To: 40}},
+		{ID: "2", Address: "2", DataCentre: "a", Kind: "large", Held: config.LayerRange{From: 0, To: 40}},
+		{ID: "3", Address: "3", DataCentre: "a", Kind: "large", Held: config.LayerRange{From: 40, To: 80}},
+	})
+	for spare, want := range []error{nil, nil, ErrLastEntries} {
+		need := usual
+		need.SpareEntries = spare
+		reservation, err := table.Reserve(need)
+		if !errors.Is(err, want) {
+			t.Errorf("%d to be left: %v", spare, err)
+		}
+		if err == nil {
+			reservation.Done(true)
+		}
+	}
+	table.Suspect(Replica{ID: "1"})
+	need := usual
+	need.SpareEntries = 1
+	if _, err := table.Reserve(need); !errors.Is(err, ErrLastEntries) {
+		t.Errorf("a suspected replica counts as one that is left: %v", err)
+	}
+}
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -72,6 +72,9 @@
 	if !s.covered() {
 		return nil, ErrNoPath
 	}
+	if s.entry && s.need.SpareEntries > 0 && s.entries() <= s.need.SpareEntries {
+		return nil, ErrLastEntries
+	}
 	s.walk()
 	path := s.trace()
 	if path == nil {
@@ -120,3 +123,14 @@
 	}
 	return len(s.holders) > 0
 }
+
+// entries counts the holders that a path can begin at.
+func (s *search) entries() int {
+	n := 0
+	for _, r := range s.holders {
+		if r.Held.From <= s.from {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -125,6 +125,7 @@
 	case !l.enough(r) && unseen >= l.settings.SuspectFor:
 		v.Ends = 0
 	case !l.enough(r):
+		l.spare(&v, unseen)
 	case unseen < l.settings.HoldFor:
 		v.Quarantined, v.Left = true, l.settings.HoldFor-unseen
 	default:
@@ -133,6 +134,14 @@
 	return v
 }
 
+// spare says how a request that is suspected so long after its last end is kept from the last
+// replicas. l.mu is held.
+func (l *Ledger) spare(v *Verdict, after time.Duration) {
+	if v.Ends > 0 && after < l.settings.SuspectWait {
+		v.Spare, v.Left = l.settings.SuspectSpare, l.settings.SuspectWait-after
+	}
+}
+
 // enough reports whether the ends held against a request quarantine it. l.mu is held.
 func (l *Ledger) enough(r *record) bool {
 	ends := r.counted()
--- a/internal/quarantine/load_test.go
+++ b/internal/quarantine/load_test.go
@@ -29,9 +29,12 @@
 	repeated bool
 
 	asked, refusedInnocent int
-	lateSends              map[Digest]int
-	thirdEnd               map[Digest]time.Time
-	crashesOf              map[Digest]int
+	// nobodyUp counts the sends for which no replica was up, kept those of suspects that were kept
+	// from the last replicas.
+	nobodyUp, kept int
+	lateSends      map[Digest]int
+	thirdEnd       map[Digest]time.Time
+	crashesOf      map[Digest]int
 }
 
 type playedVM struct {
@@ -188,10 +191,16 @@
 }
 
 func (p *loadPlay) send(d *playedDraft) {
-	r := p.choose()
-	if r == nil {
+	up := p.up()
+	if len(up) == 0 {
+		p.nobodyUp++
+		return
+	}
+	if len(up) <= d.vm.ledger.Judge(d.digest, p.now).Spare {
+		p.kept++
 		return
 	}
+	r := up[p.random.IntN(len(up))]
 	if at, ended := p.thirdEnd[d.digest]; ended && d.culprit && p.now.Sub(at) > playedStability {
 		p.lateSends[d.digest]++
 	}
@@ -226,18 +235,15 @@
 	})
 }
 
-// choose picks a replica that is up, nil if there is none.
-func (p *loadPlay) choose() *playedReplica {
+// up returns the replicas that run.
+func (p *loadPlay) up() []*playedReplica {
 	var up []*playedReplica
 	for _, r := range p.replicas {
 		if !r.down {
 			up = append(up, r)
 		}
 	}
-	if len(up) == 0 {
-		return nil
-	}
-	return up[p.random.IntN(len(up))]
+	return up
 }
 
 // crash ends a replica with all its runs, and starts it again later.
@@ -346,3 +352,24 @@
 		})
 	}
 }
+
+// Guards against one culprit that ends all replicas at which requests can begin, so that nobody is
+// served until they have started again.
+func TestCulpritLeavesReplicasToOthers(t *testing.T) {
+	const seeds, rate, leastShare = 20, 65, 50
+	for seed := range uint64(seeds) {
+		p := newLoadPlay(seed, 6, 3, 50*time.Millisecond)
+		p.callers(rate)
+		p.culprit("culprit", 1500*time.Millisecond)
+		p.run(time.Minute)
+		if p.nobodyUp > 0 {
+			t.Errorf("seed %d: no replica was up for %d sends", seed, p.nobodyUp)
+		}
+		if p.kept > p.asked/leastShare {
+			t.Errorf("seed %d: %d of %d requests were kept waiting", seed, p.kept, p.asked)
+		}
+		if crashes := p.crashesOf[DigestOf(Content{Body: []byte("culprit")})]; crashes >= DefaultSettings.MaxEnds {
+			t.Errorf("seed %d: %d replicas crashed", seed, crashes)
+		}
+	}
+}
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -15,6 +15,11 @@
 	// WellFor is how long a run that went well speaks for its request: no end counts against it
 	// meanwhile.
 	WellFor time.Duration
+	// SuspectSpare is how many other replicas must be left before a request is sent under which one
+	// has ended, for SuspectWait after that. A replica that ended needs seconds to start and load its
+	// layers; where there are never more, the request is tried again after that.
+	SuspectSpare int
+	SuspectWait  time.Duration
 	// SuspectFor is how long ends below MaxEnds are remembered.
 	SuspectFor time.Duration
 	// HoldFor is how long a request stays quarantined after it was last asked for.
@@ -27,12 +32,14 @@
 
 // DefaultSettings are those of a VM.
 var DefaultSettings = Settings{
-	MaxEnds:    3,
-	Apart:      2 * time.Second,
-	YoungRun:   300 * time.Millisecond,
-	WellFor:    time.Minute,
-	SuspectFor: 10 * time.Minute,
-	HoldFor:    time.Hour,
-	MaxCases:   1000,
-	MaxWell:    4096,
+	MaxEnds:      3,
+	Apart:        2 * time.Second,
+	YoungRun:     300 * time.Millisecond,
+	WellFor:      time.Minute,
+	SuspectSpare: 2,
+	SuspectWait:  10 * time.Second,
+	SuspectFor:   10 * time.Minute,
+	HoldFor:      time.Hour,
+	MaxCases:     1000,
+	MaxWell:      4096,
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -8,6 +8,10 @@
 	Ends int
 	// Quarantined requests are refused.
 	Quarantined bool
-	// Left is for how long a quarantined request is refused if nobody asks for it again.
+	// Spare is how many other replicas must be left that could run the request before it is sent to
+	// one, 0 for any.
+	Spare int
+	// Left is for how long a quarantined request is refused if nobody asks for it again, or for how
+	// long Spare holds.
 	Left time.Duration
 }
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -80,6 +80,17 @@
 	return outcome.Refuse(outcome.ReasonQuarantined, "replicas crashed each time that they ran this request").WithRetryAfter(verdict.Left)
 }
 
+// spared is why a request that may crash replicas is not sent to one of the last that paths can
+// begin at. One that was sent before is not told to have not run.
+func (c *crashGuard) spared(q *request) *outcome.Failure {
+	verdict := c.judge(q)
+	q.story.add("request kept from the last replicas", zap.Stringer("digest", q.digest), zap.Int("ends", verdict.Ends), zap.Duration("left", verdict.Left))
+	if q.boundary.MayHaveRun() {
+		return outcome.Uncertain(outcome.ReasonTargetFailed, "the replica that ran the request crashed")
+	}
+	return outcome.Refuse(outcome.ReasonNoTarget, "a replica crashed under this request and too few others are left").WithRetryAfter(max(soon, verdict.Left))
+}
+
 // youngRun is how long a run must have brought events to clear its request.
 func (c *crashGuard) youngRun() time.Duration { return c.ledger.YoungRun() }
 
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -126,3 +126,18 @@
 		}
 	}
 }
+
+// Guards against "not run" being told of a request whose replica crashed, when it is kept from the
+// last replicas.
+func TestSuspectThatRanIsNotToldAsNotRun(t *testing.T) {
+	guard, _ := newTestGuard()
+	fresh, sent := newTestRequest(), newTestRequest()
+	guard.broke(fresh, incarnation.Key{ID: "a"}, func(context.Context) endedProbe { return endedYes })
+	if failure := guard.spared(fresh); failure.Outcome != outcome.NotRun || failure.RetryAfter <= soon {
+		t.Errorf("a new attempt: %+v", failure)
+	}
+	sent.boundary.Cross()
+	if failure := guard.spared(sent); failure.Outcome != outcome.Unknown {
+		t.Errorf("an attempt that was sent: %+v", failure)
+	}
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -164,6 +164,7 @@
 	}
 	need := g.need()
 	need.Avoid = map[incarnation.Key]bool{without.Key(): true}
+	need.SpareEntries = g.h.crashes.judge(g.q).Spare
 	reservation, err := g.table.Reserve(need)
 	if err != nil {
 		return false
@@ -228,9 +229,10 @@
 		if quarantined = g.h.crashes.refusal(g.q); quarantined != nil {
 			return true
 		}
+		need.SpareEntries = g.h.crashes.judge(g.q).Spare // an end may have been counted while it waited
 		r, err := g.table.Reserve(need)
 		none = nil
-		if errors.Is(err, layers.ErrNoPath) {
+		if errors.Is(err, layers.ErrNoPath) || errors.Is(err, layers.ErrLastEntries) {
 			none = err
 			return true
 		}
@@ -244,6 +246,9 @@
 	if quarantined != nil {
 		return nil, quarantined
 	}
+	if errors.Is(none, layers.ErrLastEntries) {
+		return nil, g.h.crashes.spared(g.q).WithCause(none)
+	}
 	if none != nil && len(g.avoid) > 0 {
 		g.avoid = map[incarnation.Key]bool{}
 		return g.admit(ctx)
