--- a/internal/layers/path.go
+++ b/internal/layers/path.go
@@ -1,6 +1,7 @@
 package layers
 
 import (
+	"slices"
 	"strings"
 
 	"geraniumcroft/internal/config"
@@ -56,6 +57,24 @@
 	return Replica{}, false
 }
 
+// span is a run of stages [from, to) of a path.
+type span struct{ from, to int }
+
+// spans returns the runs of stages at the given addresses, in the path's order.
+func (p Path) spans(addresses []string) []span {
+	var spans []span
+	for i, stage := range p {
+		switch {
+		case !slices.Contains(addresses, stage.Replica.Address):
+		case len(spans) > 0 && spans[len(spans)-1].to == i:
+			spans[len(spans)-1].to++
+		default:
+			spans = append(spans, span{from: i, to: i + 1})
+		}
+	}
+	return spans
+}
+
 // String lists the stages, for logs.
 func (p Path) String() string {
 	var b strings.Builder
--- a/internal/layers/path_test.go
+++ b/internal/layers/path_test.go
@@ -112,14 +112,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := reservation.Detour("2", 50, true); !errors.Is(err, ErrNoPath) {
+	if _, err := reservation.Detour([]string{"2"}, 50, true); !errors.Is(err, ErrNoPath) {
 		t.Errorf("a detour nearby: %v", err)
 	}
-	path, err := reservation.Detour("2", 50, false)
+	path, err := reservation.Detour([]string{"2"}, 50, false)
 	if err != nil || path.String() != "1=0-30,3=30-60,4=60-80" {
 		t.Errorf("path %s, %v", path, err)
 	}
-	if _, err := reservation.Detour("1", 50, false); !errors.Is(err, ErrNoPath) {
+	if _, err := reservation.Detour([]string{"1"}, 50, false); !errors.Is(err, ErrNoPath) {
 		t.Errorf("the first stage was replaced: %v", err)
 	}
 }
@@ -321,3 +321,32 @@
 		t.Errorf("a suspected replica counts as one that is left: %v", err)
 	}
 }
+
+// Guards against a stream that is moved to one dead stage after the other, with an order for each.
+func TestDetourReplacesAllStoppedStages(t *testing.T) {
+	table := NewTable()
+	held := func(id string, from, to int) Replica {
+		return Replica{ID: id, Address: id, DataCentre: "a", Kind: "large", Held: config.LayerRange{From: from, To: to}}
+	}
+	table.Update(testSpec(), []Replica{
+		held("1", 0, 20), held("2", 20, 40), held("3", 40, 50), held("4", 50, 60), held("5", 60, 80),
+	})
+	reservation, err := table.Reserve(usual)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.Update(testSpec(), []Replica{
+		held("1", 0, 20), held("2", 20, 40), held("3", 40, 50), held("4", 50, 60), held("5", 60, 80),
+		held("2b", 15, 45), held("34", 40, 60),
+	})
+	path, err := reservation.Detour([]string{"2", "3", "4"}, 5, true)
+	if err != nil || path.String() != "1=0-20,2b=20-40,34=40-60,5=60-80" && path.String() != "1=0-20,2b=20-45,34=45-60,5=60-80" {
+		t.Errorf("path %s, %v", path, err)
+	}
+	if _, err := reservation.Detour([]string{"1", "5"}, 5, true); !errors.Is(err, ErrNoPath) {
+		t.Errorf("the first stage was replaced: %v", err)
+	}
+	if path, err := reservation.Detour([]string{"34", "3"}, 5, true); err == nil {
+		t.Errorf("the detour %s goes back to a stage that stopped", path)
+	}
+}
--- a/internal/layers/reservation.go
+++ b/internal/layers/reservation.go
@@ -1,6 +1,8 @@
 package layers
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"geraniumcroft/internal/incarnation"
@@ -24,59 +26,81 @@
 	return r.path
 }
 
-// Detour returns the path with the stage at address replaced by other holders of
-// its layers, and holds room there. The first stage cannot be replaced: the request
-// is connected to it. Written is how many tokens the answer has so far. With near the
-// other holders are in the stage's data centre: they read all tokens so far, whose
-// activations take longer over the link between data centres than reading the prompt
-// anew on another path does.
-func (r *Reservation) Detour(address string, written int, near bool) (Path, error) {
+// Detour returns the path with the stages at the given addresses replaced by other holders of
+// their layers, and holds room there. Stages that follow each other are replaced together. The
+// first stage cannot be replaced: the request is connected to it. Written is how many tokens the
+// answer has so far. With near the other holders are in the stage's data centre: they read all
+// tokens so far, whose activations take longer over the link between data centres than reading
+// the prompt anew on another path does.
+func (r *Reservation) Detour(stopped []string, written int, near bool) (Path, error) {
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	at := r.indexOf(address)
-	if r.released || at < 1 {
+	spans := r.path.spans(stopped)
+	if r.released || len(spans) == 0 || spans[0].from == 0 {
 		return nil, ErrNoPath
 	}
-	avoid := map[incarnation.Key]bool{}
-	for k := range r.need.Avoid {
-		avoid[k] = true
-	}
-	for _, stage := range r.path {
-		avoid[stage.Replica.Key()] = true
-	}
-	need := r.need
-	need.Avoid = avoid
-	need.Prompt += written
-	s := search{table: t, need: need, now: time.Now(), from: r.path[at].Layers.From, to: r.path[at].Layers.To, fromDC: r.path[at-1].Replica.DataCentre}
-	if near {
-		s.onlyDC = r.path[at].Replica.DataCentre
-	}
-	if at+1 < len(r.path) {
-		s.toDC = r.path[at+1].Replica.DataCentre
-	}
-	part, err := s.run()
-	if err != nil {
-		return nil, err
+	need, now := r.detourNeed(stopped, written), time.Now()
+	var path Path
+	var parts []Path
+	next := 0
+	for _, at := range spans {
+		part, err := t.replacement(r.path, at, need, near, now)
+		if err != nil {
+			return nil, err
+		}
+		for _, stage := range part {
+			need.Avoid[stage.Replica.Key()] = true
+		}
+		path = append(append(path, r.path[next:at.from]...), part...)
+		parts, next = append(parts, part), at.to
 	}
-	path := append(append(append(Path{}, r.path[:at]...), part...), r.path[at+1:]...)
-	if !path.Covers(t.spec.Layers) {
+	path = append(path, r.path[next:]...)
+	if !path.Covers(t.spec.Layers) || len(path) > maxStages {
 		return nil, ErrNoPath // a stage that stays has started again and is on the detour as well
 	}
-	t.cross(s.fromDC, part, need.tokens(), s.now)
+	for i, at := range spans {
+		t.cross(r.path[at.from-1].Replica.DataCentre, parts[i], need.tokens(), now)
+	}
 	r.hold(-1)
 	r.path = path
 	r.hold(1)
 	return r.path, nil
 }
 
-func (r *Reservation) indexOf(address string) int {
-	for i, stage := range r.path {
-		if stage.Replica.Address == address {
-			return i
+// detourNeed is what a detour needs: neither the path's replicas nor those that stopped. The table
+// is locked.
+func (r *Reservation) detourNeed(stopped []string, written int) Need {
+	need := r.need
+	need.Prompt += written
+	need.Avoid = maps.Clone(r.need.Avoid)
+	if need.Avoid == nil {
+		need.Avoid = map[incarnation.Key]bool{}
+	}
+	for _, stage := range r.path {
+		need.Avoid[stage.Replica.Key()] = true
+	}
+	for k, s := range r.table.replicas {
+		if slices.Contains(stopped, s.Address) {
+			need.Avoid[k] = true
 		}
 	}
-	return -1
+	return need
+}
+
+// replacement finds other holders of a span's layers. The table is locked.
+func (t *Table) replacement(path Path, at span, need Need, near bool, now time.Time) (Path, error) {
+	s := search{
+		table: t, need: need, now: now, from: path[at.from].Layers.From, to: path[at.to-1].Layers.To,
+		fromDC: path[at.from-1].Replica.DataCentre,
+	}
+	if near {
+		s.onlyDC = path[at.from].Replica.DataCentre
+	}
+	if at.to < len(path) {
+		s.toDC = path[at.to].Replica.DataCentre
+	}
+	return s.run()
 }
 
 // Done releases the room and says whether every stage did its work, which ends the
--- a/internal/layers/restart_test.go
+++ b/internal/layers/restart_test.go
@@ -102,7 +102,7 @@
 	path := reservation.Path()
 	after[0].Held = path[1].Layers
 	table.Update(testSpec(), after)
-	if path, err := reservation.Detour(path[1].Replica.Address, 5, false); err == nil {
+	if path, err := reservation.Detour([]string{path[1].Replica.Address}, 5, false); err == nil {
 		t.Errorf("path %s", path)
 	}
 }
