relay, stall: a stage that stopped is found by a question to it, within the accepted pause

Callers saw: streams late by a pause of 0.31 to 0.45 s after a card's end, where 0.25 s are accepted (the work has shifted: 12 stages a path in the mean and answers of 142 tokens). Cause: a pause of 150 ms, then the first replica's report, which lags by 200 ms, then the move. Change: after 0.4 of the profile's pause, or four deviations beyond the stream's mean gap, the stages that no other stream of this VM has passed since are asked for a connection; a refusal, or silence beside three times as many that answer, is a stop. Answers are shared by the VM's streams, questions are bounded by the sends, streams through a stage that refuses are told at once. The report stays as the second way. What decides is internal/stall, without network or clock.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -15,6 +15,7 @@
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/outcome"
 	"geraniumcroft/internal/sleep"
+	"geraniumcroft/internal/stall"
 )
 
 const (
@@ -51,6 +52,8 @@
 	began    time.Time
 	// cleared says that a run of this generation went well.
 	cleared bool
+	// pace is that of the events so far.
+	pace stall.Pace
 
 	mu sync.Mutex // guards the fields below against the watch of a stalled stream
 	// lastEvent is the id of the last event that the caller has.
--- a/internal/relay/generate_send.go
+++ b/internal/relay/generate_send.go
@@ -27,6 +27,7 @@
 	g.h.Invariants.Check(path.Covers(g.table.Layers()), invariant.LayersOnceInOrder, "path %s", path)
 	g.q.progress.path = path.String()
 	g.q.progress.sends++
+	g.h.prober.budget.Sent()
 	g.q.story.add("path chosen", zap.String("path", g.q.progress.path), zap.Duration("left", g.q.left()), zap.String("lastEvent", g.lastEvent))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -80,7 +80,9 @@
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	Options
-	asking *asking
+	asking  *asking
+	prober  *stageProber
+	watches *stallWatches
 	// shortages tell refused callers when to come back.
 	shortages *shortages
 	crashes   *crashGuard
@@ -92,7 +94,18 @@
 // New returns a handler.
 func New(o Options) *Handler {
 	o.Balancer.OnFree(o.Admission.Wake)
-	return &Handler{Options: o, asking: newAsking(o.Engines), shortages: newShortages(), crashes: newCrashGuard(o)}
+	h := &Handler{Options: o, asking: newAsking(o.Engines), watches: newStallWatches(), shortages: newShortages(), crashes: newCrashGuard(o)}
+	h.prober = newStageProber(h.touch)
+	return h
+}
+
+// touch opens a connection to a replica and closes it.
+func (h *Handler) touch(ctx context.Context, address string) error {
+	conn, err := h.Pool.Connect(ctx, address, time.Second)
+	if err == nil {
+		conn.Close()
+	}
+	return err
 }
 
 // InHand returns how many requests have arrived and not ended.
--- /dev/null
+++ b/internal/stall/patience.go
@@ -0,0 +1,32 @@
+package stall
+
+import "time"
+
+const (
+	// askShare is the part of the pause that callers accept after which a stream's stages are
+	// asked; the rest is for the order to move and for what the new stage has to read.
+	askShare = 0.4
+	// reportShare is the part after which its first replica is asked for a report.
+	reportShare = 0.6
+
+	// usualGap stands for the pause that callers accept where the operator names none.
+	usualGap = 250 * time.Millisecond
+)
+
+// Patience is how long a stream may stand still.
+type Patience struct {
+	// Ask is how long before its stages are asked, Report before its first replica is.
+	Ask    time.Duration
+	Report time.Duration
+}
+
+// PatienceOf returns the patience with a stream of that pace, whose callers accept a pause of gap,
+// 0 if that is unknown. A path that is slow or uneven is not asked at each event.
+func PatienceOf(gap time.Duration, pace Pace) Patience {
+	if gap <= 0 {
+		gap = usualGap
+	}
+	share := func(of float64) time.Duration { return time.Duration(of * float64(gap)) }
+	ask := max(share(askShare), pace.Unusual())
+	return Patience{Ask: ask, Report: max(share(reportShare), ask)}
+}
--- /dev/null
+++ b/internal/stall/question_budget.go
@@ -0,0 +1,38 @@
+package stall
+
+import "sync"
+
+const (
+	// questionsPerSend is how many questions each send allows: they cost as much as its connection.
+	questionsPerSend = 1.0
+	// maxQuestions is how many may be saved up, some paths of usual length.
+	maxQuestions = 64.0
+)
+
+// QuestionBudget bounds the questions to stages by the sends of this VM, so that paths which stand
+// still again and again cost no more than the requests on them. It is safe for concurrent use.
+type QuestionBudget struct {
+	mu   sync.Mutex // guards the field below
+	left float64
+}
+
+// NewQuestionBudget returns a full budget.
+func NewQuestionBudget() *QuestionBudget { return &QuestionBudget{left: maxQuestions} }
+
+// Sent notes that a request was sent.
+func (b *QuestionBudget) Sent() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(maxQuestions, b.left+questionsPerSend)
+}
+
+// Take takes one question out of the budget, if there is one.
+func (b *QuestionBudget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- /dev/null
+++ b/internal/stall/question_budget_test.go
@@ -0,0 +1,21 @@
+package stall
+
+import "testing"
+
+// Guards against slow paths that are asked without end.
+func TestQuestionsAreBoundedBySends(t *testing.T) {
+	budget := NewQuestionBudget()
+	const sends = 500
+	taken := 0
+	for range sends {
+		budget.Sent()
+		for range 3 {
+			if budget.Take() {
+				taken++
+			}
+		}
+	}
+	if most := int(sends*questionsPerSend + maxQuestions); taken > most || taken < sends {
+		t.Errorf("%d questions for %d sends, %d are allowed", taken, sends, most)
+	}
+}
