--- /dev/null
+++ b/internal/layers/bench_test.go
@@ -0,0 +1,62 @@
+package layers
+
+import (
+	"fmt"
+	"testing"
+
+	"geraniumcroft/internal/config"
+)
+
+// benchReplicas are n small cards in three data centres, each of which holds the model a few times.
+func benchReplicas(n int) []Replica {
+	const layers = 7
+	var replicas []Replica
+	for i := range n {
+		from := i / 3 % 12 * layers
+		name := fmt.Sprint("r", i)
+		replicas = append(replicas, Replica{
+			ID: name, Address: name, DataCentre: []string{"a", "b", "c"}[i%3], Kind: "small", Held: config.LayerRange{From: from, To: min(80, from+layers)},
+		})
+	}
+	return replicas
+}
+
+// BenchmarkReserveOfSizes chooses a path and gives it back.
+func BenchmarkReserveOfSizes(b *testing.B) {
+	for _, n := range []int{39, 99, 216} {
+		b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
+			table := NewTable()
+			table.Update(testSpec(), benchReplicas(n))
+			b.ReportAllocs()
+			for b.Loop() {
+				reservation, err := table.Reserve(usual)
+				if err != nil {
+					b.Fatal(err)
+				}
+				reservation.Done(true)
+			}
+		})
+	}
+}
+
+// BenchmarkDetour replaces two stages of a path as well.
+func BenchmarkDetour(b *testing.B) {
+	for _, n := range []int{99, 216} {
+		b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
+			table := NewTable()
+			table.Update(testSpec(), benchReplicas(n))
+			b.ReportAllocs()
+			for b.Loop() {
+				reservation, err := table.Reserve(usual)
+				if err != nil {
+					b.Fatal(err)
+				}
+				path := reservation.Path()
+				if _, err := reservation.Detour([]string{path[3].Replica.Address, path[7].Replica.Address}, 50, true); err != nil {
+					b.Fatal(err)
+				}
+				reservation.Done(true)
+			}
+		})
+	}
+}
--- a/internal/layers/cost.go
+++ b/internal/layers/cost.go
@@ -76,7 +76,7 @@
 	step := spec.stepTime(r.kind, batch, s.need.tokens()) * part
 	slow := r.slowness(s.now)
 	write := float64(s.need.Answer) * (step*(1+stageOverhead)*slow + hopCost.Seconds())
-	read := float64(s.need.Prompt) / max(1, spec.ReadPerSecond) * r.kind.ReadPace * part * slow
+	read := spec.readTime(r.kind, float64(s.need.Prompt), n) * slow
 	cost := (write + read) * (1 + loadWeight*used*used)
 	if r.suspected(s.now) {
 		cost += suspectCost.Seconds()
--- a/internal/layers/spec.go
+++ b/internal/layers/spec.go
@@ -74,3 +74,8 @@
 	context := tokens / 1000
 	return (s.Step.Seconds() + batch*(s.PerSequence.Seconds()+context*s.PerContext.Seconds())) * k.StepPace
 }
+
+// readTime is the time in which a card reads so many tokens through n layers, in seconds.
+func (s *Spec) readTime(k Kind, tokens float64, n int) float64 {
+	return tokens / max(1, s.ReadPerSecond) * k.ReadPace * float64(n) / float64(max(1, s.Layers))
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -161,12 +161,15 @@
 // prepare reserves a path for one more send while the present one still stands, and
 // reports whether the present one may be ended. Without that a stream would be cut off
 // that its replica might yet have gone on with.
-func (g *generation) prepare(without layers.Replica) bool {
+func (g *generation) prepare(without ...incarnation.Key) bool {
 	if !g.mayResend() || g.h.crashes.judge(g.q).Quarantined {
 		return false
 	}
 	need := g.need()
-	need.Avoid = map[incarnation.Key]bool{without.Key(): true}
+	need.Avoid = map[incarnation.Key]bool{}
+	for _, k := range without {
+		need.Avoid[k] = true
+	}
 	need.SpareEntries = g.h.crashes.judge(g.q).Spare
 	reservation, err := g.table.Reserve(need)
 	if err != nil {
--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -6,10 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
-
-	"geraniumcroft/internal/incarnation"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/stall"
 )
@@ -17,21 +13,6 @@
 const (
 	// firstPatience is how long a stream may take to its first event before it is asked why.
 	firstPatience = 300 * time.Millisecond
-	// askAgain is the pause between two questions; reports lag by some 200 ms.
-	askAgain = 100 * time.Millisecond
-	// askTimeout bounds a question.
-	askTimeout = 200 * time.Millisecond
-	// moveTimeout bounds the order to take another path.
-	moveTimeout = 300 * time.Millisecond
-	// movePatience is how long a moved stream may take: the new stage reads all tokens
-	// so far first.
-	movePatience = 600 * time.Millisecond
-	// maxUnanswered is how many questions in a row the first replica may leave without an
-	// answer before it is taken for dead.
-	maxUnanswered = 2
-	// longStall is when a stream is sent elsewhere though its first replica answers and
-	// names no fault. Callers leave after two seconds.
-	longStall = 1500 * time.Millisecond
 	// maxStageRounds is how often the stages are asked in one pause: a stage may end just after
 	// it was passed or has answered.
 	maxStageRounds = 2
@@ -39,8 +20,6 @@
 	// still; what has arrived meanwhile is read first.
 	wakeLate  = 50 * time.Millisecond
 	readFirst = 20 * time.Millisecond
-	// maxOrders bounds the orders to move in one pause; each may name one more stage that is gone.
-	maxOrders = 2
 )
 
 // stallWatch looks after one send. When its stream stands still it asks the stages that may have
@@ -198,152 +177,3 @@
 	}
 	w.end(p, w.look(p))
 }
-
-// look finds out why the stream stands still, acts on it, and returns when to look again.
-func (w *stallWatch) look(p pause) time.Duration {
-	if p.stages {
-		if stopped := w.askStages(p); len(stopped) > 0 && w.still(p) {
-			return w.move(p, addressesOf(stopped))
-		}
-	}
-	if p.report && w.still(p) {
-		return w.askFirst(p)
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return max(readFirst, w.patience().Report-time.Since(w.last))
-}
-
-// askStages asks the stages that no other stream has passed since, and returns those that have
-// stopped.
-func (w *stallWatch) askStages(p pause) []stall.Stage {
-	h := w.g.h
-	suspicion := h.watches.suspects(w)
-	asked := h.prober.ask(suspicion.Suspects)
-	stopped := stall.Stopped(asked, suspicion.Passed)
-	if len(asked) > 0 {
-		h.Logger.Info("stages asked", zap.String("requestId", w.g.q.RequestID), zap.Duration("stood", p.stood),
-			zap.Int("asked", len(asked)), zap.Int("passed", len(suspicion.Passed)), zap.Strings("stopped", addressesOf(stopped)))
-	}
-	var gone []stall.Stage
-	for _, a := range asked {
-		if a.Answer == stall.AnswerRefused {
-			gone = append(gone, a.Stage)
-		}
-	}
-	if len(gone) > 0 {
-		h.watches.tell(w, gone)
-	}
-	return stopped
-}
-
-// askFirst asks the first replica why its stream stands still.
-func (w *stallWatch) askFirst(p pause) time.Duration {
-	first := w.reservation.Path().First()
-	report, err := w.g.h.asking.report(first.Address)
-	switch {
-	case !w.still(p):
-		return askAgain
-	case err != nil:
-		w.noAnswer(p, first)
-		return askAgain
-	}
-	return w.judge(p, first, report)
-}
-
-// noAnswer counts a question that the first replica left without an answer, and leaves
-// the replica after the last one it may.
-func (w *stallWatch) noAnswer(p pause, first layers.Replica) {
-	w.mu.Lock()
-	w.unheard++
-	lost := w.unheard >= maxUnanswered
-	w.mu.Unlock()
-	if lost {
-		w.elsewhere(p, first, "it does not answer")
-	}
-}
-
-// judge acts on what the first replica says of the stream, and returns when to look again.
-func (w *stallWatch) judge(p pause, first layers.Replica, report EngineReport) time.Duration {
-	w.mu.Lock()
-	w.unheard = 0
-	stood := time.Since(w.last)
-	w.mu.Unlock()
-	reporter := incarnation.Key{ID: first.ID, Born: report.Born}
-	if reporter.Succeeds(first.Key()) {
-		w.elsewhere(p, first, "it has started again")
-		return askAgain
-	}
-	w.g.table.Pace(first, report.Pace)
-	for _, s := range report.Stalled {
-		if s.RequestID == w.g.q.RequestID {
-			return w.move(p, []string{s.Address})
-		}
-	}
-	if stood > longStall {
-		w.elsewhere(p, first, "it names no fault")
-	}
-	return askAgain
-}
-
-// move takes the stream round the stages that stopped, and returns when to look again: to other
-// holders of their layers nearby, else along another path from its last event on, else to holders
-// far away. If none has room it asks again.
-func (w *stallWatch) move(p pause, stopped []string) time.Duration {
-	path := w.reservation.Path()
-	for _, address := range stopped {
-		w.g.table.Suspect(w.g.replicaAt(path, address))
-	}
-	const why = "a stage of its path stopped"
-	fault := w.g.replicaAt(path, stopped[0])
-	if w.detour(path.First(), stopped, true) || w.elsewhere(p, fault, why) || w.detour(path.First(), stopped, false) {
-		return movePatience
-	}
-	return askAgain
-}
-
-// detour moves the stream without sending it again, and reports whether it did. An order that is
-// refused as one more stage is gone is given again without that one.
-func (w *stallWatch) detour(first layers.Replica, stopped []string, near bool) bool {
-	for range maxOrders {
-		path, err := w.reservation.Detour(stopped, int(w.g.events.Load()), near)
-		if err != nil {
-			return false
-		}
-		err = w.order(first, path, stopped, near)
-		var refused *RepathError
-		switch {
-		case err == nil:
-			return true
-		case !errors.As(err, &refused) || refused.Address == "":
-			return false
-		}
-		w.g.table.Suspect(w.g.replicaAt(path, refused.Address))
-		stopped = append(slices.Clone(stopped), refused.Address)
-	}
-	return false
-}
-
-// order gives the order to move.
-func (w *stallWatch) order(first layers.Replica, path layers.Path, stopped []string, near bool) error {
-	w.g.q.progress.moves.Add(1)
-	ctx, cancel := context.WithTimeout(w.ctx, moveTimeout)
-	defer cancel()
-	err := w.g.h.Engines.Repath(ctx, first, w.g.q.RequestID, path)
-	w.g.h.Logger.Info("stream moved", zap.String("requestId", w.g.q.RequestID), zap.Strings("from", stopped),
-		zap.Bool("near", near), zap.Stringer("path", path), zap.NamedError("failed", err))
-	return err
-}
-
-// elsewhere ends the send if the stream can go on along another path, and reports
-// whether it did. If it cannot, the stream is left to its replica, which may yet go on
-// with it: silence alone is no reason to cut an answer off.
-func (w *stallWatch) elsewhere(p pause, stopped layers.Replica, why string) bool {
-	w.g.table.Suspect(stopped)
-	if !w.still(p) || !w.g.prepare(stopped) {
-		return false
-	}
-	w.g.h.Logger.Info("stream sent elsewhere", zap.String("requestId", w.g.q.RequestID), zap.String("from", stopped.Address), zap.String("why", why))
-	w.cancel(&stallError{Replica: stopped, Why: why})
-	return true
-}
--- a/internal/stall/patience.go
+++ b/internal/stall/patience.go
@@ -9,8 +9,8 @@
 	// reportShare is the part after which its first replica is asked for a report.
 	reportShare = 0.6
 
-	// usualGap stands for the pause that callers accept where the operator names none.
-	usualGap = 250 * time.Millisecond
+	// UsualGap stands for the pause that callers accept where the operator names none.
+	UsualGap = 250 * time.Millisecond
 )
 
 // Patience is how long a stream may stand still.
@@ -24,7 +24,7 @@
 // 0 if that is unknown. A path that is slow or uneven is not asked at each event.
 func PatienceOf(gap time.Duration, pace Pace) Patience {
 	if gap <= 0 {
-		gap = usualGap
+		gap = UsualGap
 	}
 	share := func(of float64) time.Duration { return time.Duration(of * float64(gap)) }
 	ask := max(share(askShare), pace.Unusual())
