stall, relay: questions cost small VMs less; an entry's silence says nothing

Change: a watch keeps its path's stages; a look without a question is not logged; an answer holds for a second, a quarter of a question a send; a path's first replica, which takes a connection a request, is not judged by silence; a silent stage is asked three times in 60 ms; an uneven path is asked no later than its first replica is.

--- a/internal/relay/stage_prober.go
+++ b/internal/relay/stage_prober.go
@@ -15,16 +15,17 @@
 
 const (
 	// stageAnswer is how long a stage may take to accept a connection, which takes some 2 ms.
-	stageAnswer = 40 * time.Millisecond
-	// secondDial is when a stage that has not answered is asked on a second connection: the first
-	// one's packets may be lost.
-	secondDial = 15 * time.Millisecond
+	stageAnswer = 60 * time.Millisecond
+	// nextDial is after how long a stage that has not answered is asked on one more connection, of
+	// maxDials: packets may be lost, or its listener full for a moment.
+	nextDial = 15 * time.Millisecond
+	maxDials = 3
 	// dialLate is by how much a wait may be longer than asked for before this VM is taken for the
 	// one that was held up.
-	dialLate = 20 * time.Millisecond
+	dialLate = 10 * time.Millisecond
 	// takenFresh is how long the answer of a stage that accepts connections holds, and goneFresh
 	// that of one that does not.
-	takenFresh = 200 * time.Millisecond
+	takenFresh = time.Second
 	goneFresh  = time.Second
 )
 
@@ -48,20 +49,21 @@
 	return &stageProber{connect: connect, budget: stall.NewQuestionBudget(), kept: map[string]keptAnswer{}}
 }
 
-// ask asks all stages at once.
-func (p *stageProber) ask(stages []stall.Stage) []stall.Asked {
-	asked := make([]stall.Asked, len(stages))
+// ask asks all stages at once, and returns how many of the answers were not known before.
+func (p *stageProber) ask(stages []stall.Stage) (asked []stall.Asked, dialled int) {
+	asked = make([]stall.Asked, len(stages))
 	var all sync.WaitGroup
 	for i, stage := range stages {
-		asked[i].Stage = stage
-		if answer, ok := p.recent(stage.Address); ok {
-			asked[i].Answer = answer
+		answer, known := p.recent(stage.Address)
+		asked[i] = stall.Asked{Stage: stage, Answer: answer}
+		if known || !p.budget.Left() {
 			continue
 		}
+		dialled++
 		all.Go(func() { asked[i].Answer = p.question(stage.Address) })
 	}
 	all.Wait()
-	return asked
+	return asked, dialled
 }
 
 // question asks one stage, together with others that ask it now.
@@ -80,20 +82,25 @@
 	return answer.(stall.Answer)
 }
 
-// dial asks on one connection, and on a second one if the first brings nothing.
+// dial asks on one connection, and on others as long as nothing comes back.
 func (p *stageProber) dial(address string) stall.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), stageAnswer)
 	defer cancel()
 	started := time.Now()
-	results := make(chan error, 2)
-	try := func() { results <- p.connect(ctx, address) }
-	go try()
-	second := time.AfterFunc(secondDial, try)
-	defer second.Stop()
-	select {
-	case err := <-results:
-		return answerOf(err)
-	case <-ctx.Done():
+	results := make(chan error, maxDials)
+	next := time.NewTicker(nextDial)
+	defer next.Stop()
+	for dials := 0; ctx.Err() == nil; {
+		if dials < maxDials {
+			dials++
+			go func() { results <- p.connect(ctx, address) }()
+		}
+		select {
+		case err := <-results:
+			return answerOf(err)
+		case <-next.C:
+		case <-ctx.Done():
+		}
 	}
 	if time.Since(started) > stageAnswer+dialLate {
 		return stall.AnswerUnknown
--- a/internal/relay/stall_look.go
+++ b/internal/relay/stall_look.go
@@ -43,11 +43,11 @@
 func (w *stallWatch) askStages(p pause) []stall.Stage {
 	h := w.g.h
 	suspicion := h.watches.suspects(w)
-	asked := h.prober.ask(suspicion.Suspects)
+	asked, dialled := h.prober.ask(suspicion.Suspects)
 	stopped := stall.Stopped(asked, suspicion.Passed)
-	if len(asked) > 0 {
+	if dialled > 0 || len(stopped) > 0 {
 		h.Logger.Info("stages asked", zap.String("requestId", w.g.q.RequestID), zap.Duration("stood", p.stood),
-			zap.Int("asked", len(asked)), zap.Int("passed", len(suspicion.Passed)), zap.Strings("stopped", addressesOf(stopped)))
+			zap.Int("asked", dialled), zap.Int("known", len(asked)-dialled), zap.Int("passed", len(suspicion.Passed)), zap.Strings("stopped", addressesOf(stopped)))
 	}
 	var gone []stall.Stage
 	for _, a := range asked {
--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -46,6 +46,9 @@
 	checking  bool
 	hinted    bool
 	stopped   bool
+	// stages are those of the path that begins at stagesOf.
+	stages   []stall.Stage
+	stagesOf *layers.Stage
 }
 
 func newStallWatch(ctx context.Context, g *generation, r *layers.Reservation, cancel context.CancelCauseFunc) *stallWatch {
@@ -96,13 +99,20 @@
 // stream is what the watch has seen.
 func (w *stallWatch) stream() stall.Stream {
 	path := w.reservation.Path()
-	stages := make([]stall.Stage, 0, len(path))
-	for _, stage := range path {
-		stages = append(stages, stall.Stage{Address: stage.Replica.Address, DataCentre: stage.Replica.DataCentre})
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return stall.Stream{Last: w.last, Pace: w.pace.Mean(), Stages: stages}
+	if w.stagesOf != &path[0] {
+		w.stagesOf, w.stages = &path[0], stagesOf(path)
+	}
+	return stall.Stream{Last: w.last, Pace: w.pace.Mean(), Stages: w.stages}
+}
+
+func stagesOf(path layers.Path) []stall.Stage {
+	stages := make([]stall.Stage, 0, len(path))
+	for i, stage := range path {
+		stages = append(stages, stall.Stage{Address: stage.Replica.Address, DataCentre: stage.Replica.DataCentre, Entry: i == 0})
+	}
+	return stages
 }
 
 func (w *stallWatch) passesAny(addresses []string) bool {
--- a/internal/stall/patience.go
+++ b/internal/stall/patience.go
@@ -21,12 +21,13 @@
 }
 
 // PatienceOf returns the patience with a stream of that pace, whose callers accept a pause of gap,
-// 0 if that is unknown. A path that is slow or uneven is not asked at each event.
+// 0 if that is unknown. The stages of a path that is slow or uneven are asked later, but no later
+// than its first replica, which lets all streams share one answer.
 func PatienceOf(gap time.Duration, pace Pace) Patience {
 	if gap <= 0 {
 		gap = UsualGap
 	}
 	share := func(of float64) time.Duration { return time.Duration(of * float64(gap)) }
-	ask := max(share(askShare), pace.Unusual())
-	return Patience{Ask: ask, Report: max(share(reportShare), ask)}
+	report := share(reportShare)
+	return Patience{Ask: min(report, max(share(askShare), pace.Unusual())), Report: report}
 }
--- a/internal/stall/question_budget.go
+++ b/internal/stall/question_budget.go
@@ -3,8 +3,9 @@
 import "sync"
 
 const (
-	// questionsPerSend is how many questions each send allows: they cost as much as its connection.
-	questionsPerSend = 1.0
+	// questionsPerSend is how many questions each send allows; each costs as much as the send's own
+	// connection.
+	questionsPerSend = 0.25
 	// maxQuestions is how many may be saved up, some paths of usual length.
 	maxQuestions = 64.0
 )
@@ -36,3 +37,10 @@
 	b.left--
 	return true
 }
+
+// Left reports whether a question is left.
+func (b *QuestionBudget) Left() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left >= 1
+}
--- a/internal/stall/stopped.go
+++ b/internal/stall/stopped.go
@@ -26,7 +26,8 @@
 
 // Stopped returns the stages that have stopped. A refusal is certain. Silence counts where
 // most stages of the same data centre answered or were passed by other streams: else the way there
-// may be cut, or this VM itself held up.
+// may be cut, or this VM itself held up. An entry's silence says nothing: the connections of new
+// requests may wait at its listener.
 func Stopped(asked []Asked, passed []Stage) []Stage {
 	alive, silent := map[string]int{}, map[string]int{}
 	for _, stage := range passed {
@@ -37,13 +38,15 @@
 		case AnswerTaken, AnswerRefused:
 			alive[a.DataCentre]++
 		case AnswerSilent:
-			silent[a.DataCentre]++
+			if !a.Entry {
+				silent[a.DataCentre]++
+			}
 		}
 	}
 	var stopped []Stage
 	for _, a := range asked {
 		certain := a.Answer == AnswerRefused
-		likely := a.Answer == AnswerSilent && alive[a.DataCentre] >= alivePerSilent*silent[a.DataCentre]
+		likely := a.Answer == AnswerSilent && !a.Entry && alive[a.DataCentre] >= alivePerSilent*silent[a.DataCentre]
 		if certain || likely {
 			stopped = append(stopped, a.Stage)
 		}
--- a/internal/stall/stream.go
+++ b/internal/stall/stream.go
@@ -6,6 +6,8 @@
 type Stage struct {
 	Address    string
 	DataCentre string
+	// Entry says that the path begins here. Such a replica takes a connection for each request.
+	Entry bool
 }
 
 // Stream is what this VM sees of one stream.
