--- a/internal/layers/cost.go
+++ b/internal/layers/cost.go
@@ -67,7 +67,7 @@
 func (s *search) stageCost(r *state, n int) float64 {
 	spec := s.table.spec
 	amount := s.need.tokens() * float64(n)
-	if !r.fits(amount, s.table.sharers.allowance(r.DataCentre), s.now) {
+	if !r.fits(amount, s.table.sharers.allowance(r.DataCentre), s.now) || s.need.MaxFull > 0 && r.fullerThan(s.need.MaxFull, s.now) {
 		return math.Inf(1)
 	}
 	used := r.fullness(s.share(r))
--- a/internal/layers/crowd_test.go
+++ b/internal/layers/crowd_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/incarnation"
 )
@@ -75,3 +77,28 @@
 		}
 	}
 }
+
+// Guards against streams that could be moved taking the room of replicas that are nearly full.
+func TestPathOfRoomyReplicasOnly(t *testing.T) {
+	table, _ := crowdedTable(t, 5)
+	need := usual
+	need.MaxFull = 0.6
+	if _, err := table.Reserve(need); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("nothing is known of the replicas' room: %v", err)
+	}
+	report := func(used float64) {
+		loads := map[incarnation.Key]Load{}
+		for k, s := range table.replicas {
+			loads[k] = Load{Used: used * s.capacity, Total: s.capacity, Held: s.Held, At: time.Now()}
+		}
+		table.SetLoads(loads)
+	}
+	report(0.3)
+	if _, err := table.Reserve(need); err != nil {
+		t.Errorf("there is room: %v", err)
+	}
+	report(0.7)
+	if _, err := table.Reserve(need); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("the replicas are fuller: %v", err)
+	}
+}
--- a/internal/layers/need.go
+++ b/internal/layers/need.go
@@ -11,6 +11,9 @@
 	DataCentre string
 	// Avoid are the replicas that the request has failed on.
 	Avoid map[incarnation.Key]bool
+	// MaxFull is how full a replica's memory may be before the request, as a part of it, 0 for any:
+	// work that could stay where it is leaves the room of full replicas to others.
+	MaxFull float64
 	// SpareEntries is how many other replicas must be left that a path can begin at, if the one
 	// that this path begins at should end. 0 asks for nothing.
 	SpareEntries int
--- a/internal/layers/state.go
+++ b/internal/layers/state.go
@@ -111,6 +111,13 @@
 	return s.reserved-s.reservedThen+amount <= a.free*free
 }
 
+// fullerThan reports whether the requests of all VMs hold more than a part of the memory, as far
+// as that is known.
+func (s *state) fullerThan(part float64, now time.Time) bool {
+	usage, known := s.usage(now)
+	return !known || usage > part*s.capacity
+}
+
 // enters reports whether one more of this VM's requests may enter here, as with fits.
 func (s *state) enters(slots int, a allowance, now time.Time) bool {
 	own := s.first < max(leastEntries, int(a.share*float64(slots)))
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -160,12 +160,14 @@
 
 // prepare reserves a path for one more send while the present one still stands, and
 // reports whether the present one may be ended. Without that a stream would be cut off
-// that its replica might yet have gone on with.
-func (g *generation) prepare(without ...incarnation.Key) bool {
+// that its replica might yet have gone on with. The path is without some replicas and without those
+// that are fuller than maxFull, 0 for any; see layers.Need.
+func (g *generation) prepare(without []incarnation.Key, maxFull float64) bool {
 	if !g.mayResend() || g.h.crashes.judge(g.q).Quarantined {
 		return false
 	}
 	need := g.need()
+	need.MaxFull = maxFull
 	need.Avoid = map[incarnation.Key]bool{}
 	for _, k := range without {
 		need.Avoid[k] = true
--- a/internal/relay/stall_move.go
+++ b/internal/relay/stall_move.go
@@ -20,6 +20,8 @@
 	// movePatience is how long a moved stream may take: the new stage reads all tokens
 	// so far first.
 	movePatience = 600 * time.Millisecond
+	// roomyPath is how full the replicas of a path may be that a stream takes in place of a late move.
+	roomyPath = 0.6
 	// minLeft is the least part of the accepted pause that holders are given to read in.
 	minLeft = 4
 	// maxOrders bounds the orders to move in one pause; each may name one more stage that is gone.
@@ -29,7 +31,8 @@
 // move takes the stream round the stages that stopped, and returns when to look again: to other
 // holders of their layers nearby, else along another path from its last event on, else to holders
 // far away. If none has room it asks again. Where the holders nearby can't read all the streams
-// that come to them in time, the rest go along another path first.
+// that come to them in time, the rest go along another path first, if one has room to spare: reading
+// the whole prompt anew takes more of a fleet that is full than a late move does.
 func (w *stallWatch) move(p pause, stopped []string) time.Duration {
 	path := w.reservation.Path()
 	for _, address := range stopped {
@@ -37,7 +40,7 @@
 	}
 	const why = "a stage of its path stopped"
 	fault := w.g.replicaAt(path, stopped[0])
-	if crowded := w.crowded(stopped); len(crowded) > 0 && w.elsewhere(p, fault, why, crowded...) {
+	if crowded := w.crowded(stopped); len(crowded) > 0 && w.leave(p, fault, why, crowded, roomyPath) {
 		return movePatience
 	}
 	if w.detour(path.First(), stopped, true) || w.elsewhere(p, fault, why) || w.detour(path.First(), stopped, false) {
@@ -100,11 +103,16 @@
 
 // elsewhere ends the send if the stream can go on along another path, and reports
 // whether it did. If it cannot, the stream is left to its replica, which may yet go on
-// with it: silence alone is no reason to cut an answer off. The other path is without some more
-// replicas.
-func (w *stallWatch) elsewhere(p pause, stopped layers.Replica, why string, without ...incarnation.Key) bool {
+// with it: silence alone is no reason to cut an answer off.
+func (w *stallWatch) elsewhere(p pause, stopped layers.Replica, why string) bool {
+	return w.leave(p, stopped, why, nil, 0)
+}
+
+// leave is elsewhere, along a path without some more replicas and without those that are fuller
+// than maxFull, 0 for any.
+func (w *stallWatch) leave(p pause, stopped layers.Replica, why string, without []incarnation.Key, maxFull float64) bool {
 	w.g.table.Suspect(stopped)
-	if !w.still(p) || !w.g.prepare(append(without, stopped.Key())...) {
+	if !w.still(p) || !w.g.prepare(append(without, stopped.Key()), maxFull) {
 		return false
 	}
 	w.g.h.Logger.Info("stream sent elsewhere", zap.String("requestId", w.g.q.RequestID), zap.String("from", stopped.Address), zap.String("why", why))
