--- a/internal/layers/pipe.go
+++ b/internal/layers/pipe.go
@@ -14,7 +14,7 @@
 // pipe is this VM's part of the link between two data centres. Without it the VMs turn
 // to paths that cross whenever their own data centre is short of room; each crossing
 // prompt delays all others, requests hold their room for longer, and more of them
-// cross: on a quiet day of 83 VMs 1,200 of 5,800 streams were late for it.
+// cross.
 type pipe struct {
 	// left is what may be sent now, in bytes. It falls below zero with a request larger
 	// than what was saved up, which is then paid back.
--- a/internal/layers/sharers.go
+++ b/internal/layers/sharers.go
@@ -10,11 +10,8 @@
 const goBeyond = 3.0
 
 // boost is how many even shares of a replica's room one VM may use while the reports
-// show it as not full. Requests come to VMs at random: of 28 VMs, each with four requests
-// as its share of a replica that is half full, one or two need a fifth at any time (5 in
-// 100, by Poisson's distribution), and all together hardly ever more than the whole. On a
-// quiet day of 83 VMs this and the bound on crossings together brought the drafts that are
-// served in time from 0.8 of all to 0.99.
+// show it as not full. Requests come to VMs at random: some VMs need more than their share
+// at any time, while all together hardly ever need more than the whole.
 const boost = 2.5
 
 // Sharers says how many VMs send requests to the same replicas. Each sees its own
