layers: a detour and its estimate share one search for the stopped stages' replacements

No change of behaviour. Detour and Crowd each had the guard, the loop over the runs of stopped stages and the marking of replicas; eachReplacement has them now. Named pieces that were there already are called: state.reported, search.admits, LayerRange.Contains (also in covered and Bottleneck, which wrote it out), and reportAll in the test. Need.avoiding is the copy of a map to avoid with more in it, which withoutRepeats wrote as well. The two benchmarks share their loop.

--- a/internal/layers/bench_test.go
+++ b/internal/layers/bench_test.go
@@ -21,42 +21,39 @@
 	return replicas
 }
 
+// benchReserved reserves paths over n replicas, and gives each back after do.
+func benchReserved(b *testing.B, n int, do func(*Reservation) error) {
+	b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
+		table := NewTable()
+		table.Update(testSpec(), benchReplicas(n))
+		b.ReportAllocs()
+		for b.Loop() {
+			reservation, err := table.Reserve(usual)
+			if err == nil {
+				err = do(reservation)
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+			reservation.Done(true)
+		}
+	})
+}
+
 // BenchmarkReserveOfSizes chooses a path and gives it back.
 func BenchmarkReserveOfSizes(b *testing.B) {
 	for _, n := range []int{39, 99, 216} {
-		b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
-			table := NewTable()
-			table.Update(testSpec(), benchReplicas(n))
-			b.ReportAllocs()
-			for b.Loop() {
-				reservation, err := table.Reserve(usual)
-				if err != nil {
-					b.Fatal(err)
-				}
-				reservation.Done(true)
-			}
-		})
+		benchReserved(b, n, func(*Reservation) error { return nil })
 	}
 }
 
 // BenchmarkDetour replaces two stages of a path as well.
 func BenchmarkDetour(b *testing.B) {
 	for _, n := range []int{99, 216} {
-		b.Run(fmt.Sprint(n, " replicas"), func(b *testing.B) {
-			table := NewTable()
-			table.Update(testSpec(), benchReplicas(n))
-			b.ReportAllocs()
-			for b.Loop() {
-				reservation, err := table.Reserve(usual)
-				if err != nil {
-					b.Fatal(err)
-				}
-				path := reservation.Path()
-				if _, err := reservation.Detour([]string{path[3].Replica.Address, path[7].Replica.Address}, 50, true); err != nil {
-					b.Fatal(err)
-				}
-				reservation.Done(true)
-			}
+		benchReserved(b, n, func(r *Reservation) error {
+			path := r.Path()
+			_, err := r.Detour([]string{path[3].Replica.Address, path[7].Replica.Address}, 50, true)
+			return err
 		})
 	}
 }
--- a/internal/layers/bottleneck.go
+++ b/internal/layers/bottleneck.go
@@ -30,7 +30,7 @@
 		var full []string
 		free := false
 		for _, r := range s.holders {
-			if r.Held.From > layers.From || r.Held.To < layers.To {
+			if !r.Held.Contains(layers) {
 				continue
 			}
 			why := s.obstacle(r, i == 0)
--- a/internal/layers/crowd.go
+++ b/internal/layers/crowd.go
@@ -6,9 +6,13 @@
 	"geraniumcroft/internal/incarnation"
 )
 
-// readShare is the part of its time that a replica has for reading beside the tokens that it
-// writes for other requests.
-const readShare = 0.4
+const (
+	// readShare is the part of its time that a replica has for reading beside the tokens that it
+	// writes for other requests.
+	readShare = 0.4
+	// minRead bounds the time of reading one stream from below.
+	minRead = 100 * time.Microsecond
+)
 
 // Crowd is what comes to the replicas that nearby streams would be moved to when some stages stop.
 type Crowd struct {
@@ -26,23 +30,19 @@
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	spans := r.path.spans(stopped)
-	if r.released || len(spans) == 0 || spans[0].from == 0 {
-		return Crowd{}, false
-	}
-	need, now := r.detourNeed(stopped, written), time.Now()
+	now := time.Now()
 	crowd.InTime = 1
-	for _, at := range spans {
-		part, err := t.replacement(r.path, at, need, true, now)
-		if err != nil {
-			return Crowd{}, false
-		}
-		streams := t.streamsThrough(r.path[at.from:at.to], now)
-		for _, stage := range part {
-			need.Avoid[stage.Replica.Key()] = true
+	err := r.eachReplacement(stopped, written, true, now, func(p detourPart) {
+		streams := t.streamsThrough(r.path[p.at.from:p.at.to], now)
+		need := p.need
+		for _, stage := range p.stages {
 			crowd.Holders = append(crowd.Holders, stage.Replica.Key())
 			crowd.InTime = min(crowd.InTime, t.readable(stage, need, within, now)/streams)
+			need = need.avoiding(stage.Replica.Key())
 		}
+	})
+	if err != nil {
+		return Crowd{}, false
 	}
 	return crowd, true
 }
@@ -57,7 +57,7 @@
 			continue
 		}
 		held := s.reserved / t.sharers.share(s.DataCentre)
-		if s.load.Total > 0 && now.Sub(s.load.At) <= loadTrust {
+		if s.reported(now) {
 			held = s.load.Used
 		}
 		most = max(most, held/(t.spec.usualTokens()*float64(max(1, stage.Layers.Len()))))
@@ -72,16 +72,13 @@
 	if s == nil {
 		return 0
 	}
+	near := search{table: t, need: need, now: now, from: stage.Layers.From, to: stage.Layers.To, onlyDC: s.DataCentre}
 	alike := 0
-	for k, other := range t.replicas {
-		holds := other.Held.From <= stage.Layers.From && other.Held.To >= stage.Layers.To
-		if holds && other.DataCentre == s.DataCentre && !other.Draining && !other.suspected(now) && (k == s.Key() || !need.Avoid[k]) {
+	for _, other := range t.replicas {
+		if near.admits(other) && other.Held.Contains(stage.Layers) {
 			alike++
 		}
 	}
 	each := t.spec.readTime(s.kind, float64(need.Prompt), stage.Layers.Len()) * s.slowness(now)
 	return float64(max(1, alike)) * readShare * within.Seconds() / max(each, minRead.Seconds())
 }
-
-// minRead bounds the time of reading one stream from below.
-const minRead = 100 * time.Microsecond
--- a/internal/layers/crowd_test.go
+++ b/internal/layers/crowd_test.go
@@ -86,18 +86,11 @@
 	if _, err := table.Reserve(need); !errors.Is(err, ErrNoRoom) {
 		t.Errorf("nothing is known of the replicas' room: %v", err)
 	}
-	report := func(used float64) {
-		loads := map[incarnation.Key]Load{}
-		for k, s := range table.replicas {
-			loads[k] = Load{Used: used * s.capacity, Total: s.capacity, Held: s.Held, At: time.Now()}
-		}
-		table.SetLoads(loads)
-	}
-	report(0.3)
+	reportAll(table, 0.3)
 	if _, err := table.Reserve(need); err != nil {
 		t.Errorf("there is room: %v", err)
 	}
-	report(0.7)
+	reportAll(table, 0.7)
 	if _, err := table.Reserve(need); !errors.Is(err, ErrNoRoom) {
 		t.Errorf("the replicas are fuller: %v", err)
 	}
--- a/internal/layers/need.go
+++ b/internal/layers/need.go
@@ -1,6 +1,10 @@
 package layers
 
-import "geraniumcroft/internal/incarnation"
+import (
+	"maps"
+
+	"geraniumcroft/internal/incarnation"
+)
 
 // Need is what a request needs of a path.
 type Need struct {
@@ -19,5 +23,16 @@
 	SpareEntries int
 }
 
+// avoiding returns the need with some more replicas to avoid; the map is its own.
+func (n Need) avoiding(keys ...incarnation.Key) Need {
+	avoid := make(map[incarnation.Key]bool, len(n.Avoid)+len(keys))
+	maps.Copy(avoid, n.Avoid)
+	for _, k := range keys {
+		avoid[k] = true
+	}
+	n.Avoid = avoid
+	return n
+}
+
 // tokens is the context of the request at its end.
 func (n Need) tokens() float64 { return float64(max(1, n.Prompt+n.Answer)) }
--- a/internal/layers/path.go
+++ b/internal/layers/path.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"geraniumcroft/internal/config"
+	"geraniumcroft/internal/incarnation"
 )
 
 // Stage is one replica's part of a path.
@@ -57,6 +58,15 @@
 	return Replica{}, false
 }
 
+// keys are the incarnations of the path's replicas.
+func (p Path) keys() []incarnation.Key {
+	keys := make([]incarnation.Key, 0, len(p))
+	for _, stage := range p {
+		keys = append(keys, stage.Replica.Key())
+	}
+	return keys
+}
+
 // span is a run of stages [from, to) of a path.
 type span struct{ from, to int }
 
--- a/internal/layers/reservation.go
+++ b/internal/layers/reservation.go
@@ -1,11 +1,8 @@
 package layers
 
 import (
-	"maps"
 	"slices"
 	"time"
-
-	"geraniumcroft/internal/incarnation"
 )
 
 // Reservation is a path with the room that a request holds on it.
@@ -36,31 +33,23 @@
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	spans := r.path.spans(stopped)
-	if r.released || len(spans) == 0 || spans[0].from == 0 {
-		return nil, ErrNoPath
-	}
-	need, now := r.detourNeed(stopped, written), time.Now()
+	now := time.Now()
 	var path Path
-	var parts []Path
+	var parts []detourPart
 	next := 0
-	for _, at := range spans {
-		part, err := t.replacement(r.path, at, need, near, now)
-		if err != nil {
-			return nil, err
-		}
-		for _, stage := range part {
-			need.Avoid[stage.Replica.Key()] = true
-		}
-		path = append(append(path, r.path[next:at.from]...), part...)
-		parts, next = append(parts, part), at.to
+	err := r.eachReplacement(stopped, written, near, now, func(p detourPart) {
+		path = append(append(path, r.path[next:p.at.from]...), p.stages...)
+		parts, next = append(parts, p), p.at.to
+	})
+	if err != nil {
+		return nil, err
 	}
 	path = append(path, r.path[next:]...)
 	if !path.Covers(t.spec.Layers) || len(path) > maxStages {
 		return nil, ErrNoPath // a stage that stays has started again and is on the detour as well
 	}
-	for i, at := range spans {
-		t.cross(r.path[at.from-1].Replica.DataCentre, parts[i], need.tokens(), now)
+	for _, p := range parts {
+		t.cross(r.path[p.at.from-1].Replica.DataCentre, p.stages, p.need.tokens(), now)
 	}
 	r.hold(-1)
 	r.path = path
@@ -68,23 +57,44 @@
 	return r.path, nil
 }
 
+// detourPart is a run of stopped stages and what replaces them.
+type detourPart struct {
+	at     span
+	stages Path
+	// need is what the stages were chosen for.
+	need Need
+}
+
+// eachReplacement finds other holders for each run of stopped stages, in the path's order. No replica
+// of the path, none that stopped and none of an earlier part is among them. The table is locked.
+func (r *Reservation) eachReplacement(stopped []string, written int, near bool, now time.Time, do func(detourPart)) error {
+	spans := r.path.spans(stopped)
+	if r.released || len(spans) == 0 || spans[0].from == 0 {
+		return ErrNoPath
+	}
+	need := r.detourNeed(stopped, written)
+	for _, at := range spans {
+		stages, err := r.table.replacement(r.path, at, need, near, now)
+		if err != nil {
+			return err
+		}
+		do(detourPart{at: at, stages: stages, need: need})
+		need = need.avoiding(stages.keys()...)
+	}
+	return nil
+}
+
 // detourNeed is what a detour needs: neither the path's replicas nor those that stopped. The table
 // is locked.
 func (r *Reservation) detourNeed(stopped []string, written int) Need {
-	need := r.need
-	need.Prompt += written
-	need.Avoid = maps.Clone(r.need.Avoid)
-	if need.Avoid == nil {
-		need.Avoid = map[incarnation.Key]bool{}
-	}
-	for _, stage := range r.path {
-		need.Avoid[stage.Replica.Key()] = true
-	}
+	avoid := r.path.keys()
 	for k, s := range r.table.replicas {
 		if slices.Contains(stopped, s.Address) {
-			need.Avoid[k] = true
+			avoid = append(avoid, k)
 		}
 	}
+	need := r.need.avoiding(avoid...)
+	need.Prompt += written
 	return need
 }
 
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -1,13 +1,10 @@
 package layers
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"geraniumcroft/internal/incarnation"
 )
 
 // search finds the cheapest path over the layers [from, to). A path is a walk over
@@ -56,12 +53,7 @@
 		if err != nil || !repeats {
 			return path, err
 		}
-		avoid := maps.Clone(s.need.Avoid)
-		if avoid == nil {
-			avoid = map[incarnation.Key]bool{}
-		}
-		avoid[between.Key()] = true
-		s.need.Avoid = avoid
+		s.need = s.need.avoiding(between.Key())
 	}
 }
 
@@ -115,7 +107,7 @@
 func (s *search) covered() bool {
 	for i := 0; i+1 < len(s.cuts); i++ {
 		held := slices.ContainsFunc(s.holders, func(r *state) bool {
-			return r.Held.From <= s.cuts[i] && r.Held.To >= s.cuts[i+1]
+			return r.Held.Contains(s.layers(i, i+1))
 		})
 		if !held {
 			return false
