relay, stall: answers of replicas are kept and shared by one piece

No change of behaviour. stageProber wrote again what asking had, single flight and answers that hold for a while: keptAnswers serves both. touch and targetEnded open and close a connection in one place. prepare judges the request once, askStages makes its addresses once, passesAny calls Path.At, and the pause that callers accept where the operator names none is stall.AcceptedGap alone. Doc comments say what the code does now; minLeft, which is a divisor, is leastLeft with its unit.

--- a/internal/relay/asking.go
+++ b/internal/relay/asking.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"sync"
 	"time"
-
-	"golang.org/x/sync/singleflight"
 )
 
 // reportFresh is how long a replica's report answers for it. Streams that stand still
@@ -15,53 +12,25 @@
 // asking asks replicas for their reports, once for all streams that want to know.
 type asking struct {
 	engines Engines
-	flights singleflight.Group
-
-	mu   sync.Mutex // guards the field below
-	kept map[string]keptReport
-}
-
-type keptReport struct {
-	report EngineReport
-	at     time.Time
+	reports *keptAnswers[EngineReport]
 }
 
 func newAsking(engines Engines) *asking {
-	return &asking{engines: engines, kept: map[string]keptReport{}}
+	return &asking{engines: engines, reports: newKeptAnswers[EngineReport]()}
 }
 
 // report returns a replica's report, at most reportFresh old.
 func (a *asking) report(address string) (EngineReport, error) {
-	if report, ok := a.recent(address); ok {
+	if report, ok := a.reports.recent(address); ok {
 		return report, nil
 	}
-	answer, err, _ := a.flights.Do(address, func() (any, error) {
+	return a.reports.once(address, func() (EngineReport, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
 		report, err := a.engines.Report(ctx, address)
 		if err == nil {
-			a.keep(address, report)
+			a.reports.keep(address, report, reportFresh)
 		}
 		return report, err
 	})
-	return answer.(EngineReport), err
-}
-
-func (a *asking) recent(address string) (EngineReport, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	kept, ok := a.kept[address]
-	return kept.report, ok && time.Since(kept.at) < reportFresh
-}
-
-// keep remembers the report, and drops those that are of no use any more.
-func (a *asking) keep(address string, report EngineReport) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for other, kept := range a.kept {
-		if time.Since(kept.at) >= reportFresh {
-			delete(a.kept, other)
-		}
-	}
-	a.kept[address] = keptReport{report: report, at: time.Now()}
 }
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -208,10 +208,6 @@
 // targetEnded asks whether anybody listens at a plain replica's address.
 func (h *Handler) targetEnded(address string) func(context.Context) endedProbe {
 	return func(ctx context.Context) endedProbe {
-		conn, err := h.connect(ctx, address)
-		if err == nil {
-			conn.Close()
-		}
-		return probeOf(err)
+		return probeOf(h.touch(ctx, address))
 	}
 }
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -13,9 +13,9 @@
 // What happens under failure. Before a byte was sent another replica is tried. After
 // that a request that may not be repeated ends as unknown unless the replica says
 // that it did not run it; one that may be repeated is sent once more within the retry
-// budget. A stream that stalls is asked about at its first replica, which names the
-// stage that stopped, and gets other holders of that stage's layers without being sent
-// again. A stream that breaks goes on at the next event elsewhere, in the same answer.
+// budget. When a stream stalls its stages are asked for a connection, and its first replica
+// for the stage that stopped; it gets other holders of the stopped stages' layers without
+// being sent again. A stream that breaks goes on at the next event elsewhere, in the same answer.
 // An answer that cannot be completed ends with its connection, so that it looks as
 // incomplete as it is.
 package relay
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -163,7 +163,8 @@
 // that its replica might yet have gone on with. The path is without some replicas and without those
 // that are fuller than maxFull, 0 for any; see layers.Need.
 func (g *generation) prepare(without []incarnation.Key, maxFull float64) bool {
-	if !g.mayResend() || g.h.crashes.judge(g.q).Quarantined {
+	verdict := g.h.crashes.judge(g.q)
+	if !g.mayResend() || verdict.Quarantined {
 		return false
 	}
 	need := g.need()
@@ -172,7 +173,7 @@
 	for _, k := range without {
 		need.Avoid[k] = true
 	}
-	need.SpareEntries = g.h.crashes.judge(g.q).Spare
+	need.SpareEntries = verdict.Spare
 	reservation, err := g.table.Reserve(need)
 	if err != nil {
 		return false
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -101,7 +101,7 @@
 
 // touch opens a connection to a replica and closes it.
 func (h *Handler) touch(ctx context.Context, address string) error {
-	conn, err := h.Pool.Connect(ctx, address, time.Second)
+	conn, err := h.connect(ctx, address)
 	if err == nil {
 		conn.Close()
 	}
--- a/internal/relay/stage_prober.go
+++ b/internal/relay/stage_prober.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/singleflight"
 
 	"geraniumcroft/internal/stall"
 )
@@ -34,19 +33,11 @@
 type stageProber struct {
 	connect func(ctx context.Context, address string) error
 	budget  *stall.QuestionBudget
-	flights singleflight.Group
-
-	mu   sync.Mutex // guards the field below
-	kept map[string]keptAnswer
-}
-
-type keptAnswer struct {
-	answer stall.Answer
-	until  time.Time
+	answers *keptAnswers[stall.Answer]
 }
 
 func newStageProber(connect func(ctx context.Context, address string) error) *stageProber {
-	return &stageProber{connect: connect, budget: stall.NewQuestionBudget(), kept: map[string]keptAnswer{}}
+	return &stageProber{connect: connect, budget: stall.NewQuestionBudget(), answers: newKeptAnswers[stall.Answer]()}
 }
 
 // ask asks all stages at once, and returns how many of the answers were not known before.
@@ -54,7 +45,7 @@
 	asked = make([]stall.Asked, len(stages))
 	var all sync.WaitGroup
 	for i, stage := range stages {
-		answer, known := p.recent(stage.Address)
+		answer, known := p.answers.recent(stage.Address)
 		asked[i] = stall.Asked{Stage: stage, Answer: answer}
 		if known || !p.budget.Left() {
 			continue
@@ -68,8 +59,8 @@
 
 // question asks one stage, together with others that ask it now.
 func (p *stageProber) question(address string) stall.Answer {
-	answer, _, _ := p.flights.Do(address, func() (any, error) {
-		if answer, ok := p.recent(address); ok {
+	answer, _ := p.answers.once(address, func() (stall.Answer, error) {
+		if answer, ok := p.answers.recent(address); ok {
 			return answer, nil
 		}
 		if !p.budget.Take() {
@@ -79,7 +70,7 @@
 		p.keep(address, answer)
 		return answer, nil
 	})
-	return answer.(stall.Answer)
+	return answer
 }
 
 // dial asks on one connection, and on others as long as nothing comes back.
@@ -122,29 +113,12 @@
 	return stall.AnswerUnknown
 }
 
-func (p *stageProber) recent(address string) (stall.Answer, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept, ok := p.kept[address]
-	return kept.answer, ok && time.Now().Before(kept.until)
-}
-
-// keep remembers an answer, and drops those that are of no use any more.
+// keep remembers an answer for as long as it holds.
 func (p *stageProber) keep(address string, answer stall.Answer) {
-	fresh := goneFresh
 	switch answer {
-	case stall.AnswerUnknown:
-		return
 	case stall.AnswerTaken:
-		fresh = takenFresh
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for other, kept := range p.kept {
-		if !now.Before(kept.until) {
-			delete(p.kept, other)
-		}
+		p.answers.keep(address, answer, takenFresh)
+	case stall.AnswerRefused, stall.AnswerSilent:
+		p.answers.keep(address, answer, goneFresh)
 	}
-	p.kept[address] = keptAnswer{answer: answer, until: now.Add(fresh)}
 }
--- a/internal/relay/stall_look.go
+++ b/internal/relay/stall_look.go
@@ -27,7 +27,7 @@
 func (w *stallWatch) look(p pause) time.Duration {
 	if p.stages {
 		if stopped := w.askStages(p); len(stopped) > 0 && w.still(p) {
-			return w.move(p, addressesOf(stopped))
+			return w.move(p, stopped)
 		}
 	}
 	if p.report && w.still(p) {
@@ -38,21 +38,21 @@
 	return max(readFirst, w.patience().Report-time.Since(w.last))
 }
 
-// askStages asks the stages that no other stream has passed since, and returns those that have
-// stopped.
-func (w *stallWatch) askStages(p pause) []stall.Stage {
+// askStages asks the stages that no other stream has passed since, and returns the addresses of
+// those that have stopped.
+func (w *stallWatch) askStages(p pause) []string {
 	h := w.g.h
 	suspicion := h.watches.suspects(w)
 	asked, dialled := h.prober.ask(suspicion.Suspects)
-	stopped := stall.Stopped(asked, suspicion.Passed)
+	stopped := addressesOf(stall.Stopped(asked, suspicion.Passed))
 	if dialled > 0 || len(stopped) > 0 {
 		h.Logger.Info("stages asked", zap.String("requestId", w.g.q.RequestID), zap.Duration("stood", p.stood),
-			zap.Int("asked", dialled), zap.Int("known", len(asked)-dialled), zap.Int("passed", len(suspicion.Passed)), zap.Strings("stopped", addressesOf(stopped)))
+			zap.Int("asked", dialled), zap.Int("known", len(asked)-dialled), zap.Int("passed", len(suspicion.Passed)), zap.Strings("stopped", stopped))
 	}
-	var gone []stall.Stage
+	var gone []string
 	for _, a := range asked {
 		if a.Answer == stall.AnswerRefused {
-			gone = append(gone, a.Stage)
+			gone = append(gone, a.Address)
 		}
 	}
 	if len(gone) > 0 {
--- a/internal/relay/stall_move.go
+++ b/internal/relay/stall_move.go
@@ -22,8 +22,9 @@
 	movePatience = 600 * time.Millisecond
 	// roomyPath is how full the replicas of a path may be that a stream takes in place of a late move.
 	roomyPath = 0.6
-	// minLeft is the least part of the accepted pause that holders are given to read in.
-	minLeft = 4
+	// leastLeft is the least part of the accepted pause that holders are given to read in: one in so
+	// many.
+	leastLeft = 4
 	// maxOrders bounds the orders to move in one pause; each may name one more stage that is gone.
 	maxOrders = 2
 )
@@ -52,14 +53,11 @@
 // crowded returns the holders nearby that this stream leaves to others, as they can't read all in
 // time; which streams do is left to chance, as the VMs don't know of each other's.
 func (w *stallWatch) crowded(stopped []string) []incarnation.Key {
+	gap := stall.AcceptedGap(w.g.q.profile.Gap)
 	w.mu.Lock()
-	gap := w.g.q.profile.Gap
-	if gap <= 0 {
-		gap = stall.UsualGap
-	}
 	left := gap - time.Since(w.last)
 	w.mu.Unlock()
-	crowd, ok := w.reservation.Crowd(stopped, int(w.g.events.Load()), max(left, gap/minLeft))
+	crowd, ok := w.reservation.Crowd(stopped, int(w.g.events.Load()), max(left, gap/leastLeft))
 	if !ok || rand.Float64() < crowd.InTime {
 		return nil
 	}
--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -116,7 +116,11 @@
 }
 
 func (w *stallWatch) passesAny(addresses []string) bool {
-	return slices.ContainsFunc(w.reservation.Path(), func(s layers.Stage) bool { return slices.Contains(addresses, s.Replica.Address) })
+	path := w.reservation.Path()
+	return slices.ContainsFunc(addresses, func(address string) bool {
+		_, on := path.At(address)
+		return on
+	})
 }
 
 // wake makes the watch look at its stages at once: one of them is gone.
--- a/internal/relay/stall_watches.go
+++ b/internal/relay/stall_watches.go
@@ -51,10 +51,9 @@
 }
 
 // tell wakes the other streams that pass through stages which are gone for certain.
-func (s *stallWatches) tell(from *stallWatch, gone []stall.Stage) {
-	addresses := addressesOf(gone)
+func (s *stallWatches) tell(from *stallWatch, gone []string) {
 	for _, other := range s.others(from) {
-		if other.passesAny(addresses) {
+		if other.passesAny(gone) {
 			other.wake()
 		}
 	}
--- a/internal/stall/doc.go
+++ b/internal/stall/doc.go
@@ -9,5 +9,5 @@
 // A false alarm costs a move of the stream and never an answer. Full listeners, lossy links and
 // data centres that are cut off look like silence, so silence counts only beside stages of the
 // same data centre that do answer. A slow path is none that stopped: Patience follows the pace of
-// the stream's own events.
+// the stream's own events up to a bound, and QuestionBudget bounds what the questions cost.
 package stall
--- a/internal/stall/patience.go
+++ b/internal/stall/patience.go
@@ -8,11 +8,18 @@
 	askShare = 0.4
 	// reportShare is the part after which its first replica is asked for a report.
 	reportShare = 0.6
-
-	// UsualGap stands for the pause that callers accept where the operator names none.
-	UsualGap = 250 * time.Millisecond
+	// usualGap stands for the pause that callers accept where the operator names none.
+	usualGap = 250 * time.Millisecond
 )
 
+// AcceptedGap is the pause that callers accept, where the operator names one or, with 0, none.
+func AcceptedGap(named time.Duration) time.Duration {
+	if named <= 0 {
+		return usualGap
+	}
+	return named
+}
+
 // Patience is how long a stream may stand still.
 type Patience struct {
 	// Ask is how long before its stages are asked, Report before its first replica is.
@@ -24,9 +31,7 @@
 // 0 if that is unknown. The stages of a path that is slow or uneven are asked later, but no later
 // than its first replica, which lets all streams share one answer.
 func PatienceOf(gap time.Duration, pace Pace) Patience {
-	if gap <= 0 {
-		gap = UsualGap
-	}
+	gap = AcceptedGap(gap)
 	share := func(of float64) time.Duration { return time.Duration(of * float64(gap)) }
 	report := share(reportShare)
 	return Patience{Ask: min(report, max(share(askShare), pace.Unusual())), Report: report}
