--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -120,11 +120,11 @@
 // verdict judges a record. l.mu is held.
 func (l *Ledger) verdict(r *record, now time.Time) Verdict {
 	ends, unseen := r.counted(), now.Sub(r.seen)
-	v := Verdict{Ends: ends}
+	v, enough := Verdict{Ends: ends}, l.enough(r)
 	switch {
-	case !l.enough(r) && unseen >= l.settings.SuspectFor:
+	case !enough && unseen >= l.settings.SuspectFor:
 		v.Ends = 0
-	case !l.enough(r):
+	case !enough:
 		l.spare(&v, unseen)
 	case unseen < l.settings.HoldFor:
 		v.Quarantined, v.Left = true, l.settings.HoldFor-unseen
