pushback: what a replica says of its rate limit is decoded, logged, counted and dumped

The platform's header is decoded in one place; one that can't be read is a typed error and one log line, and says nothing: a limit that was in force stays, as neither its end nor another one was told. Nothing is refused or held back yet.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -11,6 +11,7 @@
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/platform/accounted"
+	"geraniumcroft/internal/pushback"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/router"
 )
@@ -37,8 +38,10 @@
 	StoreCalls accounted.Counts `json:"storeCalls"`
 	// Quarantine are the requests under which replicas have ended.
 	Quarantine []quarantine.Entry `json:"quarantine"`
-	Invariants invariant.Report   `json:"invariants"`
-	LogDropped uint64             `json:"logLinesDropped"`
+	// Pushback is what replicas ask of those who send to them.
+	Pushback   []pushback.Entry `json:"pushback"`
+	Invariants invariant.Report `json:"invariants"`
+	LogDropped uint64           `json:"logLinesDropped"`
 }
 
 func (p *Process) adminHandler() http.Handler {
@@ -73,6 +76,7 @@
 		"log_lines_dropped":       float64(p.LogDropped()),
 		"requests_suspected":      float64(held.Suspected),
 		"requests_quarantined":    float64(held.Quarantined),
+		"replicas_limited":        float64(p.pushback.Counts().Limited),
 	} {
 		p.metrics.Gauge(name).Update(value)
 	}
@@ -90,7 +94,7 @@
 		VM: p.Settings.VM.Name, Gate: p.gate.State(), InHand: p.handler.InHand(), ConfigVersion: p.view.configVersion(), ConfigAge: p.view.ConfigAge().String(),
 		VMs: p.census.VMs(), HoldsDuty: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
-		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()),
+		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()),
 	}
 	dump.Unusable, dump.TurnedUnusable = p.view.unusableEntries()
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -18,6 +18,7 @@
 	"geraniumcroft/internal/placer"
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/pushback"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/quarantine/sharing"
 	"geraniumcroft/internal/relay"
@@ -42,6 +43,7 @@
 	p.peers = mirror.NewClient(p.PeersAddress(), s.Peers.Seeds, p.Logger)
 	p.mirror = mirror.NewServer(p.since, p.take, p.Logger)
 	p.balancer = balance.New(balance.Settings{}, p.invariants)
+	p.pushback = pushback.NewLedger(p.Logger)
 	p.pools = relay.NewPools()
 	p.budgets = relay.NewBudgets(relay.BudgetSettings{Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow})
 	p.pools.SetSharers(layers.Sharers{DataCentre: s.VM.DataCentre, All: usualVMs, Home: usualVMs / usualDataCentres})
@@ -82,7 +84,7 @@
 		DataCentre: p.Settings.VM.DataCentre, Source: p.view, Codec: p.Wiring.Codec, Gate: p.gate,
 		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, Budgets: p.budgets,
 		Engines: p.Wiring.Engines, Pool: p.Pool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
-		Quarantine: p.quarantine, News: p.sharing, Incarnations: p.view.listing.incarnations,
+		Quarantine: p.quarantine, News: p.sharing, Pushback: p.pushback, Incarnations: p.view.listing.incarnations,
 	})
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -21,6 +21,7 @@
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/pushback"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/quarantine/sharing"
 	"geraniumcroft/internal/relay"
@@ -81,6 +82,8 @@
 	// quarantine knows requests that crash replicas, and sharing exchanges it with other VMs.
 	quarantine *quarantine.Ledger
 	sharing    *sharing.Sharing
+	// pushback keeps what replicas ask of those who send to them.
+	pushback *pushback.Ledger
 
 	listeners struct{ callers, ready, metrics, peers net.Listener }
 	callers   *http.Server
--- /dev/null
+++ b/internal/pushback/dump.go
@@ -0,0 +1,43 @@
+package pushback
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"geraniumcroft/internal/incarnation"
+)
+
+// Entry is what is in force of one replica's word, for the dump and the log.
+type Entry struct {
+	Replica string `json:"replica"`
+	// LimitPerSecond is what it takes from all VMs, nil without a limit.
+	LimitPerSecond *float64 `json:"limitPerSecond,omitempty"`
+	// Sent counts this VM's requests to it since the limit was first heard.
+	Sent uint64 `json:"sent"`
+	// HeardSeconds is the age of its last word.
+	HeardSeconds float64 `json:"heardSeconds"`
+}
+
+// Dump returns what is in force, by replica.
+func (l *Ledger) Dump(now time.Time) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entries := []Entry{}
+	for key, s := range l.replicas {
+		if !s.idle() {
+			entries = append(entries, s.entry(key, now))
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Replica, b.Replica) })
+	return entries
+}
+
+func (s *state) entry(key incarnation.Key, now time.Time) Entry {
+	e := Entry{Replica: key.String(), Sent: s.sent, HeardSeconds: now.Sub(s.heard).Seconds()}
+	if s.limit.Named {
+		limit := s.limit.PerSecond
+		e.LimitPerSecond = &limit
+	}
+	return e
+}
--- /dev/null
+++ b/internal/pushback/ledger_test.go
@@ -0,0 +1,75 @@
+package pushback
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/incarnation"
+)
+
+var (
+	desk    = incarnation.Key{ID: "desk", Born: 1}
+	started = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// at is a moment of the tests.
+func at(seconds float64) time.Time {
+	return started.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// hear takes the answer to a request that was sent and answered at the given seconds.
+func hear(l *Ledger, signal Signal, sent, answered float64) {
+	l.Heard(Origin{Replica: desk, Sent: at(sent)}, signal, at(answered))
+}
+
+func named(l *Ledger) *float64 {
+	if entries := l.Dump(at(100)); len(entries) == 1 {
+		return entries[0].LimitPerSecond
+	}
+	return nil
+}
+
+func TestLimitEndsWithAnAnswerThatNamesNone(t *testing.T) {
+	l := NewLedger(zap.NewNop())
+	hear(l, Signal{Limit: LimitOf(5)}, 1, 2)
+	if got := named(l); got == nil || *got != 5 {
+		t.Fatalf("limit %v", got)
+	}
+	hear(l, Signal{}, 3, 4)
+	if got := named(l); got != nil {
+		t.Errorf("limit %v after it ended", *got)
+	}
+}
+
+// Guards against a limit that is lost as a slow answer to an earlier request comes in.
+func TestAnswerToAnEarlierRequestEndsNoLimit(t *testing.T) {
+	l := NewLedger(zap.NewNop())
+	hear(l, Signal{Limit: LimitOf(5)}, 1, 2)
+	hear(l, Signal{}, 1.5, 3)
+	if named(l) == nil {
+		t.Error("the limit is gone")
+	}
+}
+
+// Guards against a limit that is lost as the next one can't be read.
+func TestUnreadableLimitLeavesTheOneBefore(t *testing.T) {
+	l := NewLedger(zap.NewNop())
+	hear(l, Signal{Limit: LimitOf(5)}, 1, 2)
+	hear(l, Signal{Unreadable: errors.New("a limit of -1")}, 3, 4)
+	if got := named(l); got == nil || *got != 5 {
+		t.Errorf("limit %v", got)
+	}
+}
+
+func TestRestartedReplicaHasNoLimitUntilItNamesOne(t *testing.T) {
+	l := NewLedger(zap.NewNop())
+	hear(l, Signal{Limit: LimitOf(5)}, 1, 2)
+	later := incarnation.Key{ID: desk.ID, Born: desk.Born + 1}
+	l.Heard(Origin{Replica: later, Sent: at(3)}, Signal{}, at(4))
+	if _, known := l.replicas[later]; known {
+		t.Error("the later incarnation has the limit of the one before")
+	}
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -197,7 +197,7 @@
 		defer cancel()
 	}
 	q.story.add("sent", zap.String("replica", replica.Name), zap.String("address", replica.Address), zap.Duration("left", q.left()))
-	result, err := h.exchange(ctx, q, target{address: replica.Address, incarnation: incarnation.Parse(replica.Name)})
+	result, err := h.exchange(ctx, q, target{address: replica.Address, incarnation: incarnation.Parse(replica.Name), dataCentre: replica.DataCentre})
 	slot.Release(verdict(ctx, result, err))
 	switch {
 	case err == nil:
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/pushback"
 )
 
 // Codec knows how a request's facts are written in HTTP headers between callers, this
@@ -70,6 +71,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pushback is what the replica asks of those who send to it.
+	Pushback pushback.Signal
 }
 
 // Engines asks and orders replicas that hold layers. A path's first replica knows of
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,6 +11,7 @@
 
 	"geraniumcroft/internal/incarnation"
 	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/pushback"
 	"geraniumcroft/internal/transport"
 )
 
@@ -35,6 +36,7 @@
 type target struct {
 	address     string
 	incarnation incarnation.Key
+	dataCentre  string
 	path        layers.Path
 }
 
@@ -51,6 +53,8 @@
 	x := &exchange{conn: conn, stop: context.AfterFunc(ctx, conn.Close)}
 	conn.Until(q.deadline)
 	out := h.outgoing(q, to, lastEvent)
+	sentAt := time.Now()
+	h.Pushback.Sent(to.incarnation)
 	if sent, err := conn.Send(out); err != nil {
 		x.close()
 		if !sent {
@@ -65,9 +69,20 @@
 	if x.answer.NotRun {
 		q.boundary.DeclaredNotRun()
 	}
+	h.heard(to, x, sentAt)
 	return x, nil
 }
 
+// heard takes what the replica asks of its callers. An answer for want of the replica that was meant
+// comes from another one.
+func (h *Handler) heard(to target, x *exchange, sent time.Time) {
+	if x.resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	from := pushback.Origin{Replica: to.incarnation, DataCentre: to.dataCentre, Sent: sent}
+	h.Pushback.Heard(from, x.answer.Pushback, time.Now())
+}
+
 func (h *Handler) connect(ctx context.Context, address string) (*transport.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
--- a/internal/relay/generate_send.go
+++ b/internal/relay/generate_send.go
@@ -33,7 +33,7 @@
 	defer cancel(nil)
 	watch := newStallWatch(ctx, g, reservation, cancel)
 	defer watch.stop()
-	x, err := g.h.open(ctx, g.q, target{address: first.Address, incarnation: first.Key(), path: path}, g.lastEvent)
+	x, err := g.h.open(ctx, g.q, target{address: first.Address, incarnation: first.Key(), dataCentre: first.DataCentre, path: path}, g.lastEvent)
 	if err != nil {
 		return g.blame(ctx, first, err)
 	}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -17,6 +17,7 @@
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/listener"
 	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/pushback"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/transport"
 )
@@ -72,6 +73,8 @@
 	// Quarantine knows requests that crash replicas, and News tells other VMs of them.
 	Quarantine *quarantine.Ledger
 	News       News
+	// Pushback keeps what replicas ask of those who send to them.
+	Pushback *pushback.Ledger
 	// Incarnations are discovery's; nil leaves restarts of plain replicas uncounted.
 	Incarnations Incarnations
 	Logger       *zap.Logger
