pushback: the rate limit that a replica names is kept by all VMs together

What callers saw: nothing; a replica in need got 19 and 15 requests a second where it took 5.3 and 4.6 from all machines, 76 and 59 in 4 s, 37 and 33 allowed (LIMIT), for as long as it named the limit.

The header was never decoded, so what a replica says of itself had no place in any choice. Ruled out: limits kept by each VM for itself (the busiest sent over 5.3 a second alone), repeats (all sent once, none moved).

Change: a ledger of what each incarnation of a replica has said (internal/pushback). The choice of a target and of a path's first replica ask it and take from it; what waits is woken when there is room; a request that could only start too late is refused at once, with the time to come back. A limit is divided among at most as many VMs as it has requests a second, those of the replica's data centre first, by rendezvous hash; the others leave the replica alone. What one VM hears is offered to others and goes along with the board of loads, so that VMs without a part learn of the end; without news they try one request after 30 s, in turn. Questions for a replica's load take at most a quarter of its limit. A VM that has not counted the others is no sender.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -79,6 +79,14 @@
 	}
 }
 
+// WakeAll is Wake for all pools.
+func (c *Controller) WakeAll() {
+	c.pools.Range(func(name, _ any) bool {
+		c.Wake(name.(string))
+		return true
+	})
+}
+
 // Finished records that a request of the pool ended after that time of service.
 func (c *Controller) Finished(name string, took time.Duration) {
 	c.pool(name).finished(took)
--- a/internal/balance/candidate.go
+++ b/internal/balance/candidate.go
@@ -10,6 +10,7 @@
 // query, which would then have to live on the heap as the target does.
 type candidate struct {
 	settings *Settings
+	now      time.Time
 	best     *target
 	score    float64
 	offered  int
@@ -32,6 +33,9 @@
 	if !t.hasRoom(q.Urgency) || !q.accepts(t) {
 		return
 	}
+	if open, _ := c.settings.Gate.Open(t.name, c.now); !open {
+		return
+	}
 	c.offered++
 	score := t.score() + c.adjust(q, t) - bonus
 	if c.best == nil || score < c.score {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -18,7 +18,8 @@
 )
 
 // Pick chooses a target of the pool and reserves a slot on it. It returns
-// ErrNoCapacity when waiting can help and ErrNoTarget when it cannot.
+// ErrNoCapacity when waiting can help and ErrNoTarget when it cannot, and a *pushback.HeldError when
+// all targets have asked not to be sent requests now.
 func (b *Balancer) Pick(q Query) (*Slot, error) {
 	p := b.view.Load().pools[q.Pool]
 	if p == nil || len(p.members) == 0 {
@@ -34,6 +35,9 @@
 			return s, nil
 		}
 	}
+	if held, ok := p.held(&q, b.settings.Gate, now); ok {
+		return nil, held
+	}
 	return nil, p.noRoom(&q, now)
 }
 
@@ -56,7 +60,7 @@
 
 // choose returns the best of a few targets that have room, nil if none has.
 func (b *Balancer) choose(p *pool, q *Query, now time.Time) *target {
-	c := candidate{settings: &b.settings}
+	c := candidate{settings: &b.settings, now: now}
 	if len(q.Prefixes) > 0 {
 		c.offerHolders(q, p, now)
 	}
@@ -105,6 +109,10 @@
 			"target %s was chosen %s after it was closed", t.name, closed)
 		return nil
 	}
+	if !b.settings.Gate.Take(t.name, now) {
+		t.inFlight.Add(-1)
+		return nil
+	}
 	t.sent.add(now, 1)
 	return &Slot{balancer: b, target: t, config: t.config.Load(), started: now}
 }
--- a/internal/balance/settings.go
+++ b/internal/balance/settings.go
@@ -30,6 +30,8 @@
 
 // Settings tune the choice. A zero field takes its default.
 type Settings struct {
+	// Gate holds targets back that have asked for it; nil holds back none.
+	Gate Gate
 	// Choices is how many random targets Pick compares.
 	Choices int
 	// UrgentShare of a target's slots, at least one, is for urgent requests only.
@@ -96,6 +98,9 @@
 	s.PrefixBonus = cmp.Or(s.PrefixBonus, DefaultPrefixBonus)
 	s.PrefixTrustDecay = cmp.Or(s.PrefixTrustDecay, DefaultPrefixTrustDecay)
 	s.RemotePenalty = cmp.Or(s.RemotePenalty, DefaultRemotePenalty)
+	if s.Gate == nil {
+		s.Gate = openGate{}
+	}
 	if s.random == nil {
 		s.random = rand.IntN
 	}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -10,6 +10,7 @@
 	"geraniumcroft/internal/balance"
 	"geraniumcroft/internal/census"
 	"geraniumcroft/internal/follow"
+	"geraniumcroft/internal/incarnation"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/lease"
 	"geraniumcroft/internal/listener"
@@ -19,6 +20,7 @@
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/platform/resilient"
 	"geraniumcroft/internal/pushback"
+	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/quarantine/sharing"
 	"geraniumcroft/internal/relay"
@@ -42,9 +44,13 @@
 	})
 	p.peers = mirror.NewClient(p.PeersAddress(), s.Peers.Seeds, p.Logger)
 	p.mirror = mirror.NewServer(p.since, p.take, p.Logger)
-	p.balancer = balance.New(balance.Settings{}, p.invariants)
 	p.pushback = pushback.NewLedger(p.Logger)
+	p.pushbackSharing = pushbacksharing.New(p.pushback, p.peers, p.Logger)
+	p.admission = admission.New(admission.Settings{}, p.invariants)
+	gate := relay.NewReplicaGate(p.pushback, p.admission.WakeAll)
+	p.balancer = balance.New(balance.Settings{Gate: relay.TargetGate{ReplicaGate: gate}}, p.invariants)
 	p.pools = relay.NewPools()
+	p.pools.SetGate(gate)
 	p.budgets = relay.NewBudgets(relay.BudgetSettings{Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow})
 	p.pools.SetSharers(layers.Sharers{DataCentre: s.VM.DataCentre, All: usualVMs, Home: usualVMs / usualDataCentres})
 	p.view = &view{
@@ -58,8 +64,10 @@
 	own := census.VM{Name: s.VM.Name, Address: p.PeersAddress(), DataCentre: s.VM.DataCentre, Cores: s.VM.Cores}
 	p.census = census.New(p.table, own, p.onVMs, p.Logger)
 	p.board = loads.NewBoard(p.view.onLoads, p.Logger)
+	p.board.Attach(p.pushbackSharing)
 	p.keeper = loads.NewKeeper(loads.Options{
 		Board: p.board, Replicas: p.Wiring.Engines, Peers: p.peers, Tenure: func() (uint64, bool) { return p.tenure.now() }, Listed: p.view.engines, Logger: p.Logger,
+		MayAsk: func(k incarnation.Key) bool { return p.pushback.MayAsk(k, time.Now()) },
 	})
 	p.leases = lease.NewManager(lease.Options{
 		Table: p.table, VM: s.VM.Name, Duties: []string{placer.Duty}, TTL: leaseTTL,
@@ -79,7 +87,6 @@
 func (p *Process) onRestart(r relay.Replica) { p.Pool.Suspect(r.Address) }
 
 func (p *Process) buildRequestPath() {
-	p.admission = admission.New(admission.Settings{}, p.invariants)
 	p.handler = relay.New(relay.Options{
 		DataCentre: p.Settings.VM.DataCentre, Source: p.view, Codec: p.Wiring.Codec, Gate: p.gate,
 		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, Budgets: p.budgets,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -9,6 +9,8 @@
 	"geraniumcroft/internal/loads"
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/platform"
+	"geraniumcroft/internal/pushback"
+	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
 )
 
@@ -40,6 +42,8 @@
 		p.board.Take(change, age)
 	case quarantine.TableName:
 		p.sharing.Take(change, age)
+	case pushbacksharing.TableName:
+		p.pushbackSharing.Take(change, age)
 	}
 }
 
@@ -47,6 +51,7 @@
 	p.table.SetVMs(len(vms))
 	p.pools.SetSharers(p.sharers(vms))
 	p.budgets.SetVMs(len(vms))
+	p.pushback.SetFleet(p.fleet(vms), time.Now())
 	p.peers.SetPeers(p.peersAmong(vms))
 }
 
@@ -71,6 +76,14 @@
 	return addresses
 }
 
+func (p *Process) fleet(vms []census.VM) pushback.Fleet {
+	fleet := pushback.Fleet{Self: p.Settings.VM.Name, Known: true}
+	for _, vm := range vms {
+		fleet.VMs = append(fleet.VMs, pushback.VM{Name: vm.Name, DataCentre: vm.DataCentre})
+	}
+	return fleet
+}
+
 func (p *Process) sharers(vms []census.VM) layers.Sharers {
 	s := layers.Sharers{DataCentre: p.Settings.VM.DataCentre, All: len(vms)}
 	for _, vm := range vms {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -22,6 +22,7 @@
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/platform/resilient"
 	"geraniumcroft/internal/pushback"
+	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/quarantine/sharing"
 	"geraniumcroft/internal/relay"
@@ -83,7 +84,8 @@
 	quarantine *quarantine.Ledger
 	sharing    *sharing.Sharing
 	// pushback keeps what replicas ask of those who send to them.
-	pushback *pushback.Ledger
+	pushback        *pushback.Ledger
+	pushbackSharing *pushbacksharing.Sharing
 
 	listeners struct{ callers, ready, metrics, peers net.Listener }
 	callers   *http.Server
@@ -177,6 +179,7 @@
 	p.spawn(p.contend)
 	p.spawn(func() { p.keeper.Run(p.ctx) })
 	p.spawn(func() { p.sharing.Run(p.ctx) })
+	p.spawn(func() { p.pushbackSharing.Run(p.ctx) })
 	p.spawn(p.becomeReady)
 	p.spawn(p.lookAround)
 	p.spawn(p.tellState)
--- a/internal/layers/cost.go
+++ b/internal/layers/cost.go
@@ -33,6 +33,9 @@
 	if s.entry && !r.enters(s.table.spec.Slots, s.table.sharers.allowance(r.DataCentre), s.now) {
 		return math.Inf(1)
 	}
+	if s.entry && !s.open(r) {
+		return math.Inf(1)
+	}
 	if s.fromDC == "" || s.fromDC == r.DataCentre {
 		return 0
 	}
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -19,11 +19,12 @@
 	replicas map[incarnation.Key]*state
 	sharers  Sharers
 	pipes    pipes
+	gate     Gate
 }
 
 // NewTable returns a table without replicas.
 func NewTable() *Table {
-	return &Table{spec: &Spec{}, replicas: map[incarnation.Key]*state{}, sharers: Sharers{All: 1, Home: 1}, pipes: pipes{}}
+	return &Table{spec: &Spec{}, replicas: map[incarnation.Key]*state{}, sharers: Sharers{All: 1, Home: 1}, pipes: pipes{}, gate: openGate{}}
 }
 
 // SetSharers tells how many VMs share the replicas' memory.
@@ -88,14 +89,18 @@
 
 // Reserve chooses a path and holds room on each of its stages until the
 // reservation is released. It returns ErrNoRoom when waiting can help and ErrNoPath
-// when it cannot.
+// when it cannot, and a *pushback.HeldError when all replicas that the path could begin at have asked not
+// to be sent requests now.
 func (t *Table) Reserve(need Need) (*Reservation, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := search{table: t, need: need, now: time.Now(), to: t.spec.Layers, fromDC: need.DataCentre, entry: true}
 	path, err := s.run()
 	if err != nil {
-		return nil, err
+		return nil, s.heldOr(err)
+	}
+	if !t.gate.Take(path.First().Key(), s.now) {
+		return nil, s.heldOr(ErrNoRoom)
 	}
 	r := &Reservation{table: t, need: need, sent: s.now, path: path}
 	r.hold(1)
@@ -103,6 +108,13 @@
 	return r, nil
 }
 
+// SetGate sets what holds replicas back that have asked for it.
+func (t *Table) SetGate(gate Gate) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gate = gate
+}
+
 // Suspect avoids a replica for a while: a request found it dead, silent or without
 // the layers that it reported. A later incarnation of the replica is not meant.
 func (t *Table) Suspect(r Replica) {
--- a/internal/loads/board.go
+++ b/internal/loads/board.go
@@ -28,10 +28,22 @@
 // nothing to gain from rows of their own.
 const boardKey = "all"
 
+// attachedKey is the key of what goes along with each copy of the board.
+const attachedKey = "attached"
+
+// Attachment is news that goes along with each copy of the board.
+type Attachment interface {
+	// Attachment returns what this VM knows, nil if there is nothing.
+	Attachment() []byte
+	// Learn takes what a peer knew, of the given age.
+	Learn(news []byte, age time.Duration)
+}
+
 // Board is this VM's copy of the replicas' loads.
 type Board struct {
 	onChange func(map[incarnation.Key]layers.Load)
 	logger   *zap.Logger
+	attached Attachment
 
 	mu       sync.Mutex // guards the fields below
 	revision uint64
@@ -46,16 +58,24 @@
 	return &Board{onChange: onChange, logger: logger}
 }
 
+// Attach sets what goes along with the board. It is called before the board is used.
+func (b *Board) Attach(a Attachment) { b.attached = a }
+
 // Since returns the board for a peer whose copy has a revision, and the board's age.
 // There is none before the first.
 func (b *Board) Since(after uint64) (platform.TableChange, time.Duration, bool) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	change := platform.TableChange{Revision: b.revision}
+	change, age, ok := platform.TableChange{Revision: b.revision}, time.Since(b.at), b.row != nil
 	if b.revision > after {
 		change.Whole, change.Written = true, map[string][]byte{boardKey: b.row}
 	}
-	return change, time.Since(b.at), b.row != nil
+	b.mu.Unlock()
+	if change.Whole && b.attached != nil {
+		if news := b.attached.Attachment(); news != nil {
+			change.Written[attachedKey] = news
+		}
+	}
+	return change, age, ok
 }
 
 // Age is the time since the board was made, or since start before the first one.
@@ -124,6 +144,9 @@
 	if !change.Whole {
 		return
 	}
+	if news := change.Written[attachedKey]; b.attached != nil && news != nil {
+		b.attached.Learn(news, 0)
+	}
 	var loads map[incarnation.Key]layers.Load
 	if err := json.Unmarshal(change.Written[boardKey], &loads); err != nil {
 		b.logger.Warn("loads not read", zap.Error(err))
--- a/internal/loads/keeper.go
+++ b/internal/loads/keeper.go
@@ -54,6 +54,9 @@
 	Tenure func() (uint64, bool)
 	// Listed returns the replicas that are to be asked.
 	Listed func() []layers.Replica
+	// MayAsk reports whether a replica may be asked now; nil stands for all. One that is not asked is
+	// missing on the board.
+	MayAsk func(incarnation.Key) bool
 	Logger *zap.Logger
 }
 
@@ -98,6 +101,9 @@
 	var asking errgroup.Group
 	asking.SetLimit(askedAtOnce)
 	for _, r := range listed {
+		if k.MayAsk != nil && !k.MayAsk(r.Key()) {
+			continue
+		}
 		asking.Go(func() error {
 			load, err := k.load(ctx, r.Address)
 			if err != nil {
--- a/internal/outcome/reason.go
+++ b/internal/outcome/reason.go
@@ -20,7 +20,9 @@
 	ReasonOverloaded     Reason = "overloaded"
 	ReasonWorkspaceLimit Reason = "workspace-limit"
 	// ReasonQuarantined: replicas crashed each time that they ran the same request.
-	ReasonQuarantined      Reason = "quarantined"
+	ReasonQuarantined Reason = "quarantined"
+	// ReasonHeld: all replicas have asked not to be sent requests for a while.
+	ReasonHeld             Reason = "replicas-held"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNoTarget         Reason = "no-target"
 	ReasonStoreUnavailable Reason = "store-unavailable"
@@ -47,6 +49,7 @@
 	ReasonOverloaded:       503,
 	ReasonWorkspaceLimit:   429,
 	ReasonQuarantined:      429,
+	ReasonHeld:             503,
 	ReasonDeadline:         504,
 	ReasonNoTarget:         503,
 	ReasonStoreUnavailable: 503,
--- a/internal/pushback/dump.go
+++ b/internal/pushback/dump.go
@@ -13,6 +13,9 @@
 	Replica string `json:"replica"`
 	// LimitPerSecond is what it takes from all VMs, nil without a limit.
 	LimitPerSecond *float64 `json:"limitPerSecond,omitempty"`
+	// Sender says that this VM may send OwnPerSecond of it; others leave the replica alone.
+	Sender       bool    `json:"sender"`
+	OwnPerSecond float64 `json:"ownPerSecond"`
 	// Sent counts this VM's requests to it since the limit was first heard.
 	Sent uint64 `json:"sent"`
 	// HeardSeconds is the age of its last word.
@@ -34,7 +37,7 @@
 }
 
 func (s *state) entry(key incarnation.Key, now time.Time) Entry {
-	e := Entry{Replica: key.String(), Sent: s.sent, HeardSeconds: now.Sub(s.heard).Seconds()}
+	e := Entry{Replica: key.String(), Sender: s.part.sender, OwnPerSecond: s.part.rate, Sent: s.sent, HeardSeconds: now.Sub(s.heard).Seconds()}
 	if s.limit.Named {
 		limit := s.limit.PerSecond
 		e.LimitPerSecond = &limit
--- a/internal/pushback/ledger.go
+++ b/internal/pushback/ledger.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"geraniumcroft/internal/incarnation"
 )
@@ -15,14 +17,46 @@
 // Ledger keeps what replicas have said. It is safe for concurrent use.
 type Ledger struct {
 	logger *zap.Logger
+	// active counts the replicas that have something in force.
+	active atomic.Int32
 
-	mu       sync.Mutex // guards the field below
+	mu       sync.Mutex // guards the fields below
 	replicas map[incarnation.Key]*state
+	fleet    Fleet
+	onChange func(incarnation.Key)
+
+	// parts is partOf but in tests.
+	parts func(Limit, Fleet, int) part
 }
 
 // NewLedger returns a ledger of replicas that have said nothing.
 func NewLedger(logger *zap.Logger) *Ledger {
-	return &Ledger{logger: logger, replicas: map[incarnation.Key]*state{}}
+	return &Ledger{logger: logger, replicas: map[incarnation.Key]*state{}, onChange: func(incarnation.Key) {}, parts: partOf}
+}
+
+// OnChange sets the function that is told of a replica that says something else than before, by an
+// answer to this VM. It is called under the ledger's lock and must not block or call back.
+func (l *Ledger) OnChange(f func(incarnation.Key)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onChange = f
+}
+
+// SetFleet tells which VMs share the replicas.
+func (l *Ledger) SetFleet(fleet Fleet, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet = fleet
+	for key, s := range l.replicas {
+		if s.limit.Named {
+			l.divide(key, s, now)
+		}
+	}
+}
+
+// divide works out this VM's part of a replica's limit. l.mu is held.
+func (l *Ledger) divide(key incarnation.Key, s *state, now time.Time) {
+	s.share(l.parts(s.limit, l.fleet, l.fleet.rank(key, s.dataCentre)), now)
 }
 
 // Heard takes what an answer says.
@@ -34,49 +68,80 @@
 		if signal == (Signal{}) {
 			return
 		}
-		s = l.add(from, now)
+		s = l.add(from.Replica, from.DataCentre, now)
 	}
 	s.heard = now
 	if signal.Unreadable != nil {
 		l.unreadable(from.Replica, s, signal.Unreadable)
 		return
 	}
-	l.limited(from, s, signal.Limit, now)
+	// The answer to a request that was sent before the limit was heard of may be older than the limit.
+	if !signal.Limit.Named && from.Sent.Before(s.since) {
+		return
+	}
+	s.told = now
+	if l.limited(from.Replica, s, signal.Limit, now, "replica") {
+		l.onChange(from.Replica)
+	}
 }
 
 // add begins to keep what a replica says. l.mu is held.
-func (l *Ledger) add(from Origin, now time.Time) *state {
+func (l *Ledger) add(replica incarnation.Key, dataCentre string, now time.Time) *state {
 	for key, s := range l.replicas {
-		if now.Sub(s.heard) > forgetAfter {
+		if now.Sub(s.told) > forgetAfter && now.Sub(s.heard) > forgetAfter {
 			delete(l.replicas, key)
 		}
 	}
-	s := &state{dataCentre: from.DataCentre}
-	l.replicas[from.Replica] = s
+	s := &state{dataCentre: dataCentre, heard: now}
+	l.replicas[replica] = s
+	l.count()
 	return s
 }
 
-// limited takes the limit that an answer names, or that it names none. The answer to a request that
-// was sent before the limit was heard may be older than the limit, and does not end it.
-func (l *Ledger) limited(from Origin, s *state, limit Limit, now time.Time) {
-	if limit == s.limit || !limit.Named && from.Sent.Before(s.since) {
-		return
+// count counts what is in force. l.mu is held.
+func (l *Ledger) count() {
+	active := 0
+	for _, s := range l.replicas {
+		if !s.idle() {
+			active++
+		}
 	}
-	l.logger.Info("rate limit of a replica", zap.Stringer("replica", from.Replica), zap.Bool("limited", limit.Named),
-		zap.Float64("perSecond", limit.PerSecond), zap.Bool("before", s.limit.Named), zap.Float64("perSecondBefore", s.limit.PerSecond),
-		zap.Duration("lasted", lasted(s, now)), zap.Uint64("sent", s.sent))
-	if !s.limit.Named {
+	l.active.Store(int32(active))
+}
+
+// limited takes a limit, or that there is none, and reports whether it is another one than before.
+// l.mu is held.
+func (l *Ledger) limited(key incarnation.Key, s *state, limit Limit, now time.Time, by string) bool {
+	if limit == s.limit {
+		return false
+	}
+	var lasted time.Duration
+	if s.limit.Named {
+		lasted = now.Sub(s.since)
+	} else {
 		s.since, s.sent = now, 0
 	}
+	before := s.limit
 	s.limit = limit
+	s.part, s.bucket, s.tried = part{}, s.keptBucket(), time.Time{}
+	if limit.Named {
+		l.divide(key, s, now)
+	}
+	l.count()
+	l.logger.Info("rate limit of a replica", zap.Stringer("replica", key), zap.String("by", by),
+		zap.Bool("limited", limit.Named), zap.Float64("perSecond", limit.PerSecond),
+		zap.Bool("limitedBefore", before.Named), zap.Float64("perSecondBefore", before.PerSecond),
+		zap.Duration("lasted", lasted), zap.Uint64("sent", s.sent), zap.Int("vms", len(l.fleet.VMs)),
+		zap.Bool("sender", s.part.sender), zap.Float64("ownPerSecond", s.part.rate))
+	return true
 }
 
-// lasted is for how long the replica has been limited.
-func lasted(s *state, now time.Time) time.Duration {
+// keptBucket is the bucket that a new limit goes on with, nil where there is none any more.
+func (s *state) keptBucket() *rate.Limiter {
 	if !s.limit.Named {
-		return 0
+		return nil
 	}
-	return now.Sub(s.since)
+	return s.bucket
 }
 
 // unreadable logs a fault once for each replica and kind of fault. l.mu is held.
@@ -90,6 +155,9 @@
 
 // Sent counts a request that is about to be sent to a replica.
 func (l *Ledger) Sent(replica incarnation.Key) {
+	if !l.Active() {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.replicas[replica]; s != nil {
--- /dev/null
+++ b/internal/pushback/notice.go
@@ -0,0 +1,92 @@
+package pushback
+
+import (
+	"time"
+
+	"geraniumcroft/internal/incarnation"
+)
+
+// noticeFor is how long after a limit has ended other VMs are still told of it.
+const noticeFor = time.Minute
+
+// Notice is what a replica has said, as one VM tells it to another.
+type Notice struct {
+	Replica    incarnation.Key `json:"replica"`
+	DataCentre string          `json:"dataCentre"`
+	// PerSecond is the limit, nil if the replica has none any more.
+	PerSecond *float64 `json:"perSecond,omitempty"`
+	// AgeMS is the time since the replica said so.
+	AgeMS int64 `json:"ageMs"`
+}
+
+func (n Notice) limit() Limit {
+	if n.PerSecond == nil {
+		return Limit{}
+	}
+	return LimitOf(*n.PerSecond)
+}
+
+// Notices returns what other VMs should know of replicas, of all if none is named.
+func (l *Ledger) Notices(now time.Time, of ...incarnation.Key) []Notice {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var notices []Notice
+	if len(of) == 0 {
+		for key, s := range l.replicas {
+			notices = s.addNotice(notices, key, now)
+		}
+		return notices
+	}
+	for _, key := range of {
+		if s := l.replicas[key]; s != nil {
+			notices = s.addNotice(notices, key, now)
+		}
+	}
+	return notices
+}
+
+func (s *state) addNotice(notices []Notice, key incarnation.Key, now time.Time) []Notice {
+	if s.told.IsZero() || !s.limit.Named && now.Sub(s.told) > noticeFor {
+		return notices
+	}
+	n := Notice{Replica: key, DataCentre: s.dataCentre, AgeMS: now.Sub(s.told).Milliseconds()}
+	if s.limit.Named {
+		limit := s.limit.PerSecond
+		n.PerSecond = &limit
+	}
+	return append(notices, n)
+}
+
+// Learn takes what another VM tells, of the given age. What the replica has said since stays.
+func (l *Ledger) Learn(notices []Notice, age time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range notices {
+		told := now.Add(-age - time.Duration(n.AgeMS)*time.Millisecond)
+		s := l.replicas[n.Replica]
+		if s == nil {
+			if n.PerSecond == nil {
+				continue
+			}
+			s = l.add(n.Replica, n.DataCentre, now)
+		}
+		if !told.After(s.told) {
+			continue
+		}
+		s.told = told
+		l.limited(n.Replica, s, n.limit(), now, "peer")
+	}
+}
+
+// Held returns the limited replicas that have answered this VM within a time.
+func (l *Ledger) Held(within time.Duration, now time.Time) []incarnation.Key {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var keys []incarnation.Key
+	for key, s := range l.replicas {
+		if s.limit.Named && now.Sub(s.heard) <= within {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- a/internal/pushback/state.go
+++ b/internal/pushback/state.go
@@ -1,15 +1,28 @@
 package pushback
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 // state is what one incarnation of a replica has said.
 type state struct {
 	dataCentre string
 	limit      Limit
-	// since is when the limit was first heard, heard when the replica last said anything.
+	// told is when the replica last said whether it has a limit, to this VM or to one that passed it on.
+	told time.Time
+	// since is when the present limit was first heard of, heard when the replica last answered this VM.
 	since time.Time
 	heard time.Time
-	// sent counts this VM's requests to the replica since the limit was first heard.
+	// part is what this VM may send of the limit, and bucket bounds it for a sender.
+	part   part
+	bucket *rate.Limiter
+	// tried is when this VM, no sender, last tried a request.
+	tried time.Time
+	// asked is when this VM last asked for the replica's load.
+	asked time.Time
+	// sent counts this VM's requests to the replica since the limit was first heard of.
 	sent uint64
 	// unreadable is the last fault that was logged.
 	unreadable string
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -106,7 +106,7 @@
 	failure := h.admit(ctx, q, 1, false, func() bool {
 		picked, err := h.Balancer.Pick(h.query(q, nil))
 		none = nil
-		if errors.Is(err, balance.ErrNoTarget) {
+		if errors.Is(err, balance.ErrNoTarget) || h.heldTooLong(q, err) != nil {
 			none = err
 			return true
 		}
@@ -122,6 +122,9 @@
 			return nil, failure
 		}
 	}
+	if held := h.heldTooLong(q, none); held != nil {
+		return nil, refuseHeld(held)
+	}
 	if none != nil {
 		return nil, outcome.Refuse(outcome.ReasonNoTarget, "no replica of the service can take work now").WithRetryAfter(soon).WithCause(none)
 	}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -241,7 +241,7 @@
 		need.SpareEntries = g.h.crashes.judge(g.q).Spare // an end may have been counted while it waited
 		r, err := g.table.Reserve(need)
 		none = nil
-		if errors.Is(err, layers.ErrNoPath) || errors.Is(err, layers.ErrLastEntries) {
+		if errors.Is(err, layers.ErrNoPath) || errors.Is(err, layers.ErrLastEntries) || !g.begun && g.h.heldTooLong(g.q, err) != nil {
 			none = err
 			return true
 		}
@@ -258,6 +258,9 @@
 	if errors.Is(none, layers.ErrLastEntries) {
 		return nil, g.h.crashes.spared(g.q).WithCause(none)
 	}
+	if held := g.h.heldTooLong(g.q, none); held != nil {
+		return nil, refuseHeld(held)
+	}
 	if none != nil && len(g.avoid) > 0 {
 		g.avoid = map[incarnation.Key]bool{}
 		return g.admit(ctx)
--- a/internal/relay/pools.go
+++ b/internal/relay/pools.go
@@ -12,6 +12,7 @@
 	mu      sync.RWMutex // guards the fields below
 	tables  map[string]*layers.Table
 	sharers layers.Sharers
+	gate    layers.Gate
 }
 
 // NewPools returns no pools.
@@ -31,6 +32,9 @@
 	if table == nil {
 		table = layers.NewTable()
 		table.SetSharers(p.sharers)
+		if p.gate != nil {
+			table.SetGate(p.gate)
+		}
 		p.tables[service] = table
 	}
 	p.mu.Unlock()
@@ -47,6 +51,13 @@
 	}
 }
 
+// SetGate sets what holds replicas back. It is called before the first Update.
+func (p *Pools) SetGate(gate layers.Gate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gate = gate
+}
+
 // SetLoads takes over what replicas of any pool reported.
 func (p *Pools) SetLoads(loads map[incarnation.Key]layers.Load) {
 	p.mu.RLock()
