--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -61,6 +61,7 @@
 func (p *Process) setGauges() {
 	unusable, turned := p.view.unusableCounts()
 	held := p.quarantine.Counts(time.Now())
+	pushing := p.pushback.Counts(time.Now())
 	for name, value := range map[string]float64{
 		"ready":              asGauge(p.gate.Ready()),
 		"requests_in_hand":   float64(p.handler.InHand()),
@@ -76,7 +77,8 @@
 		"log_lines_dropped":       float64(p.LogDropped()),
 		"requests_suspected":      float64(held.Suspected),
 		"requests_quarantined":    float64(held.Quarantined),
-		"replicas_limited":        float64(p.pushback.Counts().Limited),
+		"replicas_limited":        float64(pushing.Limited),
+		"replicas_backing_off":    float64(pushing.BackingOff),
 	} {
 		p.metrics.Gauge(name).Update(value)
 	}
--- a/internal/pushback/counts.go
+++ b/internal/pushback/counts.go
@@ -1,12 +1,16 @@
 package pushback
 
+import "time"
+
 // Counts says how many replicas have something in force.
 type Counts struct {
-	Limited int
+	// Limited have a rate limit, BackingOff want no requests from this VM for now.
+	Limited    int
+	BackingOff int
 }
 
 // Counts returns how many replicas have something in force.
-func (l *Ledger) Counts() Counts {
+func (l *Ledger) Counts(now time.Time) Counts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var c Counts
@@ -14,6 +18,9 @@
 		if s.limit.Named {
 			c.Limited++
 		}
+		if s.backOffLeft(now) > 0 {
+			c.BackingOff++
+		}
 	}
 	return c
 }
--- a/internal/pushback/dump.go
+++ b/internal/pushback/dump.go
@@ -18,6 +18,10 @@
 	OwnPerSecond float64 `json:"ownPerSecond"`
 	// Sent counts this VM's requests to it since the limit was first heard.
 	Sent uint64 `json:"sent"`
+	// BackOffSeconds is for how long yet the replica wants no requests from this VM, 0 if it does, and
+	// BackOffSent counts those that were sent since it asked for it.
+	BackOffSeconds float64 `json:"backOffSeconds,omitempty"`
+	BackOffSent    uint64  `json:"backOffSent,omitempty"`
 	// HeardSeconds is the age of its last word.
 	HeardSeconds float64 `json:"heardSeconds"`
 }
@@ -28,7 +32,7 @@
 	defer l.mu.Unlock()
 	entries := []Entry{}
 	for key, s := range l.replicas {
-		if !s.idle() {
+		if !s.idle(now) {
 			entries = append(entries, s.entry(key, now))
 		}
 	}
@@ -38,6 +42,9 @@
 
 func (s *state) entry(key incarnation.Key, now time.Time) Entry {
 	e := Entry{Replica: key.String(), Sender: s.part.sender, OwnPerSecond: s.part.rate, Sent: s.sent, HeardSeconds: now.Sub(s.heard).Seconds()}
+	if left := s.backOffLeft(now); left > 0 {
+		e.BackOffSeconds, e.BackOffSent = left.Seconds(), s.backOffSent
+	}
 	if s.limit.Named {
 		limit := s.limit.PerSecond
 		e.LimitPerSecond = &limit
--- a/internal/pushback/ledger.go
+++ b/internal/pushback/ledger.go
@@ -73,6 +73,11 @@
 	s.heard = now
 	if signal.Unreadable != nil {
 		l.unreadable(from.Replica, s, signal.Unreadable)
+	}
+	if signal.BackOff > 0 {
+		l.backOff(from.Replica, s, signal.BackOff, now)
+	}
+	if signal.LimitUnread {
 		return
 	}
 	// The answer to a request that was sent before the limit was heard of may be older than the limit.
@@ -98,11 +103,11 @@
 	return s
 }
 
-// count counts what is in force. l.mu is held.
+// count counts what is in force, or was until lately. l.mu is held.
 func (l *Ledger) count() {
 	active := 0
 	for _, s := range l.replicas {
-		if !s.idle() {
+		if s.limit.Named || !s.backOffUntil.IsZero() {
 			active++
 		}
 	}
@@ -136,6 +141,21 @@
 	return true
 }
 
+// backOff takes that a replica wants no requests from this VM for a time. l.mu is held.
+func (l *Ledger) backOff(key incarnation.Key, s *state, wanted time.Duration, now time.Time) {
+	left := s.backOffLeft(now)
+	if left >= wanted {
+		return
+	}
+	if left <= 0 {
+		s.backOffSince, s.backOffSent = now, 0
+	}
+	s.backOffUntil = now.Add(wanted)
+	l.count()
+	l.logger.Info("replica asks to back off", zap.Stringer("replica", key), zap.Duration("wanted", wanted), zap.Duration("left", left),
+		zap.Duration("since", now.Sub(s.backOffSince)), zap.Uint64("sent", s.backOffSent))
+}
+
 // keptBucket is the bucket that a new limit goes on with, nil where there is none any more.
 func (s *state) keptBucket() *rate.Limiter {
 	if !s.limit.Named {
@@ -162,5 +182,6 @@
 	defer l.mu.Unlock()
 	if s := l.replicas[replica]; s != nil {
 		s.sent++
+		s.backOffSent++
 	}
 }
--- a/internal/pushback/ledger_test.go
+++ b/internal/pushback/ledger_test.go
@@ -58,7 +58,7 @@
 func TestUnreadableLimitLeavesTheOneBefore(t *testing.T) {
 	l := NewLedger(zap.NewNop())
 	hear(l, Signal{Limit: LimitOf(5)}, 1, 2)
-	hear(l, Signal{Unreadable: errors.New("a limit of -1")}, 3, 4)
+	hear(l, Signal{LimitUnread: true, Unreadable: errors.New("a limit of -1")}, 3, 4)
 	if got := named(l); got == nil || *got != 5 {
 		t.Errorf("limit %v", got)
 	}
--- a/internal/pushback/state.go
+++ b/internal/pushback/state.go
@@ -20,6 +20,11 @@
 	bucket *rate.Limiter
 	// tried is when this VM, no sender, last tried a request.
 	tried time.Time
+	// backOffUntil is until when the replica wants no requests from this VM, backOffSince since when, and
+	// backOffSent how many it was sent since.
+	backOffUntil time.Time
+	backOffSince time.Time
+	backOffSent  uint64
 	// asked is when this VM last asked for the replica's load.
 	asked time.Time
 	// sent counts this VM's requests to the replica since the limit was first heard of.
@@ -29,4 +34,12 @@
 }
 
 // idle reports whether nothing is in force that the replica said.
-func (s *state) idle() bool { return !s.limit.Named }
+func (s *state) idle(now time.Time) bool { return !s.limit.Named && s.backOffLeft(now) <= 0 }
+
+// backOffLeft is for how long yet the replica wants no requests from this VM, 0 or less if it does.
+func (s *state) backOffLeft(now time.Time) time.Duration {
+	if s.backOffUntil.IsZero() {
+		return 0
+	}
+	return s.backOffUntil.Sub(now)
+}
