pushback: a replica that asks to back off is left alone for that time

The hold against one that turns requests away lasts a quarter of a second and doubles with each such answer in a row, but the load in the next such answer, which shows free slots, ended the hold and with it the doubling, so a request went there each quarter of a second. Ruled out: a last resort (the others had room), requests on their way (they came all through the rest).

Change: the ledger of what replicas say keeps until when a replica wants nothing from this VM. No call, first replica of a stream or question for its load goes there until then, and what was picked already is not sent. When the time is over one request goes first, as what has waited would arrive at one moment.

--- a/internal/pushback/asking.go
+++ b/internal/pushback/asking.go
@@ -23,7 +23,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.replicas[replica]
-	if s == nil || !s.limit.Named {
+	if s == nil {
+		return true
+	}
+	if s.backOffLeft(now) > 0 {
+		return false
+	}
+	if !s.limit.Named {
 		return true
 	}
 	perSecond := min(askMost, askShare*max(leastRate, s.limit.PerSecond))
--- a/internal/pushback/gate.go
+++ b/internal/pushback/gate.go
@@ -8,6 +8,10 @@
 	"geraniumcroft/internal/incarnation"
 )
 
+// probeAgain is after how long a replica that has not answered the first request after it asked to back
+// off is sent another one.
+const probeAgain = 250 * time.Millisecond
+
 // Active reports whether any replica has something in force.
 func (l *Ledger) Active() bool { return l.active.Load() > 0 }
 
@@ -37,8 +41,26 @@
 	return s == nil || s.take(now)
 }
 
+// BackedOff returns the error with which a request is not sent that was already meant for a replica, as it
+// has asked to back off meanwhile; nil if it has not.
+func (l *Ledger) BackedOff(replica incarnation.Key, now time.Time) *HeldError {
+	if !l.Active() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.replicas[replica]
+	if s == nil || s.backOffLeft(now) <= 0 {
+		return nil
+	}
+	return &HeldError{Until: s.backOffUntil}
+}
+
 // opens is Open of one replica.
 func (s *state) opens(now time.Time) (open bool, at time.Time) {
+	if at = s.backedOffUntil(); at.After(now) {
+		return false, at
+	}
 	switch {
 	case !s.limit.Named:
 		return true, now
@@ -51,6 +73,15 @@
 
 // take uses up one request of this VM's part.
 func (s *state) take(now time.Time) bool {
+	if s.backedOffUntil().After(now) || !s.takePart(now) {
+		return false
+	}
+	s.probed = now
+	return true
+}
+
+// takePart uses up one request of this VM's part of the limit.
+func (s *state) takePart(now time.Time) bool {
 	switch {
 	case !s.limit.Named:
 		return true
@@ -63,6 +94,15 @@
 	return s.bucket.AllowN(now, 1)
 }
 
+// backedOffUntil is until when the replica is left alone after it asked to back off. When that time is
+// over it is sent one request until it has answered one: what has waited would reach it at one moment.
+func (s *state) backedOffUntil() time.Time {
+	if s.backOffUntil.IsZero() || s.probed.Before(s.backOffUntil) {
+		return s.backOffUntil
+	}
+	return s.probed.Add(probeAgain)
+}
+
 // trialAt is when a VM that is no sender may try one request.
 func (s *state) trialAt() time.Time {
 	last := s.told
--- a/internal/pushback/held_error.go
+++ b/internal/pushback/held_error.go
@@ -6,7 +6,7 @@
 )
 
 // HeldError means that each replica that could take a request has asked not to be sent one now. The
-// request has not been sent.
+// request has not been sent, and may be sent later.
 type HeldError struct {
 	// Until is when the first of them may be sent one, zero if only other VMs may send to them.
 	Until time.Time
@@ -15,9 +15,9 @@
 // Error implements error.
 func (e *HeldError) Error() string {
 	if e.Until.IsZero() {
-		return "all replicas have asked not to be sent more requests by this VM"
+		return "held back, as replicas asked, for other VMs"
 	}
-	return fmt.Sprintf("all replicas ask not to be sent requests until %s", e.Until.Format(time.RFC3339Nano))
+	return fmt.Sprintf("held back, as replicas asked, until %s", e.Until.Format(time.RFC3339Nano))
 }
 
 // Sooner returns the earlier of two moments, of which a zero one is not known.
--- a/internal/pushback/ledger.go
+++ b/internal/pushback/ledger.go
@@ -76,6 +76,8 @@
 	}
 	if signal.BackOff > 0 {
 		l.backOff(from.Replica, s, signal.BackOff, now)
+	} else {
+		l.takesAgain(from, s)
 	}
 	if signal.LimitUnread {
 		return
@@ -156,6 +158,18 @@
 		zap.Duration("since", now.Sub(s.backOffSince)), zap.Uint64("sent", s.backOffSent))
 }
 
+// takesAgain ends what is left of a back-off when the replica takes a request that was sent after it.
+// l.mu is held.
+func (l *Ledger) takesAgain(from Origin, s *state) {
+	if s.backOffUntil.IsZero() || from.Sent.Before(s.backOffUntil) {
+		return
+	}
+	l.logger.Info("replica takes requests again after it asked to back off", zap.Stringer("replica", from.Replica),
+		zap.Duration("wanted", s.backOffUntil.Sub(s.backOffSince)), zap.Uint64("sent", s.backOffSent))
+	s.backOffUntil = time.Time{}
+	l.count()
+}
+
 // keptBucket is the bucket that a new limit goes on with, nil where there is none any more.
 func (s *state) keptBucket() *rate.Limiter {
 	if !s.limit.Named {
--- a/internal/pushback/state.go
+++ b/internal/pushback/state.go
@@ -25,6 +25,8 @@
 	backOffUntil time.Time
 	backOffSince time.Time
 	backOffSent  uint64
+	// probed is when the replica was last sent a request.
+	probed time.Time
 	// asked is when this VM last asked for the replica's load.
 	asked time.Time
 	// sent counts this VM's requests to the replica since the limit was first heard of.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,6 +14,7 @@
 	"geraniumcroft/internal/engine"
 	"geraniumcroft/internal/incarnation"
 	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/pushback"
 )
 
 const (
@@ -241,7 +242,10 @@
 // verdict says what an attempt tells about the replica.
 func verdict(ctx context.Context, result *callResult, err error) balance.Result {
 	var busy *notRunError
+	var held *pushback.HeldError
 	switch {
+	case errors.As(err, &held):
+		return balance.ResultNeutral
 	case errors.As(err, &busy):
 		return balance.ResultBusy
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -46,6 +46,10 @@
 	if err != nil {
 		return nil, &sendError{Address: to.address, Cause: err}
 	}
+	if held := h.Pushback.BackedOff(to.incarnation, time.Now()); held != nil {
+		conn.Close()
+		return nil, &sendError{Address: to.address, Cause: held}
+	}
 	if ctx.Err() != nil || !q.boundary.Cross() {
 		conn.Close()
 		return nil, &sendError{Address: to.address, Cause: errors.New("the request ended before it was sent")}
--- a/internal/relay/generate_send.go
+++ b/internal/relay/generate_send.go
@@ -11,6 +11,7 @@
 
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/pushback"
 )
 
 // send sends the generation along the reserved path and passes its events on.
@@ -60,7 +61,10 @@
 func (g *generation) blame(ctx context.Context, first layers.Replica, err error) error {
 	cause := context.Cause(ctx)
 	var stalled *stallError
+	var held *pushback.HeldError
 	switch {
+	case errors.As(err, &held):
+		return err // another path, or this one later; nothing is wrong with the replica
 	case errors.As(cause, &stalled):
 		g.avoid[stalled.Replica.Key()] = true
 		g.q.progress.left(stalled.Replica.Address, stalled.Why)
