pushback: a replica that says in its answers that it leaves counts as draining

What callers saw: nothing known. A replica that had said so got new requests for as long as its entry did not show it, also while the store was away; its end would have cut them off (DRAIN).

Change: the ledger keeps it until the incarnation ends, tells the other VMs, and the view of the replicas takes the replica for draining, so that the choice of targets, of paths and of the placement all see it. What was picked already is not sent. Streams in hand go on. An answer without the header takes nothing back.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -79,6 +79,7 @@
 		"requests_quarantined":    float64(held.Quarantined),
 		"replicas_limited":        float64(pushing.Limited),
 		"replicas_backing_off":    float64(pushing.BackingOff),
+		"replicas_leaving":        float64(pushing.Leaving),
 	} {
 		p.metrics.Gauge(name).Update(value)
 	}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -57,7 +57,9 @@
 		wiring: p.Wiring, pools: p.pools, balancer: p.balancer, invariants: p.invariants, logger: p.Logger,
 		listing: newListing(p.Wiring.DecodeReplica, p.Logger, p.onRestart),
 		unfit:   newUnusableEntries(p.Logger),
+		leaving: p.pushback.Leaving,
 	}
+	p.pushback.OnLeaving(p.view.onLeaving)
 	p.tries = follow.NewTries()
 	p.view.operator = p.follower(p.Wiring.OperatorTable, p.view.onConfig)
 	p.view.replicas = p.follower(p.Wiring.ReplicaTable, p.view.onReplicas)
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -35,6 +35,8 @@
 	mu      sync.Mutex // guards the fields below
 	version uint64     // of the balancer's snapshots
 	listing *listing
+	// leaving reports whether a replica has said in an answer that it leaves.
+	leaving func(incarnation.Key) bool
 	loaded  bool
 	// models are the replicas of each model's service that can be used.
 	models map[string][]layers.Replica
@@ -122,6 +124,13 @@
 	}
 }
 
+// onLeaving takes that a replica says that it leaves: it is draining, whatever discovery shows.
+func (v *view) onLeaving(incarnation.Key) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.apply()
+}
+
 // settle drops what waited for news that did not come.
 func (v *view) settle() {
 	v.mu.Lock()
@@ -143,6 +152,7 @@
 	v.models = map[string][]layers.Replica{}
 	unfit := map[string]error{}
 	for _, r := range v.listing.present() {
+		r.Draining = r.Draining || v.leaving(r.Key())
 		if err := fits(c, r); err != nil {
 			unfit[r.ID] = err
 			continue
--- a/internal/pushback/backoff_test.go
+++ b/internal/pushback/backoff_test.go
@@ -63,7 +63,7 @@
 	if l.MayAsk(desk, at(2)) || !l.MayAsk(desk, at(4)) {
 		t.Error("asked within its rest, or not after it")
 	}
-	if l.BackedOff(desk, at(2)) == nil || l.BackedOff(desk, at(4)) != nil {
+	if l.Closed(desk, at(2)) == nil || l.Closed(desk, at(4)) != nil {
 		t.Error("what was already meant for it is sent")
 	}
 }
--- a/internal/pushback/counts.go
+++ b/internal/pushback/counts.go
@@ -4,9 +4,10 @@
 
 // Counts says how many replicas have something in force.
 type Counts struct {
-	// Limited have a rate limit, BackingOff want no requests from this VM for now.
+	// Limited have a rate limit, BackingOff want no requests from this VM for now, Leaving leave.
 	Limited    int
 	BackingOff int
+	Leaving    int
 }
 
 // Counts returns how many replicas have something in force.
@@ -18,6 +19,9 @@
 		if s.limit.Named {
 			c.Limited++
 		}
+		if s.leaving {
+			c.Leaving++
+		}
 		if s.backOffLeft(now) > 0 {
 			c.BackingOff++
 		}
--- a/internal/pushback/dump.go
+++ b/internal/pushback/dump.go
@@ -22,6 +22,8 @@
 	// BackOffSent counts those that were sent since it asked for it.
 	BackOffSeconds float64 `json:"backOffSeconds,omitempty"`
 	BackOffSent    uint64  `json:"backOffSent,omitempty"`
+	// Leaving says that the replica has said that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
 	// HeardSeconds is the age of its last word.
 	HeardSeconds float64 `json:"heardSeconds"`
 }
@@ -41,7 +43,7 @@
 }
 
 func (s *state) entry(key incarnation.Key, now time.Time) Entry {
-	e := Entry{Replica: key.String(), Sender: s.part.sender, OwnPerSecond: s.part.rate, Sent: s.sent, HeardSeconds: now.Sub(s.heard).Seconds()}
+	e := Entry{Replica: key.String(), Sender: s.part.sender, OwnPerSecond: s.part.rate, Sent: s.sent, Leaving: s.leaving, HeardSeconds: now.Sub(s.heard).Seconds()}
 	if left := s.backOffLeft(now); left > 0 {
 		e.BackOffSeconds, e.BackOffSent = left.Seconds(), s.backOffSent
 	}
--- a/internal/pushback/gate.go
+++ b/internal/pushback/gate.go
@@ -41,19 +41,24 @@
 	return s == nil || s.take(now)
 }
 
-// BackedOff returns the error with which a request is not sent that was already meant for a replica, as it
-// has asked to back off meanwhile; nil if it has not.
-func (l *Ledger) BackedOff(replica incarnation.Key, now time.Time) *HeldError {
+// Closed returns the error with which a request is not sent that was already meant for a replica, as it
+// has asked to back off or said that it leaves meanwhile; nil if it has not.
+func (l *Ledger) Closed(replica incarnation.Key, now time.Time) *HeldError {
 	if !l.Active() {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.replicas[replica]
-	if s == nil || s.backOffLeft(now) <= 0 {
+	switch {
+	case s == nil:
 		return nil
+	case s.leaving:
+		return &HeldError{}
+	case s.backOffLeft(now) > 0:
+		return &HeldError{Until: s.backOffUntil}
 	}
-	return &HeldError{Until: s.backOffUntil}
+	return nil
 }
 
 // opens is Open of one replica.
--- a/internal/pushback/ledger.go
+++ b/internal/pushback/ledger.go
@@ -24,6 +24,8 @@
 	replicas map[incarnation.Key]*state
 	fleet    Fleet
 	onChange func(incarnation.Key)
+	// onLeaving is told of a replica that leaves, outside of the lock.
+	onLeaving func(incarnation.Key)
 
 	// parts is partOf but in tests.
 	parts func(Limit, Fleet, int) part
@@ -31,7 +33,7 @@
 
 // NewLedger returns a ledger of replicas that have said nothing.
 func NewLedger(logger *zap.Logger) *Ledger {
-	return &Ledger{logger: logger, replicas: map[incarnation.Key]*state{}, onChange: func(incarnation.Key) {}, parts: partOf}
+	return &Ledger{logger: logger, replicas: map[incarnation.Key]*state{}, onChange: func(incarnation.Key) {}, onLeaving: func(incarnation.Key) {}, parts: partOf}
 }
 
 // OnChange sets the function that is told of a replica that says something else than before, by an
@@ -42,6 +44,21 @@
 	l.onChange = f
 }
 
+// OnLeaving sets the function that is told of a replica which says that it leaves, by an answer to this
+// VM or by the word of another one. It is set before the ledger is used.
+func (l *Ledger) OnLeaving(f func(incarnation.Key)) { l.onLeaving = f }
+
+// Leaving reports whether a replica has said that it leaves.
+func (l *Ledger) Leaving(replica incarnation.Key) bool {
+	if !l.Active() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.replicas[replica]
+	return s != nil && s.leaving
+}
+
 // SetFleet tells which VMs share the replicas.
 func (l *Ledger) SetFleet(fleet Fleet, now time.Time) {
 	l.mu.Lock()
@@ -61,12 +78,19 @@
 
 // Heard takes what an answer says.
 func (l *Ledger) Heard(from Origin, signal Signal, now time.Time) {
+	if l.take(from, signal, now) {
+		l.onLeaving(from.Replica)
+	}
+}
+
+// take takes what an answer says, and reports whether it is new that the replica leaves.
+func (l *Ledger) take(from Origin, signal Signal, now time.Time) (leaves bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.replicas[from.Replica]
 	if s == nil {
 		if signal == (Signal{}) {
-			return
+			return false
 		}
 		s = l.add(from.Replica, from.DataCentre, now)
 	}
@@ -79,23 +103,35 @@
 	} else {
 		l.takesAgain(from, s)
 	}
-	if signal.LimitUnread {
-		return
-	}
+	leaves = signal.Leaving && l.leaves(from.Replica, s, "replica")
 	// The answer to a request that was sent before the limit was heard of may be older than the limit.
-	if !signal.Limit.Named && from.Sent.Before(s.since) {
-		return
+	limitKnown := !signal.LimitUnread && (signal.Limit.Named || !from.Sent.Before(s.since))
+	changed := leaves
+	if limitKnown {
+		s.told = now
+		changed = l.limited(from.Replica, s, signal.Limit, now, "replica") || leaves
 	}
-	s.told = now
-	if l.limited(from.Replica, s, signal.Limit, now, "replica") {
+	if changed {
 		l.onChange(from.Replica)
 	}
+	return leaves
+}
+
+// leaves takes that a replica leaves, and reports whether that is new. l.mu is held.
+func (l *Ledger) leaves(key incarnation.Key, s *state, by string) bool {
+	if s.leaving {
+		return false
+	}
+	s.leaving = true
+	l.count()
+	l.logger.Info("replica says that it leaves", zap.Stringer("replica", key), zap.String("by", by))
+	return true
 }
 
 // add begins to keep what a replica says. l.mu is held.
 func (l *Ledger) add(replica incarnation.Key, dataCentre string, now time.Time) *state {
 	for key, s := range l.replicas {
-		if now.Sub(s.told) > forgetAfter && now.Sub(s.heard) > forgetAfter {
+		if !s.leaving && now.Sub(s.told) > forgetAfter && now.Sub(s.heard) > forgetAfter {
 			delete(l.replicas, key)
 		}
 	}
@@ -109,7 +145,7 @@
 func (l *Ledger) count() {
 	active := 0
 	for _, s := range l.replicas {
-		if s.limit.Named || !s.backOffUntil.IsZero() {
+		if s.limit.Named || s.leaving || !s.backOffUntil.IsZero() {
 			active++
 		}
 	}
--- a/internal/pushback/notice.go
+++ b/internal/pushback/notice.go
@@ -15,6 +15,8 @@
 	DataCentre string          `json:"dataCentre"`
 	// PerSecond is the limit, nil if the replica has none any more.
 	PerSecond *float64 `json:"perSecond,omitempty"`
+	// Leaving says that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
 	// AgeMS is the time since the replica said so.
 	AgeMS int64 `json:"ageMs"`
 }
@@ -46,10 +48,11 @@
 }
 
 func (s *state) addNotice(notices []Notice, key incarnation.Key, now time.Time) []Notice {
-	if s.told.IsZero() || !s.limit.Named && now.Sub(s.told) > noticeFor {
+	ended := !s.limit.Named && (s.told.IsZero() || now.Sub(s.told) > noticeFor)
+	if ended && !s.leaving {
 		return notices
 	}
-	n := Notice{Replica: key, DataCentre: s.dataCentre, AgeMS: now.Sub(s.told).Milliseconds()}
+	n := Notice{Replica: key, DataCentre: s.dataCentre, Leaving: s.leaving, AgeMS: now.Sub(s.told).Milliseconds()}
 	if s.limit.Named {
 		limit := s.limit.PerSecond
 		n.PerSecond = &limit
@@ -59,23 +62,31 @@
 
 // Learn takes what another VM tells, of the given age. What the replica has said since stays.
 func (l *Ledger) Learn(notices []Notice, age time.Duration, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for _, n := range notices {
-		told := now.Add(-age - time.Duration(n.AgeMS)*time.Millisecond)
-		s := l.replicas[n.Replica]
-		if s == nil {
-			if n.PerSecond == nil {
-				continue
-			}
-			s = l.add(n.Replica, n.DataCentre, now)
+		if l.learn(n, now.Add(-age-time.Duration(n.AgeMS)*time.Millisecond), now) {
+			l.onLeaving(n.Replica)
 		}
-		if !told.After(s.told) {
-			continue
+	}
+}
+
+// learn takes a notice of what a replica told at a moment, and reports whether it is new that the
+// replica leaves.
+func (l *Ledger) learn(n Notice, told, now time.Time) (leaves bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.replicas[n.Replica]
+	if s == nil {
+		if n.PerSecond == nil && !n.Leaving {
+			return false
 		}
+		s = l.add(n.Replica, n.DataCentre, now)
+	}
+	leaves = n.Leaving && l.leaves(n.Replica, s, "peer")
+	if told.After(s.told) {
 		s.told = told
 		l.limited(n.Replica, s, n.limit(), now, "peer")
 	}
+	return leaves
 }
 
 // Held returns the limited replicas that have answered this VM within a time.
--- a/internal/pushback/signal.go
+++ b/internal/pushback/signal.go
@@ -10,6 +10,8 @@
 	LimitUnread bool
 	// BackOff is for how long the replica wants no requests from this VM, 0 if it does not say.
 	BackOff time.Duration
+	// Leaving says that the replica is about to end. No later answer of the same incarnation takes it back.
+	Leaving bool
 	// Unreadable is why parts of the answer's head could not be read, nil if all could. They say nothing.
 	Unreadable error
 }
--- a/internal/pushback/state.go
+++ b/internal/pushback/state.go
@@ -10,6 +10,8 @@
 type state struct {
 	dataCentre string
 	limit      Limit
+	// leaving says that the replica is about to end.
+	leaving bool
 	// told is when the replica last said whether it has a limit, to this VM or to one that passed it on.
 	told time.Time
 	// since is when the present limit was first heard of, heard when the replica last answered this VM.
@@ -36,7 +38,9 @@
 }
 
 // idle reports whether nothing is in force that the replica said.
-func (s *state) idle(now time.Time) bool { return !s.limit.Named && s.backOffLeft(now) <= 0 }
+func (s *state) idle(now time.Time) bool {
+	return !s.limit.Named && !s.leaving && s.backOffLeft(now) <= 0
+}
 
 // backOffLeft is for how long yet the replica wants no requests from this VM, 0 or less if it does.
 func (s *state) backOffLeft(now time.Time) time.Duration {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, &sendError{Address: to.address, Cause: err}
 	}
-	if held := h.Pushback.BackedOff(to.incarnation, time.Now()); held != nil {
+	if held := h.Pushback.Closed(to.incarnation, time.Now()); held != nil {
 		conn.Close()
 		return nil, &sendError{Address: to.address, Cause: held}
 	}
