relay: a suspect that is kept from the last replicas is refused as a suspect, with 429

What callers saw: 503, as for a service without replicas, while other drafts were served; after the next end the same request got 429.

Cause: two ends within two seconds are not enough to quarantine a request, and while too few other replicas are left it is not sent for 10 s. That refusal had the reason of a lack of replicas. Whether the third end came before the test's last call hung on how fast the replicas were replaced.

Change: its own reason, suspected, answered 429 as the quarantine is. Both promise that nothing ran; what is refused is the request and not the service. The time to come back is as before.

--- a/internal/outcome/reason.go
+++ b/internal/outcome/reason.go
@@ -21,6 +21,8 @@
 	ReasonWorkspaceLimit Reason = "workspace-limit"
 	// ReasonQuarantined: replicas crashed each time that they ran the same request.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonSuspected: a replica crashed as it ran the same request, and too few others are left.
+	ReasonSuspected Reason = "suspected"
 	// ReasonHeld: all replicas have asked not to be sent requests for a while.
 	ReasonHeld             Reason = "replicas-held"
 	ReasonDeadline         Reason = "deadline"
@@ -49,6 +51,7 @@
 	ReasonOverloaded:       503,
 	ReasonWorkspaceLimit:   429,
 	ReasonQuarantined:      429,
+	ReasonSuspected:        429,
 	ReasonHeld:             503,
 	ReasonDeadline:         504,
 	ReasonNoTarget:         503,
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -88,7 +88,7 @@
 	if q.boundary.MayHaveRun() {
 		return outcome.Uncertain(outcome.ReasonTargetFailed, "the replica that ran the request crashed")
 	}
-	return outcome.Refuse(outcome.ReasonNoTarget, "a replica crashed under this request and too few others are left").WithRetryAfter(max(soon, verdict.Left))
+	return outcome.Refuse(outcome.ReasonSuspected, "a replica crashed under this request and too few others are left").WithRetryAfter(max(soon, verdict.Left))
 }
 
 // youngRun is how long a run must have brought events to clear its request.
