census, pushback: a new VM takes no part in a rate limit before the others count it

Found by adding up the bounds: a VM that is added knows the list at once, the others know it after their next round, up to 8 s later. Meanwhile it may rank among the senders of a limit beside all those whom the others take for them; with two such at a limit of 5 a second 7 senders may send 35 in 4 s beside 4 questions, 35 allowed. It now waits until its row has been there for a round, and is taken for a VM that hasn't counted the others until then; one that goes on from an earlier process has its part at once, as the others go on counting it.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -46,6 +46,10 @@
 	follows bool
 	// known says that the list was read.
 	known bool
+	// listed is when this VM's row was first read, zero before; countedBefore says that the first list
+	// had a row of an earlier process of this VM.
+	listed        time.Time
+	countedBefore bool
 }
 
 // sighting is when a row's present revision was first read.
@@ -145,6 +149,15 @@
 	return c.known
 }
 
+// Counted reports whether other VMs count this one by now: it goes on from an earlier process of
+// its, or its row has been there for a round of theirs. In a fleet of more than some 20 VMs rounds
+// are longer, and a part of them may not count it yet.
+func (c *Census) Counted(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.countedBefore || !c.listed.IsZero() && now.Sub(c.listed) >= interval
+}
+
 // write rewrites this VM's row. The row may be that of an earlier process of the same
 // name, which is gone.
 func (c *Census) write(ctx context.Context, rows []platform.Row) error {
@@ -182,6 +195,9 @@
 			at = sighting{revision: row.Revision, at: now}
 		}
 		seen[row.Key] = at
+		if row.Key == prefix+c.own.Name && c.listed.IsZero() {
+			c.listed, c.countedBefore = now, !c.known
+		}
 		var vm VM
 		if err := json.Unmarshal(row.Value, &vm); err != nil {
 			c.logger.Warn("row of a VM not read", zap.String("key", row.Key), zap.Error(err))
--- a/internal/census/census_test.go
+++ b/internal/census/census_test.go
@@ -308,3 +308,32 @@
 		t.Error("the order depends on that of the list")
 	}
 }
+
+// Guards against a new VM that acts as one of the fleet while the others do not count it yet.
+func TestNewVMWaitsUntilTheOthersCountIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: map[string]platform.Row{}}
+		start := func(name string) *Census {
+			c := New(table, VM{Name: name, Address: name}, func([]VM) {}, zap.NewNop())
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			t.Cleanup(cancel)
+			go c.Run(ctx)
+			return c
+		}
+		first := start("vm-0")
+		time.Sleep(30 * time.Second)
+		added := start("vm-1")
+		for ; !added.Counted(time.Now()); time.Sleep(100 * time.Millisecond) {
+		}
+		if len(first.VMs()) != 2 {
+			t.Error("counted, and the other VM does not know it")
+		}
+		again := start("vm-1")
+		synctest.Wait()
+		time.Sleep(time.Second)
+		if !again.Counted(time.Now()) {
+			t.Error("not counted although an earlier process of the VM was")
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -76,8 +76,16 @@
 	return addresses
 }
 
+// noteCounted takes up this VM's part of what the fleet shares once the others count it.
+func (p *Process) noteCounted() {
+	if now := time.Now(); !p.counted && p.census.Counted(now) {
+		p.counted = true
+		p.pushback.SetFleet(p.fleet(p.census.VMs()), now)
+	}
+}
+
 func (p *Process) fleet(vms []census.VM) pushback.Fleet {
-	fleet := pushback.Fleet{Self: p.Settings.VM.Name, Known: true}
+	fleet := pushback.Fleet{Self: p.Settings.VM.Name, Known: p.census.Counted(time.Now())}
 	for _, vm := range vms {
 		fleet.VMs = append(fleet.VMs, pushback.VM{Name: vm.Name, DataCentre: vm.DataCentre})
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -97,6 +97,8 @@
 	started time.Time
 	work    sync.WaitGroup
 	placed  map[string]bool
+	// counted says that the other VMs count this one. Only lookAround uses it.
+	counted bool
 }
 
 // New puts a process together and opens its listeners, so that their addresses are
@@ -205,6 +207,7 @@
 func (p *Process) lookAround() {
 	for sleep.For(p.ctx, settleInterval) {
 		p.view.settle()
+		p.noteCounted()
 		for _, name := range p.view.modelNames() {
 			if !p.placed[name] {
 				p.placed[name] = true
--- a/internal/pushback/fleet.go
+++ b/internal/pushback/fleet.go
@@ -19,7 +19,7 @@
 type Fleet struct {
 	// Self is this VM's name.
 	Self string
-	// Known says that the others were counted; until then VMs is of no use.
+	// Known says that the others were counted, and count this VM; until then VMs is of no use.
 	Known bool
 	VMs   []VM
 }
