pushback: plainer order of VMs; a test that what counts as open can be taken

The test was written for a suspicion, that rounding leaves a request waiting which nobody wakes: it doesn't, the limiter rounds alike.

--- a/internal/pushback/fleet.go
+++ b/internal/pushback/fleet.go
@@ -30,8 +30,11 @@
 	prefix := replica.String() + "/"
 	order := slices.Clone(f.VMs)
 	slices.SortFunc(order, func(a, b VM) int {
-		if near, other := a.DataCentre == dataCentre, b.DataCentre == dataCentre; near != other {
-			return map[bool]int{true: -1, false: 1}[near]
+		switch near, other := a.DataCentre == dataCentre, b.DataCentre == dataCentre; {
+		case near && !other:
+			return -1
+		case other && !near:
+			return 1
 		}
 		return cmp.Compare(xxhash.Sum64String(prefix+a.Name), xxhash.Sum64String(prefix+b.Name))
 	})
--- a/internal/pushback/ledger_test.go
+++ b/internal/pushback/ledger_test.go
@@ -91,3 +91,20 @@
 		t.Errorf("told %d times, want 3", told)
 	}
 }
+
+// Guards against a request that waits without being woken, as a replica counts as open and takes nothing.
+func TestReplicaThatTakesNothingIsNotOpen(t *testing.T) {
+	l := NewLedger(zap.NewNop())
+	l.SetFleet(Fleet{Self: "vm-0", Known: true, VMs: fleetOf(1)}, at(0))
+	hear(l, Signal{Limit: LimitOf(3)}, 0, 0)
+	now := at(0)
+	for range 10000 {
+		open, until := l.Open(desk, now)
+		if open != l.Take(desk, now) {
+			t.Fatalf("open %t at %s, and Take says otherwise", open, now)
+		}
+		if now = now.Add(time.Nanosecond); until.After(now) {
+			now = until
+		}
+	}
+}
