pushback: one look-up of a replica, one piece that says when the first of all held ones opens

Six functions of the ledger each locked and looked a replica up; one does. The choices of targets and of paths each gathered the earliest of the times at which held replicas open; both call pushback.AllHeld. No test was touched.

--- a/internal/balance/gate.go
+++ b/internal/balance/gate.go
@@ -21,20 +21,14 @@
 func (openGate) Open(string, time.Time) (bool, time.Time) { return true, time.Time{} }
 func (openGate) Take(string, time.Time) bool              { return true }
 
-// held returns when the first of the targets that q accepts may be sent a request, if all of them
-// have asked not to be sent any now; else ok is false.
-func (p *pool) held(q *Query, gate Gate, now time.Time) (failure *pushback.HeldError, ok bool) {
-	var until time.Time
-	found := false
-	for _, t := range p.members {
-		if t.blockedAt.Load() != 0 || !q.accepts(t) {
-			continue
+// held returns the error for the targets that q accepts if all of them have asked not to be sent requests
+// now, else nil.
+func (p *pool) held(q *Query, gate Gate, now time.Time) *pushback.HeldError {
+	return pushback.AllHeld(func(yield func(bool, time.Time) bool) {
+		for _, t := range p.members {
+			if t.blockedAt.Load() == 0 && q.accepts(t) && !yield(gate.Open(t.name, now)) {
+				return
+			}
 		}
-		open, at := gate.Open(t.name, now)
-		if open {
-			return nil, false
-		}
-		found, until = true, pushback.Sooner(until, at)
-	}
-	return &pushback.HeldError{Until: until}, found
+	})
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -35,7 +35,7 @@
 			return s, nil
 		}
 	}
-	if held, ok := p.held(&q, b.settings.Gate, now); ok {
+	if held := p.held(&q, b.settings.Gate, now); held != nil {
 		return nil, held
 	}
 	return nil, p.noRoom(&q, now)
--- a/internal/layers/gate.go
+++ b/internal/layers/gate.go
@@ -37,20 +37,15 @@
 	if !errors.Is(err, ErrNoRoom) {
 		return err
 	}
-	var until time.Time
-	found := false
-	for _, r := range s.holders {
-		if r.Held.From > s.from {
-			continue
+	held := pushback.AllHeld(func(yield func(bool, time.Time) bool) {
+		for _, r := range s.holders {
+			if r.Held.From <= s.from && !yield(s.table.gate.Open(r.Key(), s.now)) {
+				return
+			}
 		}
-		open, at := s.table.gate.Open(r.Key(), s.now)
-		if open {
-			return err
-		}
-		found, until = true, pushback.Sooner(until, at)
-	}
-	if !found {
+	})
+	if held == nil {
 		return err
 	}
-	return &pushback.HeldError{Until: until}
+	return held
 }
--- a/internal/pushback/asking.go
+++ b/internal/pushback/asking.go
@@ -17,19 +17,17 @@
 
 // MayAsk reports whether a replica may be asked for its load now, and notes that it is.
 func (l *Ledger) MayAsk(replica incarnation.Key, now time.Time) bool {
-	if !l.Active() {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.replicas[replica]
-	if s == nil {
-		return true
-	}
-	if s.backOffLeft(now) > 0 {
+	may := true
+	l.of(replica, func(s *state) { may = s.mayAsk(now) })
+	return may
+}
+
+// mayAsk is MayAsk of one replica.
+func (s *state) mayAsk(now time.Time) bool {
+	switch {
+	case s.backOffLeft(now) > 0:
 		return false
-	}
-	if !s.limit.Named {
+	case !s.limit.Named:
 		return true
 	}
 	perSecond := min(askMost, askShare*max(leastRate, s.limit.PerSecond))
--- a/internal/pushback/gate.go
+++ b/internal/pushback/gate.go
@@ -18,47 +18,31 @@
 // Open reports whether a replica may be sent a request now, and else when it may be at the earliest,
 // zero if only other VMs may send to it. It takes nothing; Take decides.
 func (l *Ledger) Open(replica incarnation.Key, now time.Time) (open bool, at time.Time) {
-	if !l.Active() {
-		return true, time.Time{}
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.replicas[replica]
-	if s == nil {
-		return true, time.Time{}
-	}
-	return s.opens(now)
+	open = true
+	l.of(replica, func(s *state) { open, at = s.opens(now) })
+	return open, at
 }
 
 // Take uses up one request that the replica takes, and reports whether it may be sent.
 func (l *Ledger) Take(replica incarnation.Key, now time.Time) bool {
-	if !l.Active() {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.replicas[replica]
-	return s == nil || s.take(now)
+	taken := true
+	l.of(replica, func(s *state) { taken = s.take(now) })
+	return taken
 }
 
 // Closed returns the error with which a request is not sent that was already meant for a replica, as it
 // has asked to back off or said that it leaves meanwhile; nil if it has not.
 func (l *Ledger) Closed(replica incarnation.Key, now time.Time) *HeldError {
-	if !l.Active() {
-		return nil
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.replicas[replica]
-	switch {
-	case s == nil:
-		return nil
-	case s.leaving:
-		return &HeldError{}
-	case s.backOffLeft(now) > 0:
-		return &HeldError{Until: s.backOffUntil}
-	}
-	return nil
+	var held *HeldError
+	l.of(replica, func(s *state) {
+		switch {
+		case s.leaving:
+			held = &HeldError{}
+		case s.backOffLeft(now) > 0:
+			held = &HeldError{Until: s.backOffUntil}
+		}
+	})
+	return held
 }
 
 // opens is Open of one replica.
--- a/internal/pushback/held_error.go
+++ b/internal/pushback/held_error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"time"
 )
 
@@ -20,10 +21,20 @@
 	return fmt.Sprintf("held back, as replicas asked, until %s", e.Until.Format(time.RFC3339Nano))
 }
 
-// Sooner returns the earlier of two moments, of which a zero one is not known.
-func Sooner(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
+// AllHeld returns the error for replicas of which none may be sent a request, nil if one may or there are
+// none. Each is what Ledger.Open returns of one of them.
+func AllHeld(each iter.Seq2[bool, time.Time]) *HeldError {
+	var held *HeldError
+	for open, at := range each {
+		if open {
+			return nil
+		}
+		if held == nil {
+			held = &HeldError{}
+		}
+		if !at.IsZero() && (held.Until.IsZero() || at.Before(held.Until)) {
+			held.Until = at
+		}
 	}
-	return a
+	return held
 }
--- a/internal/pushback/leaving.go
+++ b/internal/pushback/leaving.go
@@ -12,13 +12,9 @@
 
 // Leaving reports whether a replica has said that it leaves.
 func (l *Ledger) Leaving(replica incarnation.Key) bool {
-	if !l.Active() {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.replicas[replica]
-	return s != nil && s.leaving
+	leaving := false
+	l.of(replica, func(s *state) { leaving = s.leaving })
+	return leaving
 }
 
 // leaves takes that a replica leaves, and reports whether that is new. l.mu is held.
--- a/internal/pushback/ledger.go
+++ b/internal/pushback/ledger.go
@@ -121,15 +121,22 @@
 	}
 }
 
-// Sent counts a request that is about to be sent to a replica.
-func (l *Ledger) Sent(replica incarnation.Key) {
+// of looks at what a replica has said, if it has said anything that may be in force.
+func (l *Ledger) of(replica incarnation.Key, look func(*state)) {
 	if !l.Active() {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.replicas[replica]; s != nil {
+		look(s)
+	}
+}
+
+// Sent counts a request that is about to be sent to a replica.
+func (l *Ledger) Sent(replica incarnation.Key) {
+	l.of(replica, func(s *state) {
 		s.sent++
 		s.backOffSent++
-	}
+	})
 }
