platform: the store's era is decoded and logged

The record can't tell a revision of before the store's return from the same number given out again: no line has the era, the position that a feed call asks from, or the calls answered with 410. Store-Era is now decoded where answers are, carried as platform.Version beside the revision, and logged: its rise, answers without a usable one, 410 with the position.

--- a/cmd/geraniumcroft/relay.go
+++ b/cmd/geraniumcroft/relay.go
@@ -120,11 +120,11 @@
 	pool := transport.NewPool(transportSettings, transport.NewDialer(transportSettings))
 	store := platform.NewStore(s.Relay.StoreAddress, transport.CloseIdleOnError(&http.Transport{
 		DialContext: transport.NewDialer(transportSettings), IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
-	}))
+	}), logger)
 	return entry.Options{
 		Settings: s, Pool: pool, Logger: logger, LogDropped: logDropped,
 		Adapter: entry.Adapter{
-			Codec: platform.Codec{}, Engines: platform.NewEngines(pool), Table: store, Feed: store,
+			Codec: platform.Codec{}, Engines: platform.NewEngines(pool), Table: store, Feed: store, Eras: store.Eras(),
 			OperatorTable: platform.OperatorTable, ReplicaTable: platform.ReplicaTable,
 			DecodeConfig: platform.DecodeConfig, DecodeReplica: platform.DecodeReplica,
 		},
--- a/internal/census/snapshot.go
+++ b/internal/census/snapshot.go
@@ -40,7 +40,7 @@
 	if s == nil {
 		return platform.TableChange{}, 0, false
 	}
-	change := platform.TableChange{Revision: s.revision}
+	change := platform.TableChange{Version: platform.Version{Revision: s.revision}}
 	if s.revision > after {
 		change.Whole, change.Written = true, map[string][]byte{snapshotKey: s.encoded}
 	}
--- a/internal/entry/adapter.go
+++ b/internal/entry/adapter.go
@@ -14,7 +14,9 @@
 	// Table stores the rows that the VMs write themselves.
 	Table platform.Table
 	// Feed reads OperatorTable and ReplicaTable and reports their changes.
-	Feed          platform.Feed
+	Feed platform.Feed
+	// Eras has the eras of the answers of Table and Feed.
+	Eras          *platform.Eras
 	OperatorTable string
 	ReplicaTable  string
 	// DecodeConfig decodes the rows of OperatorTable. It returns nil if there is no
--- a/internal/entry/decoded_entry_test.go
+++ b/internal/entry/decoded_entry_test.go
@@ -25,12 +25,12 @@
 				rows[fmt.Sprint("r-", i)] = []byte("engines,1800000000000,0,ready")
 			}
 			rows["broken"] = []byte("not an entry")
-			set.update(rows, 1, false, testStart)
+			set.update(rows, atRevision(1), false, testStart)
 			decoded = 0
 			rows["r-7"] = []byte("engines,1800000000000,10,ready")
 			rows["added"] = []byte("engines,1800000000000,0,ready")
 			delete(rows, "r-8")
-			set.update(rows, 2, false, testStart.Add(time.Second))
+			set.update(rows, atRevision(2), false, testStart.Add(time.Second))
 			if decoded != 2 {
 				t.Errorf("%d entries decoded, 2 have changed", decoded)
 			}
--- a/internal/entry/replica_changes.go
+++ b/internal/entry/replica_changes.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/relay"
 )
 
@@ -43,11 +44,11 @@
 // log writes the line, unless nothing has changed. For each kind of change it lists the first
 // maxListedIDs replicas in sorted order and gives the number of those left out. Total is the
 // number of replicas that are listed now.
-func (c *replicaChanges) log(logger *zap.Logger, total int, revision uint64) {
+func (c *replicaChanges) log(logger *zap.Logger, total int, version platform.Version) {
 	if c.empty() {
 		return
 	}
-	fields := []zap.Field{zap.Uint64("revision", revision), zap.Int("listed", total)}
+	fields := []zap.Field{zap.Stringer("version", version), zap.Int("listed", total)}
 	for _, kind := range []struct {
 		name     string
 		replicas []string
--- a/internal/entry/replica_set.go
+++ b/internal/entry/replica_set.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/incarnation"
+	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/relay"
 )
 
@@ -42,9 +43,9 @@
 	}
 }
 
-// update replaces the entries by the rows of a revision. While the store is settling after an
+// update replaces the entries by the rows of a version. While the store is settling after an
 // outage, replicas without a row are kept as vanished.
-func (s *replicaSet) update(rows map[string][]byte, revision uint64, settling bool, now time.Time) {
+func (s *replicaSet) update(rows map[string][]byte, version platform.Version, settling bool, now time.Time) {
 	before := s.listed
 	s.listed, s.superseded = make(map[string]relay.Replica, len(rows)), map[string]relay.Replica{}
 	unusable := map[string]error{}
@@ -56,8 +57,8 @@
 		}
 		s.applyEntry(entry.replica, before, now)
 	}
-	s.unusable.replace(unusable, zap.Uint64("revision", revision))
-	s.reportChanges(before, revision)
+	s.unusable.replace(unusable, zap.Stringer("version", version))
+	s.reportChanges(before, version)
 	s.keepVanished(before, rows, settling)
 	s.incarnations.Forget(func(id string) bool { _, ok := s.listed[id]; return ok }, now)
 }
@@ -155,7 +156,7 @@
 
 // reportChanges logs what the new entries changed and calls onRestart for replicas that have
 // restarted.
-func (s *replicaSet) reportChanges(before map[string]relay.Replica, revision uint64) {
+func (s *replicaSet) reportChanges(before map[string]relay.Replica, version platform.Version) {
 	changes := &replicaChanges{}
 	for id, current := range s.listed {
 		previous, known := before[id]
@@ -172,7 +173,7 @@
 			changes.removed = append(changes.removed, previous.Key().String())
 		}
 	}
-	changes.log(s.logger, len(s.listed), revision)
+	changes.log(s.logger, len(s.listed), version)
 }
 
 // current returns the listed replicas and those that may be listed again.
--- a/internal/entry/replica_set_bench_test.go
+++ b/internal/entry/replica_set_bench_test.go
@@ -23,7 +23,7 @@
 			versions[1]["r-7"] = []byte("engines,1800000000000,10,ready")
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				set.update(versions[i%2], uint64(i), false, testStart)
+				set.update(versions[i%2], atRevision(uint64(i)), false, testStart)
 			}
 		})
 	}
--- a/internal/entry/replica_set_test.go
+++ b/internal/entry/replica_set_test.go
@@ -15,9 +15,13 @@
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/incarnation"
 	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/relay"
 )
 
+// atRevision returns the version of a revision in the store's only era.
+func atRevision(revision uint64) platform.Version { return platform.Version{Revision: revision} }
+
 // decodeRow decodes the rows of these tests: "service,born,held,state".
 func decodeRow(id string, row []byte) (relay.Replica, error) {
 	fields := strings.Split(string(row), ",")
@@ -70,7 +74,7 @@
 func (p *replicaSetTest) writeRow(id, row string, settling bool) {
 	p.revision++
 	p.rows[id] = []byte(row)
-	p.update(p.rows, p.revision, settling, p.now)
+	p.update(p.rows, atRevision(p.revision), settling, p.now)
 }
 
 func (p *replicaSetTest) advance(d time.Duration) { p.now = p.now.Add(d) }
@@ -201,7 +205,7 @@
 	p := newReplicaSetTest()
 	p.write(bornAt(0), 10, "ready")
 	delete(p.rows, "r")
-	p.update(p.rows, 2, true, p.now)
+	p.update(p.rows, atRevision(2), true, p.now)
 	p.expect(t, bornAt(0), 10, false)
 	p.observeReport(incarnation.Key{ID: "r", Born: bornAt(2)}, p.now)
 	p.expect(t, bornAt(2), 0, false)
@@ -275,7 +279,7 @@
 		p.rows[fmt.Sprint("row-", i)] = []byte("garbage")
 	}
 	for range 3 {
-		p.update(p.rows, 1, false, p.now)
+		p.update(p.rows, atRevision(1), false, p.now)
 	}
 	if n := p.logs.Len(); n > maxUnusableLines+1 {
 		t.Errorf("%d lines", n)
@@ -325,8 +329,8 @@
 		changes++
 		for _, p := range fleet {
 			write(p.rows)
-			p.update(p.rows, uint64(changes), false, p.now)
-			p.update(p.rows, uint64(changes), false, p.now) // the same table again is not logged
+			p.update(p.rows, atRevision(uint64(changes)), false, p.now)
+			p.update(p.rows, atRevision(uint64(changes)), false, p.now) // the same table again is not logged
 		}
 	}
 	entryOf := func(held int, state string) []byte {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -69,7 +69,7 @@
 func (v *view) onConfig(table platform.TableView) {
 	next, err := v.adapter.DecodeConfig(table.Rows)
 	if err != nil {
-		v.logger.Error("configuration not read; the one before stays in force", zap.Uint64("revision", table.Revision), zap.Error(err))
+		v.logger.Error("configuration not read; the one before stays in force", zap.Stringer("version", table.Version), zap.Error(err))
 		return
 	}
 	if next == nil {
@@ -77,11 +77,11 @@
 	}
 	now := v.config.Load()
 	if now != nil && next.Version <= now.Version {
-		v.invariants.Check(next.Version == now.Version, invariant.VersionNeverFalls, "from %d to %d at revision %d", now.Version, next.Version, table.Revision)
+		v.invariants.Check(next.Version == now.Version, invariant.VersionNeverFalls, "from %d to %d at version %s", now.Version, next.Version, table.Version)
 		return
 	}
 	v.config.Store(next)
-	v.logger.Info("configuration in force", zap.Uint64("configVersion", next.Version), zap.Uint64("revision", table.Revision), zap.Int("profiles", next.NumProfiles()))
+	v.logger.Info("configuration in force", zap.Uint64("configVersion", next.Version), zap.Stringer("version", table.Version), zap.Int("profiles", next.NumProfiles()))
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.apply()
@@ -91,7 +91,7 @@
 func (v *view) onReplicas(table platform.TableView) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.replicaSet.update(table.Rows, table.Revision, v.replicaTable.Settling(), time.Now())
+	v.replicaSet.update(table.Rows, table.Version, v.replicaTable.Settling(), time.Now())
 	v.loaded = true
 	v.apply()
 }
--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -70,7 +70,7 @@
 	case err != nil:
 		f.requestReread(err)
 	case changed:
-		f.Logger.Warn("feed did not bring a change", zap.String("table", f.Table), zap.Uint64("revision", f.revision()))
+		f.Logger.Warn("feed did not bring a change", zap.String("table", f.Table), zap.Stringer("version", f.version()))
 		f.cancelFeedCall(errSuperseded)
 	}
 }
--- a/internal/follow/confirm_test.go
+++ b/internal/follow/confirm_test.go
@@ -62,7 +62,7 @@
 		time.Sleep(5*time.Second + 300*time.Millisecond)
 		feed.set(func() {
 			feed.silent = false
-			feed.view = platform.TableView{Revision: 2, Rows: map[string][]byte{"a": []byte("2")}}
+			feed.view = platform.TableView{Version: platform.Version{Revision: 2}, Rows: map[string][]byte{"a": []byte("2")}}
 		})
 		time.Sleep(readTimeout + retryDelay + time.Millisecond)
 		if value() != "2" {
@@ -88,11 +88,11 @@
 // would ask the store for later changes only, and requests would be refused by the old
 // configuration permanently.
 func TestChangeThatIsNotAppliedLeavesTheCopyBehind(t *testing.T) {
-	peers := &concurrentPeers{change: platform.TableChange{Revision: 5, Written: map[string][]byte{"a": []byte("5")}, UnchangedUpTo: 9}}
+	peers := &concurrentPeers{change: platform.TableChange{Version: platform.Version{Revision: 5}, Written: map[string][]byte{"a": []byte("5")}, UnchangedUpTo: 9}}
 	f := New(optionsOf(newFakeFeed(), peers))
 	publish := func(revision uint64) func() {
 		return func() {
-			f.publish(platform.TableView{Revision: revision, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
+			f.publish(platform.TableView{Version: platform.Version{Revision: revision}, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
 		}
 	}
 	publish(1)()
@@ -111,9 +111,9 @@
 // Guards against a copy that is confirmed but cannot confirm other copies, because the peer read
 // the same rows at a later revision.
 func TestSameCopyOfALaterRevisionConfirmsThisOne(t *testing.T) {
-	peers := &concurrentPeers{change: platform.TableChange{Revision: 5, UnchangedUpTo: 9}, meanwhile: func() {}}
+	peers := &concurrentPeers{change: platform.TableChange{Version: platform.Version{Revision: 5}, UnchangedUpTo: 9}, meanwhile: func() {}}
 	f := New(optionsOf(newFakeFeed(), peers))
-	f.publish(platform.TableView{Revision: 3, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
+	f.publish(platform.TableView{Version: platform.Version{Revision: 3}, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
 	f.fetchFromPeers(t.Context(), time.Second)
 	if change, _, _ := f.Since(3); change.UnchangedUpTo != 9 {
 		t.Errorf("the copy is reported as current up to %d", change.UnchangedUpTo)
--- a/internal/follow/fake_feed_test.go
+++ b/internal/follow/fake_feed_test.go
@@ -27,7 +27,7 @@
 }
 
 func newFakeFeed() *fakeFeed {
-	return &fakeFeed{view: platform.TableView{Revision: 1, Rows: map[string][]byte{"a": []byte("1")}}, changed: make(chan struct{})}
+	return &fakeFeed{view: platform.TableView{Version: platform.Version{Revision: 1}, Rows: map[string][]byte{"a": []byte("1")}}, changed: make(chan struct{})}
 }
 
 func (f *fakeFeed) set(change func()) {
@@ -44,7 +44,7 @@
 	defer f.mu.Unlock()
 	f.historyGone = false
 	f.reads++
-	return platform.TableView{Revision: max(f.view.Revision, f.newest), Rows: f.view.Rows}, f.err
+	return platform.TableView{Version: platform.Version{Revision: max(f.view.Revision, f.newest)}, Rows: f.view.Rows}, f.err
 }
 
 // beginCall counts a call. If the store is silent it waits until ctx ends.
@@ -86,19 +86,19 @@
 		case historyGone:
 			return platform.TableChange{}, platform.ErrHistoryGone
 		case view.Revision > after:
-			return platform.TableChange{Revision: view.Revision, Written: view.Rows}, nil
+			return platform.TableChange{Version: platform.Version{Revision: view.Revision}, Written: view.Rows}, nil
 		}
 		if wait <= 0 {
 			// No timer here: several timers that are due at once in one synctest bubble share
 			// state in the race detector and crash it.
-			return platform.TableChange{Revision: newest}, nil
+			return platform.TableChange{Version: platform.Version{Revision: newest}}, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
 			return platform.TableChange{}, ctx.Err()
 		case <-until:
-			return platform.TableChange{Revision: newest}, nil
+			return platform.TableChange{Version: platform.Version{Revision: newest}}, nil
 		}
 	}
 }
--- a/internal/follow/fake_peers_test.go
+++ b/internal/follow/fake_peers_test.go
@@ -42,7 +42,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	change := platform.TableChange{Revision: p.view.Revision, UnchangedUpTo: p.view.Revision, Settling: p.settling, ByFeed: p.byFeed}
+	change := platform.TableChange{Version: platform.Version{Revision: p.view.Revision}, UnchangedUpTo: p.view.Revision, Settling: p.settling, ByFeed: p.byFeed}
 	if p.view.Revision > after {
 		change.Whole, change.Written = true, p.view.Rows
 	}
@@ -52,7 +52,7 @@
 func (p *fakePeers) setCopy(revision uint64, value string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.view, p.ok = platform.TableView{Revision: revision, Rows: map[string][]byte{"a": []byte(value)}}, true
+	p.view, p.ok = platform.TableView{Version: platform.Version{Revision: revision}, Rows: map[string][]byte{"a": []byte(value)}}, true
 }
 
 // optionsOf returns the options of a VM that follows the feed in a fleet of one.
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"geraniumcroft/internal/platform"
 )
@@ -53,7 +54,11 @@
 // applied a change.
 func (f *Follower) pollFeed(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	at := f.View()
-	change, err := f.Feed.Changes(ctx, f.Table, f.feedPosition(at.Revision), wait)
+	position := f.feedPosition(at.Revision)
+	change, err := f.Feed.Changes(ctx, f.Table, position, wait)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		f.Logger.Info("changes of a table are gone", zap.String("table", f.Table), zap.Uint64("position", position), zap.Stringer("have", at.Version))
+	}
 	if err != nil {
 		return false, err
 	}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -134,12 +134,12 @@
 // View returns the newest copy, or nil if there is none yet.
 func (f *Follower) View() *platform.TableView { return f.view.Load() }
 
-// revision returns the revision of the newest copy, or 0 if there is none yet.
-func (f *Follower) revision() uint64 {
+// version returns the version of the newest copy, or the zero version if there is none yet.
+func (f *Follower) version() platform.Version {
 	if at := f.View(); at != nil {
-		return at.Revision
+		return at.Version
 	}
-	return 0
+	return platform.Version{}
 }
 
 // Age returns the time since the store or a peer last confirmed the copy, and the longest possible
@@ -267,7 +267,7 @@
 	old := f.view.Load()
 	if old != nil && view.Revision < old.Revision {
 		f.Logger.Info("older copy of a table refused", zap.String("table", f.Table), zap.String("from", from),
-			zap.Uint64("revision", view.Revision), zap.Uint64("have", old.Revision))
+			zap.Stringer("version", view.Version), zap.Stringer("have", old.Version))
 		return
 	}
 	if old != nil && view.Revision == old.Revision && from == "peer" {
@@ -280,7 +280,7 @@
 	f.view.Store(&view)
 	f.markConfirmed(at)
 	if from == "peer" {
-		f.Logger.Info("table learned from a peer", zap.String("table", f.Table), zap.Uint64("revision", view.Revision))
+		f.Logger.Info("table learned from a peer", zap.String("table", f.Table), zap.Stringer("version", view.Version))
 	}
 	f.OnChange(view)
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -12,7 +12,9 @@
 
 func TestChangeIsSeenWithinFeedInterval(t *testing.T) {
 	runFollower(t, func(feed *fakeFeed, _ *fakePeers, _ *Follower, value func() string) {
-		feed.set(func() { feed.view = platform.TableView{Revision: 2, Rows: map[string][]byte{"a": []byte("2")}} })
+		feed.set(func() {
+			feed.view = platform.TableView{Version: platform.Version{Revision: 2}, Rows: map[string][]byte{"a": []byte("2")}}
+		})
 		time.Sleep(feedInterval + time.Millisecond)
 		if value() != "2" {
 			t.Errorf("value %q", value())
@@ -49,7 +51,9 @@
 // A peer has an older copy than this VM. It must not replace the newer one.
 func TestOlderCopyIsRefused(t *testing.T) {
 	runFollower(t, func(feed *fakeFeed, peers *fakePeers, _ *Follower, value func() string) {
-		feed.set(func() { feed.view = platform.TableView{Revision: 9, Rows: map[string][]byte{"a": []byte("9")}} })
+		feed.set(func() {
+			feed.view = platform.TableView{Version: platform.Version{Revision: 9}, Rows: map[string][]byte{"a": []byte("9")}}
+		})
 		time.Sleep(time.Second)
 		peers.setCopy(4, "4")
 		feed.set(func() { feed.err = errors.New("down") })
@@ -63,7 +67,7 @@
 func TestTableIsReadAgainWhenHistoryIsGone(t *testing.T) {
 	runFollower(t, func(feed *fakeFeed, _ *fakePeers, _ *Follower, value func() string) {
 		feed.set(func() {
-			feed.view = platform.TableView{Revision: 3, Rows: map[string][]byte{"a": []byte("3")}}
+			feed.view = platform.TableView{Version: platform.Version{Revision: 3}, Rows: map[string][]byte{"a": []byte("3")}}
 			feed.historyGone = true
 		})
 		time.Sleep(2 * time.Second)
@@ -82,7 +86,9 @@
 		f, stop := startPeerFollower(t, feed, peers)
 		defer stop()
 		time.Sleep(10 * time.Second)
-		feed.set(func() { feed.view = platform.TableView{Revision: 5, Rows: map[string][]byte{"a": []byte("store")}} })
+		feed.set(func() {
+			feed.view = platform.TableView{Version: platform.Version{Revision: 5}, Rows: map[string][]byte{"a": []byte("store")}}
+		})
 		time.Sleep(2 * time.Second)
 		if value := string(f.View().Rows["a"]); value != "1" {
 			t.Errorf("value %q, only the store has it", value)
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -43,7 +43,7 @@
 func (f *Follower) fetchFromPeers(ctx context.Context, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	revision := f.revision()
+	revision := f.version().Revision
 	askedAt := time.Now()
 	change, age, ok := f.Peers.Fetch(ctx, f.Table, revision)
 	if !ok {
@@ -56,7 +56,7 @@
 	}
 	switch {
 	case change.Whole:
-		f.publish(platform.TableView{Revision: change.Revision, Rows: change.Written}, "peer", askedAt.Add(-age))
+		f.publish(platform.TableView{Version: change.Version, Rows: change.Written}, "peer", askedAt.Add(-age))
 	case !change.Empty():
 		f.applyChange(revision, change, "peer", askedAt.Add(-age))
 	case change.UnchangedUpTo >= revision:
@@ -76,7 +76,7 @@
 // never receive it. A peer that has nothing beyond the requested revision has the same copy,
 // whatever the peer's revision.
 func (f *Follower) mergePeerUnchanged(requested uint64, change platform.TableChange) {
-	now := f.revision()
+	now := f.version().Revision
 	if now >= change.Revision || now == requested && change.Empty() {
 		f.raiseUnchangedUpTo(change.UnchangedUpTo)
 	}
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -46,12 +46,12 @@
 // rows that the copy already has.
 func (h *history) since(view platform.TableView, after uint64) platform.TableChange {
 	if after >= view.Revision {
-		return platform.TableChange{Revision: view.Revision}
+		return platform.TableChange{Version: view.Version}
 	}
 	if len(h.changes) == 0 || h.changes[0].from > after {
-		return platform.TableChange{Revision: view.Revision, Whole: true, Written: view.Rows}
+		return platform.TableChange{Version: view.Version, Whole: true, Written: view.Rows}
 	}
-	change := platform.TableChange{Revision: view.Revision, Written: map[string][]byte{}}
+	change := platform.TableChange{Version: view.Version, Written: map[string][]byte{}}
 	for _, c := range h.changes {
 		if c.to <= after {
 			continue
--- a/internal/follow/history_test.go
+++ b/internal/follow/history_test.go
@@ -15,10 +15,10 @@
 func TestChangesMakeCopiesEqual(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var h history
-		views := []platform.TableView{{Revision: 1, Rows: map[string][]byte{}}}
+		views := []platform.TableView{{Version: platform.Version{Revision: 1}, Rows: map[string][]byte{}}}
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			last := views[len(views)-1]
-			next := platform.TableView{Revision: last.Revision + uint64(rapid.IntRange(1, 5).Draw(t, "by")), Rows: maps.Clone(last.Rows)}
+			next := platform.TableView{Version: platform.Version{Revision: last.Revision + uint64(rapid.IntRange(1, 5).Draw(t, "by"))}, Rows: maps.Clone(last.Rows)}
 			for range rapid.IntRange(1, 3).Draw(t, "rows") {
 				key := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "key"))
 				if rapid.Bool().Draw(t, "delete") {
--- a/internal/follow/retry_test.go
+++ b/internal/follow/retry_test.go
@@ -34,7 +34,7 @@
 		}
 		feed.set(func() {
 			feed.err = nil
-			feed.view = platform.TableView{Revision: 5, Rows: map[string][]byte{"a": []byte("store")}}
+			feed.view = platform.TableView{Version: platform.Version{Revision: 5}, Rows: map[string][]byte{"a": []byte("store")}}
 		})
 		time.Sleep(peerRetryDelay + time.Second/2)
 		if value := string(f.View().Rows["a"]); value != "store" {
@@ -74,7 +74,7 @@
 		for _, feed := range feeds {
 			feed.set(func() {
 				feed.err = nil
-				feed.view = platform.TableView{Revision: 5, Rows: map[string][]byte{"a": []byte("store")}}
+				feed.view = platform.TableView{Version: platform.Version{Revision: 5}, Rows: map[string][]byte{"a": []byte("store")}}
 			})
 		}
 		time.Sleep(retryDelay + 10*time.Millisecond)
--- a/internal/follow/settling.go
+++ b/internal/follow/settling.go
@@ -15,12 +15,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if down && !f.storeDown {
-		f.Logger.Warn("store lost", zap.String("table", f.Table), zap.Uint64("have", f.revision()),
+		f.Logger.Warn("store lost", zap.String("table", f.Table), zap.Stringer("have", f.version()),
 			zap.Duration("copyAge", f.Age()), zap.Error(err))
 	}
 	if !down && f.storeDown {
 		f.storeBackAt = time.Now()
-		f.Logger.Info("store regained", zap.String("table", f.Table), zap.Uint64("have", f.revision()))
+		f.Logger.Info("store regained", zap.String("table", f.Table), zap.Stringer("have", f.version()))
 	}
 	f.storeDown = down
 	if !down {
--- a/internal/follow/start_test.go
+++ b/internal/follow/start_test.go
@@ -36,8 +36,8 @@
 		}
 		peers.setCopy(5, "5") // a peer has read it by now
 		time.Sleep(2 * startInterval)
-		if f.revision() != 5 || feed.callCount() != 0 {
-			t.Errorf("revision %d after %d calls to the store", f.revision(), feed.callCount())
+		if f.version().Revision != 5 || feed.callCount() != 0 {
+			t.Errorf("revision %d after %d calls to the store", f.version().Revision, feed.callCount())
 		}
 	})
 }
@@ -65,7 +65,7 @@
 		f, stop := startedFollower(t, feed, peers, false, false)
 		defer stop()
 		time.Sleep(maxWaitForPeers + startInterval)
-		if f.revision() != 5 {
+		if f.version().Revision != 5 {
 			t.Error("no copy")
 		}
 	})
--- a/internal/loads/cache.go
+++ b/internal/loads/cache.go
@@ -107,7 +107,7 @@
 	if p == nil {
 		return platform.TableChange{}, 0, false
 	}
-	change := platform.TableChange{Revision: p.revision}
+	change := platform.TableChange{Version: platform.Version{Revision: p.revision}}
 	if p.revision > after {
 		change.Whole, change.Written = true, map[string][]byte{dataCentre: p.encoded}
 	}
@@ -122,7 +122,7 @@
 	if newest == nil {
 		return platform.TableChange{}, 0, false
 	}
-	change := platform.TableChange{Revision: newest.revision}
+	change := platform.TableChange{Version: platform.Version{Revision: newest.revision}}
 	if newest.revision > after {
 		change.Whole, change.Written = true, make(map[string][]byte, len(c.parts)+1)
 		for dataCentre, p := range c.parts {
--- a/internal/mirror/lost_call_test.go
+++ b/internal/mirror/lost_call_test.go
@@ -65,7 +65,9 @@
 	r := rand.New(rand.NewPCG(seed, 3))
 	stop := f.start(t)
 	time.Sleep(3*time.Second + time.Duration(r.IntN(1000))*time.Millisecond)
-	f.set(func() { f.view = platform.TableView{Revision: 2, Rows: configuration(fewProfiles, 2)} })
+	f.set(func() {
+		f.view = platform.TableView{Version: platform.Version{Revision: 2}, Rows: configuration(fewProfiles, 2)}
+	})
 	time.Sleep(untilCallsReturn)
 	f.set(func() { f.storeSilent = true })
 	for i, vm := range f.sortedVMs() {
@@ -78,7 +80,9 @@
 		f.clearInForce(vm)
 	}
 	accepted := time.Now()
-	f.set(func() { f.view = platform.TableView{Revision: 3, Rows: configuration(fewProfiles, 3)} })
+	f.set(func() {
+		f.view = platform.TableView{Version: platform.Version{Revision: 3}, Rows: configuration(fewProfiles, 3)}
+	})
 	time.Sleep(bound + 10*time.Second)
 	stop()
 	return f.slowest(accepted)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -62,7 +62,7 @@
 	maker := NewClient("", nil, zap.NewNop())
 	defer maker.Close()
 	maker.SetPeers(Peers{LocalFollowers: []string{keptAt}, FeedFollowers: map[string][]string{"dc": {keptAt}}})
-	offered := platform.TableChange{Revision: 7, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}
+	offered := platform.TableChange{Version: platform.Version{Revision: 7}, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}
 	offer(t, maker, kept, offered)
 
 	asking := NewClient("", nil, zap.NewNop())
@@ -100,7 +100,7 @@
 // A peer is dead and still listed. It must be asked once and then be skipped for a while, so that
 // it does not cost each request its timeout.
 func TestSilentPeerIsPassedOver(t *testing.T) {
-	kept := &tableCopy{change: platform.TableChange{Revision: 3, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}}
+	kept := &tableCopy{change: platform.TableChange{Version: platform.Version{Revision: 3}, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}}
 	keptAt := serve(t, kept)
 	asked := map[string]int{}
 	c := NewClient("", nil, zap.NewNop())
@@ -129,8 +129,8 @@
 // more recently confirmed copy. Otherwise it keeps using a replica that has left, and requests
 // reach it seconds after they may.
 func TestFresherPeerSaysWhetherRowsMayComeBack(t *testing.T) {
-	rejected := &tableCopy{change: platform.TableChange{Revision: 5, Whole: true, Settling: true}, age: 3 * time.Second}
-	served := &tableCopy{change: platform.TableChange{Revision: 5, Whole: true}, age: time.Second / 2}
+	rejected := &tableCopy{change: platform.TableChange{Version: platform.Version{Revision: 5}, Whole: true, Settling: true}, age: 3 * time.Second}
+	served := &tableCopy{change: platform.TableChange{Version: platform.Version{Revision: 5}, Whole: true}, age: time.Second / 2}
 	rejectedAt, servedAt := serve(t, rejected), serve(t, served)
 	for name, peers := range map[string]Peers{
 		"the local peer is rejected":  {LocalFollowers: []string{rejectedAt}, RemoteFollowers: [][]string{{servedAt}}},
@@ -157,7 +157,7 @@
 // This VM was cut off, and none of its few peers answered. Afterwards it must reach them with its
 // next request, and not only after the time for which silent peers are skipped.
 func TestAllPeersSilentAreAskedAgain(t *testing.T) {
-	kept := &tableCopy{change: platform.TableChange{Revision: 3, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}}
+	kept := &tableCopy{change: platform.TableChange{Version: platform.Version{Revision: 3}, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}}
 	keptAt := serve(t, kept)
 	c := NewClient("", nil, zap.NewNop())
 	defer c.Close()
@@ -250,7 +250,7 @@
 			t.Fatal("there is a copy before one was offered")
 		}
 	}
-	snapshot := platform.TableChange{Revision: 9, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}
+	snapshot := platform.TableChange{Version: platform.Version{Revision: 9}, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}
 	offer(t, maker, near, snapshot)
 	offer(t, maker, far, snapshot)
 	if change, _, ok := asking.FetchOne(t.Context(), "loads", 0); !ok || change.Revision != snapshot.Revision {
--- a/internal/mirror/relays_test.go
+++ b/internal/mirror/relays_test.go
@@ -31,7 +31,9 @@
 				}
 				time.Sleep(time.Second)
 				accepted := time.Now()
-				f.set(func() { f.view = platform.TableView{Revision: 2, Rows: configuration(1770, 2)} })
+				f.set(func() {
+					f.view = platform.TableView{Version: platform.Version{Revision: 2}, Rows: configuration(1770, 2)}
+				})
 				time.Sleep(bound + time.Second)
 				stop()
 				slowest, vm := f.slowest(accepted)
--- a/internal/mirror/spread_test.go
+++ b/internal/mirror/spread_test.go
@@ -189,12 +189,12 @@
 			if !s.vm.down.send(ctx, sizeOf(view.Rows)) {
 				return platform.TableChange{}, errRejected
 			}
-			return platform.TableChange{Revision: view.Revision, Written: view.Rows}, nil
+			return platform.TableChange{Version: platform.Version{Revision: view.Revision}, Written: view.Rows}, nil
 		}
 		if over {
 			// No timer here if there is no wait: several timers that are due at once in one
 			// synctest bubble share state in the race detector and crash it.
-			return platform.TableChange{Revision: newest}, nil
+			return platform.TableChange{Version: platform.Version{Revision: newest}}, nil
 		}
 		select {
 		case <-changed:
@@ -250,7 +250,7 @@
 
 func newSpreadFleetOf(vms, dataCentres int) *spreadFleet {
 	f := &spreadFleet{changed: make(chan struct{}), vms: map[string]*spreadVM{}}
-	f.view = platform.TableView{Revision: 1, Rows: configuration(1770, 1)}
+	f.view = platform.TableView{Version: platform.Version{Revision: 1}, Rows: configuration(1770, 1)}
 	var all []census.VM
 	for i := range vms {
 		name := fmt.Sprintf("vm-%d", i)
@@ -385,7 +385,9 @@
 		time.Sleep(time.Second)
 	}
 	accepted := time.Now()
-	f.set(func() { f.view = platform.TableView{Revision: 2, Rows: configuration(1770, 2)} })
+	f.set(func() {
+		f.view = platform.TableView{Version: platform.Version{Revision: 2}, Rows: configuration(1770, 2)}
+	})
 	time.Sleep(bound + time.Second)
 	stop()
 	return f.slowest(accepted)
--- a/internal/mirror/two_faults_test.go
+++ b/internal/mirror/two_faults_test.go
@@ -72,7 +72,7 @@
 	f.set(func() {
 		next := f.view.Revision + f.revisionOffset + 1
 		f.revisionOffset = 0
-		f.view = platform.TableView{Revision: next, Rows: configuration(fewProfiles, next)}
+		f.view = platform.TableView{Version: platform.Version{Revision: next}, Rows: configuration(fewProfiles, next)}
 	})
 }
 
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -25,21 +25,21 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (TableChange, error)
 }
 
-// TableView is a snapshot of a whole table at one revision.
+// TableView is a snapshot of a whole table at one version.
 type TableView struct {
-	Revision uint64            `json:"revision"`
-	Rows     map[string][]byte `json:"rows"`
+	Version
+	Rows map[string][]byte `json:"rows"`
 }
 
-// TableChange holds the changes to a table up to a revision. If Whole is set, Written is
+// TableChange holds the changes to a table up to a version. If Whole is set, Written is
 // the whole table.
 type TableChange struct {
-	Revision uint64            `json:"revision"`
-	Whole    bool              `json:"whole,omitempty"`
-	Written  map[string][]byte `json:"written,omitempty"`
-	Deleted  []string          `json:"deleted,omitempty"`
-	// UnchangedUpTo is the store's revision up to which the table has no further changes.
-	// Set only in changes that peers exchange.
+	Version
+	Whole   bool              `json:"whole,omitempty"`
+	Written map[string][]byte `json:"written,omitempty"`
+	Deleted []string          `json:"deleted,omitempty"`
+	// UnchangedUpTo is the store's revision, in the era of the version, up to which the table has
+	// no further changes. Set only in changes that peers exchange.
 	UnchangedUpTo uint64 `json:"unchangedUpTo,omitempty"`
 	// Settling reports that the store was unavailable shortly before, so missing rows may
 	// still be restored. Set only in changes that peers exchange.
@@ -60,7 +60,7 @@
 // Apply returns the view with c applied. It does not modify v.
 func (v TableView) Apply(c TableChange) TableView {
 	if c.Whole {
-		return TableView{Revision: c.Revision, Rows: c.Written}
+		return TableView{Version: c.Version, Rows: c.Written}
 	}
 	rows := make(map[string][]byte, len(v.Rows)+len(c.Written))
 	for key, value := range v.Rows {
@@ -72,5 +72,5 @@
 	for key, value := range c.Written {
 		rows[key] = value
 	}
-	return TableView{Revision: max(v.Revision, c.Revision), Rows: rows}
+	return TableView{Version: Version{Era: v.Era, Revision: max(v.Revision, c.Revision)}, Rows: rows}
 }
--- a/internal/quarantine/sharing/sharing.go
+++ b/internal/quarantine/sharing/sharing.go
@@ -92,7 +92,7 @@
 
 // change encodes reports as a table change with the given revision.
 func (s *Syncer) change(reports []quarantine.Report, revision uint64) platform.TableChange {
-	change := platform.TableChange{Revision: revision, Written: make(map[string][]byte, len(reports))}
+	change := platform.TableChange{Version: platform.Version{Revision: revision}, Written: make(map[string][]byte, len(reports))}
 	for _, report := range reports {
 		row, err := json.Marshal(report)
 		if err != nil {
