follow: copies are ordered by era and revision, contents by their own version

What callers saw: after the store came back from an older copy, VMs handled requests by a configuration that had been replaced seconds before; a revoked key was let in for 4.8 s. Some requests were refused as isolated though the store answered.

Cause: a revision was taken to rise for good. A copy of before the return refused all that the store said until its revisions had passed that one, and asked the feed on from the old position, so that what was written below it never came.

Change: platform.Version (era, revision) orders copies, in views, changes, answers between peers, packed copies and feed positions. A change of another era is never applied to a copy, and a copy of an earlier era neither replaces nor confirms one. History for peers is kept within an era. A VM that hears of a newer era, from any call or peer, reads the table anew if it follows the feed and asks peers otherwise.

What the operator had written stays in force until it is written again: a content of a lower version of its own is not taken over, the position is. Two configurations of one version are ordered by the store. One that can't be decoded has no version and keeps nothing out.

VMs of the version before send no era: what they send is read, and counts as older than any copy of a known era; a copy of theirs is taken by a VM without one.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -49,9 +49,9 @@
 
 // Peers fetches the copies that other VMs have of the list.
 type Peers interface {
-	// FetchOne returns one peer's copy if it is newer than a revision, and the time since the
+	// FetchOne returns one peer's copy if it is newer than a version, and the time since the
 	// table was known to hold it.
-	FetchOne(ctx context.Context, table string, after uint64) (platform.TableChange, time.Duration, bool)
+	FetchOne(ctx context.Context, table string, after platform.Version) (platform.TableChange, time.Duration, bool)
 }
 
 // Options configure a Census.
--- a/internal/census/fakes_test.go
+++ b/internal/census/fakes_test.go
@@ -171,7 +171,7 @@
 }
 
 // FetchOne asks up to three peers, as package mirror does.
-func (p *fakePeers) FetchOne(_ context.Context, _ string, after uint64) (platform.TableChange, time.Duration, bool) {
+func (p *fakePeers) FetchOne(_ context.Context, _ string, after platform.Version) (platform.TableChange, time.Duration, bool) {
 	p.mu.Lock()
 	asked := p.asked
 	p.mu.Unlock()
--- a/internal/census/refresh.go
+++ b/internal/census/refresh.go
@@ -46,7 +46,7 @@
 	defer cancel()
 	if err != nil {
 		c.logReadError(ctx, err)
-		c.fetchFromPeers(ctx, 0)
+		c.fetchFromPeers(ctx, platform.Version{})
 		return c.Loaded()
 	}
 	switch {
@@ -55,7 +55,7 @@
 	case c.setLargest(rows):
 		c.readTable(ctx)
 	default:
-		c.fetchFromPeers(ctx, 0)
+		c.fetchFromPeers(ctx, platform.Version{})
 	}
 	c.maintainRow(ctx)
 	return true
@@ -65,8 +65,8 @@
 func (c *Census) round(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
-	if revision, due := c.fetchDue(); due {
-		c.fetchFromPeers(ctx, revision)
+	if version, due := c.fetchDue(); due {
+		c.fetchFromPeers(ctx, version)
 	}
 	if c.age() >= c.maxAge() {
 		c.readTable(ctx)
@@ -74,27 +74,27 @@
 	c.maintainRow(ctx)
 }
 
-// fetchDue reports whether peers are to be asked for a newer list than one of a revision. A VM
+// fetchDue reports whether peers are to be asked for a newer list than one of a version. A VM
 // whose list is recent asks only while the fleet may be starting.
-func (c *Census) fetchDue() (revision uint64, due bool) {
+func (c *Census) fetchDue() (version platform.Version, due bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.snapshot == nil:
-		return 0, true
+		return platform.Version{}, true
 	case time.Since(c.snapshot.confirmedAt) > staleAge:
-		// The table's clock, which gives the revisions, may have been set back.
-		return 0, true
+		// The table's clock, which gives the versions, may have been set back.
+		return platform.Version{}, true
 	}
 	starting := time.Since(c.startedAt) < startupTime || c.listedAt.IsZero()
-	return c.snapshot.revision, starting || time.Since(c.snapshot.confirmedAt) >= minInterval/2
+	return c.snapshot.version, starting || time.Since(c.snapshot.confirmedAt) >= minInterval/2
 }
 
-func (c *Census) fetchFromPeers(ctx context.Context, revision uint64) {
+func (c *Census) fetchFromPeers(ctx context.Context, version platform.Version) {
 	if c.peers == nil {
 		return
 	}
-	if change, age, ok := c.peers.FetchOne(ctx, TableName, revision); ok {
+	if change, age, ok := c.peers.FetchOne(ctx, TableName, version); ok {
 		c.takeCopy(change, age)
 	}
 }
--- a/internal/census/rows.go
+++ b/internal/census/rows.go
@@ -20,7 +20,7 @@
 func (c *Census) applyRows(rows []platform.Row) {
 	c.registration.observe(c.ownRow(rows))
 	counted := c.countedVMs(rows, expiryRounds*intervalFor(len(rows)))
-	next, err := newSnapshot(counted, readAt(rows))
+	next, err := newSnapshot(counted, rows)
 	if err != nil {
 		c.logger.Error("list of VMs not encoded", zap.Error(err))
 		return
@@ -95,3 +95,11 @@
 	}
 	return rows[0].ReadAt
 }
+
+// eraOf returns the store's era in which the rows were read, 0 if it is unknown.
+func eraOf(rows []platform.Row) uint64 {
+	if len(rows) == 0 {
+		return 0
+	}
+	return rows[0].Era
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,7 +14,7 @@
 	"geraniumcroft/internal/quarantine"
 )
 
-func (p *Process) follower(table string, onChange func(platform.TableView)) *follow.Follower {
+func (p *Process) follower(table string, contentVersion func(map[string][]byte) (uint64, bool), onChange func(platform.TableView)) *follow.Follower {
 	return follow.New(follow.Options{
 		Table: table, Feed: p.store, Peers: p.peers, Logger: p.Logger,
 		FollowsFeed: p.followsFeed,
@@ -22,7 +22,7 @@
 		Relayed:     func() bool { return p.census.HasRelays() },
 		PeersKnown:  p.peersKnown,
 		VMs:         func() int { return len(p.census.VMs()) },
-		RetryGroup:  p.retryGroup, OnChange: onChange,
+		RetryGroup:  p.retryGroup, OnChange: onChange, Eras: p.Adapter.Eras, ContentVersion: contentVersion,
 	})
 }
 
@@ -38,17 +38,18 @@
 // followsFeed reports whether this VM is one of those that read the store's feed themselves.
 func (p *Process) followsFeed() bool { return p.census.FollowsFeed() }
 
-// changesSince returns the changes of a table after a revision, with their age, for a peer that
-// asks.
-func (p *Process) changesSince(table string, after uint64) (platform.TableChange, time.Duration, bool) {
+// changesSince returns the changes of a table beyond what a peer holds, with their age, for a peer that
+// asks. The revisions of loads and of the quarantine are not the store's and need no era: those of loads
+// begin with the number of the tenure, which rises with the era.
+func (p *Process) changesSince(table string, after platform.Cursor) (platform.TableChange, time.Duration, bool) {
 	if loads.IsTable(table) {
-		return p.loadCache.Since(table, after)
+		return p.loadCache.Since(table, after.Revision)
 	}
 	switch table {
 	case census.TableName:
-		return p.census.Since(after)
+		return p.census.Since(after.Version)
 	case quarantine.TableName:
-		return p.sharing.Since(after)
+		return p.sharing.Since(after.Revision)
 	case p.Adapter.ReplicaTable:
 		return p.view.replicaTable.Since(after)
 	}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -32,6 +32,10 @@
 	replicaTable  *follow.Follower
 
 	config atomic.Pointer[relay.Config]
+	// decoded and configRows, the rows of the configuration in force, are used by onConfig alone and
+	// contentVersion, one call at a time.
+	decoded    decodedConfig
+	configRows map[string][]byte
 
 	mu         sync.Mutex // guards the fields below
 	version    uint64     // of the balancer's last snapshot
@@ -64,10 +68,11 @@
 // ConfigAge implements relay.ConfigSource.
 func (v *view) ConfigAge() time.Duration { return v.operatorTable.Age() }
 
-// onConfig puts the configuration of a table in force if it is newer than the current one. An older one
-// is reported as an invariant violation.
+// onConfig puts the configuration of a table in force if it is newer than the current one, or another
+// one of the same version, which the operator has written later. An older one, which the follower does
+// not pass on, is reported as an invariant violation.
 func (v *view) onConfig(table platform.TableView) {
-	next, err := v.adapter.DecodeConfig(table.Rows)
+	next, err := v.decodeConfig(table.Rows)
 	if err != nil {
 		v.logger.Error("configuration not read; the one before stays in force", zap.Stringer("version", table.Version), zap.Error(err))
 		return
@@ -76,11 +81,12 @@
 		return
 	}
 	now := v.config.Load()
-	if now != nil && next.Version <= now.Version {
-		v.invariants.Check(next.Version == now.Version, invariant.VersionNeverFalls, "from %d to %d at version %s", now.Version, next.Version, table.Version)
+	if now != nil && (next.Version < now.Version || sameRows(table.Rows, v.configRows)) {
+		v.invariants.Check(next.Version >= now.Version, invariant.VersionNeverFalls, "from %d to %d at version %s", now.Version, next.Version, table.Version)
 		return
 	}
 	v.config.Store(next)
+	v.configRows = table.Rows
 	v.logger.Info("configuration in force", zap.Uint64("configVersion", next.Version), zap.Stringer("version", table.Version), zap.Int("profiles", next.NumProfiles()))
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/follow/confirm_test.go
+++ b/internal/follow/confirm_test.go
@@ -71,13 +71,18 @@
 	})
 }
 
+// at returns the cursor of a copy of a revision in the store's only era.
+func at(revision uint64) platform.Cursor {
+	return platform.Cursor{Version: platform.Version{Revision: revision}}
+}
+
 // concurrentPeers answers with a change and calls meanwhile before, which moves this VM's copy on.
 type concurrentPeers struct {
 	meanwhile func()
 	change    platform.TableChange
 }
 
-func (p *concurrentPeers) Fetch(context.Context, string, uint64) (platform.TableChange, time.Duration, bool) {
+func (p *concurrentPeers) Fetch(context.Context, string, platform.Cursor) (platform.TableChange, time.Duration, bool) {
 	p.meanwhile()
 	return p.change, 0, true
 }
@@ -98,12 +103,12 @@
 	publish(1)()
 	peers.meanwhile = publish(2)
 	f.fetchFromPeers(t.Context(), time.Second)
-	if change, _, _ := f.Since(2); change.UnchangedUpTo != 2 {
+	if change, _, _ := f.Since(at(2)); change.UnchangedUpTo != 2 {
 		t.Errorf("a copy of revision 2 counts as current up to %d", change.UnchangedUpTo)
 	}
 	peers.meanwhile = func() {}
 	f.fetchFromPeers(t.Context(), time.Second)
-	if change, _, _ := f.Since(5); change.UnchangedUpTo != 9 || string(f.View().Rows["a"]) != "5" {
+	if change, _, _ := f.Since(at(5)); change.UnchangedUpTo != 9 || string(f.View().Rows["a"]) != "5" {
 		t.Errorf("the change is not applied: %s, current up to %d", f.View().Rows["a"], change.UnchangedUpTo)
 	}
 }
@@ -115,7 +120,7 @@
 	f := New(optionsOf(newFakeFeed(), peers))
 	f.publish(platform.TableView{Version: platform.Version{Revision: 3}, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
 	f.fetchFromPeers(t.Context(), time.Second)
-	if change, _, _ := f.Since(3); change.UnchangedUpTo != 9 {
+	if change, _, _ := f.Since(at(3)); change.UnchangedUpTo != 9 {
 		t.Errorf("the copy is reported as current up to %d", change.UnchangedUpTo)
 	}
 }
--- a/internal/follow/fake_peers_test.go
+++ b/internal/follow/fake_peers_test.go
@@ -32,7 +32,7 @@
 	p.settling = settling
 }
 
-func (p *fakePeers) Fetch(ctx context.Context, _ string, after uint64) (platform.TableChange, time.Duration, bool) {
+func (p *fakePeers) Fetch(ctx context.Context, _ string, after platform.Cursor) (platform.TableChange, time.Duration, bool) {
 	p.mu.Lock()
 	silent := p.silent
 	p.mu.Unlock()
@@ -43,7 +43,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	change := platform.TableChange{Version: platform.Version{Revision: p.view.Revision}, UnchangedUpTo: p.view.Revision, Settling: p.settling, ByFeed: p.byFeed}
-	if p.view.Revision > after {
+	if p.view.After(after.Version) {
 		change.Whole, change.Written = true, p.view.Rows
 	}
 	return change, p.age, p.ok
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	f.publish(view, "store", askedAt)
+	f.publish(view, fromStore, askedAt)
 	return nil
 }
 
@@ -54,36 +54,46 @@
 // applied a change.
 func (f *Follower) pollFeed(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	at := f.View()
-	position := f.feedPosition(at.Revision)
+	position := f.feedPosition(at.Version)
 	change, err := f.Feed.Changes(ctx, f.Table, position, wait)
+	if err == nil && change.Era != at.Era {
+		// What follows the position in another era is not what has changed since the copy.
+		err = platform.ErrHistoryGone
+	}
 	if errors.Is(err, platform.ErrHistoryGone) {
-		f.Logger.Info("changes of a table are gone", zap.String("table", f.Table), zap.Uint64("position", position), zap.Stringer("have", at.Version))
+		f.Logger.Info("changes of a table are gone", zap.String("table", f.Table), zap.Uint64("position", position),
+			zap.Stringer("have", at.Version), zap.Uint64("era", change.Era))
 	}
 	if err != nil {
 		return false, err
 	}
 	if change.Empty() {
-		f.raiseUnchangedUpTo(change.Revision)
+		f.raiseUnchangedUpTo(change.Version)
 		f.markConfirmed(time.Now())
 		return false, nil
 	}
-	return f.applyChange(at.Revision, change, "store", time.Now()), nil
+	return f.applyChange(at.Version, change, fromStore, time.Now()), nil
 }
 
 // feedPosition returns the revision after which the feed is asked for changes, for a copy of the
-// given revision. The store keeps changes for about 20 s: for a table that changes rarely, a
+// given version. The store keeps changes for about 20 s: for a table that changes rarely, a
 // request from the copy's own revision would reach back too far and the whole table would be read
 // each time.
-func (f *Follower) feedPosition(revision uint64) uint64 {
+func (f *Follower) feedPosition(version platform.Version) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(revision, f.unchangedUpTo)
+	if f.unchangedUpTo.Era != version.Era {
+		return version.Revision
+	}
+	return max(version.Revision, f.unchangedUpTo.Revision)
 }
 
-func (f *Follower) raiseUnchangedUpTo(revision uint64) {
+func (f *Follower) raiseUnchangedUpTo(version platform.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.unchangedUpTo = max(f.unchangedUpTo, revision)
+	if version.After(f.unchangedUpTo) {
+		f.unchangedUpTo = version
+	}
 }
 
 // setFeedCall stores the function that cancels the pending feed call; nil means that there is
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -56,11 +56,11 @@
 
 // Peers fetches the copies that other VMs have of a table.
 type Peers interface {
-	// Fetch returns what a peer's copy has beyond the revision after; 0 asks for the whole table.
+	// Fetch returns what a peer's copy has beyond after; the zero cursor asks for the whole table.
 	// The change's UnchangedUpTo is the revision up to which that copy is current, at least the
 	// copy's own. age is the time since the peer's copy was confirmed to be current. ok is false
 	// if no peer answered.
-	Fetch(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool)
+	Fetch(ctx context.Context, table string, after platform.Cursor) (change platform.TableChange, age time.Duration, ok bool)
 }
 
 // Options configure a Follower.
@@ -83,6 +83,13 @@
 	PeersKnown func() bool
 	// VMs returns the number of VMs in the fleet, at least 1.
 	VMs func() int
+	// ContentVersion returns the writer's own version of the table's content, which never falls; nil
+	// for tables without one. ok is false if the rows can't be read. A content of a lower version
+	// is not taken over, whatever its place in the store's history: the store may come back from an
+	// older copy, and what its writer had written stays in force until it is written again.
+	ContentVersion func(rows map[string][]byte) (version uint64, ok bool)
+	// Eras has the eras that this VM has heard of. It may be nil.
+	Eras *platform.Eras
 	// RetryGroup is shared by the tables of this VM.
 	RetryGroup *RetryGroup
 	// OnChange is called with each new view, one call at a time.
@@ -100,6 +107,8 @@
 
 	publishMu sync.Mutex // serializes publish; guards the field below
 	history   history
+	// content is the highest version of a content that was taken over, 0 if there was none.
+	content atomic.Uint64
 
 	mu          sync.Mutex // guards the fields below
 	storeDown   bool
@@ -108,8 +117,9 @@
 	peersSettledAt time.Time
 	// lastFeedPeerAnswer is when a peer that follows the feed last answered.
 	lastFeedPeerAnswer time.Time
-	// unchangedUpTo is the store's revision up to which the copy is known to be current.
-	unchangedUpTo uint64
+	// unchangedUpTo is the store's version up to which the copy is known to be current, in the era of
+	// the copy. One of another era has no effect.
+	unchangedUpTo platform.Version
 	// cancelFeed cancels the pending feed call; nil if there is none.
 	cancelFeed context.CancelCauseFunc
 	// rereadWanted says that a concurrent call failed and the table has to be read again.
@@ -128,7 +138,11 @@
 	if o.PeersKnown == nil {
 		o.PeersKnown = func() bool { return true }
 	}
-	return &Follower{Options: o, askPeersNow: make(chan struct{}, 1)}
+	f := &Follower{Options: o, askPeersNow: make(chan struct{}, 1)}
+	if o.Eras != nil {
+		o.Eras.OnRaise(func(uint64) { f.onEraRaised() })
+	}
+	return f
 }
 
 // View returns the newest copy, or nil if there is none yet.
@@ -142,6 +156,11 @@
 	return platform.Version{}
 }
 
+// cursor returns what the newest copy holds, the zero cursor if there is none yet.
+func (f *Follower) cursor() platform.Cursor {
+	return platform.Cursor{Version: f.version(), Content: f.content.Load()}
+}
+
 // Age returns the time since the store or a peer last confirmed the copy, and the longest possible
 // duration if none has.
 func (f *Follower) Age() time.Duration {
@@ -174,7 +193,7 @@
 		}
 		// After a failure the whole table is read. That call is answered at once and shows that
 		// the store has recovered, whereas the feed would wait for the next change.
-		reread := f.takeReread() || failed || f.View() == nil
+		reread := f.takeReread() || failed || f.View() == nil || f.behindEra()
 		err := f.readStore(ctx, reread)
 		if ctx.Err() != nil {
 			return
@@ -193,10 +212,7 @@
 // waitAfterFailure waits after a failed read of the store. Peers are asked concurrently: silent
 // ones take up to 2.5 s, and the store may be back before that.
 func (f *Follower) waitAfterFailure(ctx context.Context) {
-	select {
-	case f.askPeersNow <- struct{}{}:
-	default: // a request is already pending
-	}
+	f.askPeers()
 	if f.View() != nil && !f.FollowsFeed() {
 		f.RetryGroup.leave(f)
 		f.waitForPeers(ctx, f.storeRetryDelay())
@@ -207,6 +223,14 @@
 	}
 }
 
+// askPeers makes the gossip loop ask peers at once.
+func (f *Follower) askPeers() {
+	select {
+	case f.askPeersNow <- struct{}{}:
+	default: // a request is already pending
+	}
+}
+
 // copiesFromPeers reports whether this VM needs no call to the store for now.
 func (f *Follower) copiesFromPeers() bool {
 	return f.View() != nil && !f.FollowsFeed() && f.Age() < f.maxPeerCopyAge()
@@ -220,28 +244,32 @@
 	return maxPeerCopyAge
 }
 
-// applyChange publishes a change to the copy of the given revision. It reports false, and does
-// nothing, if the copy has a different revision by now.
-func (f *Follower) applyChange(revision uint64, change platform.TableChange, from string, at time.Time) bool {
+// applyChange publishes a change to the copy of the given version. It reports false, and does
+// nothing, if the copy has a different version by now, or the change is of another era.
+func (f *Follower) applyChange(version platform.Version, change platform.TableChange, from string, at time.Time) bool {
 	now := f.View()
-	if now == nil || now.Revision != revision {
+	if now == nil || now.Version != version || change.Era != version.Era {
 		return false
 	}
 	f.publish(now.Apply(change), from, at)
 	return true
 }
 
-// Since returns what a copy of revision after lacks compared with this VM's copy, and the time
-// since this VM's copy was confirmed to be current. ok is false if this VM has no copy yet.
-func (f *Follower) Since(after uint64) (change platform.TableChange, age time.Duration, ok bool) {
+// Since returns what a copy at after lacks compared with this VM's copy, and the time since this VM's
+// copy was confirmed to be current. ok is false if this VM has no copy yet.
+func (f *Follower) Since(after platform.Cursor) (change platform.TableChange, age time.Duration, ok bool) {
 	f.publishMu.Lock()
 	defer f.publishMu.Unlock()
 	view := f.View()
 	if view == nil {
 		return platform.TableChange{}, 0, false
 	}
-	change = f.history.since(*view, after)
-	change.UnchangedUpTo = f.feedPosition(view.Revision)
+	change = f.history.since(*view, after.Version)
+	change.Content = f.content.Load()
+	if change.Content > after.Content {
+		change.Whole, change.Written, change.Deleted = true, view.Rows, nil
+	}
+	change.UnchangedUpTo = f.feedPosition(view.Version)
 	change.SettlingLeft = f.reportedSettling()
 	change.Settling = change.SettlingLeft > 0
 	change.ByFeed = f.FollowsFeed()
@@ -258,29 +286,3 @@
 		}
 	}
 }
-
-// publish replaces the copy by a view that was current at the given time. It refuses an older
-// view; a peer's view of the same revision only confirms the copy.
-func (f *Follower) publish(view platform.TableView, from string, at time.Time) {
-	f.publishMu.Lock()
-	defer f.publishMu.Unlock()
-	old := f.view.Load()
-	if old != nil && view.Revision < old.Revision {
-		f.Logger.Info("older copy of a table refused", zap.String("table", f.Table), zap.String("from", from),
-			zap.Stringer("version", view.Version), zap.Stringer("have", old.Version))
-		return
-	}
-	if old != nil && view.Revision == old.Revision && from == "peer" {
-		f.markConfirmed(at)
-		return
-	}
-	if old != nil {
-		f.history.add(*old, view)
-	}
-	f.view.Store(&view)
-	f.markConfirmed(at)
-	if from == "peer" {
-		f.Logger.Info("table learned from a peer", zap.String("table", f.Table), zap.Stringer("version", view.Version))
-	}
-	f.OnChange(view)
-}
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -43,12 +43,15 @@
 func (f *Follower) fetchFromPeers(ctx context.Context, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	revision := f.version().Revision
+	have := f.cursor()
 	askedAt := time.Now()
-	change, age, ok := f.Peers.Fetch(ctx, f.Table, revision)
+	change, age, ok := f.Peers.Fetch(ctx, f.Table, have)
 	if !ok {
 		return
 	}
+	if f.Eras != nil && change.Era > 0 {
+		f.Eras.Raise(change.Era)
+	}
 	// A relay does not count other relays, which may have lost the feed together with it.
 	f.recordPeerRole(change.ByFeed || change.ByRelay && !f.Relays())
 	if change.Settling {
@@ -56,17 +59,17 @@
 	}
 	switch {
 	case change.Whole:
-		f.publish(platform.TableView{Version: change.Version, Rows: change.Written}, "peer", askedAt.Add(-age))
+		f.publish(platform.TableView{Version: change.Version, Rows: change.Written}, fromPeer, askedAt.Add(-age))
 	case !change.Empty():
-		f.applyChange(revision, change, "peer", askedAt.Add(-age))
-	case change.UnchangedUpTo >= revision:
+		f.applyChange(have.Version, change, fromPeer, askedAt.Add(-age))
+	case change.Era == have.Era && change.UnchangedUpTo >= have.Revision:
 		f.markConfirmed(askedAt.Add(-age))
 	}
-	f.mergePeerUnchanged(revision, change)
+	f.mergePeerUnchanged(have.Version, change)
 }
 
 // mergePeerUnchanged takes over from a peer up to which revision of the store this VM's copy is
-// current. A peer may have the same copy under a different revision: VMs read the table at
+// current, if both copies are of the same era. A peer may have the same copy under a different revision: VMs read the table at
 // different revisions of the store, between which only other tables changed. If copies were
 // compared by their revisions alone, such a copy would remain unconfirmed until the next change,
 // and each VM would ask the store.
@@ -75,9 +78,12 @@
 // of the change: a copy that counts as current up to a revision beyond the missing change would
 // never receive it. A peer that has nothing beyond the requested revision has the same copy,
 // whatever the peer's revision.
-func (f *Follower) mergePeerUnchanged(requested uint64, change platform.TableChange) {
-	now := f.version().Revision
-	if now >= change.Revision || now == requested && change.Empty() {
-		f.raiseUnchangedUpTo(change.UnchangedUpTo)
+func (f *Follower) mergePeerUnchanged(requested platform.Version, change platform.TableChange) {
+	now := f.version()
+	if now.Era != change.Era {
+		return
+	}
+	if !now.Before(change.Version) || now == requested && change.Empty() {
+		f.raiseUnchangedUpTo(platform.Version{Era: change.Era, Revision: change.UnchangedUpTo})
 	}
 }
--- a/internal/follow/history.go
+++ b/internal/follow/history.go
@@ -17,7 +17,7 @@
 	changes []changedRows
 }
 
-// changedRows holds the keys of the rows that changed between two revisions.
+// changedRows holds the keys of the rows that changed between two revisions of an era.
 type changedRows struct {
 	from, to uint64
 	keys     []string
@@ -42,18 +42,18 @@
 	h.changes = append(h.changes, changedRows{from: old.Revision, to: next.Revision, keys: keys})
 }
 
-// since returns what a copy of revision after lacks compared with the view. The change may contain
-// rows that the copy already has.
-func (h *history) since(view platform.TableView, after uint64) platform.TableChange {
-	if after >= view.Revision {
+// since returns what a copy of version after lacks compared with the view. The change may contain
+// rows that the copy already has. Changes are kept within an era only.
+func (h *history) since(view platform.TableView, after platform.Version) platform.TableChange {
+	if !after.Before(view.Version) {
 		return platform.TableChange{Version: view.Version}
 	}
-	if len(h.changes) == 0 || h.changes[0].from > after {
+	if after.Era != view.Era || len(h.changes) == 0 || h.changes[0].from > after.Revision {
 		return platform.TableChange{Version: view.Version, Whole: true, Written: view.Rows}
 	}
 	change := platform.TableChange{Version: view.Version, Written: map[string][]byte{}}
 	for _, c := range h.changes {
-		if c.to <= after {
+		if c.to <= after.Revision {
 			continue
 		}
 		for _, key := range c.keys {
--- a/internal/follow/history_test.go
+++ b/internal/follow/history_test.go
@@ -32,7 +32,7 @@
 		}
 		newest := views[len(views)-1]
 		behind := views[rapid.IntRange(0, len(views)-1).Draw(t, "behind")]
-		got := behind.Apply(h.since(newest, behind.Revision))
+		got := behind.Apply(h.since(newest, behind.Version))
 		same := maps.EqualFunc(got.Rows, newest.Rows, func(a, b []byte) bool { return string(a) == string(b) })
 		if got.Revision != newest.Revision || !same {
 			t.Fatalf("%v from revision %d, want %v", got, behind.Revision, newest)
--- a/internal/follow/settling_test.go
+++ b/internal/follow/settling_test.go
@@ -63,14 +63,14 @@
 		peers.setCopy(1, "1")
 		feed.set(func() { feed.err = errors.New("turned away") })
 		time.Sleep(10 * time.Second)
-		if change, age, ok := f.Since(1); !ok || change.Settling {
+		if change, age, ok := f.Since(at(1)); !ok || change.Settling {
 			t.Errorf("rejected by the store: reports %+v, its copy is %s old", change, age)
 		}
 		peers.mu.Lock()
 		peers.age = time.Minute
 		peers.mu.Unlock()
 		time.Sleep(2 * maxPeerCopyAge)
-		if change, age, ok := f.Since(1); !ok || !change.Settling {
+		if change, age, ok := f.Since(at(1)); !ok || !change.Settling {
 			t.Errorf("no VM gets an answer from the store: reports %+v, its copy is %s old", change, age)
 		}
 	})
--- a/internal/harness/standin/feedsim/client.go
+++ b/internal/harness/standin/feedsim/client.go
@@ -19,6 +19,8 @@
 // Client is the store as one VM sees it.
 type Client struct {
 	store *Store
+	// eras gets the era of each answer; nil for none.
+	eras *platform.Eras
 	// Rejected makes the store answer this VM's calls with an error.
 	Rejected atomic.Bool
 	// CutOff makes this VM's calls wait until their context ends.
@@ -27,15 +29,29 @@
 
 var _ platform.Feed = (*Client)(nil)
 
-// Client returns a new client.
-func (s *Store) Client() *Client { return &Client{store: s} }
+// Client returns a new client of a VM, which records the eras of answers; eras may be nil.
+func (s *Store) Client(eras *platform.Eras) *Client { return &Client{store: s, eras: eras} }
 
 // ReadAll implements platform.Feed.
 func (c *Client) ReadAll(ctx context.Context, table string) (platform.TableView, error) {
 	if err := c.begin(ctx); err != nil {
 		return platform.TableView{}, err
 	}
-	s := c.store
+	view, err := c.store.readAll(table)
+	if err == nil {
+		c.observe(view.Era)
+	}
+	return view, err
+}
+
+// observe records the era of an answer.
+func (c *Client) observe(era uint64) {
+	if c.eras != nil {
+		c.eras.Raise(era)
+	}
+}
+
+func (s *Store) readAll(table string) (platform.TableView, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
@@ -55,7 +71,10 @@
 	}
 	until := time.Now().Add(wait)
 	for {
-		change, changed, err := c.changes(table, after)
+		change, changed, err := c.store.changes(table, after)
+		if err == nil || errors.Is(err, platform.ErrHistoryGone) {
+			c.observe(change.Era)
+		}
 		if err != nil || !change.Empty() || !time.Now().Before(until) {
 			return change, err
 		}
@@ -90,8 +109,7 @@
 }
 
 // changes returns what has changed after a revision, and a channel that is closed with the next change.
-func (c *Client) changes(table string, after uint64) (platform.TableChange, <-chan struct{}, error) {
-	s := c.store
+func (s *Store) changes(table string, after uint64) (platform.TableChange, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change := platform.TableChange{Version: platform.Version{Era: s.era, Revision: s.state.revision}, Written: map[string][]byte{}}
--- a/internal/loads/collector.go
+++ b/internal/loads/collector.go
@@ -33,8 +33,8 @@
 type Peers interface {
 	// Offer sends the snapshot to one of the VMs that others ask, in each data centre.
 	Offer(ctx context.Context, table string, change platform.TableChange, age time.Duration)
-	// FetchOne returns one peer's copy of the snapshot if it is newer than a revision.
-	FetchOne(ctx context.Context, table string, after uint64) (platform.TableChange, time.Duration, bool)
+	// FetchOne returns one peer's copy of the snapshot if it is newer than a version.
+	FetchOne(ctx context.Context, table string, after platform.Version) (platform.TableChange, time.Duration, bool)
 }
 
 // Options configure a Collector.
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	for _, dataCentre := range c.Cache.wanted(c.DataCentres()) {
-		change, age, ok := c.Peers.FetchOne(ctx, partTable(dataCentre), c.Cache.partRevision(dataCentre))
+		change, age, ok := c.Peers.FetchOne(ctx, partTable(dataCentre), platform.Version{Revision: c.Cache.partRevision(dataCentre)})
 		if ok {
 			c.Cache.Take(change, age)
 		}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -40,8 +40,8 @@
 	p.cache.Take(change, age)
 }
 
-func (p onePeer) FetchOne(_ context.Context, table string, after uint64) (platform.TableChange, time.Duration, bool) {
-	return p.cache.Since(table, after)
+func (p onePeer) FetchOne(_ context.Context, table string, after platform.Version) (platform.TableChange, time.Duration, bool) {
+	return p.cache.Since(table, after.Revision)
 }
 
 // recordingCache is a VM's cache that records the loads last passed to onChange.
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -49,18 +49,20 @@
 	c.peers = peers.exclude(map[string]time.Time{c.self: {}})
 }
 
-// Fetch asks two peers for their revisions, one of them in another data centre if possible, since
-// the store may reject the first one. It then fetches from the peer with the newer copy, or from
-// the first peer if both are equally new, what that copy has beyond the revision after. It returns
+// Fetch asks two peers what their copies hold, one of them in another data centre if possible, since
+// the store may reject the first one. It then fetches from the peer with the later content, or else
+// the later version, or from the first peer if both are equal, what that copy has beyond after. It returns
 // the change and the time since that copy was confirmed to be current. ok is false if no peer
 // answered.
-func (c *Client) Fetch(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool) {
+func (c *Client) Fetch(ctx context.Context, table string, after platform.Cursor) (change platform.TableChange, age time.Duration, ok bool) {
 	peers := c.availablePeers()
 	order := peers.order(1)
 	if len(order) == 0 {
 		return change, 0, false
 	}
-	brief := fetchRequest{Table: table, After: after, Brief: true}
+	request := newFetchRequest(table, after)
+	brief := request
+	brief.Brief = true
 	second := peers.second(order[0])
 	answers := make(chan *fetchResponse, 1)
 	go func() { answers <- c.do(ctx, second, brief) }()
@@ -70,18 +72,18 @@
 	byRelay := newest != nil && newest.ByRelay || other != nil && other.ByRelay
 	switch {
 	case newest == nil && other == nil:
-		return c.FetchOne(ctx, table, after)
-	case newest == nil || other != nil && other.Revision > newest.Revision:
+		return c.fetchOne(ctx, request)
+	case newest == nil || other != nil && other.laterThan(newest):
 		newest, from = other, second
-	case other != nil && other.Revision == newest.Revision && other.fresherThan(newest, after):
+	case other != nil && other.Cursor == newest.Cursor && other.fresherThan(newest, after.Version):
 		newest = other // the first peer has the same copy
 	}
 	newest.ByFeed, newest.ByRelay = byFeed, byRelay
-	if newest.Revision <= after {
+	if !after.Lacks(newest.Cursor) {
 		return c.unpackAnswer(newest)
 	}
-	full := c.hedgedFetch(ctx, from, second, fetchRequest{Table: table, After: after})
-	if full != nil && full.Revision == newest.Revision && newest.AgeMS < full.AgeMS {
+	full := c.hedgedFetch(ctx, from, second, request)
+	if full != nil && full.Cursor == newest.Cursor && newest.AgeMS < full.AgeMS {
 		newest.UnchangedUpTo = max(full.UnchangedUpTo, newest.UnchangedUpTo)
 		full.copyStatus = newest.copyStatus
 	}
@@ -90,16 +92,22 @@
 
 // FetchOne asks one peer after another until one answers, up to maxAttempts. It is for copies that
 // change continuously, of which any recent one is good enough.
-func (c *Client) FetchOne(ctx context.Context, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool) {
+func (c *Client) FetchOne(ctx context.Context, table string, after platform.Version) (change platform.TableChange, age time.Duration, ok bool) {
+	return c.fetchOne(ctx, newFetchRequest(table, platform.Cursor{Version: after}))
+}
+
+func (c *Client) fetchOne(ctx context.Context, request fetchRequest) (change platform.TableChange, age time.Duration, ok bool) {
+	brief := request
+	brief.Brief = true
 	for _, address := range c.availablePeers().order(maxAttempts) {
-		brief := c.do(ctx, address, fetchRequest{Table: table, After: after, Brief: true})
-		if brief == nil {
+		held := c.do(ctx, address, brief)
+		if held == nil {
 			continue
 		}
-		if brief.Revision <= after {
-			return c.unpackAnswer(brief) // nothing to fetch
+		if !request.cursor().Lacks(held.Cursor) {
+			return c.unpackAnswer(held) // nothing to fetch
 		}
-		if a := c.do(ctx, address, fetchRequest{Table: table, After: after}); a != nil {
+		if a := c.do(ctx, address, request); a != nil {
 			return c.unpackAnswer(a)
 		}
 	}
@@ -120,15 +128,15 @@
 		}
 		change = unpacked
 	}
-	change.Revision, change.UnchangedUpTo = a.Revision, a.unchangedUpTo()
+	change.Version, change.Content, change.UnchangedUpTo = a.Version, a.Content, a.unchangedUpTo()
 	change.Settling, change.SettlingLeft = a.Settling, time.Duration(a.SettlingLeftMS)*time.Millisecond
 	change.ByFeed, change.ByRelay = a.ByFeed, a.ByRelay
 	return change, time.Duration(a.AgeMS) * time.Millisecond, true
 }
 
-// FetchFrom asks one peer for what its copy has beyond the revision after.
-func (c *Client) FetchFrom(ctx context.Context, address, table string, after uint64) (change platform.TableChange, age time.Duration, ok bool) {
-	return c.unpackAnswer(c.do(ctx, address, fetchRequest{Table: table, After: after}))
+// FetchFrom asks one peer for what its copy has beyond the version after.
+func (c *Client) FetchFrom(ctx context.Context, address, table string, after platform.Version) (change platform.TableChange, age time.Duration, ok bool) {
+	return c.unpackAnswer(c.do(ctx, address, newFetchRequest(table, platform.Cursor{Version: after})))
 }
 
 // Offer sends a copy to one feed follower of each data centre, which forwards it to the others that
@@ -160,7 +168,7 @@
 		c.logger.Error("offer not packed", zap.String("table", o.Table), zap.Error(err))
 		return 0
 	}
-	o.fetchResponse = fetchResponse{Revision: change.Revision, copyStatus: copyStatus{AgeMS: age.Milliseconds()}, Change: packed}
+	o.fetchResponse = fetchResponse{Cursor: platform.Cursor{Version: change.Version}, copyStatus: copyStatus{AgeMS: age.Milliseconds()}, Change: packed}
 	var wg sync.WaitGroup
 	var accepted atomic.Int32
 	for _, address := range addresses {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -20,7 +20,7 @@
 	age    time.Duration
 }
 
-func (s *tableCopy) since(string, uint64) (platform.TableChange, time.Duration, bool) {
+func (s *tableCopy) since(string, platform.Cursor) (platform.TableChange, time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.change, s.age, s.change.Whole
@@ -32,6 +32,11 @@
 	s.change, s.age = change, age
 }
 
+// cursorAt returns the cursor of a copy of a revision in the store's only era.
+func cursorAt(revision uint64) platform.Cursor {
+	return platform.Cursor{Version: platform.Version{Revision: revision}}
+}
+
 // serve starts the server of a VM and returns its address.
 func serve(t *testing.T, s *tableCopy) string {
 	t.Helper()
@@ -79,7 +84,7 @@
 	t.Helper()
 	for range 100 {
 		c.Offer(context.Background(), "loads", change, time.Second)
-		if _, _, ok := at.since("", 0); ok {
+		if _, _, ok := at.since("", platform.Cursor{}); ok {
 			return
 		}
 	}
@@ -89,7 +94,7 @@
 func fetch(t *testing.T, c *Client) (platform.TableChange, time.Duration, bool) {
 	t.Helper()
 	for range 100 {
-		if change, age, ok := c.Fetch(context.Background(), "loads", 0); ok {
+		if change, age, ok := c.Fetch(context.Background(), "loads", platform.Cursor{}); ok {
 			return change, age, ok
 		}
 	}
@@ -115,7 +120,7 @@
 		return callPeer(ctx, address, req)
 	}
 	for range 5 {
-		if _, _, ok := c.FetchOne(context.Background(), "loads", 0); !ok {
+		if _, _, ok := c.FetchOne(context.Background(), "loads", platform.Version{}); !ok {
 			t.Fatal("no answer")
 		}
 	}
@@ -140,7 +145,7 @@
 			c := NewClient("", nil, zap.NewNop())
 			c.SetPeers(peers)
 			for range 100 {
-				change, age, ok := c.Fetch(context.Background(), "servers", after)
+				change, age, ok := c.Fetch(context.Background(), "servers", cursorAt(after))
 				if !ok || age >= 3*time.Second {
 					continue // a request timed out on a busy machine
 				}
@@ -165,7 +170,7 @@
 	callPeer := c.roundTrip
 	c.roundTrip = func(context.Context, string, fetchRequest) *fetchResponse { return nil }
 	for range 3 {
-		if _, _, ok := c.Fetch(context.Background(), "loads", 0); ok {
+		if _, _, ok := c.Fetch(context.Background(), "loads", platform.Cursor{}); ok {
 			t.Fatal("an answer while cut off")
 		}
 	}
@@ -192,14 +197,14 @@
 				<-ctx.Done()
 				return nil
 			}
-			a := &fetchResponse{Revision: 7}
+			a := &fetchResponse{Cursor: cursorAt(7)}
 			if address == "lives" && req.Brief {
 				a.Revision = 6 // so that the one that stops is asked first
 			}
 			return a
 		}
 		began := time.Now()
-		change, _, ok := c.Fetch(t.Context(), "op", 5)
+		change, _, ok := c.Fetch(t.Context(), "op", cursorAt(5))
 		if !ok || change.Revision != 7 {
 			t.Errorf("%+v, %t", change, ok)
 		}
@@ -221,7 +226,7 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), requestTimeout/2)
 		defer cancel()
-		c.Fetch(ctx, "op", 5)
+		c.Fetch(ctx, "op", cursorAt(5))
 		synctest.Wait()
 		if known := c.availablePeers().order(smallFleet); len(known) != 2 || len(c.silentUntil) != 0 {
 			t.Errorf("asked next: %v, silent: %v", known, c.silentUntil)
@@ -246,14 +251,14 @@
 	defer asking.Close()
 	asking.SetPeers(Peers{LocalFollowers: []string{nearAt}, Fallback: []string{serve(t, &tableCopy{}), serve(t, &tableCopy{}), "127.0.0.1:1"}})
 	for _, c := range []*Client{maker, asking} {
-		if _, _, ok := c.FetchOne(t.Context(), "loads", 0); ok {
+		if _, _, ok := c.FetchOne(t.Context(), "loads", platform.Version{}); ok {
 			t.Fatal("there is a copy before one was offered")
 		}
 	}
 	snapshot := platform.TableChange{Version: platform.Version{Revision: 9}, Whole: true, Written: map[string][]byte{"all": []byte("loads")}}
 	offer(t, maker, near, snapshot)
 	offer(t, maker, far, snapshot)
-	if change, _, ok := asking.FetchOne(t.Context(), "loads", 0); !ok || change.Revision != snapshot.Revision {
+	if change, _, ok := asking.FetchOne(t.Context(), "loads", platform.Version{}); !ok || change.Revision != snapshot.Revision {
 		t.Errorf("%+v, %t", change, ok)
 	}
 }
--- a/internal/mirror/pack_cache.go
+++ b/internal/mirror/pack_cache.go
@@ -9,10 +9,13 @@
 // maxPackedChanges bounds the number of cached changes.
 const maxPackedChanges = 64
 
-// packKey identifies the change of a table from one revision to another.
+// packKey identifies the change of a table from one version to another. A copy keeps its version when
+// it takes over a later content from a copy of an earlier era.
 type packKey struct {
 	table     string
-	after, to uint64
+	after, to platform.Version
+	content   uint64
+	whole     bool
 }
 
 // packCache caches packed changes. The VMs that ask for a new configuration need the same change,
@@ -26,10 +29,10 @@
 
 // get returns the packed change, from the cache if possible. A whole table is the same whatever
 // revision the peer has.
-func (p *packCache) get(table string, after uint64, change platform.TableChange) ([]byte, error) {
-	key := packKey{table: table, after: after, to: change.Revision}
+func (p *packCache) get(table string, after platform.Version, change platform.TableChange) ([]byte, error) {
+	key := packKey{table: table, after: after, to: change.Version, content: change.Content, whole: change.Whole}
 	if change.Whole {
-		key.after = 0
+		key.after = platform.Version{}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/mirror/panic_test.go
+++ b/internal/mirror/panic_test.go
@@ -16,7 +16,7 @@
 
 // Guards against a peer's message that crashes each VM to which it is sent.
 func TestHandlerThatPanicsFails(t *testing.T) {
-	s := NewServer(func(string, uint64) (platform.TableChange, time.Duration, bool) { panic("a table") }, nil, zap.NewNop())
+	s := NewServer(func(string, platform.Cursor) (platform.TableChange, time.Duration, bool) { panic("a table") }, nil, zap.NewNop())
 	defer s.Stop()
 	decode := func(request any) error {
 		proto.Merge(request.(proto.Message), wrapperspb.Bytes([]byte(`{"table":"a"}`)))
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -15,10 +15,9 @@
 	"geraniumcroft/internal/platform"
 )
 
-// ChangeSource returns what a copy of the table at revision after lacks compared with this VM's
-// copy, and the time since this VM's copy was confirmed to be current. ok is false if this VM has
+// ChangeSource returns what a copy of the table at after lacks compared with this VM's copy, and the time since this VM's copy was confirmed to be current. ok is false if this VM has
 // no copy.
-type ChangeSource func(table string, after uint64) (change platform.TableChange, age time.Duration, ok bool)
+type ChangeSource func(table string, after platform.Cursor) (change platform.TableChange, age time.Duration, ok bool)
 
 // OfferHandler receives a peer's offer of a table, with the time since the peer's copy was
 // confirmed to be current, and whether the offer is to be forwarded. It has to ignore an offer that
@@ -72,11 +71,11 @@
 }
 
 func (s *Server) respond(req fetchRequest) (*fetchResponse, error) {
-	change, age, ok := s.changesSince(req.Table, req.After)
+	change, age, ok := s.changesSince(req.Table, req.cursor())
 	if !ok {
 		return nil, status.Error(codes.NotFound, "this VM has no copy of the table")
 	}
-	a := &fetchResponse{Revision: change.Revision, copyStatus: copyStatus{
+	a := &fetchResponse{Cursor: platform.Cursor{Version: change.Version, Content: change.Content}, copyStatus: copyStatus{
 		UnchangedUpTo: change.UnchangedUpTo, AgeMS: age.Milliseconds(),
 		Settling: change.Settling, SettlingLeftMS: change.SettlingLeft.Milliseconds(), ByFeed: change.ByFeed, ByRelay: change.ByRelay,
 	}}
@@ -86,7 +85,7 @@
 	if req.Brief || change.Empty() {
 		return a, nil
 	}
-	packed, err := s.packed.get(req.Table, req.After, change)
+	packed, err := s.packed.get(req.Table, req.cursor().Version, change)
 	if err != nil {
 		return nil, status.Error(codes.Internal, err.Error())
 	}
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -8,6 +8,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"geraniumcroft/internal/platform"
 )
 
 const (
@@ -50,17 +52,29 @@
 	}
 }
 
-// fetchRequest asks for a table if the peer's copy is newer than the revision After.
+// fetchRequest asks for a table if the peer's copy has something that one of the given era, revision
+// and content lacks. VMs of an earlier version send only the revision.
 type fetchRequest struct {
-	Table string `json:"table"`
-	After uint64 `json:"after"`
+	Table   string `json:"table"`
+	After   uint64 `json:"after"`
+	Era     uint64 `json:"era,omitempty"`
+	Content uint64 `json:"content,omitempty"`
 	// Brief asks only for the revision and the status of the copy.
 	Brief bool `json:"brief,omitempty"`
 }
 
-// fetchResponse is what the peer's copy has beyond the requested revision.
+func newFetchRequest(table string, after platform.Cursor) fetchRequest {
+	return fetchRequest{Table: table, After: after.Revision, Era: after.Era, Content: after.Content}
+}
+
+func (r fetchRequest) cursor() platform.Cursor {
+	return platform.Cursor{Version: platform.Version{Era: r.Era, Revision: r.After}, Content: r.Content}
+}
+
+// fetchResponse is what the peer's copy has beyond the requested cursor. VMs of an earlier version send
+// no era.
 type fetchResponse struct {
-	Revision uint64 `json:"revision"`
+	platform.Cursor
 	copyStatus
 	// Change is the packed change; it is empty if nothing changed or the request was brief.
 	Change []byte `json:"change,omitempty"`
@@ -73,8 +87,8 @@
 // is taken as a whole: when a recent age was combined with an old revision, later copies were not
 // confirmed.
 type copyStatus struct {
-	// UnchangedUpTo is the store's revision up to which the copy is current. It is 0 if that is
-	// not known, as in answers of VMs of an earlier version.
+	// UnchangedUpTo is the store's revision, in the era of the copy, up to which the copy is current.
+	// It is 0 if that is not known, as in answers of VMs of an earlier version.
 	UnchangedUpTo uint64 `json:"unchangedUpTo,omitempty"`
 	// AgeMS is the time in milliseconds since the copy was confirmed to be current.
 	AgeMS int64 `json:"ageMs"`
@@ -92,11 +106,24 @@
 // unchangedUpTo returns the store's revision up to which the copy is current, at least its own.
 func (a *fetchResponse) unchangedUpTo() uint64 { return max(a.Revision, a.UnchangedUpTo) }
 
+// laterThan reports whether a is about a later copy: one of a later content, or else version.
+func (a *fetchResponse) laterThan(other *fetchResponse) bool {
+	if a.Content != other.Content {
+		return a.Content > other.Content
+	}
+	return a.After(other.Version)
+}
+
+// confirms reports whether the answer confirms a copy of the version.
+func (a *fetchResponse) confirms(version platform.Version) bool {
+	return a.Era == version.Era && a.unchangedUpTo() >= version.Revision
+}
+
 // fresherThan reports whether a is the better of two answers about the same copy, for a VM whose
-// copy has the given revision: it confirms that revision while the other does not, or, if both or
+// copy has the given version: it confirms that version while the other does not, or, if both or
 // neither do, its copy was confirmed more recently.
-func (a *fetchResponse) fresherThan(than *fetchResponse, revision uint64) bool {
-	confirms, thatConfirms := a.unchangedUpTo() >= revision, than.unchangedUpTo() >= revision
+func (a *fetchResponse) fresherThan(than *fetchResponse, version platform.Version) bool {
+	confirms, thatConfirms := a.confirms(version), than.confirms(version)
 	if confirms != thatConfirms {
 		return confirms
 	}
--- a/internal/mirror/spread_test.go
+++ b/internal/mirror/spread_test.go
@@ -249,6 +249,11 @@
 func newSpreadFleet(vms int) *spreadFleet { return newSpreadFleetOf(vms, 3) }
 
 func newSpreadFleetOf(vms, dataCentres int) *spreadFleet {
+	return newSpreadFleetWith(vms, dataCentres, func(*spreadVM, *follow.Options) {})
+}
+
+// newSpreadFleetWith lets adjust change the options of each VM's follower.
+func newSpreadFleetWith(vms, dataCentres int, adjust func(*spreadVM, *follow.Options)) *spreadFleet {
 	f := &spreadFleet{changed: make(chan struct{}), vms: map[string]*spreadVM{}}
 	f.view = platform.TableView{Version: platform.Version{Revision: 1}, Rows: configuration(1770, 1)}
 	var all []census.VM
@@ -280,7 +285,7 @@
 			peers.FeedFollowers[dataCentre] = addressesOf(vms)
 		}
 		vm.client.SetPeers(peers)
-		vm.follower = follow.New(follow.Options{
+		options := follow.Options{
 			Table: spreadTable, Feed: spreadFeed{f, vm}, Peers: vm.client, Logger: zap.NewNop(),
 			FollowsFeed: func() bool { return follows },
 			Relays:      func() bool { return relays },
@@ -288,8 +293,10 @@
 			VMs:         func() int { return vms },
 			RetryGroup:  follow.NewRetryGroup(),
 			OnChange:    func(view platform.TableView) { f.recordInForce(vm, view.Revision) },
-		})
-		vm.server = NewServer(func(_ string, after uint64) (platform.TableChange, time.Duration, bool) {
+		}
+		adjust(vm, &options)
+		vm.follower = follow.New(options)
+		vm.server = NewServer(func(_ string, after platform.Cursor) (platform.TableChange, time.Duration, bool) {
 			return vm.follower.Since(after)
 		}, nil, zap.NewNop())
 	}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -35,6 +35,9 @@
 // the whole table.
 type TableChange struct {
 	Version
+	// Content is the writer's own version of the sender's content, see Cursor. Set only in changes
+	// that peers exchange.
+	Content uint64            `json:"content,omitempty"`
 	Whole   bool              `json:"whole,omitempty"`
 	Written map[string][]byte `json:"written,omitempty"`
 	Deleted []string          `json:"deleted,omitempty"`
--- a/internal/quarantine/sharing/fleet_test.go
+++ b/internal/quarantine/sharing/fleet_test.go
@@ -210,12 +210,12 @@
 }
 
 // FetchFrom implements Peers.
-func (vm *fleetVM) FetchFrom(ctx context.Context, address, _ string, after uint64) (platform.TableChange, time.Duration, bool) {
+func (vm *fleetVM) FetchFrom(ctx context.Context, address, _ string, after platform.Version) (platform.TableChange, time.Duration, bool) {
 	other := vm.fleet.call(ctx, address)
 	if other == nil {
 		return platform.TableChange{}, 0, false
 	}
-	return other.Since(after)
+	return other.Since(after.Revision)
 }
 
 // recordCrash records the crash of a replica on this VM.
--- a/internal/quarantine/sharing/options.go
+++ b/internal/quarantine/sharing/options.go
@@ -15,9 +15,9 @@
 	// OfferAll sends a change of the given age to the VMs from which all others fetch it. It returns
 	// the number of VMs that accepted it.
 	OfferAll(ctx context.Context, table string, change platform.TableChange, age time.Duration) int
-	// FetchFrom fetches the changes after a revision from one peer, with their age. It returns false
+	// FetchFrom fetches the changes after a version from one peer, with their age. It returns false
 	// if the peer did not answer.
-	FetchFrom(ctx context.Context, address, table string, after uint64) (platform.TableChange, time.Duration, bool)
+	FetchFrom(ctx context.Context, address, table string, after platform.Version) (platform.TableChange, time.Duration, bool)
 }
 
 // Options holds the dependencies of a Syncer. All fields are required.
--- a/internal/quarantine/sharing/sharing.go
+++ b/internal/quarantine/sharing/sharing.go
@@ -198,7 +198,7 @@
 	s.mu.Lock()
 	after := s.cursors[address]
 	s.mu.Unlock()
-	change, age, ok := s.Peers.FetchFrom(ctx, address, quarantine.TableName, after)
+	change, age, ok := s.Peers.FetchFrom(ctx, address, quarantine.TableName, platform.Version{Revision: after})
 	if ok {
 		s.Apply(change, age)
 	}
