entry: a replica that left stays so when the store's older copy still has it

Beside it, the copy that the store comes back from may have an entry, or the state ready, of a replica that VMs know to have gone or drained; nothing but its next write, a heartbeat later, or its expiry, three heartbeats later, would have taken it out again.

Change: what the copy says of such a replica does not count until its entry is rewritten, or has stood for 5 s, which is longer than three heartbeats. A replica that the copy does not have yet is kept while the store settles, which begins with the first copy of a new era; without that VMs that saw no failed call dropped it.

What remains: a VM that starts in that gap has no memory of it.

--- a/internal/entry/replica_set.go
+++ b/internal/entry/replica_set.go
@@ -31,6 +31,7 @@
 	// entries expired during a store outage.
 	vanished map[string]relay.Replica
 	unusable unusableEntries
+	restored restoredEntries
 	// decoded holds the rows of the last update.
 	decoded decodedEntries
 }
@@ -39,7 +40,7 @@
 	return &replicaSet{
 		decode: decode, logger: logger, onRestart: onRestart, incarnations: incarnation.NewTracker(),
 		listed: map[string]relay.Replica{}, superseded: map[string]relay.Replica{}, vanished: map[string]relay.Replica{},
-		unusable: newUnusableEntries(logger),
+		unusable: newUnusableEntries(logger), restored: newRestoredEntries(logger),
 	}
 }
 
@@ -50,12 +51,15 @@
 	s.listed, s.superseded = make(map[string]relay.Replica, len(rows)), map[string]relay.Replica{}
 	unusable := map[string]error{}
 	s.decoded = s.decoded.next(rows, s.decode)
+	s.restored.update(version.Era, s.decoded, before, settling, now)
 	for id, entry := range s.decoded {
 		if entry.err != nil {
 			unusable[id] = entry.err
 			continue
 		}
-		s.applyEntry(entry.replica, before, now)
+		if r, counts := s.restored.apply(entry.replica); counts {
+			s.applyEntry(r, before, now)
+		}
 	}
 	s.unusable.replace(unusable, zap.Stringer("version", version))
 	s.reportChanges(before, version)
@@ -118,7 +122,7 @@
 }
 
 // dropExpired does nothing while the store is settling. Afterwards it drops the vanished
-// replicas, and replaces successors by the earlier incarnation whose entry still stands if the
+// replicas, lists those whose restored entries have stood for long enough, and replaces successors by the earlier incarnation whose entry still stands if the
 // tracker no longer counts that one as superseded, because nothing has come from the successor
 // for too long. It reports whether the set has changed.
 func (s *replicaSet) dropExpired(settling bool, now time.Time) bool {
@@ -128,8 +132,17 @@
 	changed := len(s.vanished) > 0
 	if changed {
 		s.logger.Info("vanished replicas dropped", zap.Int("replicas", len(s.vanished)))
+		for _, r := range s.vanished {
+			s.restored.recordDeparture(r, now)
+		}
 		clear(s.vanished)
 	}
+	for _, id := range s.restored.expire(now) {
+		if entry := s.decoded[id]; entry.err == nil {
+			s.applyEntry(entry.replica, s.listed, now)
+			changed = true
+		}
+	}
 	for id, r := range s.superseded {
 		if observed := s.observe(r.Key(), "entry", now); !observed.Superseded {
 			r.Born = observed.Key.Born
--- a/internal/entry/replica_set_test.go
+++ b/internal/entry/replica_set_test.go
@@ -46,6 +46,7 @@
 type replicaSetTest struct {
 	*replicaSet
 	now       time.Time
+	era       uint64
 	revision  uint64
 	rows      map[string][]byte
 	restarted []incarnation.Key
@@ -74,7 +75,7 @@
 func (p *replicaSetTest) writeRow(id, row string, settling bool) {
 	p.revision++
 	p.rows[id] = []byte(row)
-	p.update(p.rows, atRevision(p.revision), settling, p.now)
+	p.update(p.rows, platform.Version{Era: p.era, Revision: p.revision}, settling, p.now)
 }
 
 func (p *replicaSetTest) advance(d time.Duration) { p.now = p.now.Add(d) }
