lease: one holder and new fencing numbers when the table comes back from an older copy

What would have been seen: the copy may lack an acquisition, renewals or a release. Another VM then took the lease at once, by the age that the older row shows, while the holder's view lasted for up to 3.2 s; its fencing number was given out a second time, so the loads of one holder hid those of the other; and each VM reported a violated invariant, as the number in the row fell.

Cause: the age of a row counts from its last write, and a condition holds for one row only, as long as nothing that was acknowledged is lost.

Change: a record names the era of its write. Where that is not the era of the read, the row is observed for a whole duration, as if the table showed no clock. A holder goes on if the row is one of its confirmed writes and its view lasts. A write planned in an era before never counts, even if it is answered. Fencing numbers begin with the era, 16 bits below it, so those of loads (tenure in the high 32 bits) rise too. A lease without a row is free at once only at the first start of the whole system.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -75,6 +75,7 @@
 	})
 	p.leases = lease.NewManager(lease.Options{
 		Table: p.table, VM: s.VM.Name, Duties: []string{placer.Duty}, TTL: leaseTTL,
+		Era: p.Adapter.Eras.Current, FirstStart: s.VM.FirstStart,
 		VMs: func() int { return min(maxCandidates, len(p.census.VMs())) }, Invariants: p.invariants, Logger: p.Logger,
 	})
 	p.quarantine = quarantine.NewLedger(quarantine.DefaultSettings, time.Now())
--- a/internal/harness/standin/platformsim/store.go
+++ b/internal/harness/standin/platformsim/store.go
@@ -17,12 +17,14 @@
 
 	mu       sync.Mutex // guards the fields below
 	revision uint64
-	rows     map[string]platform.Row
-	keys     []string // sorted
-	objects  map[string][]byte
-	vms      vmHistory
-	commits  uint64
-	reads    uint64
+	// era is raised each time the table comes back from an older copy.
+	era     uint64
+	rows    map[string]platform.Row
+	keys    []string // sorted
+	objects map[string][]byte
+	vms     vmHistory
+	commits uint64
+	reads   uint64
 	// clockStart is the zero time of the table's own clock.
 	clockStart time.Time
 	// onCommitted is called after each transaction that was applied; nil for none.
@@ -134,7 +136,7 @@
 	rows := make([]platform.Row, 0, len(keys))
 	for _, key := range keys {
 		row := s.row(key)
-		row.ReadAt = time.Since(s.clockStart)
+		row.ReadAt, row.Era = time.Since(s.clockStart), s.era
 		rows = append(rows, row)
 	}
 	return rows
@@ -148,7 +150,7 @@
 	at, _ := slices.BinarySearch(s.keys, from)
 	for ; at < len(s.keys) && s.keys[at] < to && len(rows) < limit; at++ {
 		row := s.row(s.keys[at])
-		row.ReadAt = time.Since(s.clockStart)
+		row.ReadAt, row.Era = time.Since(s.clockStart), s.era
 		rows = append(rows, row)
 	}
 	return rows
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -21,6 +21,13 @@
 // If the holder's VM is paused, its monotonic clock may not have advanced when it resumes. The
 // wall clock is read as well and the longer of the two elapsed times counts.
 //
+// If the table comes back from an older copy, it may have lost an acquisition, renewals or a release. A
+// record therefore names the era in which it was written. A contender that reads it in a later era
+// ignores the age that it shows, also of a free lease, and observes the row for the whole duration:
+// the view of a holder whose writes were lost ends before. A holder goes on if the row is one of its
+// own confirmed writes and its view still lasts. A write that was planned in an earlier era never
+// counts, since its condition may hold by chance. Fencing numbers begin with the era.
+//
 // If the holder is paused between Check and its act, no check can help. Therefore each change of
 // holder raises the fencing number, and the act carries it; package orders documents what is done
 // for targets that ignore it.
--- a/internal/lease/dump.go
+++ b/internal/lease/dump.go
@@ -45,7 +45,7 @@
 		Duty:        d.name,
 		Holder:      d.record.Holder,
 		Fencing:     d.record.Fencing,
-		Revision:    d.revision,
+		Revision:    d.version.Revision,
 		Held:        m.viewValid(d),
 		Unconfirmed: len(d.attempts),
 	}
--- a/internal/lease/failure_test.go
+++ b/internal/lease/failure_test.go
@@ -244,5 +244,5 @@
 // A contender with a shorter duration must respect the longer duration in a row.
 func TestContenderRespectsDurationInRow(t *testing.T) {
 	d := duty{record: record{Holder: "vm-a", Duration: config.Duration(time.Minute)}}
-	must(t, d.availableAfter(DefaultTTL) == time.Minute, "available after %s", d.availableAfter(DefaultTTL))
+	must(t, d.availableAfter(DefaultTTL, false) == time.Minute, "available after %s", d.availableAfter(DefaultTTL, false))
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -171,11 +171,12 @@
 		m.options.Logger.Error("lease row turned readable or unreadable", zap.String("duty", d.name), zap.Bool("readable", err == nil), zap.Error(err))
 	}
 	before := d.tenure
-	m.options.Invariants.Check(r.Fencing >= d.record.Fencing, invariant.FencingNeverFalls,
+	sameEra := row.Era == d.version.Era
+	m.options.Invariants.Check(!sameEra || r.Fencing >= d.record.Fencing, invariant.FencingNeverFalls,
 		"%s from %d to %d at revision %d", d.name, d.record.Fencing, r.Fencing, row.Revision)
-	d.observe(row, r, now)
+	d.observe(row, r, m.viewValid(d), now)
 	if before != nil && d.tenure == nil {
-		m.options.Logger.Info("lease lost", zap.String("duty", d.name), zap.String("holder", r.Holder), zap.Uint64("fencing", r.Fencing))
+		m.options.Logger.Info("lease lost", zap.String("duty", d.name), zap.String("holder", r.Holder), zap.Uint64("fencing", r.Fencing), zap.Stringer("version", d.version))
 	}
 }
 
@@ -196,24 +197,24 @@
 	acquiring := false
 	for _, d := range m.duties {
 		switch {
-		case !d.known:
+		case !d.known, m.options.Era() > d.version.Era:
 		case d.tenure != nil:
 			if m.renewalDue(d, now) {
 				writes = append(writes, m.prepareWrite(d, d.record, now))
 			}
 		case !acquiring && m.canAcquire(d, now):
 			acquiring = true
-			writes = append(writes, m.prepareWrite(d, m.successor(d.record), now))
+			writes = append(writes, m.prepareWrite(d, m.successor(d), now))
 		}
 	}
 	return writes
 }
 
-func (m *Manager) successor(r record) record {
+func (m *Manager) successor(d *duty) record {
 	return record{
 		Holder:   m.options.VM,
 		Nonce:    uuid.NewString(),
-		Fencing:  r.Fencing + 1,
+		Fencing:  d.record.nextFencing(d.version.Era),
 		Duration: config.Duration(m.options.TTL),
 	}
 }
@@ -223,11 +224,11 @@
 // counts from now. However late the write takes effect, the view has therefore ended when another
 // VM takes the lease by that clock.
 func (m *Manager) prepareWrite(d *duty, r record, now Reading) plannedWrite {
-	r.Renewed = 0
+	r.Renewed, r.Era = 0, d.version.Era
 	if d.readAt > 0 {
 		r.Renewed = config.Duration(d.readAt + now.maxElapsedSince(m.readStarted))
 	}
-	p := plannedWrite{duty: d, txn: uuid.NewString(), attempt: attempt{sent: now, expectedRevision: d.revision, record: r}}
+	p := plannedWrite{duty: d, txn: uuid.NewString(), attempt: attempt{sent: now, expected: d.version, record: r}}
 	d.attempts[p.txn] = p.attempt
 	return p
 }
@@ -238,7 +239,7 @@
 	if m.options.hooks.skipObservation {
 		return true
 	}
-	wait := d.availableAfter(m.options.TTL) + m.holdOff(d)
+	wait := d.availableAfter(m.options.TTL, m.options.FirstStart) + m.holdOff(d)
 	return now.minElapsedSince(d.firstSeen) >= wait
 }
 
@@ -271,7 +272,7 @@
 	key := keyOf(p.duty.name)
 	err := m.options.Table.Commit(ctx, platform.Txn{
 		ID:         p.txn,
-		Conditions: []platform.Condition{{Key: key, Revision: p.attempt.expectedRevision}},
+		Conditions: []platform.Condition{{Key: key, Revision: p.attempt.expected.Revision}},
 		Writes:     []platform.Write{{Key: key, Value: p.attempt.record.encode()}},
 	})
 	now := readClock(m.options.Clock)
@@ -279,6 +280,9 @@
 	defer m.mu.Unlock()
 	d := p.duty
 	switch {
+	case m.options.Era() > p.attempt.expected.Era:
+		// The write may have been acknowledged and lost, or have overwritten another holder's row.
+		delete(d.attempts, p.txn)
 	case err == nil, m.options.hooks.trustAmbiguous && errors.Is(err, platform.ErrAmbiguous):
 		m.confirmWrite(d, p, now)
 	case errors.Is(err, platform.ErrRefused), errors.Is(err, platform.ErrUnavailable):
@@ -293,7 +297,7 @@
 
 func (m *Manager) confirmWrite(d *duty, p plannedWrite, now Reading) {
 	acquired := d.tenure == nil
-	d.applyWrite(p.attempt, now)
+	d.applyWrite(p.txn, p.attempt, now)
 	if acquired && d.tenure != nil {
 		m.options.Logger.Info("lease acquired", zap.String("duty", d.name), zap.Uint64("fencing", d.tenure.fencing))
 	}
--- a/internal/lease/options.go
+++ b/internal/lease/options.go
@@ -55,6 +55,12 @@
 	TTL time.Duration
 	// Clock is the VM's clock; nil means the system clock.
 	Clock Clock
+	// Era returns the newest era of the table that this VM has heard of; nil means that there is only
+	// one.
+	Era func() uint64
+	// FirstStart says that the whole system starts for the first time, so that nobody can hold a
+	// lease that has no row.
+	FirstStart bool
 	// VMs returns how many VMs compete, which determines the interval of the reads; nil means 1.
 	VMs func() int
 	// Invariants is nil only in tests, where a violation then panics.
@@ -82,6 +88,9 @@
 	if o.Clock == nil {
 		o.Clock = NewSystemClock()
 	}
+	if o.Era == nil {
+		o.Era = func() uint64 { return 0 }
+	}
 	if o.VMs == nil {
 		o.VMs = func() int { return 1 }
 	}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -23,6 +23,9 @@
 	// Fencing increases with each change of holder and is kept on release.
 	Fencing  uint64          `json:"fencing"`
 	Duration config.Duration `json:"duration"`
+	// Era is the table's era in which the write was planned. In a row that was read in a later era it
+	// shows that writes after this one may be lost.
+	Era uint64 `json:"era,omitempty"`
 	// Renewed is an upper bound of what the table's own clock showed when this write was sent; 0
 	// if it is not known.
 	Renewed config.Duration `json:"renewed,omitempty"`
@@ -32,6 +35,13 @@
 
 func (r record) ttl() time.Duration { return time.Duration(r.Duration) }
 
+// fencingEraShift is the number of bits of a fencing number below the era: the first number of an era is
+// higher than any that was given out in the era before, of which the table may have lost the last ones.
+const fencingEraShift = 16
+
+// nextFencing returns the fencing number of the next holder in an era.
+func (r record) nextFencing(era uint64) uint64 { return max(r.Fencing, era<<fencingEraShift) + 1 }
+
 // ageAt returns a lower bound of the time for which the lease had not been renewed when its row
 // was read, on the table's own clock; 0 if it is not known.
 func (r record) ageAt(readAt time.Duration) time.Duration {
--- a/internal/lease/vm_test.go
+++ b/internal/lease/vm_test.go
@@ -25,6 +25,7 @@
 		VM:         name,
 		Duties:     duties,
 		Clock:      v,
+		Era:        store.Era,
 		Invariants: invariant.Strict(),
 		hooks:      h,
 	})
