census: VMs register again when the table comes back from an older copy

What would have been seen: a VM that had registered in the seconds that the copy lacks was counted by nobody until its row fell due, 8 s later in a fleet of 6, 78 s at 195 and 394 s at 985. Until then the others took its part of shares and retry budgets too, and did not count it among those that are asked.

Cause: a row that was written once was taken to stand.

Change: the list has the era in its version. After a new era those that follow the feed read it soon, as when VMs are added; a VM that the list of that era lacks writes its row again. All others write nothing.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -62,6 +62,8 @@
 	Peers Peers
 	// FirstStart says that the whole fleet starts for the first time, so that no VM has a row yet.
 	FirstStart bool
+	// Eras has the eras of the table that this VM has heard of. It may be nil.
+	Eras *platform.Eras
 	// OnChange is called with each new list.
 	OnChange func([]VM)
 	Logger   *zap.Logger
@@ -70,6 +72,7 @@
 // Census keeps the list of VMs and this VM's row in it. It is safe for concurrent use.
 type Census struct {
 	table    platform.Table
+	eras     *platform.Eras
 	own      VM
 	peers    Peers
 	onChange func([]VM)
@@ -102,14 +105,22 @@
 	// that the first such list had a row of an earlier process of this VM.
 	listedAt     time.Time
 	listedBefore bool
+	// rowDoubtful says that the table has come back from an older copy, which may lack this VM's row.
+	// era is the era that it began then.
+	rowDoubtful bool
+	era         uint64
 }
 
 // New returns a census that lists only this VM. Run passes each new list to OnChange.
 func New(o Options) *Census {
-	return &Census{
-		table: o.Table, own: o.Own, peers: o.Peers, onChange: o.OnChange, logger: o.Logger,
+	c := &Census{
+		table: o.Table, eras: o.Eras, own: o.Own, peers: o.Peers, onChange: o.OnChange, logger: o.Logger,
 		observed: map[string]observation{}, vms: []VM{o.Own}, followsFeed: true, startedAt: time.Now(), firstStart: o.FirstStart, patience: rand.Float64(),
 	}
+	if o.Eras != nil {
+		o.Eras.OnRaise(c.onEraRaised)
+	}
+	return c
 }
 
 // VMs returns the VMs that are counted, including this one. The caller must not modify them.
--- a/internal/census/fakes_test.go
+++ b/internal/census/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -32,6 +33,28 @@
 	second                   int64
 	// unavailable makes all calls fail.
 	unavailable bool
+	// era is the number of times that the table came back from a copy.
+	era uint64
+}
+
+// tableCopy is what a table held at one moment.
+type tableCopy struct {
+	rows     map[string]platform.Row
+	revision uint64
+}
+
+func (f *fakeTable) copy() tableCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return tableCopy{rows: maps.Clone(f.rows), revision: f.revision}
+}
+
+// restore puts a copy in place of what the table holds.
+func (f *fakeTable) restore(from tableCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rows, f.revision = maps.Clone(from.rows), from.revision
+	f.era++
 }
 
 func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) error {
@@ -81,7 +104,7 @@
 	rows := make([]platform.Row, len(keys))
 	for i, key := range keys {
 		rows[i] = f.rows[key]
-		rows[i].Key, rows[i].ReadAt = key, time.Since(tableClockZero)
+		rows[i].Key, rows[i].ReadAt, rows[i].Era = key, time.Since(tableClockZero), f.era
 	}
 	f.rowsRead += len(rows)
 	return rows, nil
@@ -108,7 +131,7 @@
 	var rows []platform.Row
 	for key, row := range f.rows {
 		if key >= from && key < to {
-			row.ReadAt = time.Since(tableClockZero)
+			row.ReadAt, row.Era = time.Since(tableClockZero), f.era
 			rows = append(rows, row)
 		}
 	}
@@ -189,7 +212,11 @@
 
 // newCensus returns the census of a VM in a network, or of one without peers if that is nil.
 func newCensus(table platform.Table, network *fakeNetwork, own VM) *Census {
-	o := Options{Table: table, Own: own, OnChange: func([]VM) {}, Logger: zap.NewNop(), FirstStart: network != nil && network.firstStart}
+	o := Options{
+		Table: table, Own: own, OnChange: func([]VM) {}, Logger: zap.NewNop(), FirstStart: network != nil && network.firstStart,
+		Eras: platform.NewEras(zap.NewNop()),
+	}
+	o.Eras.Raise(0)
 	if network != nil {
 		peers := &fakePeers{network: network, own: own}
 		o.Peers, o.OnChange = peers, peers.setVMs
--- a/internal/census/refresh.go
+++ b/internal/census/refresh.go
@@ -71,6 +71,7 @@
 	if c.age() >= c.maxAge() {
 		c.readTable(ctx)
 	}
+	c.recheckRow()
 	c.maintainRow(ctx)
 }
 
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -66,7 +66,7 @@
 	p.view.operatorTable = p.follower(p.Adapter.OperatorTable, p.view.contentVersion, p.view.onConfig)
 	p.view.replicaTable = p.follower(p.Adapter.ReplicaTable, nil, p.view.onReplicas)
 	own := census.VM{Name: s.VM.Name, Address: p.PeersAddress(), DataCentre: s.VM.DataCentre, Cores: s.VM.Cores}
-	p.census = census.New(census.Options{Table: p.table, Own: own, Peers: p.peers, FirstStart: s.VM.FirstStart, OnChange: p.onVMs, Logger: p.Logger})
+	p.census = census.New(census.Options{Table: p.table, Own: own, Peers: p.peers, FirstStart: s.VM.FirstStart, Eras: p.Adapter.Eras, OnChange: p.onVMs, Logger: p.Logger})
 	p.loadCache = loads.NewCache(s.VM.DataCentre, p.view.onLoads, p.Logger)
 	p.loadCache.Attach(p.pushbackSharing)
 	p.loadCollector = loads.NewCollector(loads.Options{
