quarantine: rows are checked again when the table comes back from an older copy

A request whose row was lost would have crashed replicas again after a loss of all VMs, and one whose quarantine an operator had lifted would have been quarantined by the next VM that read the table. A VM that hears of a new era reads each row that it has written or deleted, and repeats that where it is missing. The rows of a VM that has ended meanwhile are not written again: its requests stay quarantined in the memory of all others. Other rows, and VMs without any, cost no call.

TestQuarantineIsWrittenAgainAfterTableRestored has the lifted request and not the quarantined one without the change.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -80,7 +80,7 @@
 	})
 	p.quarantine = quarantine.NewLedger(quarantine.DefaultSettings, time.Now())
 	p.sharing = sharing.New(sharing.Options{
-		Ledger: p.quarantine, Peers: p.peers, Table: p.table, Logger: p.Logger,
+		Ledger: p.quarantine, Peers: p.peers, Table: p.table, Eras: p.Adapter.Eras, Logger: p.Logger,
 		ShouldLoad: func() bool { return p.census.Loaded() && p.census.FollowsFeed() },
 	})
 	p.peers.OnNews, p.mirror.News = p.sharing.ObserveRevision, p.quarantine.Revision
--- a/internal/quarantine/sharing/fleet_test.go
+++ b/internal/quarantine/sharing/fleet_test.go
@@ -59,6 +59,7 @@
 	*Syncer
 	fleet       *fleet
 	name        string
+	eras        *platform.Eras
 	unreachable map[string]bool
 }
 
@@ -88,9 +89,10 @@
 }
 
 func (f *fleet) start(ctx context.Context, name string) *fleetVM {
-	vm := &fleetVM{fleet: f, name: name, unreachable: map[string]bool{}}
+	vm := &fleetVM{fleet: f, name: name, unreachable: map[string]bool{}, eras: platform.NewEras(zap.NewNop())}
+	vm.eras.Raise(0)
 	vm.Syncer = New(Options{
-		Ledger: quarantine.NewLedger(quarantine.DefaultSettings, time.Now()), Peers: vm, Table: f.table, Logger: zap.NewNop(),
+		Ledger: quarantine.NewLedger(quarantine.DefaultSettings, time.Now()), Peers: vm, Table: f.table, Eras: vm.eras, Logger: zap.NewNop(),
 		ShouldLoad: func() bool { return f.follows(name) },
 	})
 	f.mu.Lock()
@@ -348,3 +350,36 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a request that is not quarantined any more after all VMs have restarted, and against one
+// that is again though an operator lifted its quarantine, because the table came back from an older copy.
+func TestQuarantineIsWrittenAgainAfterTableRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		f := newFleet(ctx, 6)
+		lifted := quarantine.DigestOf(quarantine.Content{Body: []byte("lifted")})
+		for _, replica := range []string{"a", "b", "c"} {
+			f.vms["vm-0"].recordCrash(lifted, replica)
+		}
+		time.Sleep(5 * time.Second)
+		from := f.table.Copy()
+		if !f.vms["vm-0"].Lift(lifted) {
+			t.Error("quarantine could not be lifted")
+		}
+		for _, replica := range []string{"a", "b", "c"} {
+			f.vms["vm-1"].recordCrash(crashing, replica)
+		}
+		time.Sleep(5 * time.Second)
+		f.table.Restore(from)
+		for _, vm := range f.vms {
+			vm.eras.Raise(f.table.Era())
+		}
+		time.Sleep(5 * time.Second)
+		rows, err := f.table.Scan(t.Context(), prefix, prefixEnd, maxRows)
+		if err != nil || len(rows) != 1 || rows[0].Key != prefix+crashing.String() {
+			t.Errorf("rows %v, error %v, want that of the quarantined request alone", rows, err)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
--- a/internal/quarantine/sharing/options.go
+++ b/internal/quarantine/sharing/options.go
@@ -29,5 +29,7 @@
 	// ShouldLoad reports whether this VM reads the stored requests after its start. It is called until
 	// it returns true.
 	ShouldLoad func() bool
-	Logger     *zap.Logger
+	// Eras has the eras of the table that this VM has heard of.
+	Eras   *platform.Eras
+	Logger *zap.Logger
 }
--- a/internal/quarantine/sharing/rows.go
+++ b/internal/quarantine/sharing/rows.go
@@ -46,10 +46,13 @@
 	shared map[quarantine.Digest]bool
 	// dirty holds the requests whose rows must be written, or deleted if they are not quarantined.
 	dirty map[quarantine.Digest]bool
+	// written holds the requests whose rows this VM has written or deleted. The map is cleared when it
+	// has maxShared requests.
+	written map[quarantine.Digest]bool
 }
 
 func newRows(table platform.Table, logger *zap.Logger) *rows {
-	return &rows{table: table, logger: logger, shared: map[quarantine.Digest]bool{}, dirty: map[quarantine.Digest]bool{}}
+	return &rows{table: table, logger: logger, shared: map[quarantine.Digest]bool{}, dirty: map[quarantine.Digest]bool{}, written: map[quarantine.Digest]bool{}}
 }
 
 // markShared records that this VM offers a change of the request to peers. If the request is
@@ -83,6 +86,25 @@
 	r.dirty[d] = true
 }
 
+// markWrittenDirty schedules all rows that this VM has written or deleted to be checked, since the table
+// has come back from an older copy.
+func (r *rows) markWrittenDirty() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for d := range r.written {
+		r.dirty[d] = true
+	}
+}
+
+func (r *rows) markWritten(d quarantine.Digest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.written) >= maxShared {
+		clear(r.written)
+	}
+	r.written[d] = true
+}
+
 // read returns the reports of all rows, with times relative to now. Rows that cannot be decoded are
 // logged and skipped.
 func (r *rows) read(ctx context.Context) ([]quarantine.Report, error) {
@@ -165,6 +187,7 @@
 		}
 		write = platform.Write{Key: key, Value: value}
 	}
+	r.markWritten(d)
 	return r.table.Commit(ctx, platform.Txn{
 		ID: uuid.NewString(), Conditions: []platform.Condition{{Key: key, Revision: found[0].Revision}}, Writes: []platform.Write{write},
 	})
--- a/internal/quarantine/sharing/sharing.go
+++ b/internal/quarantine/sharing/sharing.go
@@ -49,10 +49,12 @@
 
 // New returns a Syncer. It exchanges nothing until Run is called.
 func New(o Options) *Syncer {
-	return &Syncer{
+	s := &Syncer{
 		Options: o, epoch: time.Now(), pending: make(chan quarantine.Digest, maxPending), rows: newRows(o.Table, o.Logger),
 		cursors: map[string]uint64{}, fetching: map[string]bool{}, toFetch: make(chan string, maxPending),
 	}
+	o.Eras.OnRaise(func(uint64) { s.rows.markWrittenDirty() })
+	return s
 }
 
 // Publish offers a change of the record of a request to other VMs. It does not block: if too many changes
