resilient: a transaction without an answer is not sent again in a later era

Its condition may hold by chance for another writer's row, whose revision the table has given out again; the row was overwritten and the writer told that its write took effect. The transaction names the era in which its conditions were read; read back in a later one it is committed if a row has its id, and otherwise stays ambiguous. Transactions of an unknown era are resolved as before.

TestTransactionIsNotSentAgainInALaterEra has the row overwritten without the change.

--- a/internal/census/era.go
+++ b/internal/census/era.go
@@ -31,6 +31,6 @@
 		return
 	}
 	c.logger.Info("row of this VM lost by the table, to be written again", zap.Uint64("era", era))
-	r.registered, r.known, r.row = false, false, platform.Row{}
+	r.registered, r.known, r.row = false, false, platform.Row{Era: era}
 	r.notBefore = time.Now().Add(rand.N(startupInterval / 2))
 }
--- a/internal/census/registration.go
+++ b/internal/census/registration.go
@@ -176,6 +176,7 @@
 	key := c.own.key()
 	return c.table.Commit(ctx, platform.Txn{
 		ID:         uuid.NewString(),
+		Era:        r.row.Era,
 		Conditions: []platform.Condition{{Key: key, Revision: r.row.Revision}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	})
@@ -195,6 +196,7 @@
 		}
 		err := c.table.Commit(ctx, platform.Txn{
 			ID:         uuid.NewString(),
+			Era:        row.Era,
 			Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
 			Writes:     []platform.Write{{Key: row.Key, Delete: true}},
 		})
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -272,6 +272,7 @@
 	key := keyOf(p.duty.name)
 	err := m.options.Table.Commit(ctx, platform.Txn{
 		ID:         p.txn,
+		Era:        p.attempt.expected.Era,
 		Conditions: []platform.Condition{{Key: key, Revision: p.attempt.expected.Revision}},
 		Writes:     []platform.Write{{Key: key, Value: p.attempt.record.encode()}},
 	})
--- a/internal/platform/resilient/ambiguous_test.go
+++ b/internal/platform/resilient/ambiguous_test.go
@@ -41,3 +41,36 @@
 		}
 	})
 }
+
+// Guards against a transaction that overwrites another writer's row: its answer is lost, the table comes
+// back from an older copy, and the revision that it requires is given out again.
+func TestTransactionIsNotSentAgainInALaterEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		client := newClient(t, store, resilient.Settings{})
+		write := func(id string, revision uint64) error {
+			return store.Commit(t.Context(), platform.Txn{
+				ID: id, Conditions: []platform.Condition{{Key: "k", Revision: revision}}, Writes: []platform.Write{{Key: "k"}},
+			})
+		}
+		empty := store.Copy()
+		store.Restore(empty) // an era other than 0, which is unknown
+		if err := write("first", 0); err != nil {
+			t.Fatal(err)
+		}
+		store.Faults.Set(platformsim.Order{Outage: platformsim.OutageHang})
+		time.AfterFunc(100*time.Millisecond, func() {
+			store.Restore(empty)
+			store.Faults.Set(platformsim.Order{})
+			if err := write("other", 0); err != nil {
+				t.Error(err)
+			}
+		})
+		err := client.Commit(t.Context(), platform.Txn{
+			ID: "t", Era: store.Era(), Conditions: []platform.Condition{{Key: "k", Revision: 1}}, Writes: []platform.Write{{Key: "k"}},
+		})
+		if !errors.Is(err, platform.ErrAmbiguous) || store.Peek("k").TxnID != "other" {
+			t.Errorf("error %v, the row is that of transaction %q", err, store.Peek("k").TxnID)
+		}
+	})
+}
--- a/internal/platform/resilient/commit.go
+++ b/internal/platform/resilient/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
@@ -63,6 +64,10 @@
 			if !conditionsHold(txn, rows) {
 				return resolveFromRows(txn, rows, ambiguous)
 			}
+			if readInLaterEra(txn, rows) {
+				ambiguous.Cause = errLaterEra
+				return ambiguous
+			}
 			err = c.resend(ctx, txn)
 			if err == nil {
 				return nil
@@ -107,6 +112,14 @@
 	}
 }
 
+// errLaterEra is the cause of an ambiguous outcome after the table came back from an older copy. What the
+// conditions hold for now need not be what the writer has read, so the transaction is not sent again.
+var errLaterEra = errors.New("the table has come back from an older copy since the conditions were read")
+
+func readInLaterEra(txn platform.Txn, rows []platform.Row) bool {
+	return txn.Era > 0 && slices.ContainsFunc(rows, func(r platform.Row) bool { return r.Era > txn.Era })
+}
+
 func conditionsHold(txn platform.Txn, rows []platform.Row) bool {
 	return len(failedRows(txn, rows)) == 0
 }
--- a/internal/quarantine/sharing/rows.go
+++ b/internal/quarantine/sharing/rows.go
@@ -189,7 +189,7 @@
 	}
 	r.markWritten(d)
 	return r.table.Commit(ctx, platform.Txn{
-		ID: uuid.NewString(), Conditions: []platform.Condition{{Key: key, Revision: found[0].Revision}}, Writes: []platform.Write{write},
+		ID: uuid.NewString(), Era: found[0].Era, Conditions: []platform.Condition{{Key: key, Revision: found[0].Revision}}, Writes: []platform.Write{write},
 	})
 }
 
