--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -24,7 +24,9 @@
 	InHand        int              `json:"inHand"`
 	ConfigVersion uint64           `json:"configVersion"`
 	ConfigAge     string           `json:"configAge"`
-	VMs           []census.VM      `json:"vms"`
+	// StoreEra is the newest era of the store that this VM has heard of.
+	StoreEra uint64      `json:"storeEra"`
+	VMs      []census.VM `json:"vms"`
 	// Counted reports whether the other VMs count this one as a member of the fleet.
 	Counted        bool                     `json:"counted"`
 	HoldsPlacement bool                     `json:"holdsPlacement"`
@@ -70,6 +72,7 @@
 		"ready":              gaugeOf(p.gate.Ready()),
 		"requests_in_hand":   float64(p.handler.InHand()),
 		"config_version":     float64(p.view.configVersion()),
+		"store_era":          float64(p.Adapter.Eras.Current()),
 		"config_age_seconds": min(p.view.ConfigAge(), time.Hour).Seconds(),
 		"vms":                float64(len(p.census.VMs())),
 		"placement_held":     gaugeOf(p.Holds()),
@@ -99,7 +102,8 @@
 func (p *Process) serveDump(w http.ResponseWriter, _ *http.Request) {
 	dump := Dump{
 		VM: p.Settings.VM.Name, Gate: p.gate.State(), InHand: p.handler.InHand(), ConfigVersion: p.view.configVersion(), ConfigAge: p.view.ConfigAge().String(),
-		VMs: p.census.VMs(), Counted: p.census.Counted(time.Now()), HoldsPlacement: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
+		StoreEra: p.Adapter.Eras.Current(),
+		VMs:      p.census.VMs(), Counted: p.census.Counted(time.Now()), HoldsPlacement: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
 		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()),
 	}
