platform: the first era that is named after answers without one counts as a return

A store that begins to name eras only when it comes back from a copy would have raised none: the VMs' rows and the quarantine were not checked again.

--- a/internal/platform/eras.go
+++ b/internal/platform/eras.go
@@ -14,6 +14,8 @@
 	mu      sync.Mutex // guards the fields below
 	current uint64
 	known   bool
+	// unnamed says that the store has answered without an era before one was known.
+	unnamed bool
 	// faulty says that the last answer of the store had no valid era.
 	faulty  bool
 	onRaise []func(era uint64)
@@ -29,8 +31,8 @@
 	return e.current
 }
 
-// OnRaise adds a function that is called with each newer era, but not with the first one that becomes
-// known. It must not block.
+// OnRaise adds a function that is called with each newer era, but not with the first one, unless the
+// store had answered without an era before. It must not block.
 func (e *Eras) OnRaise(f func(era uint64)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -40,8 +42,8 @@
 // Raise records an era that a peer or the store named. A lower one than the current has no effect.
 func (e *Eras) Raise(era uint64) {
 	e.mu.Lock()
-	before, first := e.current, !e.known
-	if !first && era <= before {
+	before, first := e.current, !e.known && !e.unnamed
+	if e.known && era <= before {
 		e.mu.Unlock()
 		return
 	}
@@ -72,6 +74,7 @@
 	if err == nil && !present && known {
 		err = &EraError{Current: current, Fault: EraMissing}
 	}
+	e.unnamed = e.unnamed || !present
 	e.faulty = err != nil
 	e.mu.Unlock()
 	if err != nil {
