pushback: the age of a notice without a limit does not overflow

A replica whose first answer says that it leaves and has a limit that can't be parsed has no time of a limit. The age of its notice was 292 years, and with the age of the copy it overflowed into the future: the VM that merged it ignored all later limits of that replica. The new test has no limit without the change.

--- a/internal/pushback/notice.go
+++ b/internal/pushback/notice.go
@@ -10,6 +10,10 @@
 // that they learn of the end of a limit.
 const noticeFor = time.Minute
 
+// maxNoticeAge bounds the age of a notice. A replica that never sent a valid limit has no time of one, and
+// the time since the zero time overflows where ages are added.
+const maxNoticeAge = 24 * time.Hour
+
 // Notice is the signal of a replica, as VMs exchange it.
 type Notice struct {
 	Replica    incarnation.Key `json:"replica"`
@@ -57,7 +61,7 @@
 	if ended && !s.leaving {
 		return notices
 	}
-	n := Notice{Replica: key, DataCentre: s.dataCentre, Leaving: s.leaving, AgeMS: now.Sub(s.limitAt).Milliseconds()}
+	n := Notice{Replica: key, DataCentre: s.dataCentre, Leaving: s.leaving, AgeMS: min(maxNoticeAge, now.Sub(s.limitAt)).Milliseconds()}
 	if s.limit.Set {
 		limit := s.limit.PerSecond
 		n.PerSecond = &limit
@@ -69,7 +73,8 @@
 // stays in force.
 func (l *Ledger) Merge(notices []Notice, age time.Duration, now time.Time) {
 	for _, n := range notices {
-		if l.merge(n, now.Add(-age-time.Duration(n.AgeMS)*time.Millisecond), now) {
+		noticeAge := time.Duration(min(n.AgeMS, maxNoticeAge.Milliseconds())) * time.Millisecond
+		if l.merge(n, now.Add(-age-noticeAge), now) {
 			l.onLeaving(n.Replica)
 		}
 	}
--- a/internal/pushback/notice_test.go
+++ b/internal/pushback/notice_test.go
@@ -1,6 +1,7 @@
 package pushback
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -67,3 +68,20 @@
 		t.Errorf("%d requests in 4 s at 5 per second", sent)
 	}
 }
+
+// Guards against a limit that other VMs ignore: the first answer of a leaving replica had one that cannot
+// be parsed, and the age of the notice overflowed into the future.
+func TestNoticeWithoutKnownLimitDoesNotHideLaterOnes(t *testing.T) {
+	source, peer := NewLedger(zap.NewNop()), NewLedger(zap.NewNop())
+	observe(source, Signal{Leaving: true, LimitInvalid: true, ParseErr: errors.New("a limit of -1")}, 1, 2)
+	notices := source.Notices(at(3))
+	peer.Merge(notices, time.Minute, at(3))
+	if !peer.Leaving(testReplica) {
+		t.Error("replica is not marked as leaving")
+	}
+	observe(source, Signal{Limit: LimitOf(5)}, 4, 5)
+	exchange(source, peer, 6)
+	if got := dumpedLimit(peer); got == nil || *got != 5 {
+		t.Errorf("limit %v", got)
+	}
+}
