relay: Retry-After is jittered upwards only, and within what callers wait for

A caller was told to return up to a quarter earlier than there could be room, and after a long shortage up to 7.5 s later, while callers with 20 s wait for 6.6 s at most: those did not return.

--- a/internal/relay/shortages.go
+++ b/internal/relay/shortages.go
@@ -10,11 +10,14 @@
 	// shortageQuietPeriod is how long nothing must have been refused for a shortage to be over. At
 	// 5 requests per second to a small VM, a second without a refusal is unlikely to be chance.
 	shortageQuietPeriod = time.Second
-	// maxRetryAfter bounds the time that callers are told to wait. They do not retry after more
-	// than a third of the time they have left, 6.6 s of 20 s.
-	maxRetryAfter = 6 * time.Second
-	// retryAfterJitter is the fraction by which that time is varied in both directions, so that
-	// callers refused at the same time do not retry at the same time.
+	// maxRetryAfter bounds the time that callers are told to wait before jitter, and maxRetryAfterJitter
+	// what is added to it. They do not retry after more than a third of the time they have left, 6.6 s
+	// of 20 s.
+	maxRetryAfter       = 6 * time.Second
+	maxRetryAfterJitter = 600 * time.Millisecond
+	// retryAfterJitter is the largest fraction by which that time is prolonged, so that callers refused
+	// at the same time do not retry at the same time. A shorter time would bring them back before there
+	// is room.
 	retryAfterJitter = 0.25
 )
 
@@ -61,6 +64,6 @@
 // result is at least minWait and at most maxRetryAfter before jitter.
 func retryAfterFor(elapsed, minWait time.Duration) time.Duration {
 	wait := min(maxRetryAfter, max(minWait, elapsed))
-	jitter := 1 + retryAfterJitter*(2*rand.Float64()-1)
-	return time.Duration(jitter * float64(wait))
+	jitter := min(maxRetryAfterJitter, time.Duration(retryAfterJitter*float64(wait)))
+	return wait + time.Duration(rand.Float64()*float64(jitter))
 }
--- a/internal/relay/shortages_test.go
+++ b/internal/relay/shortages_test.go
@@ -50,3 +50,16 @@
 		}
 	})
 }
+
+// Guards against callers that return before there can be room, or never, as they are told to wait for
+// more than a third of the 20 s that they have.
+func TestCallersReturnWhenThereMayBeRoom(t *testing.T) {
+	const longest = 6600 * time.Millisecond
+	for _, least := range []time.Duration{time.Second, maxRetryAfter} {
+		for range 1000 {
+			if wait := retryAfterFor(0, least); wait < least || wait > longest {
+				t.Fatalf("callers are told to retry after %s, where the least is %s and the longest %s", wait, least, longest)
+			}
+		}
+	}
+}
