follow, platform: copies of two eras are not mixed

A peer's later content of an earlier era is taken over, but says nothing about how current this VM's copy is.

--- a/internal/follow/publish.go
+++ b/internal/follow/publish.go
@@ -33,12 +33,15 @@
 			return
 		}
 	}
+	confirms := old == nil || !view.Before(old.Version)
 	if old != nil {
 		f.replaceCopy(*old, &view, from, later, content)
 	}
 	f.content.Store(max(content, f.content.Load()))
 	f.view.Store(&view)
-	f.markConfirmed(at)
+	if confirms {
+		f.markConfirmed(at)
+	}
 	if from == fromPeer {
 		f.Logger.Info("table learned from a peer", zap.String("table", f.Table), zap.Stringer("version", view.Version))
 	}
--- a/internal/follow/restored_store_test.go
+++ b/internal/follow/restored_store_test.go
@@ -181,3 +181,19 @@
 		}
 	}
 }
+
+// Guards against a copy that counts as confirmed because a peer, which has not heard of the store's return,
+// has a later content.
+func TestLaterContentOfEarlierEraDoesNotConfirm(t *testing.T) {
+	o := optionsOf(newFakeFeed(), &fakePeers{})
+	o.ContentVersion = contentOf
+	f := New(o)
+	publish := func(version platform.Version, config string, from string, at time.Time) {
+		f.publish(platform.TableView{Version: version, Rows: map[string][]byte{"config": []byte(config)}}, from, at)
+	}
+	publish(platform.Version{Era: 2, Revision: 3}, "23", fromStore, time.Now().Add(-time.Minute))
+	publish(platform.Version{Era: 1, Revision: 90}, "30", fromPeer, time.Now())
+	if got := string(f.View().Rows["config"]); got != "30" || f.version() != (platform.Version{Era: 2, Revision: 3}) || f.Age() < time.Minute {
+		t.Errorf("version %s of the configuration at %s, confirmed %s ago", got, f.version(), f.Age())
+	}
+}
