census: three VMs read the list for a fleet, in turn, and the others ask them

Cause: each of the three feed followers of a data centre read the whole list at the start, and again each 4.5 to 6.5 s at random ages, as they asked only peers of their own data centre, which had no newer one. And a row found current was written again at a random moment of its interval, so that some fell due at once.

Change: the largest VM of the fleet reads, at its start and at an age of 5 s (2 s while VMs are added); the second and the third, and then the rest, read a second or more later where it has not. Feed followers ask those three, the first that answers, and skip a silent one for 10 s; all others copy as before. A row found current falls due after the first 10 s of the process.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -52,6 +52,8 @@
 	// FetchOne returns one peer's copy if it is newer than a version, and the time since the
 	// table was known to hold it.
 	FetchOne(ctx context.Context, table string, after platform.Version) (platform.TableChange, time.Duration, bool)
+	// FetchFrom does the same with the peer at an address.
+	FetchFrom(ctx context.Context, address, table string, after platform.Version) (platform.TableChange, time.Duration, bool)
 }
 
 // Options configure a Census.
@@ -81,7 +83,8 @@
 	registration registration
 	startedAt    time.Time
 	firstStart   bool
-	// patience, from 0 to 1, is drawn for each reading of the table. Only Run uses it.
+	// patience, from 0 to 1, is drawn for each reading of the table by a VM that copies the list. Only
+	// Run uses it.
 	patience float64
 
 	mu  sync.Mutex // guards the fields below
@@ -95,8 +98,10 @@
 	followsFeed, relays bool
 	// hasRelays says whether this VM's data centre has followers that do not follow the feed.
 	hasRelays bool
-	// rank is this VM's position in the order of size.
-	rank int
+	// rank is this VM's position in the order of size, and readers are the VMs before it that it asks
+	// for the list if it follows the feed.
+	rank    int
+	readers []reader
 	// loaded says that rows or a peer's copy were read.
 	loaded bool
 	// changedAt is when another complete list replaced the one before.
@@ -175,7 +180,9 @@
 		c.logger.Info("VMs counted", zap.Int("vms", len(vms)), zap.Int("before", len(c.vms)))
 	}
 	c.vms, c.loaded = vms, true
-	c.rank = slices.IndexFunc(sortedBySize(vms), func(vm VM) bool { return vm.Name == c.own.Name })
+	largest := sortedBySize(vms)
+	c.rank = slices.IndexFunc(largest, func(vm VM) bool { return vm.Name == c.own.Name })
+	c.setReaders(largest)
 	feedFollowers, followers := FeedFollowersOf(vms)[c.own.DataCentre], FollowersOf(vms)[c.own.DataCentre]
 	c.followsFeed = c.includesSelf(feedFollowers)
 	c.relays = !c.followsFeed && c.includesSelf(followers)
--- a/internal/census/fakes_test.go
+++ b/internal/census/fakes_test.go
@@ -159,6 +159,18 @@
 	return n.vms[name]
 }
 
+// vmAt returns the VM with an address, nil if it is not reachable.
+func (n *fakeNetwork) vmAt(address string) *Census {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, vm := range n.vms {
+		if vm.own.Address == address {
+			return vm
+		}
+	}
+	return nil
+}
+
 // add makes a VM reachable and returns the peers of that VM.
 func (n *fakeNetwork) add(c *Census) {
 	n.mu.Lock()
@@ -210,6 +222,14 @@
 	return platform.TableChange{}, 0, false
 }
 
+// FetchFrom asks the peer at an address.
+func (p *fakePeers) FetchFrom(_ context.Context, address, _ string, after platform.Version) (platform.TableChange, time.Duration, bool) {
+	if peer := p.network.vmAt(address); peer != nil {
+		return peer.Since(after)
+	}
+	return platform.TableChange{}, 0, false
+}
+
 // newCensus returns the census of a VM in a network, or of one without peers if that is nil.
 func newCensus(table platform.Table, network *fakeNetwork, own VM) *Census {
 	o := Options{
--- a/internal/census/refresh.go
+++ b/internal/census/refresh.go
@@ -52,7 +52,7 @@
 	switch {
 	case len(rows) < startRows:
 		c.applyRows(rows)
-	case c.setLargest(rows):
+	case c.setLargest(rows) && c.readsFirst():
 		c.readTable(ctx)
 	default:
 		c.fetchFromPeers(ctx, platform.Version{})
@@ -91,8 +91,10 @@
 	return c.snapshot.version, starting || time.Since(c.snapshot.confirmedAt) >= minInterval/2
 }
 
+// fetchFromPeers gets a newer list than one of a version: from the readers if this VM follows the feed, as
+// its other peers have theirs from those, and otherwise from any peer.
 func (c *Census) fetchFromPeers(ctx context.Context, version platform.Version) {
-	if c.peers == nil {
+	if c.peers == nil || c.FollowsFeed() && c.fetchFromReaders(ctx, version) {
 		return
 	}
 	if change, age, ok := c.peers.FetchOne(ctx, TableName, version); ok {
@@ -111,17 +113,13 @@
 	return time.Since(c.snapshot.confirmedAt)
 }
 
-// maxAge returns the age of the list at which this VM reads the table. It varies, so that the
-// reading of one feed follower serves the others. The list of one that follows the feed is never
-// older than minInterval, so that it has a VM that calls itself Counted.
+// maxAge returns the age of the list at which this VM reads the table. The list of one that follows the
+// feed is never older than minInterval, so that it has a VM that calls itself Counted.
 func (c *Census) maxAge() time.Duration {
-	switch {
-	case !c.FollowsFeed():
-		return staleAge + time.Duration(c.patience*float64(staleAge))
-	case c.changing():
-		return startupInterval + time.Duration(c.patience*float64(startupInterval))
+	if c.FollowsFeed() {
+		return c.readingAge()
 	}
-	return minInterval*3/4 - maxRoundPause + time.Duration(c.patience*float64(minInterval/4))
+	return staleAge + time.Duration(c.patience*float64(staleAge))
 }
 
 // changing reports whether VMs are being added, or this VM is not listed yet.
--- a/internal/census/registration.go
+++ b/internal/census/registration.go
@@ -68,7 +68,7 @@
 	r := &c.registration
 	if !r.registered && c.hasCurrentRow() {
 		r.registered = true
-		r.lastWrite = time.Now().Add(-rand.N(c.steadyInterval()))
+		r.lastWrite = time.Now().Add(-rand.N(max(minInterval, c.steadyInterval()-startupTime)))
 		return
 	}
 	switch {
