resilient: the probes of the object store end with the outage

Any answer of the service ends the probing now. The circuit of the users' platform has a table alone, whose probe has no such answer.

--- a/internal/platform/resilient/circuit.go
+++ b/internal/platform/resilient/circuit.go
@@ -122,7 +122,7 @@
 	defer cancel()
 	c.counters.probes.Add(1)
 	_, err := c.breaker.Execute(func() (struct{}, error) { return struct{}{}, c.probe(ctx) })
-	return err == nil
+	return serviceResponded(err)
 }
 
 func (c *circuit) close() {
--- a/internal/platform/resilient/circuit_test.go
+++ b/internal/platform/resilient/circuit_test.go
@@ -110,3 +110,26 @@
 		}
 	})
 }
+
+// Guards against probes that never end: the object that is probed for does not exist, and each probe after
+// the outage counted as failed.
+func TestProbesOfObjectsEndWithTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		client := newClient(t, store, resilient.Settings{})
+		store.Faults.Set(platformsim.Order{Outage: platformsim.OutageUnavailable})
+		for range resilient.DefaultFailuresToOpen {
+			_, _ = client.Fetch(t.Context(), "a")
+		}
+		store.Faults.Set(platformsim.Order{})
+		time.Sleep(2 * (resilient.DefaultProbeInterval + resilient.DefaultProbeTimeout))
+		before := client.Dump().Probes
+		time.Sleep(time.Minute)
+		if after := client.Dump().Probes; after != before {
+			t.Errorf("%d probes in the minute after the outage", after-before)
+		}
+		if _, err := client.Fetch(t.Context(), "a"); !errors.Is(err, platform.ErrNotFound) {
+			t.Errorf("got %v, want that there is no such object", err)
+		}
+	})
+}
