confstore: a change is searched for in the whole history

The search ended after 8,192 rows as if it were complete: a change behind them was reported as unknown, and its author would have made it again. It ends with the last row or the context now. The new test has the change unknown without the fix.

--- a/internal/confstore/lookup.go
+++ b/internal/confstore/lookup.go
@@ -8,10 +8,6 @@
 	"geraniumcroft/internal/config"
 )
 
-// maxLookupPages bounds the pages that a search of the table reads. They hold more rows
-// than compaction keeps.
-const maxLookupPages = 32
-
 // Lookup returns the change with the id. It returns a *NotWrittenError if the change was
 // pending on this VM and can no longer be written, a *PendingError if it may still be
 // written or that can't be determined, and an *UnknownChangeError if the retained history
@@ -54,11 +50,12 @@
 	return ok
 }
 
-// findInTable searches the rows of the table for the change with the id, starting with
-// the oldest row. It returns an *UnknownChangeError if there is none.
+// findInTable searches all rows of the table for the change with the id, starting with
+// the oldest row. It returns an *UnknownChangeError if there is none. Only the context bounds
+// the search: a change that was not looked for everywhere is not unknown.
 func (s *Store) findInTable(ctx context.Context, id string) (config.Change, error) {
 	from := changeKey(0)
-	for range maxLookupPages {
+	for {
 		rows, err := s.options.Table.Scan(ctx, from, changesEnd, scanPageSize)
 		if err != nil {
 			return config.Change{}, errors.Wrap(err, "search the history")
@@ -73,9 +70,8 @@
 			}
 		}
 		if len(rows) < scanPageSize {
-			break
+			return config.Change{}, &UnknownChangeError{ID: id}
 		}
 		from = changeKey(changes[len(changes)-1].Version + 1)
 	}
-	return config.Change{}, &UnknownChangeError{ID: id}
 }
