router: a replayed answer keeps its finish reason

A repeated generation was always told that it had stopped by itself, also where the first answer had ended at the limit on tokens. The reason is stored with the answer; answers stored before have none and count as stopped, as they did.

--- a/internal/claim/answer.go
+++ b/internal/claim/answer.go
@@ -8,4 +8,7 @@
 	Status      int    `json:"status"`
 	ContentType string `json:"contentType"`
 	Body        []byte `json:"body"`
+	// Finish is the finish reason of a generation. It is empty for calls, and for answers that VMs
+	// of an earlier version have stored.
+	Finish string `json:"finish,omitempty"`
 }
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -51,7 +52,7 @@
 	}
 	observed := newObservedSink(e, sink, r.Observer, r.maxStoredAnswer(e))
 	result, failure := r.runGeneration(ctx, e, request, observed)
-	return result, r.finishClaim(ctx, e, failure, observed.answer(failure))
+	return result, r.finishClaim(ctx, e, failure, observed.answer(result, failure))
 }
 
 // maxStoredAnswer returns the maximum size of the answer that is stored with the claim, 0
@@ -85,7 +86,7 @@
 			return GenerateResult{}, outcome.Uncertain(outcome.ReasonCallerGone, "the caller is gone").WithCause(err)
 		}
 	}
-	return GenerateResult{Tokens: len(pieces), Finish: "stop"}, nil
+	return GenerateResult{Tokens: len(pieces), Finish: cmp.Or(stored.Finish, "stop")}, nil
 }
 
 func (r *Router) runGeneration(ctx context.Context, e *entry, request GenerateRequest, sink generation.Sink) (GenerateResult, *outcome.Failure) {
--- a/internal/router/observed_sink.go
+++ b/internal/router/observed_sink.go
@@ -54,9 +54,9 @@
 }
 
 // answer returns the complete answer, or nil if it is incomplete or was not stored.
-func (s *observedSink) answer(failure *outcome.Failure) *claim.Answer {
+func (s *observedSink) answer(result GenerateResult, failure *outcome.Failure) *claim.Answer {
 	if failure != nil || s.maxStored == 0 || s.overflow {
 		return nil
 	}
-	return &claim.Answer{Status: http.StatusOK, ContentType: "text/plain", Body: s.stored}
+	return &claim.Answer{Status: http.StatusOK, ContentType: "text/plain", Body: s.stored, Finish: result.Finish}
 }
