causes: the report does not depend on the order of the logs

Requests of a VM whose start is in a later file counted under an unknown data centre, and the ids named for a cause were those of the first files. Data centres are looked up when all is read, and the earliest requests are named.

--- a/internal/causes/aggregator.go
+++ b/internal/causes/aggregator.go
@@ -51,13 +51,47 @@
 
 // causeStats is the aggregate of the requests with one cause.
 type causeStats struct {
-	requests      int
-	ids           []string
-	byDataCentre  map[string]int
+	requests int
+	// earliest are the requests that arrived first, up to maxIDsPerCause, in order of arrival.
+	earliest      []request
+	byVM          map[string]int
 	byProfile     map[string]int
 	first, latest time.Time
 }
 
+// request is a request that a report names.
+type request struct {
+	id string
+	at time.Time
+}
+
+// name adds a request to the earliest ones, if it is one of them.
+func (c *causeStats) name(r request) {
+	at, _ := slices.BinarySearchFunc(c.earliest, r, func(a, b request) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+	})
+	c.earliest = slices.Insert(c.earliest, at, r)
+	c.earliest = c.earliest[:min(maxIDsPerCause, len(c.earliest))]
+}
+
+func (c *causeStats) ids() []string {
+	var ids []string
+	for _, r := range c.earliest {
+		ids = append(ids, r.id)
+	}
+	return ids
+}
+
+// byDataCentre returns the number of requests of each data centre, "unknown" for VMs whose start is in
+// none of the logs.
+func (a *Aggregator) byDataCentre(c *causeStats) map[string]int {
+	counts := map[string]int{}
+	for vm, n := range c.byVM {
+		counts[cmp.Or(a.dataCentres[vm], "unknown")] += n
+	}
+	return counts
+}
+
 // New returns an Aggregator without requests.
 func New(limits Limits, filter Filter, span time.Duration) *Aggregator {
 	return &Aggregator{Limits: limits, Filter: filter, Span: span, dataCentres: map[string]string{}, causes: map[Cause]*causeStats{}, spans: map[time.Time]map[Outcome]int{}}
@@ -65,7 +99,7 @@
 
 // Read adds the requests of a log, which may be compressed with gzip. Lines of other programs
 // are skipped. A request counts under the data centre "unknown" unless the line about the start
-// of its VM has been read before.
+// of its VM is in one of the logs.
 func (a *Aggregator) Read(log io.Reader) error {
 	buffered := bufio.NewReader(log)
 	if magic, err := buffered.Peek(len(gzipMagic)); err == nil && string(magic) == gzipMagic {
@@ -101,14 +135,12 @@
 	cause := a.Limits.Classify(e)
 	c := a.causes[cause]
 	if c == nil {
-		c = &causeStats{byDataCentre: map[string]int{}, byProfile: map[string]int{}, first: e.Arrival()}
+		c = &causeStats{byVM: map[string]int{}, byProfile: map[string]int{}, first: e.Arrival()}
 		a.causes[cause] = c
 	}
 	c.requests++
-	if len(c.ids) < maxIDsPerCause {
-		c.ids = append(c.ids, e.RequestID)
-	}
-	c.byDataCentre[cmp.Or(a.dataCentres[e.VM], "unknown")]++
+	c.name(request{id: e.RequestID, at: e.Arrival()})
+	c.byVM[e.VM]++
 	c.byProfile[e.Profile]++
 	if e.Arrival().Before(c.first) {
 		c.first = e.Arrival()
@@ -154,7 +186,7 @@
 	for cause, c := range a.causes {
 		r.Requests += c.requests
 		r.Causes = append(r.Causes, Row{
-			Cause: cause, Requests: c.requests, IDs: c.ids, ByDataCentre: c.byDataCentre, ByProfile: c.byProfile, First: c.first, Latest: c.latest,
+			Cause: cause, Requests: c.requests, IDs: c.ids(), ByDataCentre: a.byDataCentre(c), ByProfile: c.byProfile, First: c.first, Latest: c.latest,
 		})
 	}
 	slices.SortFunc(r.Causes, func(a, b Row) int {
--- a/internal/causes/causes_test.go
+++ b/internal/causes/causes_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -78,3 +80,23 @@
 		t.Errorf("%v:\n%s", err, out.String())
 	}
 }
+
+// Guards against a report that depends on the order in which logs are given: the line with a VM's data
+// centre may be in a later file than its requests.
+func TestReportDoesNotDependOnTheOrderOfLogs(t *testing.T) {
+	lines := strings.SplitAfter(strings.TrimSpace(log), "\n")
+	report := func(lines []string) Report {
+		aggregator := New(Limits{}, Filter{}, 2*time.Second)
+		for _, line := range lines {
+			if err := aggregator.Read(strings.NewReader(line)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return aggregator.Report()
+	}
+	forwards := report(lines)
+	slices.Reverse(lines)
+	if backwards := report(lines); !reflect.DeepEqual(forwards, backwards) {
+		t.Errorf("forwards\n%+v\nbackwards\n%+v", forwards, backwards)
+	}
+}
