follow: a starting VM that follows the feed asks its peers for a later configuration

It read the store alone, and in the seconds after a return from an older copy let in a key that all others knew to be revoked, until its first question to peers 0.8 s later. It asks them while it reads.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -176,6 +176,9 @@
 // Run keeps the copy current until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.startFromPeers(ctx)
+	if f.ContentVersion != nil && f.View() == nil {
+		f.askPeers() // the store may have an older content than peers
+	}
 	var background sync.WaitGroup
 	background.Go(func() { f.gossip(ctx) })
 	background.Go(func() { f.confirmLoop(ctx) })
