--- a/internal/mirror/spread_test.go
+++ b/internal/mirror/spread_test.go
@@ -23,8 +23,6 @@
 
 const (
 	spreadTable = "op"
-	// linkBytesPerSecond is the bandwidth of the smallest VM's link.
-	linkBytesPerSecond = 20e6 / 8
 	// wireBytes is the overhead of a request or an answer.
 	wireBytes = 300
 )
@@ -36,31 +34,6 @@
 	maxRaceFleet = 320
 )
 
-// spreadLink is a link that transfers one message at a time.
-type spreadLink struct {
-	mu   sync.Mutex // guards the field below
-	free time.Time
-}
-
-// send waits until the given number of bytes has passed. It reports false if ctx ended before
-// that.
-func (l *spreadLink) send(ctx context.Context, bytes int) bool {
-	l.mu.Lock()
-	begin := time.Now()
-	if l.free.After(begin) {
-		begin = l.free
-	}
-	l.free = begin.Add(time.Duration(float64(bytes) / linkBytesPerSecond * float64(time.Second)))
-	wait := time.Until(l.free)
-	l.mu.Unlock()
-	select {
-	case <-time.After(wait):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // spreadVM is a simulated VM with its copy of the table, its links and its faults.
 type spreadVM struct {
 	census.VM
--- a/internal/relay/shortages.go
+++ b/internal/relay/shortages.go
@@ -10,14 +10,12 @@
 	// shortageQuietPeriod is how long nothing must have been refused for a shortage to be over. At
 	// 5 requests per second to a small VM, a second without a refusal is unlikely to be chance.
 	shortageQuietPeriod = time.Second
-	// maxRetryAfter bounds the time that callers are told to wait before jitter, and maxRetryAfterJitter
-	// what is added to it. They do not retry after more than a third of the time they have left, 6.6 s
-	// of 20 s.
+	// maxRetryAfter bounds the time that callers are told to wait, and maxRetryAfterJitter the jitter.
+	// They do not retry after more than a third of the time they have left, 6.6 s of 20 s.
 	maxRetryAfter       = 6 * time.Second
 	maxRetryAfterJitter = 600 * time.Millisecond
 	// retryAfterJitter is the largest fraction by which that time is prolonged, so that callers refused
-	// at the same time do not retry at the same time. A shorter time would bring them back before there
-	// is room.
+	// together do not retry together. A shorter time would bring them back before there is room.
 	retryAfterJitter = 0.25
 )
 
@@ -45,8 +43,7 @@
 
 func newShortages() *shortages { return &shortages{spans: map[string]shortage{}} }
 
-// retryAfter records a refusal for lack of a resource and returns when to retry, at least minWait
-// before jitter.
+// retryAfter records a refusal for lack of a resource and returns when to retry, at least minWait.
 func (s *shortages) retryAfter(resource string, minWait time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,7 +58,7 @@
 }
 
 // retryAfterFor returns when to retry after a shortage that has lasted for the elapsed time. The
-// result is at least minWait and at most maxRetryAfter before jitter.
+// result is at least minWait or maxRetryAfter, and at most maxRetryAfter and the jitter.
 func retryAfterFor(elapsed, minWait time.Duration) time.Duration {
 	wait := min(maxRetryAfter, max(minWait, elapsed))
 	jitter := min(maxRetryAfterJitter, time.Duration(retryAfterJitter*float64(wait)))
