router: a keyed request that is refused early is not told that it did not run

An earlier request with its key may have run. The gate and the limits on requests in hand said so already; a deleted profile, a revoked key and a limit that was lowered said not-run, and a caller who trusts that makes the request again under a new key. Status and reason stay, the outcome is unknown. Requests without a key, and idempotent ones, are refused as before. What the API itself refuses before the router is not changed.

--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -41,7 +41,7 @@
 
 func (r *Router) generate(ctx context.Context, e *entry, request GenerateRequest, sink TokenSink) (GenerateResult, *outcome.Failure) {
 	if failure := r.checkGeneration(e, request); failure != nil {
-		return GenerateResult{}, failure
+		return GenerateResult{}, claimUnread(e.meta, e.profile, failure)
 	}
 	stored, failure := r.takeClaim(ctx, e)
 	if failure != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,8 +43,8 @@
 func (r *Router) InHand() int { return r.registry.count() }
 
 // begin looks the request up and adds it to the registry. The request has not run yet, so
-// the outcome of a failure is NotRun. It is Unknown if the gate or a limit on requests in
-// progress refuses a request that needs a claim, because the claim was not read.
+// the outcome of a failure is NotRun, or Unknown if the request needs a claim, which was not
+// read.
 func (r *Router) begin(meta Metadata, class config.RequestClass) (*entry, *outcome.Failure) {
 	snapshot := r.ConfigSource.Current()
 	profile, ok := snapshot.Profiles[meta.Profile]
@@ -52,11 +52,11 @@
 		return nil, claimUnread(meta, profile, failure)
 	}
 	if !ok || profile.Class != class {
-		return nil, outcome.Refuse(outcome.ReasonUnknownProfile, "there is no such profile of this class")
+		return nil, claimUnread(meta, nil, outcome.Refuse(outcome.ReasonUnknownProfile, "there is no such profile of this class"))
 	}
 	workspace := snapshot.Workspaces[profile.Workspace]
 	if failure := r.checkCaller(meta, profile, workspace); failure != nil {
-		return nil, failure
+		return nil, claimUnread(meta, profile, failure)
 	}
 	e := r.newEntry(meta, profile)
 	if limit := r.registry.add(e, maxInFlight(workspace)); limit != "" {
