--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -69,10 +69,10 @@
 }
 
 // mergePeerUnchanged takes over from a peer up to which revision of the store this VM's copy is
-// current, if both copies are of the same era. A peer may have the same copy under a different revision: VMs read the table at
-// different revisions of the store, between which only other tables changed. If copies were
-// compared by their revisions alone, such a copy would remain unconfirmed until the next change,
-// and each VM would ask the store.
+// current, if both copies are of the same era. A peer may have the same copy under a different
+// revision: VMs read the table at different revisions of the store, between which only other tables
+// changed. If copies were compared by their revisions alone, such a copy would remain unconfirmed until
+// the next change, and each VM would ask the store.
 //
 // It is called after the change has been applied, and has an effect only if this VM lacks nothing
 // of the change: a copy that counts as current up to a revision beyond the missing change would
