--- a/internal/entry/replica_set.go
+++ b/internal/entry/replica_set.go
@@ -121,10 +121,10 @@
 	return observed, changed
 }
 
-// dropExpired does nothing while the store is settling. Afterwards it drops the vanished
-// replicas, lists those whose restored entries have stood for long enough, and replaces successors by the earlier incarnation whose entry still stands if the
-// tracker no longer counts that one as superseded, because nothing has come from the successor
-// for too long. It reports whether the set has changed.
+// dropExpired does nothing while the store is settling. Afterwards it drops the vanished replicas and
+// lists those whose restored entries have stood for long enough. It replaces successors by the earlier
+// incarnation whose entry still stands if the tracker no longer counts that one as superseded, because
+// nothing has come from the successor for too long. It reports whether the set has changed.
 func (s *replicaSet) dropExpired(settling bool, now time.Time) bool {
 	if settling {
 		return false
--- a/internal/mirror/restored_fleet_test.go
+++ b/internal/mirror/restored_fleet_test.go
@@ -287,3 +287,48 @@
 		running.Wait()
 	}
 }
+
+// Guards against a replica that left once the store was stable again and stays in use, because VMs still
+// expect missing entries to be written again.
+func TestEntryDeletedAfterStoreRestoredIsNotExpectedBack(t *testing.T) {
+	// stability is the time after the store's return from which on it counts as stable.
+	const stability = 3 * time.Second
+	for _, size := range restoredFleetSizes() {
+		t.Run(fmt.Sprint(size.vms, " VMs"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRestoredFleet(t, size.vms, size.dataCentres, 1)
+				f.store.Put(spreadTable, "replica", []byte("entry"))
+				stop := f.start(t)
+				time.Sleep(3 * time.Second)
+				from := f.store.Copy()
+				f.configure(2)
+				time.Sleep(2 * time.Second)
+				f.store.SetAway(true)
+				time.Sleep(time.Second)
+				f.store.Restore(from)
+				f.store.SetAway(false)
+				time.Sleep(stability)
+				f.store.Delete(spreadTable, "replica")
+				deleted := time.Now()
+				for time.Since(deleted) < size.bound && !f.allDropped("replica") {
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("no VM uses it after %s", time.Since(deleted))
+				if !f.allDropped("replica") {
+					t.Errorf("some VMs use it %s after its entry was deleted", size.bound)
+				}
+				stop()
+			})
+		})
+	}
+}
+
+// allDropped reports whether no VM has the entry or expects it back.
+func (f *restoredFleet) allDropped(key string) bool {
+	for _, vm := range f.vms {
+		if _, listed := vm.follower.View().Rows[key]; listed || vm.follower.Settling() {
+			return false
+		}
+	}
+	return true
+}
