router: groups of engines without streams are dropped from the slow detector

Each version of a model is a group; asking about an engine made one too, and none was ever removed. The new test has 21 groups in place of 1 without the change.

--- a/internal/router/slow_detector.go
+++ b/internal/router/slow_detector.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -58,7 +59,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, t := range stages {
-		members := d.members(groupOf(t))
+		group := groupOf(t)
+		if d.groups[group] == nil {
+			d.dropOldGroups(now)
+			d.groups[group] = map[string]*recentGaps{}
+		}
+		members := d.groups[group]
 		if members[t.Name] == nil {
 			members[t.Name] = &recentGaps{}
 		}
@@ -66,6 +72,17 @@
 	}
 }
 
+// dropOldGroups removes the groups whose engines had no stream for gapTTL. Each change of a model's version
+// begins a new group.
+func (d *slowDetector) dropOldGroups(now time.Time) {
+	for group, members := range d.groups {
+		maps.DeleteFunc(members, func(_ string, recent *recentGaps) bool { return now.Sub(recent.lastAdded) > gapTTL })
+		if len(members) == 0 {
+			delete(d.groups, group)
+		}
+	}
+}
+
 // isSlow reports whether an engine makes its streams slow. That is the case if all of its
 // last streams were slow compared with the typical gap of its group, and no other engine of
 // the newest stream may be the cause. If two engines always work together, both are
@@ -89,7 +106,7 @@
 	if !known || own < minSlowGap {
 		return false
 	}
-	typical, known := typicalGap(d.members(groupOf(t)), t.Name, now)
+	typical, known := typicalGap(d.groups[groupOf(t)], t.Name, now)
 	return known && float64(own) > balance.DefaultSlowFactor*float64(typical)
 }
 
@@ -104,21 +121,13 @@
 // minGap returns the mean gap of the fastest of an engine's last streams. It returns false
 // if there are fewer than slowWindow.
 func (d *slowDetector) minGap(t *config.Target) (time.Duration, bool) {
-	recent := d.members(groupOf(t))[t.Name]
+	recent := d.groups[groupOf(t)][t.Name]
 	if recent == nil || len(recent.values) < slowWindow {
 		return 0, false
 	}
 	return slices.Min(recent.values), true
 }
 
-// members returns the engines of a group by name.
-func (d *slowDetector) members(g comparableGroup) map[string]*recentGaps {
-	if d.groups[g] == nil {
-		d.groups[g] = map[string]*recentGaps{}
-	}
-	return d.groups[g]
-}
-
 func (r *recentGaps) add(gap time.Duration, now time.Time) {
 	if len(r.values) == slowWindow {
 		r.values = r.values[1:]
--- a/internal/router/slow_detector_test.go
+++ b/internal/router/slow_detector_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,3 +119,23 @@
 		t.Error("a new placement starts with the gap of the old one")
 	}
 }
+
+// Guards against groups of engines that are kept for good: those that were only asked about, and those
+// whose engines have had no stream for long.
+func TestGroupsWithoutStreamsAreDropped(t *testing.T) {
+	d, now := newSlowDetector(), time.Now()
+	for i := range 10 {
+		gone := &config.Target{Name: "gone", Model: fmt.Sprint("model-", i)}
+		for range slowWindow {
+			d.add([]*config.Target{gone}, minSlowGap, now)
+		}
+		d.isSlow(&config.Target{Name: "asked", Model: fmt.Sprint("other-", i)}, nil, now)
+	}
+	if n := len(d.groups); n != 10 {
+		t.Errorf("%d groups, want those with streams", n)
+	}
+	d.add([]*config.Target{{Name: "new", Model: "new"}}, minSlowGap, now.Add(gapTTL+time.Second))
+	if n := len(d.groups); n != 1 {
+		t.Errorf("%d groups, want the one with a recent stream", n)
+	}
+}
