mirror: the last millisecond of a settling store is reported

A VM that was late had 374 ms left, while all that follow the feed had ended 0.4 s before: it had asked one of them in its last millisecond. The rest, rounded down to 0 ms, stands for a time that is not reported, as from VMs of an earlier version, and counts as 0.8 s.

--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -77,7 +77,7 @@
 	}
 	a := &fetchResponse{Cursor: platform.Cursor{Version: change.Version, Content: change.Content}, copyStatus: copyStatus{
 		UnchangedUpTo: change.UnchangedUpTo, AgeMS: age.Milliseconds(),
-		Settling: change.Settling, SettlingLeftMS: change.SettlingLeft.Milliseconds(), ByFeed: change.ByFeed, ByRelay: change.ByRelay,
+		Settling: change.Settling, SettlingLeftMS: millisecondsUp(change.SettlingLeft), ByFeed: change.ByFeed, ByRelay: change.ByRelay,
 	}}
 	if s.News != nil {
 		a.News = s.News()
@@ -93,6 +93,9 @@
 	return a, nil
 }
 
+// millisecondsUp returns a duration in milliseconds, rounded up: 0 stands for a time that is not reported.
+func millisecondsUp(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 func (s *Server) offer(_ context.Context, request *wrapperspb.BytesValue) (*wrapperspb.BytesValue, error) {
 	var o offerRequest
 	if err := json.Unmarshal(request.GetValue(), &o); err != nil {
--- a/internal/mirror/settling_test.go
+++ b/internal/mirror/settling_test.go
@@ -4,6 +4,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumcroft/internal/platform"
 )
 
 // A replica leaves as soon as the store has recovered from an outage. Its entry is deleted, but a VM
@@ -46,3 +50,13 @@
 		}
 	})
 }
+
+// Guards against a VM that expects entries back for a further interval, because less than a millisecond of
+// its peer's time was left and the answer said nothing of it.
+func TestLastMomentOfSettlingIsReported(t *testing.T) {
+	change := platform.TableChange{Version: platform.Version{Revision: 1}, Settling: true, SettlingLeft: time.Microsecond}
+	s := NewServer(func(string, platform.Cursor) (platform.TableChange, time.Duration, bool) { return change, 0, true }, nil, zap.NewNop())
+	if a, err := s.respond(fetchRequest{Brief: true}); err != nil || a.SettlingLeftMS != 1 {
+		t.Errorf("%d ms reported of %s, error %v", a.SettlingLeftMS, change.SettlingLeft, err)
+	}
+}
