reach: a line and a metric when a VM reaches no replica

The lines of a VM that is cut off from all replicas show hundreds of failed attempts, and not since when it reached no replica, on how many replicas and attempts that rests, and whether it reached one in between. A Tracker counts the connection attempts of requests, polls and orders: two replicas or more that were not reached, and none that was since, are reported with the evidence, and so is the end. Nothing decides by it yet.

Requests and polls get pools of their own for that, made from the one that the process is given.

--- a/cmd/geraniumcroft/relay.go
+++ b/cmd/geraniumcroft/relay.go
@@ -124,7 +124,7 @@
 	return entry.Options{
 		Settings: s, Pool: pool, Logger: logger, LogDropped: logDropped,
 		Adapter: entry.Adapter{
-			Codec: platform.Codec{}, Engines: platform.NewEngines(pool), Table: store, Feed: store, Eras: store.Eras(),
+			Codec: platform.Codec{}, NewEngines: func(p *transport.Pool) entry.Engines { return platform.NewEngines(p) }, Table: store, Feed: store, Eras: store.Eras(),
 			OperatorTable: platform.OperatorTable, ReplicaTable: platform.ReplicaTable,
 			DecodeConfig: platform.DecodeConfig, DecodeReplica: platform.DecodeReplica,
 		},
--- a/internal/entry/adapter.go
+++ b/internal/entry/adapter.go
@@ -5,12 +5,14 @@
 	"geraniumcroft/internal/placer"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/relay"
+	"geraniumcroft/internal/transport"
 )
 
 // Adapter holds the parts of a Process that depend on the outside platform.
 type Adapter struct {
-	Codec   relay.Codec
-	Engines Engines
+	Codec relay.Codec
+	// NewEngines returns a client that uses the pool's connections.
+	NewEngines func(*transport.Pool) Engines
 	// Table stores the rows that the VMs write themselves.
 	Table platform.Table
 	// Feed reads OperatorTable and ReplicaTable and reports their changes.
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -13,6 +13,7 @@
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/pushback"
 	"geraniumcroft/internal/quarantine"
+	"geraniumcroft/internal/reach"
 	"geraniumcroft/internal/router"
 )
 
@@ -44,7 +45,9 @@
 	// Quarantine lists the requests that were running on replicas when these crashed.
 	Quarantine []quarantine.Entry `json:"quarantine"`
 	// Pushback lists the rate limits, back-off times and announced departures of replicas.
-	Pushback   []pushback.Entry `json:"pushback"`
+	Pushback []pushback.Entry `json:"pushback"`
+	// Reach is whether this VM reaches the replicas.
+	Reach      reach.Dump       `json:"reach"`
 	Invariants invariant.Report `json:"invariants"`
 	LogDropped uint64           `json:"logLinesDropped"`
 }
@@ -86,6 +89,7 @@
 		"requests_quarantined":    float64(requests.Quarantined),
 		"replicas_limited":        float64(replicas.Limited),
 		"replicas_backing_off":    float64(replicas.BackingOff),
+		"replicas_unreached":      gaugeOf(p.reach.CutOff()),
 		"replicas_leaving":        float64(replicas.Leaving),
 	} {
 		p.metrics.Gauge(name).Update(value)
@@ -105,7 +109,7 @@
 		StoreEra: p.Adapter.Eras.Current(),
 		VMs:      p.census.VMs(), Counted: p.census.Counted(time.Now()), HoldsPlacement: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
-		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()),
+		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()), Reach: p.reach.Dump(),
 	}
 	dump.Unusable, dump.UnusableTotal = p.view.unusableEntries()
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -23,6 +23,7 @@
 	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/quarantine/sharing"
+	"geraniumcroft/internal/reach"
 	"geraniumcroft/internal/relay"
 )
 
@@ -38,6 +39,9 @@
 
 func (p *Process) buildControlPlane() {
 	s := p.Settings
+	p.reach = reach.NewTracker()
+	p.requestPool, p.controlPool = p.Pool.WithDial(p.recordDials), p.Pool.WithDial(p.recordDials)
+	p.controlEngines = p.Adapter.NewEngines(p.controlPool)
 	p.store = accounted.New(p.Adapter.Table, p.Adapter.Feed, p.metrics.Scope)
 	p.table = resilient.New(p.store, nil, nil, resilient.Settings{
 		VMs: assumedVMs, WritesPerSecond: s.Platform.WritesPerSecond, ReadsPerSecond: s.Platform.ReadsPerSecond,
@@ -70,7 +74,7 @@
 	p.loadCache = loads.NewCache(s.VM.DataCentre, p.view.onLoads, p.Logger)
 	p.loadCache.Attach(p.pushbackSharing)
 	p.loadCollector = loads.NewCollector(loads.Options{
-		Cache: p.loadCache, Client: p.Adapter.Engines, Peers: p.peers, Tenure: func() (uint64, bool) { return p.tenure.current() }, ListReplicas: p.view.modelReplicas, DataCentres: p.view.dataCentres, Logger: p.Logger,
+		Cache: p.loadCache, Client: p.controlEngines, Peers: p.peers, Tenure: func() (uint64, bool) { return p.tenure.current() }, ListReplicas: p.view.modelReplicas, DataCentres: p.view.dataCentres, Logger: p.Logger,
 		MayAsk: func(k incarnation.Key) bool { return p.pushback.AllowLoadQuery(k, time.Now()) },
 	})
 	p.leases = lease.NewManager(lease.Options{
@@ -89,13 +93,16 @@
 
 // onRestart discards the idle connections to a replica's earlier incarnation. They ended with
 // it, and the first call on each would fail.
-func (p *Process) onRestart(r relay.Replica) { p.Pool.CloseIdle(r.Address) }
+func (p *Process) onRestart(r relay.Replica) {
+	p.requestPool.CloseIdle(r.Address)
+	p.controlPool.CloseIdle(r.Address)
+}
 
 func (p *Process) buildRequestPath() {
 	p.handler = relay.New(relay.Options{
 		DataCentre: p.Settings.VM.DataCentre, ConfigSource: p.view, Codec: p.Adapter.Codec, Gate: p.gate,
 		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, RetryBudgets: p.retryBudgets,
-		Engines: p.Adapter.Engines, Pool: p.Pool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
+		Engines: p.Adapter.NewEngines(p.requestPool), Pool: p.requestPool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
 		Quarantine: p.quarantine, QuarantineNotifier: p.sharing, Pushback: p.pushback, Incarnations: p.view.replicaSet.incarnations,
 	})
 }
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -70,7 +70,7 @@
 // runPlacer assigns layers to the replicas of a model's service while this VM holds the placement.
 func (p *Process) runPlacer(service string) {
 	placer.New(placer.Options{
-		Engines: p.Adapter.Engines, Holder: p, Logger: p.Logger,
+		Engines: p.controlEngines, Holder: p, Logger: p.Logger,
 		Model:              func() (*layers.Spec, []layers.Replica) { return p.respondingReplicas(service) },
 		ObserveIncarnation: p.view.observeReport, LastReport: p.loadCache.Reported,
 	}).Run(p.ctx)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -25,6 +25,7 @@
 	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/quarantine/sharing"
+	"geraniumcroft/internal/reach"
 	"geraniumcroft/internal/relay"
 	"geraniumcroft/internal/router"
 	"geraniumcroft/internal/settings"
@@ -58,15 +59,20 @@
 	gate       *router.Gate
 	// store counts the calls that reach the platform's store. table limits the rate of calls
 	// for the VMs' own rows.
-	store        *accounted.Store
-	table        *resilient.Client
-	view         *view
-	handler      *relay.Handler
-	pools        *relay.Pools
-	retryBudgets *relay.RetryBudgets
-	balancer     *balance.Balancer
-	admission    *admission.Controller
-	census       *census.Census
+	store *accounted.Store
+	table *resilient.Client
+	view  *view
+	// reach records whether this VM reaches the replicas.
+	reach *reach.Tracker
+	// requestPool has the connections for requests, controlPool those for polls and orders.
+	requestPool, controlPool *transport.Pool
+	controlEngines           Engines
+	handler                  *relay.Handler
+	pools                    *relay.Pools
+	retryBudgets             *relay.RetryBudgets
+	balancer                 *balance.Balancer
+	admission                *admission.Controller
+	census                   *census.Census
 	// retryGroup is shared by the followers of the operator's tables.
 	retryGroup    *follow.RetryGroup
 	leases        *lease.Manager
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -62,7 +62,8 @@
 	p.peers.Close()
 	p.table.Close()
 	p.work.Wait()
-	p.Pool.Close()
+	p.requestPool.Close()
+	p.controlPool.Close()
 }
 
 // Kill ends the process at once, without waiting for requests and without releasing leases, as
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -26,6 +26,10 @@
 	return p
 }
 
+// WithDial returns a pool with the same settings and without connections, whose dial function is
+// wrap(dial) of this pool's.
+func (p *Pool) WithDial(wrap func(DialFunc) DialFunc) *Pool { return NewPool(p.settings, wrap(p.dial)) }
+
 // Connect opens a connection to a peer, IP:port, for one request at a time. ioTimeout bounds
 // each read and write on it, see Conn.SetIOTimeout.
 func (p *Pool) Connect(ctx context.Context, address string, ioTimeout time.Duration) (*Conn, error) {
