lease: a lease can be given up without ending the manager

Release is for a planned stop. A holder that can't do its duty for a while gives the lease up, others take it at once, and it competes again later.

--- a/internal/lease/failure_test.go
+++ b/internal/lease/failure_test.go
@@ -174,6 +174,32 @@
 	})
 }
 
+// Guards against a duty that waits for its lease to expire because its holder cannot do it, and against a
+// holder that never competes again.
+func TestLeaseThatWasGivenUpIsTakenAtOnceAndCompetedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hooks{}, threeVMs, testDuty)
+		defer f.stop()
+		first := f.awaitHolder(testDuty, takeoverBound)
+		before, _ := first.manager.Held(testDuty)
+		f.kill(first)
+		first.manager.GiveUp(context.Background())
+		must(t, before.Check() != nil, "acts are possible after the release")
+		next := f.awaitHolder(testDuty, DefaultTTL/2)
+		must(t, next != nil && next != first, "no other VM took over")
+		for _, other := range f.vms {
+			if other != first {
+				f.kill(other)
+			}
+		}
+		next.manager.GiveUp(context.Background())
+		ctx, cancel := context.WithCancel(context.Background())
+		f.stops[first.Name] = cancel
+		f.done.Go(func() { first.manager.Run(ctx) })
+		must(t, f.awaitHolder(testDuty, takeoverBound) == first, "it does not compete again")
+	})
+}
+
 // A VM is replaced under the same name, and the row of its predecessor is still valid. The
 // successor must not treat the lease as its own: the predecessor may only be paused.
 func TestSameNameIsNotTheSameHolder(t *testing.T) {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -28,7 +28,7 @@
 
 	mu     sync.Mutex // guards the fields below
 	duties []*duty
-	// released ends all views permanently.
+	// released ends all views permanently; GiveUp does not set it.
 	released bool
 	// lastRead is when the latest read of the rows ended, readAttempted says whether there was
 	// one, and readErr is its result.
--- a/internal/lease/release.go
+++ b/internal/lease/release.go
@@ -13,11 +13,17 @@
 // manager from competing for good. Acts under the leases should have ended before; to its target,
 // an act that has not ended is like one of a holder that was paused. If the table does not answer,
 // the leases expire by themselves.
-func (m *Manager) Release(ctx context.Context) {
+func (m *Manager) Release(ctx context.Context) { m.release(ctx, true) }
+
+// GiveUp is Release, but the manager competes again when Run is called again. Run must have returned;
+// otherwise it would acquire the leases that it has just released.
+func (m *Manager) GiveUp(ctx context.Context) { m.release(ctx, false) }
+
+func (m *Manager) release(ctx context.Context, forGood bool) {
 	ctx = platform.WithPurpose(ctx, platform.PurposeLease)
 	m.stepLock <- struct{}{}
 	defer func() { <-m.stepLock }()
-	nonces := m.endTenures()
+	nonces := m.endTenures(forGood)
 	for range releaseAttempts {
 		if m.releaseOnce(ctx, nonces) {
 			return
@@ -45,10 +51,10 @@
 
 // endTenures ends this VM's views before anything is written: no act may follow a release that
 // another VM can already see.
-func (m *Manager) endTenures() map[string]string {
+func (m *Manager) endTenures(forGood bool) map[string]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.released = true
+	m.released = m.released || forGood
 	nonces := map[string]string{}
 	for _, d := range m.duties {
 		if d.tenure != nil {
