hop: requests of a VM that is cut off reach replicas through its peers

Cause: a VM had one way to a replica, its own connections, and took 'I can't reach it' for 'it is dead', one replica after the other.

A connection to a replica now has two ways. hop.Dialer tries the likelier one and starts the other when that fails or takes 50 ms; the first connection wins. The second way is a gRPC stream to a peer, which connects to the replica and passes the bytes on, once: the VM that the caller asked remains in charge of the request, its configuration, send guard, limits, budgets, moves and log, so nothing is counted twice and no older configuration decides. An orderly end, a reset and a peer that died are told apart; closing one end closes the other; a peer declines where it stops, is cut off itself, has its limit, or does not know the replica.

reach.Tracker decides whether this VM is cut off: several replicas in a row not reached, a round of probes of others neither, and a peer that reaches one of them. While it is, peers are tried first, the placement and its lease are given up, and rounds of probes look for the end; a link that flaps ends it later each time. Without a peer's word the VM goes on as before. A refused connection proves a replica's end only if a peer says so, or this VM does not seem to be cut off.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -46,8 +46,12 @@
 	Quarantine []quarantine.Entry `json:"quarantine"`
 	// Pushback lists the rate limits, back-off times and announced departures of replicas.
 	Pushback []pushback.Entry `json:"pushback"`
-	// Reach is whether this VM reaches the replicas.
-	Reach      reach.Dump       `json:"reach"`
+	// Reach is whether this VM reaches the replicas, ThroughPeers the number of its connections to them
+	// through each peer, and PassedOn the number of peers' connections that it passes on.
+	Reach        reach.Dump     `json:"reach"`
+	ThroughPeers map[string]int `json:"connectionsThroughPeers"`
+	PassedOn     int            `json:"connectionsPassedOn"`
+
 	Invariants invariant.Report `json:"invariants"`
 	LogDropped uint64           `json:"logLinesDropped"`
 }
@@ -89,6 +93,8 @@
 		"requests_quarantined":    float64(requests.Quarantined),
 		"replicas_limited":        float64(replicas.Limited),
 		"replicas_backing_off":    float64(replicas.BackingOff),
+		"connections_passed_on":   float64(p.hopServer.Active()),
+		"replicas_detoured":       float64(p.routes.Detours(time.Now())),
 		"replicas_unreached":      gaugeOf(p.reach.CutOff()),
 		"replicas_leaving":        float64(replicas.Leaving),
 	} {
@@ -109,7 +115,7 @@
 		StoreEra: p.Adapter.Eras.Current(),
 		VMs:      p.census.VMs(), Counted: p.census.Counted(time.Now()), HoldsPlacement: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
-		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()), Reach: p.reach.Dump(),
+		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()), Reach: p.reach.Dump(), ThroughPeers: p.hopPeers.Active(), PassedOn: p.hopServer.Active(),
 	}
 	dump.Unusable, dump.UnusableTotal = p.view.unusableEntries()
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -23,7 +23,6 @@
 	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
 	"geraniumcroft/internal/quarantine/sharing"
-	"geraniumcroft/internal/reach"
 	"geraniumcroft/internal/relay"
 )
 
@@ -39,9 +38,6 @@
 
 func (p *Process) buildControlPlane() {
 	s := p.Settings
-	p.reach = reach.NewTracker()
-	p.requestPool, p.controlPool = p.Pool.WithDial(p.recordDials), p.Pool.WithDial(p.recordDials)
-	p.controlEngines = p.Adapter.NewEngines(p.controlPool)
 	p.store = accounted.New(p.Adapter.Table, p.Adapter.Feed, p.metrics.Scope)
 	p.table = resilient.New(p.store, nil, nil, resilient.Settings{
 		VMs: assumedVMs, WritesPerSecond: s.Platform.WritesPerSecond, ReadsPerSecond: s.Platform.ReadsPerSecond,
@@ -49,6 +45,7 @@
 	p.peers = mirror.NewClient(p.PeersAddress(), s.Peers.Seeds, p.Logger)
 	p.forwarder = newForwarder(p.peers.Forward, p.Logger)
 	p.mirror = mirror.NewServer(p.changesSince, p.applyOffer, p.Logger)
+	p.buildWays()
 	p.pushback = pushback.NewLedger(p.Logger)
 	p.pushbackSharing = pushbacksharing.New(p.pushback, p.peers, p.Logger)
 	p.admission = admission.New(admission.Settings{}, p.invariants)
@@ -74,7 +71,7 @@
 	p.loadCache = loads.NewCache(s.VM.DataCentre, p.view.onLoads, p.Logger)
 	p.loadCache.Attach(p.pushbackSharing)
 	p.loadCollector = loads.NewCollector(loads.Options{
-		Cache: p.loadCache, Client: p.controlEngines, Peers: p.peers, Tenure: func() (uint64, bool) { return p.tenure.current() }, ListReplicas: p.view.modelReplicas, DataCentres: p.view.dataCentres, Logger: p.Logger,
+		Cache: p.loadCache, Client: p.controlEngines, Peers: p.peers, Tenure: p.currentTenure, ListReplicas: p.view.modelReplicas, DataCentres: p.view.dataCentres, Logger: p.Logger,
 		MayAsk: func(k incarnation.Key) bool { return p.pushback.AllowLoadQuery(k, time.Now()) },
 	})
 	p.leases = lease.NewManager(lease.Options{
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -40,6 +40,9 @@
 // read the list of VMs knows only itself and would be among the first, so that of 195 VMs that start
 // together all would read the lease; it is no candidate by its place.
 func (p *Process) IsCandidate() bool {
+	if p.reach.CutOff() {
+		return false // it could neither poll nor order the replicas
+	}
 	age := p.loadCache.Age(p.started)
 	first := p.census.Loaded() && p.census.IsAmongLargest(candidates(age))
 	return p.Holds() || first || age > lonelyTimeout
@@ -65,6 +68,18 @@
 	}
 	cancel()
 	competing.Wait()
+	if p.reach.CutOff() {
+		p.giveUpLeases()
+	}
+}
+
+// giveUpLeases releases the leases, so that a VM that reaches the replicas need not wait for them to
+// expire.
+func (p *Process) giveUpLeases() {
+	ctx, cancel := context.WithTimeout(p.ctx, releaseTimeout)
+	defer cancel()
+	p.leases.GiveUp(ctx)
+	p.Logger.Info("leases given up: this VM reaches no replica")
 }
 
 // runPlacer assigns layers to the replicas of a model's service while this VM holds the placement.
@@ -87,6 +102,13 @@
 
 // Holds implements placer.Holder.
 func (p *Process) Holds() bool {
-	_, ok := p.tenure.current()
+	_, ok := p.currentTenure()
 	return ok
 }
+
+// currentTenure returns the number of this VM's last tenure of the placement, and whether it has the
+// placement now. A VM that is cut off from the replicas has not: nobody would place while it holds on.
+func (p *Process) currentTenure() (uint64, bool) {
+	number, ok := p.tenure.current()
+	return number, ok && !p.reach.CutOff()
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -14,6 +14,7 @@
 	"geraniumcroft/internal/balance"
 	"geraniumcroft/internal/census"
 	"geraniumcroft/internal/follow"
+	"geraniumcroft/internal/hop"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/lease"
 	"geraniumcroft/internal/listener"
@@ -62,8 +63,14 @@
 	store *accounted.Store
 	table *resilient.Client
 	view  *view
-	// reach records whether this VM reaches the replicas.
-	reach *reach.Tracker
+	// reach records whether this VM reaches the replicas, routes which of them only peers reach.
+	reach  *reach.Tracker
+	routes *reach.Routes
+	// hopPeers are the peers that hopClient connects to replicas through. hopServer passes
+	// connections of peers on.
+	hopPeers  *hop.Peers
+	hopClient *hop.Client
+	hopServer *hop.Server
 	// requestPool has the connections for requests, controlPool those for polls and orders.
 	requestPool, controlPool *transport.Pool
 	controlEngines           Engines
@@ -188,6 +195,7 @@
 	p.spawn(func() { p.pushbackSharing.Run(p.ctx) })
 	p.spawn(p.waitUntilReady)
 	p.spawn(p.runMaintenance)
+	p.spawn(p.runReachProbes)
 	p.spawn(p.runStateLog)
 	p.Logger.Info("started", zap.String("dataCentre", p.Settings.VM.DataCentre), zap.String("callers", p.CallersAddress()),
 		zap.Int("maxConnections", maxConnections(p.Settings.VM)))
--- a/internal/entry/resource_limits.go
+++ b/internal/entry/resource_limits.go
@@ -17,6 +17,8 @@
 	bytesPerConnection = 64 << 10
 	// connectionsMemoryShare is the part of the memory that callers' connections may take.
 	connectionsMemoryShare = 0.5
+	// passedOnShare is the part of the handles, and of the memory, that connections of peers may take.
+	passedOnShare = 0.125
 	// heapLimitShare is the part of the memory at which the garbage collector works harder.
 	heapLimitShare = 0.75
 	// minConnections is allowed however small the VM is. connectionsCap is the most that is allowed,
@@ -31,7 +33,7 @@
 func maxConnections(vm settings.VM) int {
 	limit := connectionsCap
 	if vm.MaxHandles > 0 {
-		limit = min(limit, (vm.MaxHandles-reservedHandles)/handlesPerCaller)
+		limit = min(limit, (vm.MaxHandles-reservedHandles-maxPassedOn(vm))/handlesPerCaller)
 	}
 	if vm.MemoryMB > 0 {
 		limit = min(limit, int(connectionsMemoryShare*float64(vm.MemoryMB<<20)/bytesPerConnection))
@@ -39,6 +41,19 @@
 	return max(minConnections, limit)
 }
 
+// maxPassedOn returns how many connections of peers to replicas a VM passes on. Each takes one handle;
+// all together take a small part of the handles and of the memory, which its own callers need.
+func maxPassedOn(vm settings.VM) int {
+	limit := connectionsCap
+	if vm.MaxHandles > 0 {
+		limit = min(limit, int(passedOnShare*float64(vm.MaxHandles-reservedHandles)))
+	}
+	if vm.MemoryMB > 0 {
+		limit = min(limit, int(passedOnShare*float64(vm.MemoryMB<<20)/bytesPerConnection))
+	}
+	return max(minConnections, limit)
+}
+
 // setHeapLimit sets a soft memory limit, so that the garbage collector works harder before the
 // process is killed for its memory use. It does nothing if the VM's memory is not known.
 func setHeapLimit(vm settings.VM) {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -37,10 +37,10 @@
 	p.callers.SetKeepAlivesEnabled(false)
 	sleep.For(ctx, unreadyWait-time.Since(started))
 	p.gate.Stop()
-	for p.handler.InHand() > 0 && sleep.For(ctx, drainPollInterval) {
+	for p.handler.InHand()+p.hopServer.Active() > 0 && sleep.For(ctx, drainPollInterval) {
 	}
 	sleep.For(context.Background(), flushDelay)
-	p.Logger.Info("stopped", zap.Int("inHand", p.handler.InHand()), zap.Duration("took", time.Since(started)))
+	p.Logger.Info("stopped", zap.Int("inHand", p.handler.InHand()), zap.Int("passedOn", p.hopServer.Active()), zap.Duration("took", time.Since(started)))
 	p.shutDown()
 }
 
@@ -60,6 +60,7 @@
 	}
 	p.mirror.Stop()
 	p.peers.Close()
+	p.hopClient.Close()
 	p.table.Close()
 	p.work.Wait()
 	p.requestPool.Close()
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -32,6 +32,8 @@
 	replicaTable  *follow.Follower
 
 	config atomic.Pointer[relay.Config]
+	// addresses are those of all replicas in the list.
+	addresses atomic.Pointer[replicaAddresses]
 	// decoded and configRows, the rows of the configuration in force, are used by onConfig alone and
 	// contentVersion, one call at a time.
 	decoded    decodedConfig
@@ -164,7 +166,9 @@
 	v.models = map[string][]layers.Replica{}
 	dataCentres := map[string]bool{}
 	mismatched := map[string]error{}
+	addresses := newReplicaAddresses()
 	for _, r := range v.replicaSet.current() {
+		addresses.add(r.Address)
 		r.Draining = r.Draining || v.isLeaving(r.Key())
 		if err := checkEntry(c, r); err != nil {
 			mismatched[r.ID] = err
@@ -178,6 +182,7 @@
 		t := targetOf(r)
 		snapshot.Targets[t.Name] = t
 	}
+	v.addresses.Store(addresses)
 	v.modelDataCentres = slices.Sorted(maps.Keys(dataCentres))
 	v.mismatched.replace(mismatched, zap.Uint64("configVersion", c.Version))
 	v.balancer.Update(snapshot)
--- /dev/null
+++ b/internal/hop/peers_test.go
@@ -0,0 +1,85 @@
+package hop
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet returns VMs of three data centres.
+func fleet(vms int) []Peer {
+	var all []Peer
+	for i := range vms {
+		all = append(all, Peer{Address: fmt.Sprint("vm-", i), DataCentre: []string{"north", "south", "west"}[i%3]})
+	}
+	return all
+}
+
+// Guards against bytes between data centres while a peer nearby passes connections on.
+func TestNearPeersAreAskedFirst(t *testing.T) {
+	p := NewPeers(Peer{Address: "vm-0", DataCentre: "north"})
+	p.SetPeers(fleet(6))
+	if got := p.Pick(nil, start); got != "vm-3" {
+		t.Errorf("%s", got)
+	}
+	if got := p.Pick([]string{"vm-3"}, start); got == "vm-3" || got == "vm-0" || got == "" {
+		t.Errorf("%s", got)
+	}
+	p.ObserveCutOff("vm-3", start)
+	if got := p.Pick(nil, start); got == "vm-3" || got == "vm-0" || got == "" {
+		t.Errorf("a peer that is cut off: %s", got)
+	}
+	if got := p.Pick(nil, start.Add(cutOffTime)); got != "vm-3" {
+		t.Errorf("after it: %s", got)
+	}
+	for _, peer := range fleet(6) {
+		p.Avoid(peer.Address, unfitTime, start)
+	}
+	if got := p.Pick(nil, start); got == "" {
+		t.Error("nobody is asked since all are unfit")
+	}
+}
+
+// Guards against one peer that carries the connections of all VMs that are cut off, where a whole data
+// centre of a large fleet is.
+func TestConnectionsOfADataCentreAreSpread(t *testing.T) {
+	for _, vms := range []int{6, 88, 195, 985, 1970} {
+		all, load := fleet(vms), map[string]int{}
+		cutOff, each := 0, 30
+		for _, self := range all {
+			if self.DataCentre != "north" {
+				continue
+			}
+			cutOff++
+			p := NewPeers(self)
+			p.SetPeers(all)
+			for _, peer := range all {
+				if peer.DataCentre == "north" {
+					p.ObserveCutOff(peer.Address, start)
+				}
+			}
+			for range each {
+				picked := p.Pick(nil, start)
+				p.count(picked, 1)
+				load[picked]++
+			}
+			if len(p.near) > maxNear || len(p.far) > maxFar || len(p.unfitUntil) > maxNear+maxFar {
+				t.Errorf("%d VMs: what a VM holds grows with the fleet", vms)
+			}
+		}
+		most := 0
+		for address, n := range load {
+			most = max(most, n)
+			if all[0].DataCentre == "north" && address == all[0].Address {
+				t.Errorf("%d VMs: a VM that is cut off is asked", vms)
+			}
+		}
+		mean := float64(cutOff*each) / float64(vms-cutOff)
+		t.Logf("%d VMs: at most %d connections through one, %.1f on average", vms, most, mean)
+		if float64(most) > 6*mean {
+			t.Errorf("%d VMs: %d connections through one peer, %.1f on average", vms, most, mean)
+		}
+	}
+}
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -24,6 +24,9 @@
 	// OnNews is called with the peer's address and its News revision (see Server.News) when an
 	// answer carries one. It must not block, and must be set before the first request.
 	OnNews func(address string, revision uint64)
+	// OnCutOff is called with the address of a peer that says that it reaches no replica. It must not
+	// block, and must be set before the first request; nil ignores it.
+	OnCutOff func(address string)
 
 	mu    sync.Mutex // guards the fields below
 	peers Peers
--- a/internal/mirror/request.go
+++ b/internal/mirror/request.go
@@ -104,6 +104,9 @@
 	if a != nil && a.News > 0 && c.OnNews != nil {
 		c.OnNews(address, a.News)
 	}
+	if a != nil && a.CutOff && c.OnCutOff != nil {
+		c.OnCutOff(address)
+	}
 	return a
 }
 
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -35,6 +35,9 @@
 	// quarantine. Its answers carry the revision; nil stands for revision 0. News must be set
 	// before Serve is called.
 	News func() uint64
+	// CutOff reports whether this VM reaches no replica, which its answers then say. It may be nil, and
+	// must be set before Serve is called.
+	CutOff func() bool
 }
 
 // NewServer returns a Server. It answers once Serve is called.
@@ -44,6 +47,9 @@
 	return s
 }
 
+// Register adds another service for peers. It must be called before Serve.
+func (s *Server) Register(add func(grpc.ServiceRegistrar)) { add(s.grpc) }
+
 // Serve answers peers on lis until Stop is called.
 func (s *Server) Serve(lis net.Listener) error { return s.grpc.Serve(lis) }
 
@@ -82,6 +88,7 @@
 	if s.News != nil {
 		a.News = s.News()
 	}
+	a.CutOff = s.CutOff != nil && s.CutOff()
 	if req.Brief || change.Empty() {
 		return a, nil
 	}
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -81,6 +81,8 @@
 	// News is the peer's revision of the state that it shares outside of the tables; 0 if there is
 	// none.
 	News uint64 `json:"news,omitempty"`
+	// CutOff says that the peer reaches no replica.
+	CutOff bool `json:"cutOff,omitempty"`
 }
 
 // copyStatus describes how current a VM's copy is. Of two answers about the same copy, the status
@@ -101,6 +103,8 @@
 	ByFeed bool `json:"byFeed,omitempty"`
 	// ByRelay says that the peer copies from VMs that follow the feed, for others to copy from it.
 	ByRelay bool `json:"byRelay,omitempty"`
+	// CutOff says that the peer reaches no replica.
+	CutOff bool `json:"cutOff,omitempty"`
 }
 
 // unchangedUpTo returns the store's revision up to which the copy is current, at least its own.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -42,10 +42,13 @@
 
 // open sends the request and reads the head of the response. The error is a *sendError.
 func (h *Handler) open(ctx context.Context, q *request, to target, lastEvent string) (*exchange, error) {
-	conn, err := h.connect(ctx, to.address)
+	conn, err := h.connect(transport.WithLabel(ctx, q.RequestID), to.address)
 	if err != nil {
 		return nil, &sendError{Address: to.address, Cause: err}
 	}
+	if peer := conn.Peer(); peer != "" {
+		q.peers = append(q.peers, peer)
+	}
 	if throttled := h.Pushback.CheckSend(to.incarnation, time.Now()); throttled != nil {
 		conn.Close()
 		return nil, &sendError{Address: to.address, Cause: throttled}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -50,6 +50,9 @@
 	if q.sendGuard != nil {
 		fields = append(fields, zap.Stringer("digest", q.digest))
 	}
+	if len(q.peers) > 0 {
+		fields = append(fields, zap.Strings("throughPeers", q.peers))
+	}
 	fields = append(fields, q.progress.fields()...)
 	if failure == nil {
 		h.Logger.Info("request complete", fields...)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -37,6 +37,8 @@
 	progress progress
 	// runs counts the replicas that may have run the request.
 	runs int
+	// peers are those that connected the request to a replica, one for each such send.
+	peers []string
 }
 
 // hash returns a hash of the request's id, by which its backend is chosen.
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -64,6 +64,9 @@
 // Stop makes the gate refuse new requests. Requests in progress continue.
 func (g *Gate) Stop() { g.stopped.Store(true) }
 
+// Draining reports whether this VM is stopping.
+func (g *Gate) Draining() bool { return g.draining.Load() || g.stopped.Load() }
+
 // Ready reports whether the load balancer should send new requests to this VM.
 func (g *Gate) Ready() bool {
 	return g.loaded.Load() && !g.draining.Load() && !g.stopped.Load() && !g.isolated.Load() && !g.Stale()
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -21,6 +21,7 @@
 	maxReasons           = 128
 	maxRetryKinds        = 16
 	maxInvariants        = 32
+	maxHopResults        = 8
 )
 
 // Recorder records the metrics of requests. Its methods are safe for concurrent use and do
@@ -32,6 +33,10 @@
 	targets    *boundedMap[string, *byResult]
 	retries    *boundedMap[string, tally.Counter]
 	violations *boundedMap[invariant.Name, tally.Counter]
+	// passedOn and throughPeers count connections to replicas that this VM made for peers, and that
+	// peers made for it.
+	passedOn     *boundedMap[string, tally.Counter]
+	throughPeers *boundedMap[string, tally.Counter]
 
 	staleEvents tally.Counter
 	preempted   tally.Counter
@@ -53,6 +58,8 @@
 		targets:       newBoundedMap(o.MaxTargets, other, targetCounters(scope)),
 		retries:       newBoundedMap(maxRetryKinds, other, taggedCounter[string](scope, "retries_total", "kind")),
 		violations:    newBoundedMap(maxInvariants, invariant.Name(other), taggedCounter[invariant.Name](scope, "invariant_violations_total", "invariant")),
+		passedOn:      newBoundedMap(maxHopResults, other, taggedCounter[string](scope, "connections_passed_on_total", "result")),
+		throughPeers:  newBoundedMap(maxHopResults, other, taggedCounter[string](scope, "connections_through_peers_total", "result")),
 		staleEvents:   scope.Counter("stale_events_total"),
 		preempted:     scope.Counter("preemptions_total"),
 		queued:        histograms(scope, "queue_seconds", queueBuckets),
@@ -101,6 +108,12 @@
 // such as "retry" or "hedge".
 func (r *Recorder) Retry(kind string) { r.retries.get(kind).Inc(1) }
 
+// PassedOn implements hop.Observer.
+func (r *Recorder) PassedOn(result string) { r.passedOn.get(result).Inc(1) }
+
+// SentThroughPeer implements hop.Observer.
+func (r *Recorder) SentThroughPeer(result string) { r.throughPeers.get(result).Inc(1) }
+
 // StaleEvent counts an event that was dropped because its epoch is outdated.
 func (r *Recorder) StaleEvent() { r.staleEvents.Inc(1) }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -63,6 +63,21 @@
 // SetReadLimit sets the number of further bytes that may be read from the network.
 func (c *Conn) SetReadLimit(bytes int64) { c.remaining = bytes }
 
+// Peer returns the peer that the connection goes through, "" if it is direct.
+func (c *Conn) Peer() string {
+	if through, ok := c.raw.RemoteAddr().(PeerAddr); ok {
+		return through.PeerAddress()
+	}
+	return ""
+}
+
+// PeerAddr is the remote address of a connection through a peer.
+type PeerAddr interface {
+	net.Addr
+	// PeerAddress returns the peer's IP:port.
+	PeerAddress() string
+}
+
 // Buffered returns the number of bytes that were read from the network but not consumed yet.
 func (c *Conn) Buffered() int { return c.reader.Buffered() }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -26,9 +26,11 @@
 	return p
 }
 
-// WithDial returns a pool with the same settings and without connections, whose dial function is
-// wrap(dial) of this pool's.
-func (p *Pool) WithDial(wrap func(DialFunc) DialFunc) *Pool { return NewPool(p.settings, wrap(p.dial)) }
+// DialFunc returns the function that the pool dials with.
+func (p *Pool) DialFunc() DialFunc { return p.dial }
+
+// WithDial returns a pool with the same settings, another dial function and no connections.
+func (p *Pool) WithDial(dial DialFunc) *Pool { return NewPool(p.settings, dial) }
 
 // Connect opens a connection to a peer, IP:port, for one request at a time. ioTimeout bounds
 // each read and write on it, see Conn.SetIOTimeout.
