--- a/internal/loads/collector.go
+++ b/internal/loads/collector.go
@@ -105,11 +105,27 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if len(replicas) > 0 && !anyAnswered(loads) {
+		// No snapshot: this VM may be cut off from all replicas, and the last one that others have is
+		// better than none.
+		c.Logger.Warn("no replica answers; loads not renewed", zap.Int("replicas", len(replicas)), zap.Uint64("tenure", tenure))
+		return
+	}
 	c.rounds++
 	c.Cache.publish(tenure<<tenureShift|c.rounds, byDataCentre(loads, replicas))
 	c.offer(ctx)
 }
 
+// anyAnswered reports whether at least one replica is not down.
+func anyAnswered(loads map[incarnation.Key]layers.Load) bool {
+	for _, load := range loads {
+		if !load.Down {
+			return true
+		}
+	}
+	return false
+}
+
 // byDataCentre divides loads by the data centres of the replicas. Each data centre with replicas has
 // a part, though it may be empty.
 func byDataCentre(loads map[incarnation.Key]layers.Load, replicas []layers.Replica) map[string]map[incarnation.Key]layers.Load {
