--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -22,6 +22,8 @@
 	// replica, restartPollInterval the time between two checks for it.
 	restartTimeout      = 3 * time.Second
 	restartPollInterval = 250 * time.Millisecond
+	// cutOffMargin is how long before a run broke the end of a cut may be that has broken it.
+	cutOffMargin = time.Second
 	// maxRestartWatches bounds the broken runs for which a restart of the replica is awaited at a
 	// time.
 	maxRestartWatches = 256
@@ -44,6 +46,7 @@
 	logger   *zap.Logger
 	// incarnations is nil if restarts are not looked up.
 	incarnations Incarnations
+	reach        Reach
 	// runAsync runs a function that no request waits for; sleep is how that function waits.
 	runAsync func(func())
 	sleep    func(time.Duration)
@@ -53,7 +56,7 @@
 
 func newCrashGuard(o Options) *crashGuard {
 	return &crashGuard{
-		ledger: o.Quarantine, notifier: o.QuarantineNotifier, logger: o.Logger, incarnations: o.Incarnations,
+		ledger: o.Quarantine, notifier: o.QuarantineNotifier, logger: o.Logger, incarnations: o.Incarnations, reach: o.Reach,
 		runAsync: func(do func()) { go do() }, sleep: time.Sleep,
 	}
 }
@@ -106,20 +109,28 @@
 // recordBrokenRun records that the connection broke within the crash window of a run, if the
 // replica has ended. The request waits for the first query of the replica only.
 func (c *crashGuard) recordBrokenRun(q *request, replica incarnation.Key, ended func(context.Context) endedResult) {
+	run := brokenRun{requestID: q.RequestID, digest: q.digest, replica: replica, brokeAt: time.Now()}
 	switch probeEnded(ended) {
 	case endedYes:
-		c.ended(q.RequestID, q.digest, replica)
+		c.ended(run)
 	case endedUnknown:
-		id, digest := q.RequestID, q.digest
 		c.runAsync(func() {
 			c.sleep(recheckDelay)
 			if probeEnded(ended) == endedYes {
-				c.ended(id, digest, replica)
+				c.ended(run)
 			}
 		})
 	}
 }
 
+// brokenRun is a run whose connection broke.
+type brokenRun struct {
+	requestID string
+	digest    quarantine.Digest
+	replica   incarnation.Key
+	brokeAt   time.Time
+}
+
 // recordBrokenCall is recordBrokenRun for a plain replica, which does not report its incarnation. A
 // replica that was restarted at once does not refuse connections, so discovery is watched for the
 // restart.
@@ -128,16 +139,16 @@
 	if c.incarnations == nil {
 		return
 	}
-	id, digest := q.RequestID, q.digest
+	run := brokenRun{requestID: q.RequestID, digest: q.digest, replica: replica, brokeAt: time.Now()}
 	if c.watches.Add(1) > maxRestartWatches {
 		c.watches.Add(-1)
-		c.logger.Warn("restart of a replica not watched for: too many broken runs", zap.String("requestId", id), zap.Stringer("replica", replica))
+		c.logger.Warn("restart of a replica not watched for: too many broken runs", zap.String("requestId", run.requestID), zap.Stringer("replica", replica))
 		return
 	}
 	c.runAsync(func() {
 		defer c.watches.Add(-1)
 		if c.waitForRestart(replica) {
-			c.ended(id, digest, replica)
+			c.ended(run)
 		}
 	})
 }
@@ -163,14 +174,21 @@
 	return ended(ctx)
 }
 
-// ended records that a replica ended within the crash window of a run.
-func (c *crashGuard) ended(requestID string, d quarantine.Digest, replica incarnation.Key) {
-	if !c.ledger.RecordCrash(d, replica, time.Now()) {
+// ended records that a replica ended within the crash window of a run. Where this VM was cut off from the
+// replicas meanwhile, that has broken the run, and the replica has ended for a reason of its own.
+func (c *crashGuard) ended(run brokenRun) {
+	now, d := time.Now(), run.digest
+	if c.reach.CutOffSince(run.brokeAt.Add(-cutOffMargin), now) {
+		c.logger.Info("end of a replica not counted against a request: this VM was cut off", zap.String("requestId", run.requestID),
+			zap.Stringer("digest", d), zap.Stringer("replica", run.replica))
+		return
+	}
+	if !c.ledger.RecordCrash(d, run.replica, now) {
 		return
 	}
-	status := c.ledger.Lookup(d, time.Now())
-	c.logger.Warn("replica ended under a young run", zap.String("requestId", requestID), zap.Stringer("digest", d),
-		zap.Stringer("replica", replica), zap.Int("ends", status.Crashes), zap.Bool("quarantined", status.Quarantined))
+	status := c.ledger.Lookup(d, now)
+	c.logger.Warn("replica ended under a young run", zap.String("requestId", run.requestID), zap.Stringer("digest", d),
+		zap.Stringer("replica", run.replica), zap.Int("ends", status.Crashes), zap.Bool("quarantined", status.Quarantined))
 	c.notifier.Publish(d)
 }
 
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -27,13 +27,19 @@
 func newTestGuard() (*crashGuard, *recordingNotifier) {
 	notifier := &recordingNotifier{}
 	guard := newCrashGuard(Options{
-		Quarantine: quarantine.NewLedger(quarantine.DefaultSettings, time.Now()), QuarantineNotifier: notifier, Logger: zap.NewNop(),
+		Quarantine: quarantine.NewLedger(quarantine.DefaultSettings, time.Now()), QuarantineNotifier: notifier, Logger: zap.NewNop(), Reach: &fakeReach{},
 	})
 	guard.runAsync = func(do func()) { do() }
 	guard.sleep = func(time.Duration) {}
 	return guard, notifier
 }
 
+// fakeReach is a Reach.
+type fakeReach struct{ cutOff bool }
+
+func (r *fakeReach) CutOff() bool                    { return r.cutOff }
+func (r *fakeReach) CutOffSince(_, _ time.Time) bool { return r.cutOff }
+
 func newTestRequest() *request {
 	return &request{digest: quarantine.Digest{1}, sendGuard: dispatch.NewSendGuard("r", true, invariant.NewRegistry(func(invariant.Violation) {}))}
 }
@@ -142,3 +148,17 @@
 		t.Errorf("request sent before: %+v", failure)
 	}
 }
+
+// Guards against requests that are quarantined everywhere because the VM that sent them lost its link to
+// all replicas, and one of these restarted meanwhile.
+func TestReplicaThatEndsDuringACutDoesNotCountAgainstRequests(t *testing.T) {
+	guard, notifier := newTestGuard()
+	guard.reach = &fakeReach{cutOff: true}
+	guard.incarnations = &restartAfter{nth: 1}
+	for _, id := range []string{"a", "b", "c"} {
+		guard.recordBrokenCall(newTestRequest(), incarnation.Key{ID: id, Born: 1}, func(context.Context) endedResult { return endedYes })
+	}
+	if status := guard.lookup(newTestRequest()); status.Crashes != 0 || len(notifier.digests) != 0 {
+		t.Errorf("%+v, %d published", status, len(notifier.digests))
+	}
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -48,6 +48,14 @@
 	Check() *outcome.Failure
 }
 
+// Reach tells whether this VM reaches the replicas. Its methods must not block.
+type Reach interface {
+	// CutOff reports whether this VM reaches no replica by itself, while peers do.
+	CutOff() bool
+	// CutOffSince reports whether this VM was cut off, or may have been, at some time after at.
+	CutOffSince(at, now time.Time) bool
+}
+
 // Observer receives measurements. Its methods must not block.
 type Observer interface {
 	Queued(u config.Urgency, took time.Duration)
@@ -76,6 +84,8 @@
 	QuarantineNotifier QuarantineNotifier
 	// Pushback records what replicas ask of those that send to them.
 	Pushback *pushback.Ledger
+	// Reach tells whether this VM reaches the replicas.
+	Reach Reach
 	// Incarnations is provided by discovery. If it is nil, restarts of plain replicas are not
 	// counted.
 	Incarnations Incarnations
