relay: a stream on a silent connection of a VM that is cut off goes on through a peer

The connection of a stream that was in progress when a VM was cut off hangs. The stream was sent again after 1.5 s, along a path without its first replica, which was suspected although it was sound; callers leave after 2 s. The stall check now ends such a send at once, without a word against the replica, and the stream goes on after its last event, possibly at the same replica.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -42,12 +42,15 @@
 
 // open sends the request and reads the head of the response. The error is a *sendError.
 func (h *Handler) open(ctx context.Context, q *request, to target, lastEvent string) (*exchange, error) {
+	q.direct.Store(false)
 	conn, err := h.connect(transport.WithLabel(ctx, q.RequestID), to.address)
 	if err != nil {
 		return nil, &sendError{Address: to.address, Cause: err}
 	}
 	if peer := conn.Peer(); peer != "" {
 		q.peers = append(q.peers, peer)
+	} else {
+		q.direct.Store(true)
 	}
 	if throttled := h.Pushback.CheckSend(to.incarnation, time.Now()); throttled != nil {
 		conn.Close()
--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -62,6 +62,7 @@
 func (g *generation) handleSendError(ctx context.Context, first layers.Replica, err error) error {
 	cause := context.Cause(ctx)
 	var stalled *stallError
+	var lost *wayLostError
 	var throttled *pushback.ThrottledError
 	switch {
 	case errors.As(err, &throttled):
@@ -70,6 +71,9 @@
 		g.excluded[stalled.Replica.Key()] = true
 		g.q.progress.replicaLeft(stalled.Replica.Address, stalled.Why)
 		return cause
+	case errors.As(cause, &lost):
+		g.q.progress.replicaLeft(first.Address, "this VM was cut off")
+		return cause
 	case ctx.Err() != nil:
 		return err
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,8 @@
 	runs int
 	// peers are those that connected the request to a replica, one for each such send.
 	peers []string
+	// direct is set while the connection of the current send does not go through a peer.
+	direct atomic.Bool
 }
 
 // hash returns a hash of the request's id, by which its backend is chosen.
--- a/internal/relay/stall_check.go
+++ b/internal/relay/stall_check.go
@@ -26,6 +26,9 @@
 // investigate determines why the stream stalls, acts on it, and returns the time until the next
 // check.
 func (w *stallWatch) investigate(c stallCheck) time.Duration {
+	if (c.probeDue || c.reportDue) && w.resendThroughPeer(c) {
+		return moveGrace
+	}
 	if c.probeDue {
 		if stopped := w.probeStages(c); len(stopped) > 0 && w.stillStalled(c) {
 			return w.moveStream(c, stopped)
@@ -39,6 +42,18 @@
 	return max(lateCheckDelay, w.timeouts().Report-time.Since(w.lastEvent))
 }
 
+// resendThroughPeer ends the send if its connection is direct and this VM is cut off from all replicas.
+// It reports whether it did. The stream then continues through a peer, possibly at the same replica.
+func (w *stallWatch) resendThroughPeer(c stallCheck) bool {
+	if !w.g.q.direct.Load() || !w.g.h.Reach.CutOff() || !w.stillStalled(c) || !w.g.prepareResend(nil, 0) {
+		return false
+	}
+	first := w.reservation.Path().First()
+	w.g.h.Logger.Info("stream sent again through a peer", zap.String("requestId", w.g.q.RequestID), zap.String("from", first.Address), zap.Duration("stood", c.elapsed))
+	w.cancel(&wayLostError{Address: first.Address})
+	return true
+}
+
 // probeStages probes the stages that no other stream has passed since the stall began, and returns
 // the addresses of those that have stopped.
 func (w *stallWatch) probeStages(c stallCheck) []string {
