transport: keepalive and TCP_USER_TIMEOUT agree; connections from peers and callers have both

As on Linux, TCP_USER_TIMEOUT also decides when keepalive gives up, whatever the number of probes: connections to replicas ended after 2 s of silence, not after the 3 s that two probes stood for. The number is now computed from the two times; 2 s stay, which bears a replica that is silent for a second or so and catches a lost connection before callers leave.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -137,7 +137,7 @@
 		s.Callers.Address: &p.listeners.callers, s.Relay.ReadyAddress: &p.listeners.ready,
 		s.Relay.MetricsAddress: &p.listeners.metrics, s.Peers.Address: &p.listeners.peers,
 	} {
-		opened, err := net.Listen("tcp", address)
+		opened, err := p.listenConfig(address).Listen(context.Background(), "tcp", address)
 		if err != nil {
 			p.closeListeners()
 			return errors.Wrapf(err, "listener at %s", address)
@@ -147,6 +147,25 @@
 	return nil
 }
 
+// peerConnections has the options of connections from peers. They carry requests of VMs that are cut off
+// from the replicas: those of a VM that has vanished must not stay open at the replicas for long. The
+// probes are few, as hundreds of VMs may be connected.
+var peerConnections = transport.Settings{KeepAlive: 5 * time.Second, UserTimeout: 10 * time.Second}
+
+// callerConnections has the options of connections from callers, whose links may be away for seconds.
+var callerConnections = transport.Settings{KeepAlive: 15 * time.Second, UserTimeout: 30 * time.Second}
+
+// listenConfig returns the configuration of the listener at an address.
+func (p *Process) listenConfig(address string) *net.ListenConfig {
+	switch address {
+	case p.Settings.Peers.Address:
+		return transport.NewListenConfig(peerConnections)
+	case p.Settings.Callers.Address:
+		return transport.NewListenConfig(callerConnections)
+	}
+	return &net.ListenConfig{}
+}
+
 func (p *Process) closeListeners() {
 	for _, listener := range []net.Listener{p.listeners.callers, p.listeners.ready, p.listeners.metrics, p.listeners.peers} {
 		if listener != nil {
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -11,9 +11,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// keepAliveProbes is the number of unanswered keepalive probes that end a connection.
-const keepAliveProbes = 2
-
 // DialFunc opens a connection. Tests replace it to run without a network.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -22,14 +19,9 @@
 func NewDialer(s Settings) DialFunc {
 	s = s.WithDefaults()
 	dialer := &net.Dialer{
-		Timeout: s.ConnectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     s.KeepAlive,
-			Interval: s.KeepAlive,
-			Count:    keepAliveProbes,
-		},
-		ControlContext: userTimeout(s.UserTimeout),
+		Timeout:         s.ConnectTimeout,
+		KeepAliveConfig: keepAliveConfig(s),
+		ControlContext:  userTimeout(s.UserTimeout),
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if _, err := netip.ParseAddrPort(address); err != nil {
@@ -39,6 +31,29 @@
 	}
 }
 
+// NewListenConfig returns a configuration of listeners whose connections have the socket options of s.
+func NewListenConfig(s Settings) *net.ListenConfig {
+	s = s.WithDefaults()
+	control := userTimeout(s.UserTimeout)
+	return &net.ListenConfig{
+		KeepAliveConfig: keepAliveConfig(s),
+		// Accepted connections inherit TCP_USER_TIMEOUT.
+		Control: func(network, address string, raw syscall.RawConn) error {
+			return control(context.Background(), network, address, raw)
+		},
+	}
+}
+
+// keepAliveConfig returns the keepalive options of s. TCP_USER_TIMEOUT also ends a connection whose
+// keepalive probes stay unanswered, whatever their number. The number given is what fits into it, so that
+// both say the same.
+func keepAliveConfig(s Settings) net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable: true, Idle: s.KeepAlive, Interval: s.KeepAlive,
+		Count: max(1, int(s.UserTimeout/s.KeepAlive)-1),
+	}
+}
+
 // userTimeout returns a control function that sets TCP_USER_TIMEOUT. Without it the kernel
 // retransmits unacknowledged bytes for about 15 minutes before it reports that a connection
 // is dead.
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	settings := Settings{UserTimeout: 1700 * time.Millisecond, KeepAlive: 3 * time.Second}
+	settings := Settings{UserTimeout: 10500 * time.Millisecond, KeepAlive: 3 * time.Second}
 	conn, err := NewDialer(settings)(context.Background(), "tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -46,11 +46,11 @@
 		name                   string
 		level, option, expects int
 	}{
-		{"TCP_USER_TIMEOUT", unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 1700},
+		{"TCP_USER_TIMEOUT", unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 10500},
 		{"SO_KEEPALIVE", unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
 		{"TCP_KEEPIDLE", unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 3},
 		{"TCP_KEEPINTVL", unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 3},
-		{"TCP_KEEPCNT", unix.IPPROTO_TCP, unix.TCP_KEEPCNT, keepAliveProbes},
+		{"TCP_KEEPCNT", unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 2},
 	} {
 		var got int
 		var sockErr error
@@ -88,3 +88,45 @@
 		t.Fatalf("%v, expected the kernel's timeout", err)
 	}
 }
+
+// Guards against two timeouts of which one is never reached: TCP_USER_TIMEOUT ends a connection whatever
+// the number of unanswered probes.
+func TestKeepAliveAndUserTimeoutAgree(t *testing.T) {
+	for _, s := range []Settings{{}, {KeepAlive: 5 * time.Second, UserTimeout: 10 * time.Second}} {
+		s = s.WithDefaults()
+		config := keepAliveConfig(s)
+		if total := config.Idle + time.Duration(config.Count)*config.Interval; total != s.UserTimeout {
+			t.Errorf("probes end a connection after %s, TCP_USER_TIMEOUT after %s", total, s.UserTimeout)
+		}
+	}
+}
+
+func TestAcceptedConnectionsHaveTheSocketOptions(t *testing.T) {
+	listener, err := NewListenConfig(Settings{KeepAlive: 5 * time.Second, UserTimeout: 10 * time.Second}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for option, expects := range map[int]int{unix.TCP_USER_TIMEOUT: 10_000, unix.TCP_KEEPIDLE: 5, unix.TCP_KEEPINTVL: 5, unix.TCP_KEEPCNT: 1} {
+		var got int
+		var sockErr error
+		err := raw.Control(func(fd uintptr) { got, sockErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option) })
+		if err != nil || sockErr != nil || got != expects {
+			t.Errorf("option %d is %d, %v, %v; expected %d", option, got, err, sockErr, expects)
+		}
+	}
+}
--- a/internal/transport/settings.go
+++ b/internal/transport/settings.go
@@ -9,11 +9,11 @@
 type Settings struct {
 	// ConnectTimeout bounds the TCP handshake.
 	ConnectTimeout time.Duration
-	// UserTimeout is the time that sent bytes may stay unacknowledged before the kernel ends
-	// the connection (TCP_USER_TIMEOUT).
+	// UserTimeout is the time that sent bytes, or keepalive probes since the last packet that
+	// came, may stay unacknowledged before the kernel ends the connection (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
 	// KeepAlive is the idle time before the first keepalive probe and the interval between
-	// probes.
+	// probes. It should be at most half of UserTimeout.
 	KeepAlive time.Duration
 	// IdleLifetime is the time for which an idle connection is kept.
 	IdleLifetime time.Duration
