hop: an attempt that is cancelled as it connects is counted once

A connection that was made just as its request ended was taken off the count twice, by its end and by its error; the peer then counted as the least used one. The connection is now made only once it can't be cancelled with the attempt.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -158,19 +158,18 @@
 func (c *Client) openStream(ctx context.Context, peer, address string) (net.Conn, error) {
 	streamCtx, cancel := context.WithCancel(context.Background())
 	stopped := context.AfterFunc(ctx, cancel)
-	conn, err := c.handshake(ctx, streamCtx, cancel, peer, address)
+	stream, err := c.handshake(ctx, streamCtx, peer, address)
 	if err == nil && !stopped() {
-		_ = conn.Close() // the stream was cancelled
-		err = &PeerError{Peer: peer, Cause: ctx.Err()}
+		err = &PeerError{Peer: peer, Cause: ctx.Err()} // the stream was cancelled
 	}
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	return conn, nil
+	return newConn(stream, cancel, Addr{Replica: address, Peer: peer}, func() { c.peers.count(peer, -1) }), nil
 }
 
-func (c *Client) handshake(ctx, streamCtx context.Context, cancel context.CancelFunc, peer, address string) (net.Conn, error) {
+func (c *Client) handshake(ctx, streamCtx context.Context, peer, address string) (grpc.ClientStream, error) {
 	peerConn, err := c.peerConn(peer)
 	if err != nil {
 		return nil, &PeerError{Peer: peer, Cause: err}
@@ -193,7 +192,7 @@
 	}
 	switch reply.Result {
 	case resultConnected:
-		return newConn(stream, cancel, Addr{Replica: address, Peer: peer}, func() { c.peers.count(peer, -1) }), nil
+		return stream, nil
 	case resultRefused, resultUnreached:
 		return nil, &ReplicaError{Peer: peer, Refused: reply.Result == resultRefused, Reason: reply.Reason}
 	}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -230,3 +230,20 @@
 	}
 	awaits(t, "nothing is left", func() bool { return peer.Active() == 0 && len(client.peers.Active()) == 0 })
 }
+
+// Guards against a count of connections that falls below zero, after which the peer counts as the least
+// used one for good.
+func TestAttemptsThatAreCancelledAsTheyConnectAreCountedOnce(t *testing.T) {
+	peer, replica := startPeer(t, direct()), startReplica(t, echo)
+	client := startClient(t, peer)
+	dialThrough(t, client, replica)
+	for i := range 300 {
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Duration(i)*5*time.Microsecond, cancel)
+		if conn, err := client.Dial(ctx, replica, false); err == nil {
+			_ = conn.Close()
+		}
+	}
+	awaits(t, "one connection is left", func() bool { return peer.Active() == 1 })
+	awaits(t, "one connection is counted", func() bool { return client.peers.Active()[peer.address] == 1 })
+}
