--- a/internal/hop/fleetsim_test.go
+++ b/internal/hop/fleetsim_test.go
@@ -246,7 +246,8 @@
 			for time.Since(f.began) < simLength {
 				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / simRate))
 				if !vm.dead.Load() && !vm.frozen.Load() {
-					load.Go(func() { f.request(vm, random) })
+					own := rand.New(rand.NewPCG(random.Uint64(), 1))
+					load.Go(func() { f.request(vm, own) })
 				}
 			}
 		})
