hop: a peer that tries a dead replica is not taken for a silent one

A peer took up to the asker's whole time to connect to a replica that hangs, longer than the 100 ms after which the asker avoids it as silent and asks others: one dead replica made peers look unfit. It now gives up after 80 ms and says so. A panic in a peer's connection fails that connection only, as in mirror.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return nil, &PeerError{Peer: peer, Cause: err}
 	}
-	timeout := maxConnectTimeout
+	timeout := transport.DefaultConnectTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline))
 	}
--- a/internal/hop/fleetsim_test.go
+++ b/internal/hop/fleetsim_test.go
@@ -188,7 +188,7 @@
 		return nil, &PeerError{Peer: peer, Cause: syscall.ECONNREFUSED}
 	}
 	time.Sleep(time.Millisecond)
-	timeout := maxConnectTimeout
+	timeout := transport.DefaultConnectTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -247,3 +247,29 @@
 	awaits(t, "one connection is left", func() bool { return peer.Active() == 1 })
 	awaits(t, "one connection is counted", func() bool { return client.peers.Active()[peer.address] == 1 })
 }
+
+// Guards against a peer that is avoided as silent since it tries a replica that is dead.
+func TestPeerThatTriesADeadReplicaIsNotAvoided(t *testing.T) {
+	peer := startPeer(t, func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	client := startClient(t, peer)
+	ctx, cancel := context.WithTimeout(t.Context(), maxWait)
+	defer cancel()
+	var unreached *ReplicaError
+	if _, err := client.Dial(ctx, "127.0.0.1:1", false); !errors.As(err, &unreached) {
+		t.Errorf("%v", err)
+	}
+}
+
+// Guards against a bug in one connection that ends the process with all requests of the VM.
+func TestPanicFailsItsConnectionOnly(t *testing.T) {
+	peer := startPeer(t, func(context.Context, string, string) (net.Conn, error) { panic("a bug") })
+	client := startClient(t, peer)
+	var failed *PeerError
+	if _, err := client.Dial(t.Context(), "127.0.0.1:1", false); !errors.As(err, &failed) {
+		t.Errorf("%v", err)
+	}
+	awaits(t, "nothing is left", func() bool { return peer.Active() == 0 })
+}
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -19,8 +20,9 @@
 )
 
 const (
-	// maxConnectTimeout bounds the time that a peer may ask for.
-	maxConnectTimeout = transport.DefaultConnectTimeout
+	// maxReplicaTimeout bounds a connection attempt to a replica, which takes about 2 ms. It is shorter
+	// than answerTimeout: a peer that tries a dead replica must not seem to be silent itself.
+	maxReplicaTimeout = 80 * time.Millisecond
 	// chunkBytes is the size of the buffer for bytes of the replica.
 	chunkBytes = 4 << 10
 )
@@ -66,7 +68,13 @@
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // connect serves one stream.
-func (s *Server) connect(stream grpc.ServerStream) error {
+func (s *Server) connect(stream grpc.ServerStream) (err error) {
+	defer func() {
+		if panicked := recover(); panicked != nil { // only this stream fails
+			s.Logger.Error("connection of a peer panicked", zap.Any("panic", panicked), zap.ByteString("stack", debug.Stack()))
+			err = status.Error(codes.Internal, "the handler panicked")
+		}
+	}()
 	var req connectRequest
 	if err := receiveJSON(stream, &req); err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
@@ -102,7 +110,7 @@
 	if reason != "" {
 		return nil, connectReply{Result: resultDeclined, Reason: reason}
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(maxConnectTimeout, time.Duration(req.TimeoutMS)*time.Millisecond))
+	ctx, cancel := context.WithTimeout(ctx, min(maxReplicaTimeout, time.Duration(req.TimeoutMS)*time.Millisecond))
 	defer cancel()
 	conn, err := s.Dial(ctx, "tcp", req.Address)
 	switch {
