--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -85,7 +85,7 @@
 				go discard(attempts, pending)
 				return a.conn, nil
 			}
-			if err = worseOf(err, a.err); !tells(a.err) || thorough {
+			if err = moreInformative(err, a.err); !aboutReplica(a.err) || thorough {
 				ask()
 			}
 		case <-slow.C:
@@ -93,7 +93,7 @@
 			ask()
 		}
 		slow.Stop()
-		if tells(err) && !thorough {
+		if aboutReplica(err) && !thorough {
 			go discard(attempts, pending)
 			return nil, err
 		}
@@ -113,15 +113,15 @@
 	}
 }
 
-// tells reports whether an error says something about the replica.
-func tells(err error) bool {
+// aboutReplica reports whether an error says something about the replica.
+func aboutReplica(err error) bool {
 	_, ok := err.(*ReplicaError)
 	return ok
 }
 
-// worseOf returns the error that says more about the replica, or else the earlier one.
-func worseOf(earlier, later error) error {
-	if earlier == nil || tells(later) {
+// moreInformative returns the error that says more about the replica, or else the earlier one.
+func moreInformative(earlier, later error) error {
+	if earlier == nil || aboutReplica(later) {
 		return later
 	}
 	return earlier
