reach: a VM helps its peers once its link is back, before its cut has ended

All VMs had been cut off shortly before, each ended its cut only after up to 16 good rounds of probes as their links had flapped, and until then declined to pass connections on. One good round is now enough for that; what such a VM does not reach still proves nothing, and its answers say that it is cut off only while it can't help.

--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -23,11 +23,11 @@
 	p.hopClient = hop.NewClient(p.Settings.VM.Name, p.hopPeers, transport.NewDialer(transport.Settings{}), p.recorder, p.Logger)
 	p.hopServer = hop.NewServer(hop.ServerOptions{
 		Dial: direct, IsReplica: func(address string) bool { return p.view.isReplica(address) }, Declines: p.declinesConnections,
-		IsDoubtful:     func() bool { return p.reach.Suspected(time.Now()) },
+		IsDoubtful:     func() bool { return p.reach.Doubtful(time.Now()) },
 		MaxConnections: maxPassedOn(p.Settings.VM), Observer: p.recorder, Logger: p.Logger,
 	})
 	p.mirror.Register(p.hopServer.Register)
-	p.mirror.CutOff, p.peers.OnCutOff = p.reach.CutOff, func(address string) { p.hopPeers.ObserveCutOff(address, time.Now()) }
+	p.mirror.CutOff, p.peers.OnCutOff = func() bool { return !p.reach.CanHelp() }, func(address string) { p.hopPeers.ObserveCutOff(address, time.Now()) }
 	p.requestPool = p.Pool.WithDial(hop.NewDialer(direct, p.hopClient, p.reach, p.routes).Dial)
 	p.controlPool = p.Pool.WithDial(direct)
 	p.controlEngines = p.Adapter.NewEngines(p.controlPool)
@@ -40,7 +40,7 @@
 // declinesConnections returns why this VM passes no connections of peers on, "" if it does.
 func (p *Process) declinesConnections() string {
 	switch {
-	case p.reach.CutOff():
+	case !p.reach.CanHelp():
 		return "this VM reaches no replica either"
 	case p.gate.Draining():
 		return "this VM is stopping"
--- a/internal/hop/dialer.go
+++ b/internal/hop/dialer.go
@@ -166,7 +166,7 @@
 }
 
 // isDoubtful reports whether this VM may be cut off.
-func (r *race) isDoubtful() bool { return r.cutOff || r.dialer.tracker.Suspected(time.Now()) }
+func (r *race) isDoubtful() bool { return r.cutOff || r.dialer.tracker.Doubtful(time.Now()) }
 
 // lost records the error of a way.
 func (r *race) lost(got result) {
--- a/internal/hop/fleetsim_test.go
+++ b/internal/hop/fleetsim_test.go
@@ -116,9 +116,9 @@
 	vm.dialer = NewDialer(direct, client, vm.tracker, reach.NewRoutes())
 	vm.server = NewServer(ServerOptions{
 		Dial: direct, IsReplica: func(string) bool { return true }, MaxConnections: 475, Observer: newCounts(), Logger: zap.NewNop(),
-		IsDoubtful: func() bool { return vm.tracker.Suspected(time.Now()) },
+		IsDoubtful: func() bool { return vm.tracker.Doubtful(time.Now()) },
 		Declines: func() string {
-			if vm.tracker.CutOff() {
+			if !vm.tracker.CanHelp() {
 				return "cut off"
 			}
 			return ""
--- a/internal/hop/policies_test.go
+++ b/internal/hop/policies_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -149,7 +148,7 @@
 				}
 				for name, n := range failed {
 					if failed["through peers"] > n {
-						t.Error(fmt.Sprintf("%d VMs, %s, %s: %d failed through peers, %d %s", size, cutName, form, failed["through peers"], n, name))
+						t.Errorf("%d VMs, %s, %s: %d failed through peers, %d %s", size, cutName, form, failed["through peers"], n, name)
 					}
 				}
 				if failed["through peers"] > 0 {
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -172,6 +172,18 @@
 	return t.cutOff
 }
 
+// CanHelp reports whether this VM may connect peers to replicas: it is not cut off, or the last round of
+// probes has reached one. A link that has come back may be used by peers before the cut counts as ended,
+// which takes long for one that flaps.
+func (t *Tracker) CanHelp() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.cutOff || t.goodRounds > 0
+}
+
+// Doubtful reports whether this VM is cut off or may be. What it does not reach then proves nothing.
+func (t *Tracker) Doubtful(now time.Time) bool { return t.CutOff() || t.Suspected(now) }
+
 // CutOffSince reports whether this VM was cut off, or may have been, at some time after the given one.
 func (t *Tracker) CutOffSince(at, now time.Time) bool {
 	t.mu.Lock()
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -105,3 +105,20 @@
 		t.Errorf("%+v", change)
 	}
 }
+
+// Guards against VMs that decline to help each other although their links are back, each because its own
+// cut has not ended yet.
+func TestVMHelpsAgainAfterOneGoodRound(t *testing.T) {
+	tr := cutOffTracker(t)
+	if tr.CanHelp() || !tr.Doubtful(start) {
+		t.Error("helps while it reaches nothing")
+	}
+	tr.RecordRound(Round{Probed: 2, Direct: 1}, start)
+	if !tr.CanHelp() || !tr.Doubtful(start) || !tr.CutOff() {
+		t.Error("does not help although it reaches a replica")
+	}
+	tr.RecordRound(Round{Probed: 2}, start)
+	if tr.CanHelp() {
+		t.Error("helps after a round that reached nothing")
+	}
+}
