relay, hop: a VM that only suspects itself still counts crashes

The replicas that were gone made both VMs suspect that they were cut off, and from then on neither counted what it found refused, so the request was not quarantined. Since the end of a replica did not count during a suspicion, nor did the word of a peer that suspects itself.

--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -23,7 +23,7 @@
 	p.hopClient = hop.NewClient(p.Settings.VM.Name, p.hopPeers, transport.NewDialer(transport.Settings{}), p.recorder, p.Logger)
 	p.hopServer = hop.NewServer(hop.ServerOptions{
 		Dial: direct, IsReplica: func(address string) bool { return p.view.isReplica(address) }, Declines: p.declinesConnections,
-		IsDoubtful:     func() bool { return p.reach.Doubtful(time.Now()) },
+		IsDoubtful:     p.reach.CutOff,
 		MaxConnections: maxPassedOn(p.Settings.VM), Observer: p.recorder, Logger: p.Logger,
 	})
 	p.mirror.Register(p.hopServer.Register)
--- a/internal/hop/dialer.go
+++ b/internal/hop/dialer.go
@@ -55,8 +55,8 @@
 }
 
 // Dial is a transport.DialFunc. If a peer reached the replica or told why not, the error is that of the
-// peer. A refused direct connection is reported as such only if this VM does not seem to be cut off, and no
-// peer was asked in vain.
+// peer. A refused direct connection is reported as such only if this VM is not cut off, and no peer was
+// asked in vain.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	cutOff := d.tracker.CutOff()
 	ways := [2]way{{headStart: directHeadStart}, {throughPeer: true, headStart: peerHeadStart}}
@@ -189,7 +189,7 @@
 		return r.peerErr
 	case r.directErr == nil:
 		return r.peerErr
-	case r.isDoubtful(), r.peerErr != nil && !errors.Is(r.peerErr, ErrNoPeer):
+	case r.cutOff, r.dialer.tracker.CutOff(), r.peerErr != nil && !errors.Is(r.peerErr, ErrNoPeer):
 		return &UnconfirmedError{Cause: r.directErr}
 	}
 	return r.directErr
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -35,7 +35,7 @@
 	IsReplica func(address string) bool
 	// Declines returns why this VM passes no connections on now, "" if it does.
 	Declines func() string
-	// IsDoubtful reports whether this VM may be cut off from the replicas. What it does not reach then
+	// IsDoubtful reports whether this VM is cut off from the replicas. What it does not reach then
 	// proves nothing.
 	IsDoubtful func() bool
 	// MaxConnections bounds the connections that are passed on at a time.
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -184,12 +184,12 @@
 // Doubtful reports whether this VM is cut off or may be. What it does not reach then proves nothing.
 func (t *Tracker) Doubtful(now time.Time) bool { return t.CutOff() || t.Suspected(now) }
 
-// CutOffSince reports whether this VM was cut off, or may have been, at some time after the given one.
-func (t *Tracker) CutOffSince(at, now time.Time) bool {
+// CutOffSince reports whether this VM was cut off at some time after the given one. A suspicion is not
+// enough: a request that crashes replica after replica raises one too.
+func (t *Tracker) CutOffSince(at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.dropOld(now)
-	return t.cutOff || len(t.unreached) >= minUnreached || t.since.After(at)
+	return t.cutOff || t.since.After(at)
 }
 
 // Dump is the state of a Tracker for operators.
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -122,3 +122,15 @@
 		t.Error("helps after a round that reached nothing")
 	}
 }
+
+// Guards against a request that crashes replica after replica and is never stopped, since the replicas
+// that are gone make its VM suspect itself.
+func TestSuspicionIsNoCut(t *testing.T) {
+	tr := NewTracker()
+	for _, address := range []string{"a", "b", "c"} {
+		tr.RecordDial(address, false, start)
+	}
+	if !tr.Suspected(start) || tr.CutOffSince(start.Add(-time.Hour)) {
+		t.Error("a suspicion counts as a cut")
+	}
+}
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -178,7 +178,7 @@
 // replicas meanwhile, that has broken the run, and the replica has ended for a reason of its own.
 func (c *crashGuard) ended(run brokenRun) {
 	now, d := time.Now(), run.digest
-	if c.reach.CutOffSince(run.brokeAt.Add(-cutOffMargin), now) {
+	if c.reach.CutOffSince(run.brokeAt.Add(-cutOffMargin)) {
 		c.logger.Info("end of a replica not counted against a request: this VM was cut off", zap.String("requestId", run.requestID),
 			zap.Stringer("digest", d), zap.Stringer("replica", run.replica))
 		return
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -52,8 +52,8 @@
 type Reach interface {
 	// CutOff reports whether this VM reaches no replica by itself, while peers do.
 	CutOff() bool
-	// CutOffSince reports whether this VM was cut off, or may have been, at some time after at.
-	CutOffSince(at, now time.Time) bool
+	// CutOffSince reports whether this VM was cut off at some time after at.
+	CutOffSince(at time.Time) bool
 }
 
 // Observer receives measurements. Its methods must not block.
