hop: peers that are all avoided are asked in turn

Change: among avoided peers, the one whose time ends first is asked; as each answer renews it, all get their turn. The new test fails without it: two of five peers are never asked.

--- a/internal/hop/peers.go
+++ b/internal/hop/peers.go
@@ -95,14 +95,12 @@
 	if len(asked) > 0 && slices.Contains(p.near, asked[len(asked)-1]) || p.unfit(p.near, now) >= maxUnfitNear {
 		groups = [][]string{p.far, p.near}
 	}
-	for _, allowUnfit := range []bool{false, true} {
-		for _, group := range groups {
-			if picked := p.pickOf(group, asked, allowUnfit, now); picked != "" {
-				return picked
-			}
+	for _, group := range groups {
+		if picked := p.pickFit(group, asked, now); picked != "" {
+			return picked
 		}
 	}
-	return ""
+	return p.pickUnfit(slices.Concat(groups...), asked)
 }
 
 // unfit returns how many peers of a group are avoided. p.mu is held.
@@ -116,13 +114,12 @@
 	return unfit
 }
 
-// pickOf returns the peer with the fewest connections among the first ones of a group that may be
-// asked. p.mu is held.
-func (p *Peers) pickOf(group, asked []string, allowUnfit bool, now time.Time) string {
+// pickFit returns the peer with the fewest connections among the first ones of a group that are not
+// avoided. p.mu is held.
+func (p *Peers) pickFit(group, asked []string, now time.Time) string {
 	picked, ties, seen := "", 0, 0
 	for _, address := range group {
-		unfit := now.Before(p.unfitUntil[address])
-		if slices.Contains(asked, address) || unfit && !allowUnfit {
+		if slices.Contains(asked, address) || now.Before(p.unfitUntil[address]) {
 			continue
 		}
 		switch fewer := cmp.Compare(p.active[address], p.active[picked]); {
@@ -140,6 +137,18 @@
 	return picked
 }
 
+// pickUnfit returns the peer that is avoided for the shortest time from now on, so that all are asked in
+// turn. p.mu is held.
+func (p *Peers) pickUnfit(all, asked []string) string {
+	picked := ""
+	for _, address := range all {
+		if !slices.Contains(asked, address) && (picked == "" || p.unfitUntil[address].Before(p.unfitUntil[picked])) {
+			picked = address
+		}
+	}
+	return picked
+}
+
 // Avoid makes Pick avoid a peer for a while.
 func (p *Peers) Avoid(address string, d time.Duration, now time.Time) {
 	p.mu.Lock()
--- a/internal/hop/peers_test.go
+++ b/internal/hop/peers_test.go
@@ -42,6 +42,38 @@
 	}
 }
 
+// Guards against a VM that asks the same peers again and again, all cut off, where all are avoided and the
+// one that could help is among the others.
+func TestAllPeersAreAskedInTurnWhereAllAreAvoided(t *testing.T) {
+	all := fleet(6)
+	for _, helper := range all[1:] {
+		p := NewPeers(all[0])
+		p.SetPeers(all)
+		for _, peer := range all {
+			p.Avoid(peer.Address, unfitTime, start)
+		}
+		now, found := start, false
+		for range 2 { // connection attempts
+			var asked []string
+			for range 3 {
+				peer := p.Pick(asked, now)
+				asked = append(asked, peer)
+				if found = peer == helper.Address; found {
+					break
+				}
+				now = now.Add(time.Millisecond)
+				p.Avoid(peer, unfitTime, now)
+			}
+			if found {
+				break
+			}
+		}
+		if !found {
+			t.Errorf("%s is not asked", helper.Address)
+		}
+	}
+}
+
 // Guards against one peer that carries the connections of all VMs that are cut off, where a whole data
 // centre of a large fleet is.
 func TestConnectionsOfADataCentreAreSpread(t *testing.T) {
