hop, relay: a cut is told from crashes when a run breaks, not seconds later

What callers saw: requests whose streams a cut broke were suspected of crashing replicas, on all VMs, until one of them had run elsewhere; a request in which three VMs agree is quarantined. Cause: until a peer has confirmed the cut (up to 2.1 s in the sums), a VM took what it found refused for the replicas' end, and a peer that had lost its own link at the same moment confirmed it with "refused". Suspicion alone is no way to tell: a request that crashes replica after replica raises one too. Change: before an end counts, and before a peer answers "refused", the VM must have reached some replica after the run broke or the attempt began; if it has not, it probes three at once (a few ms where links refuse), and its peers where these fail. A call whose replica restarts later than a short cut ends is covered too.

--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -23,18 +23,18 @@
 	p.hopClient = hop.NewClient(p.Settings.VM.Name, p.hopPeers, transport.NewDialer(transport.Settings{}), p.recorder, p.Logger)
 	p.hopServer = hop.NewServer(hop.ServerOptions{
 		Dial: direct, IsReplica: func(address string) bool { return p.view.isReplica(address) }, Declines: p.declinesConnections,
-		IsDoubtful:     p.reach.CutOff,
-		MaxConnections: maxPassedOn(p.Settings.VM), Observer: p.recorder, Logger: p.Logger,
+		ReachesReplicas: func(ctx context.Context, since time.Time) bool { return p.reachProber.ReachesReplicas(ctx, since) },
+		MaxConnections:  maxPassedOn(p.Settings.VM), Observer: p.recorder, Logger: p.Logger,
 	})
 	p.mirror.Register(p.hopServer.Register)
 	p.mirror.CutOff, p.peers.OnCutOff = func() bool { return !p.reach.CanHelp() }, func(address string) { p.hopPeers.ObserveCutOff(address, time.Now()) }
 	p.requestPool = p.Pool.WithDial(hop.NewDialer(direct, p.hopClient, p.reach, p.routes).Dial)
 	p.controlPool = p.Pool.WithDial(direct)
 	p.controlEngines = p.Adapter.NewEngines(p.controlPool)
-	p.reachProber = &hop.Prober{
+	p.reachProber = hop.NewProber(hop.ProberOptions{
 		Direct: direct, Client: p.hopClient, Tracker: p.reach, OnChange: p.logReach,
 		Replicas: func(n int) []string { return p.view.addresses.Load().draw(n) },
-	}
+	})
 }
 
 // declinesConnections returns why this VM passes no connections of peers on, "" if it does.
--- a/internal/hop/fleetsim_test.go
+++ b/internal/hop/fleetsim_test.go
@@ -72,6 +72,8 @@
 	excused bool
 	// tries is the number of replicas that were tried.
 	tries int
+	// errs are the errors of the tries that failed.
+	errs []error
 }
 
 func newSimFleet(size int, withPeers bool) *simFleet {
@@ -116,7 +118,7 @@
 	vm.dialer = NewDialer(direct, client, vm.tracker, reach.NewRoutes())
 	vm.server = NewServer(ServerOptions{
 		Dial: direct, IsReplica: func(string) bool { return true }, MaxConnections: 475, Observer: newCounts(), Logger: zap.NewNop(),
-		IsDoubtful: func() bool { return vm.tracker.Doubtful(time.Now()) },
+		ReachesReplicas: func(ctx context.Context, since time.Time) bool { return vm.prober.ReachesReplicas(ctx, since) },
 		Declines: func() string {
 			if !vm.tracker.CanHelp() {
 				return "cut off"
@@ -124,7 +126,7 @@
 			return ""
 		},
 	})
-	vm.prober = &Prober{
+	vm.prober = NewProber(ProberOptions{
 		Direct: direct, Client: client, Tracker: vm.tracker, Replicas: func(n int) []string { return f.draw(n) },
 		OnChange: func(change *reach.Change) {
 			now := time.Now()
@@ -134,7 +136,7 @@
 				vm.backAt.Store(&now)
 			}
 		},
-	}
+	})
 }
 
 func (f *simFleet) draw(n int) []string {
@@ -224,6 +226,8 @@
 		if err == nil {
 			result.served = true
 			time.AfterFunc(simStream, func() { _ = conn.Close() })
+		} else {
+			result.errs = append(result.errs, err)
 		}
 	}
 	result.at = at
--- a/internal/hop/helpers_test.go
+++ b/internal/hop/helpers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,6 +47,8 @@
 	grpc    *grpc.Server
 	mu      sync.Mutex
 	reason  string
+	// cutOff is set if it reaches no replica.
+	cutOff atomic.Bool
 }
 
 func startPeer(t testing.TB, dial transport.DialFunc) *testPeer {
@@ -55,8 +58,9 @@
 	}
 	p := &testPeer{address: lis.Addr().String(), grpc: grpc.NewServer()}
 	p.Server = NewServer(ServerOptions{
-		Dial: dial, IsReplica: func(string) bool { return true }, Declines: p.declines, IsDoubtful: func() bool { return false },
-		MaxConnections: 1 << 10, Observer: newCounts(), Logger: zap.NewNop(),
+		Dial: dial, IsReplica: func(string) bool { return true }, Declines: p.declines,
+		ReachesReplicas: func(context.Context, time.Time) bool { return !p.cutOff.Load() },
+		MaxConnections:  1 << 10, Observer: newCounts(), Logger: zap.NewNop(),
 	})
 	p.Register(p.grpc)
 	go func() { _ = p.grpc.Serve(lis) }()
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -183,7 +183,7 @@
 	if _, err := client.Dial(t.Context(), dead, false); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("%v", err)
 	}
-	peer.IsDoubtful = func() bool { return true }
+	peer.cutOff.Store(true)
 	if _, err := client.Dial(t.Context(), dead, false); errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("the word of a peer that may be cut off counts: %v", err)
 	}
@@ -202,6 +202,25 @@
 	}
 }
 
+// Guards against a connection that fails since the first peer is cut off as well and does not know it yet.
+func TestNextPeerIsAskedIfTheFirstOneMayBeCutOff(t *testing.T) {
+	replica, peers := startReplica(t, echo), []*testPeer{}
+	for range 3 {
+		peers = append(peers, startPeer(t, direct()))
+	}
+	for _, cutOff := range peers[:2] {
+		cutOff.cutOff.Store(true)
+		cutOff.Dial = func(context.Context, string, string) (net.Conn, error) {
+			return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
+		}
+	}
+	conn, err := startClient(t, peers...).Dial(t.Context(), replica, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+}
+
 // Guards against a body that a replica does not read and that blocks its request for good.
 func TestWriteHonoursItsDeadline(t *testing.T) {
 	stuck := make(chan struct{})
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -35,9 +35,9 @@
 	IsReplica func(address string) bool
 	// Declines returns why this VM passes no connections on now, "" if it does.
 	Declines func() string
-	// IsDoubtful reports whether this VM is cut off from the replicas. What it does not reach then
-	// proves nothing.
-	IsDoubtful func() bool
+	// ReachesReplicas reports whether this VM has reached a replica since a time. If it has not, what it
+	// does not reach proves nothing.
+	ReachesReplicas func(ctx context.Context, since time.Time) bool
 	// MaxConnections bounds the connections that are passed on at a time.
 	MaxConnections int
 	Observer       Observer
@@ -110,13 +110,14 @@
 	if reason != "" {
 		return nil, connectReply{Result: resultDeclined, Reason: reason}
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(maxReplicaTimeout, time.Duration(req.TimeoutMS)*time.Millisecond))
+	began := time.Now()
+	dialCtx, cancel := context.WithTimeout(ctx, min(maxReplicaTimeout, time.Duration(req.TimeoutMS)*time.Millisecond))
 	defer cancel()
-	conn, err := s.Dial(ctx, "tcp", req.Address)
+	conn, err := s.Dial(dialCtx, "tcp", req.Address)
 	switch {
 	case err == nil:
 		return conn, connectReply{Result: resultConnected}
-	case s.IsDoubtful():
+	case !s.ReachesReplicas(ctx, began):
 		return nil, connectReply{Result: resultDeclined, Reason: "this VM may be cut off: " + err.Error()}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, connectReply{Result: resultRefused, Reason: err.Error()}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -184,8 +184,14 @@
 // Doubtful reports whether this VM is cut off or may be. What it does not reach then proves nothing.
 func (t *Tracker) Doubtful(now time.Time) bool { return t.CutOff() || t.Suspected(now) }
 
-// CutOffSince reports whether this VM was cut off at some time after the given one. A suspicion is not
-// enough: a request that crashes replica after replica raises one too.
+// ReachedSince reports whether a direct attempt has succeeded after the given time.
+func (t *Tracker) ReachedSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reachedAt.After(at)
+}
+
+// CutOffSince reports whether this VM was cut off at some time after the given one.
 func (t *Tracker) CutOffSince(at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -22,8 +22,8 @@
 	// replica, restartPollInterval the time between two checks for it.
 	restartTimeout      = 3 * time.Second
 	restartPollInterval = 250 * time.Millisecond
-	// cutOffMargin is how long before a run broke the end of a cut may be that has broken it.
-	cutOffMargin = time.Second
+	// reachTimeout bounds finding out whether this VM was cut off when a run broke.
+	reachTimeout = 500 * time.Millisecond
 	// maxRestartWatches bounds the broken runs for which a restart of the replica is awaited at a
 	// time.
 	maxRestartWatches = 256
@@ -147,7 +147,7 @@
 	}
 	c.runAsync(func() {
 		defer c.watches.Add(-1)
-		if c.waitForRestart(replica) {
+		if !c.wasCutOff(run) && c.waitForRestart(replica) { // a short cut may have ended by then
 			c.ended(run)
 		}
 	})
@@ -178,7 +178,7 @@
 // replicas meanwhile, that has broken the run, and the replica has ended for a reason of its own.
 func (c *crashGuard) ended(run brokenRun) {
 	now, d := time.Now(), run.digest
-	if c.reach.CutOffSince(run.brokeAt.Add(-cutOffMargin)) {
+	if c.wasCutOff(run) {
 		c.logger.Info("end of a replica not counted against a request: this VM was cut off", zap.String("requestId", run.requestID),
 			zap.Stringer("digest", d), zap.Stringer("replica", run.replica))
 		return
@@ -192,6 +192,13 @@
 	c.notifier.Publish(d)
 }
 
+// wasCutOff reports whether this VM was cut off from the replicas when a run broke.
+func (c *crashGuard) wasCutOff(run brokenRun) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+	defer cancel()
+	return c.reach.CutOffSince(ctx, run.brokeAt)
+}
+
 // endedResult is the result of a query whether a replica has ended.
 type endedResult uint8
 
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -37,8 +37,8 @@
 // fakeReach is a Reach.
 type fakeReach struct{ cutOff bool }
 
-func (r *fakeReach) CutOff() bool               { return r.cutOff }
-func (r *fakeReach) CutOffSince(time.Time) bool { return r.cutOff }
+func (r *fakeReach) CutOff() bool                                { return r.cutOff }
+func (r *fakeReach) CutOffSince(context.Context, time.Time) bool { return r.cutOff }
 
 func newTestRequest() *request {
 	return &request{digest: quarantine.Digest{1}, sendGuard: dispatch.NewSendGuard("r", true, invariant.NewRegistry(func(invariant.Violation) {}))}
@@ -162,3 +162,25 @@
 		t.Errorf("%+v, %d published", status, len(notifier.digests))
 	}
 }
+
+// shortCut is a Reach of a VM that was cut off when a run broke, and not any more when it is asked again.
+type shortCut struct{ fakeReach }
+
+func (r *shortCut) CutOffSince(context.Context, time.Time) bool {
+	was := r.cutOff
+	r.cutOff = false
+	return was
+}
+
+// Guards against a restart that is reported seconds later and counts against a request, although a short
+// cut had broken its run.
+func TestRestartReportedAfterAShortCutDoesNotCount(t *testing.T) {
+	guard, _ := newTestGuard()
+	guard.reach = &shortCut{fakeReach{cutOff: true}}
+	guard.incarnations = &restartAfter{nth: 2}
+	q := newTestRequest()
+	guard.recordBrokenCall(q, incarnation.Key{ID: "a", Born: 1}, func(context.Context) endedResult { return endedUnknown })
+	if status := guard.lookup(q); status.Crashes != 0 {
+		t.Errorf("%+v", status)
+	}
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -48,12 +48,13 @@
 	Check() *outcome.Failure
 }
 
-// Reach tells whether this VM reaches the replicas. Its methods must not block.
+// Reach tells whether this VM reaches the replicas.
 type Reach interface {
-	// CutOff reports whether this VM reaches no replica by itself, while peers do.
+	// CutOff reports whether this VM reaches no replica by itself, while peers do. It does not block.
 	CutOff() bool
-	// CutOffSince reports whether this VM was cut off at some time after at.
-	CutOffSince(at time.Time) bool
+	// CutOffSince reports whether this VM was cut off at a time or later, so that connections which
+	// broke then prove nothing about replicas. It may wait for probes.
+	CutOffSince(ctx context.Context, at time.Time) bool
 }
 
 // Observer receives measurements. Its methods must not block.
