hop: near and far peers are asked in turn, and those that decline again less often

Cause: once three peers of its data centre were avoided, a VM asked those of others only, and of these its first nine but two were cut off; and as peers that had declined held no connections, they were chosen again each second. The play now logs what failed and how many peers were asked in vain.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -134,9 +134,10 @@
 	result := string(resultConnected)
 	switch e := err.(type) {
 	case nil:
+		c.peers.RecordAnswer(peer, true, time.Now())
 	case *DeclinedError:
 		result = string(resultDeclined)
-		c.peers.Avoid(peer, unfitTime, time.Now())
+		c.peers.RecordAnswer(peer, false, time.Now())
 	case *ReplicaError:
 		result = string(resultUnreached)
 	default:
--- a/internal/hop/fleet_test.go
+++ b/internal/hop/fleet_test.go
@@ -41,7 +41,13 @@
 	late, allLate := f.served(isCut, simBound, simLength)
 	others, allOthers := f.served(isOther, 0, simLength)
 	noticed, regained, most := time.Duration(0), time.Duration(0), int32(0)
+	asked, inVain := 0, 0
 	for _, vm := range cut {
+		for result, n := range vm.dialer.client.observer.(*counts).through {
+			if asked += n; result != string(resultConnected) {
+				inVain += n
+			}
+		}
 		if at := vm.lostAt.Load(); at != nil {
 			noticed = max(noticed, at.Sub(f.began))
 		}
@@ -52,8 +58,13 @@
 	for _, vm := range f.vms {
 		most = max(most, vm.most.Load())
 	}
-	t.Logf("cut VMs: %d of %d in the first %s, %d of %d later; others %d of %d; noticed within %s, regained within %s; at most %d connections through a peer",
-		early, allEarly, simBound, late, allLate, others, allOthers, noticed, regained, most)
+	t.Logf("cut VMs: %d of %d in the first %s, %d of %d later; others %d of %d; noticed within %s, regained within %s; at most %d connections through a peer; %d of %d peers asked in vain",
+		early, allEarly, simBound, late, allLate, others, allOthers, noticed, regained, most, inVain, asked)
+	for _, r := range f.results {
+		if !r.served && !r.excused {
+			t.Logf("%s, %s after the cut began, cut off %t: %v", r.vm.Address, r.at.Sub(f.began), isCut(r.vm), r.errs)
+		}
+	}
 	if late < allLate {
 		t.Errorf("%d of %d first tries served at cut VMs from %s on", late, allLate, simBound)
 	}
--- a/internal/hop/peers.go
+++ b/internal/hop/peers.go
@@ -22,6 +22,8 @@
 	maxUnfitNear = 3
 	// unfitTime is how long a peer that declined or did not answer is asked only if no other is left.
 	unfitTime = time.Second
+	// maxUnfitTime bounds that time, which doubles each time that the peer declines again.
+	maxUnfitTime = 8 * time.Second
 	// cutOffTime is the same for a peer that says that it is cut off itself.
 	cutOffTime = 2 * time.Second
 )
@@ -45,11 +47,13 @@
 	// unfitUntil holds peers that are avoided.
 	unfitUntil map[string]time.Time
 	active     map[string]int
+	// declines counts how often in a row a peer has declined.
+	declines map[string]int
 }
 
 // NewPeers returns the peers of a VM, none until SetPeers is called.
 func NewPeers(self Peer) *Peers {
-	return &Peers{self: self, unfitUntil: map[string]time.Time{}, active: map[string]int{}}
+	return &Peers{self: self, unfitUntil: map[string]time.Time{}, active: map[string]int{}, declines: map[string]int{}}
 }
 
 // SetPeers replaces the peers. The VM itself is left out.
@@ -69,6 +73,7 @@
 	defer p.mu.Unlock()
 	p.near, p.far = near, far
 	maps.DeleteFunc(p.unfitUntil, func(address string, _ time.Time) bool { return !p.knows(address) })
+	maps.DeleteFunc(p.declines, func(address string, _ int) bool { return !p.knows(address) })
 }
 
 // preferred returns the first peers in the order of this VM, which differs from those of other VMs.
@@ -87,12 +92,12 @@
 }
 
 // Pick returns the peer to ask, other than those that were asked already, "" if there is none. After one
-// of this data centre it is one of another, as all of this one may be cut off.
+// of this data centre it is one of another, as all of this one may be cut off, and the other way round.
 func (p *Peers) Pick(asked []string, now time.Time) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	groups := [][]string{p.near, p.far}
-	if len(asked) > 0 && slices.Contains(p.near, asked[len(asked)-1]) || p.unfit(p.near, now) >= maxUnfitNear {
+	if p.farFirst(asked, now) {
 		groups = [][]string{p.far, p.near}
 	}
 	for _, group := range groups {
@@ -103,6 +108,15 @@
 	return p.pickUnfit(slices.Concat(groups...), asked)
 }
 
+// farFirst reports whether a peer of another data centre is asked next, if there is one that is not
+// avoided. p.mu is held.
+func (p *Peers) farFirst(asked []string, now time.Time) bool {
+	if len(asked) > 0 {
+		return slices.Contains(p.near, asked[len(asked)-1])
+	}
+	return p.unfit(p.near, now) >= maxUnfitNear
+}
+
 // unfit returns how many peers of a group are avoided. p.mu is held.
 func (p *Peers) unfit(group []string, now time.Time) int {
 	unfit := 0
@@ -158,6 +172,20 @@
 	}
 }
 
+// RecordAnswer records whether a peer has passed a connection on.
+func (p *Peers) RecordAnswer(address string, passedOn bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case passedOn:
+		delete(p.declines, address)
+		delete(p.unfitUntil, address)
+	case p.knows(address):
+		p.unfitUntil[address] = now.Add(min(maxUnfitTime, unfitTime<<min(p.declines[address], 8)))
+		p.declines[address]++
+	}
+}
+
 // ObserveCutOff records that a peer said in an answer that it is cut off.
 func (p *Peers) ObserveCutOff(address string, now time.Time) { p.Avoid(address, cutOffTime, now) }
 
--- a/internal/hop/peers_test.go
+++ b/internal/hop/peers_test.go
@@ -115,3 +115,74 @@
 		}
 	}
 }
+
+// Guards against a VM whose first peers are cut off and that asks few others, so that its requests fail
+// although most of its peers could help.
+func TestHelperIsFoundWhereAThirdIsCutOff(t *testing.T) {
+	const vms, seconds, perSecond, inUse, asks = 985, 8, 3, 6, 12
+	all := make([]Peer, vms)
+	for i := range all {
+		all[i] = Peer{Address: fmt.Sprint("vm-", i), DataCentre: fmt.Sprint("dc-", i%10)}
+	}
+	cutOff := map[string]bool{}
+	for i, peer := range all {
+		cutOff[peer.Address] = i/10%3 == 0 // of each data centre
+	}
+	asked := 0
+	for i, self := range all {
+		if !cutOff[self.Address] {
+			continue
+		}
+		p := NewPeers(self)
+		p.SetPeers(all)
+		var used []string // the peers of the requests so far
+		for n := range seconds * perSecond {
+			now := start.Add(time.Duration(n) * time.Second / perSecond)
+			if n >= inUse {
+				p.count(used[n-inUse], -1)
+			}
+			found := false
+			for tries := 0; tries < asks && !found; tries += maxAsked {
+				var inRow []string
+				for len(inRow) < maxAsked && !found {
+					peer := p.Pick(inRow, now)
+					inRow = append(inRow, peer)
+					asked++
+					if found = !cutOff[peer]; found {
+						p.RecordAnswer(peer, true, now)
+						p.count(peer, 1)
+						used = append(used, peer)
+						break
+					}
+					p.RecordAnswer(peer, false, now)
+				}
+			}
+			if !found {
+				t.Fatalf("vm-%d finds no helper for request %d", i, n)
+			}
+		}
+	}
+	t.Logf("%d asked", asked)
+}
+
+// Guards against peers that are cut off for long and are asked by each VM once a second.
+func TestPeersThatDeclineAgainAreAskedLessOften(t *testing.T) {
+	all := fleet(6)
+	p := NewPeers(all[0])
+	p.SetPeers(all)
+	near := "vm-3"
+	asked := 0
+	for now := start; now.Before(start.Add(30 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		if p.Pick(nil, now) == near {
+			asked++
+			p.RecordAnswer(near, false, now)
+		}
+	}
+	if asked > 6 {
+		t.Errorf("asked %d times in 30 s", asked)
+	}
+	p.RecordAnswer(near, true, start.Add(30*time.Second))
+	if got := p.Pick(nil, start.Add(30*time.Second)); got != near {
+		t.Errorf("%s is asked although the near one passes connections on again", got)
+	}
+}
