rig: a start that fails leaves nothing running

Routers and stand-ins went on running after Start had returned an error, and with nobody left to stop them. TestFailedStartLeavesNothingRunning fails before: the first router still answers.

--- a/internal/harness/rig/fleet.go
+++ b/internal/harness/rig/fleet.go
@@ -55,19 +55,28 @@
 	vms     []platform.VM // the platform's VM list
 }
 
-// Start starts the platform and the routers and waits until the routers are ready.
+// Start starts the platform and the routers and waits until the routers are ready. If it fails, nothing is
+// left running.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
 	sim, err := platformsim.Start(loopback)
 	if err != nil {
 		return nil, err
 	}
 	f := &Fleet{Platform: sim, Engines: map[string]*enginesim.Engine{}, Services: map[string]*servicesim.Service{}, options: o}
-	for range o.Routers {
+	if err := f.startRouters(ctx); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startRouters(ctx context.Context) error {
+	for range f.options.Routers {
 		if _, err := f.AddRouter(); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return f, f.AwaitReady(ctx)
+	return f.AwaitReady(ctx)
 }
 
 // AddRouter starts another router and adds it to the platform's VM list. It does not
