experiment: a change that is not in force in time is an error; systems that fail to start are closed

awaitOnAll returned the time until its timeout as if the change were in force, so a lost change was a slow one in the figures. Set-ups that failed half way returned a system that no caller closed.

--- a/internal/harness/experiment/change.go
+++ b/internal/harness/experiment/change.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"geraniumcroft/internal/config"
@@ -60,10 +61,12 @@
 	}
 	small := urgentPool
 	small.copies, small.instances = 2, 2
-	if err := s.addPool(ctx, small); err != nil {
-		return s, silencer, err
+	err = s.addPool(ctx, small)
+	if err == nil {
+		err = s.applyProfiles(ctx, generationProfile("summary", config.Bulk, 20*time.Second))
 	}
-	return s, silencer, s.applyProfiles(ctx, generationProfile("summary", config.Bulk, 20*time.Second))
+	s, err = s.orClose(err)
+	return s, silencer, err
 }
 
 // proposeChange makes one change on a VM and returns its version.
@@ -106,28 +109,37 @@
 	profile := *s.Nodes[0].Store().Current().Profiles["summary"]
 	profile.Deadline = config.Duration(20*time.Second + time.Duration(number)*time.Millisecond)
 	started := time.Now()
-	reached := make(chan time.Duration, 1)
+	reached := make(chan error, 1)
+	var inForceAfter time.Duration
 	go func() {
-		reached <- s.awaitOnAll(ctx, started, func(n *node.Node) bool {
+		var err error
+		inForceAfter, err = awaitOnAll(ctx, s.Nodes, started, func(n *node.Node) bool {
 			return n.Store().Current().Profiles["summary"].Deadline == profile.Deadline
 		})
+		reached <- err
 	}()
 	if _, err := s.proposeChange(ctx, number, config.EntityProfile, profile.Name, &profile, profile.Revision); err != nil {
 		return 0, err
 	}
 	took := time.Since(started)
-	inForce.add(<-reached)
+	if err := <-reached; err != nil {
+		return 0, err
+	}
+	inForce.add(inForceAfter)
 	return took, nil
 }
 
-// awaitOnAll waits until applied returns true for every VM, or ctx ends. It returns the time
-// that has passed since the given start.
-func (s *system) awaitOnAll(ctx context.Context, since time.Time, applied func(*node.Node) bool) time.Duration {
-	for _, n := range s.Nodes {
-		for !applied(n) && sleep.For(ctx, changePollInterval) {
+// awaitOnAll waits until applied returns true for every VM. It returns the time that has passed since the
+// given start, or an error if ctx ends first.
+func awaitOnAll(ctx context.Context, nodes []*node.Node, since time.Time, applied func(*node.Node) bool) (time.Duration, error) {
+	for i, n := range nodes {
+		for !applied(n) {
+			if !sleep.For(ctx, changePollInterval) {
+				return 0, errors.Wrapf(ctx.Err(), "change not in force on VM %d", i)
+			}
 		}
 	}
-	return time.Since(since)
+	return time.Since(since), nil
 }
 
 // measureDrains drains a target and reactivates it, repeatedly. It measures the time until
@@ -143,7 +155,10 @@
 			if _, err := s.proposeChange(ctx, number, config.EntityTarget, target.Name, &target, target.Revision); err != nil {
 				return err
 			}
-			took := s.awaitOnAll(ctx, started, func(n *node.Node) bool { return n.Store().Current().Targets[target.Name].State == state })
+			took, err := awaitOnAll(ctx, s.Nodes, started, func(n *node.Node) bool { return n.Store().Current().Targets[target.Name].State == state })
+			if err != nil {
+				return err
+			}
 			if state == config.StateDraining {
 				drained.add(took)
 			}
--- a/internal/harness/experiment/overhead.go
+++ b/internal/harness/experiment/overhead.go
@@ -50,19 +50,19 @@
 	}
 	model := &config.Model{Name: modelName, Layers: 8, Versions: []string{modelVersion}, ActivationBytes: 16 << 10}
 	if err := s.applyModel(ctx, model); err != nil {
-		return s, err
+		return s.orClose(err)
 	}
 	_, err = s.AddEngine(ctx, enginesim.Options{
 		Name: "engine", Model: model, Version: modelVersion, Layers: config.LayerRange{From: 0, To: model.Layers},
 		Slots: overheadSlots, LayerTokensPerSecond: overheadLayerRate,
 	}, "dc-0", "a100")
 	if err != nil {
-		return s, err
+		return s.orClose(err)
 	}
 	if _, err := s.AddService(ctx, servicesim.Options{Name: "permits-0", Service: serviceName, Slots: overheadSlots}, "dc-0"); err != nil {
-		return s, err
+		return s.orClose(err)
 	}
-	return s, s.applyProfiles(ctx, generationProfile("draft", config.Normal, time.Minute), callProfile("lockout", config.Urgent, false, time.Minute))
+	return s.orClose(s.applyProfiles(ctx, generationProfile("draft", config.Normal, time.Minute), callProfile("lockout", config.Urgent, false, time.Minute)))
 }
 
 // callPath is one path to a stand-in, with the times of its requests.
--- a/internal/harness/experiment/recovery.go
+++ b/internal/harness/experiment/recovery.go
@@ -80,13 +80,13 @@
 		return nil, err
 	}
 	if err := s.addPool(ctx, recoveryPool); err != nil {
-		return s, err
+		return s.orClose(err)
 	}
-	return s, s.applyProfiles(ctx,
+	return s.orClose(s.applyProfiles(ctx,
 		generationProfile("summary", config.Normal, 20*time.Second),
 		callProfile("report", config.Normal, true, 5*time.Second),
 		callProfile("status", config.Urgent, true, 5*time.Second),
-		callProfile("lockout", config.Urgent, false, 5*time.Second))
+		callProfile("lockout", config.Urgent, false, 5*time.Second)))
 }
 
 func (s *system) recoveryPhases(ctx context.Context, t *Trial, prefix string, callers []callclient.Client) error {
--- a/internal/harness/experiment/relay.go
+++ b/internal/harness/experiment/relay.go
@@ -50,7 +50,7 @@
 	}
 	model := &config.Model{Name: modelName, Layers: relayLayers, Versions: []string{modelVersion}}
 	if err := s.applyModel(ctx, model); err != nil {
-		return s, err
+		return s.orClose(err)
 	}
 	err = withPart(ctx, partStandIn, func(ctx context.Context) error {
 		_, err := s.AddEngine(ctx, enginesim.Options{
@@ -60,9 +60,9 @@
 		return err
 	})
 	if err != nil {
-		return s, err
+		return s.orClose(err)
 	}
-	return s, s.applyProfiles(ctx, generationProfile("draft", config.Normal, 10*time.Minute))
+	return s.orClose(s.applyProfiles(ctx, generationProfile("draft", config.Normal, 10*time.Minute)))
 }
 
 // measureRelayedTokens measures the processor time of the router per token.
--- a/internal/harness/experiment/sizes.go
+++ b/internal/harness/experiment/sizes.go
@@ -56,20 +56,20 @@
 	}
 	model := &config.Model{Name: modelName, Layers: deploymentLayers, Versions: []string{modelVersion}, ActivationBytes: 16 << 10}
 	if err := s.applyModel(ctx, model); err != nil {
-		return s, err
+		return s.orClose(err)
 	}
 	if err := s.addDeploymentEngines(ctx, model); err != nil {
-		return s, err
+		return s.orClose(err)
 	}
 	for number := range deploymentInstances {
 		_, err := s.AddService(ctx, servicesim.Options{
 			Name: fmt.Sprintf("permits-%d", number), Service: serviceName, Slots: deploymentCallSlots, ServiceTime: deploymentCallTime,
 		}, dataCentre(number))
 		if err != nil {
-			return s, err
+			return s.orClose(err)
 		}
 	}
-	return s, s.addWorkspaces(ctx)
+	return s.orClose(s.addWorkspaces(ctx))
 }
 
 // addDeploymentEngines adds 10 engines with all layers and 15 with each half of the layers.
--- a/internal/harness/experiment/system.go
+++ b/internal/harness/experiment/system.go
@@ -43,7 +43,16 @@
 		return nil, err
 	}
 	s.Fleet = fleet
-	return s, s.Apply(ctx, config.EntityWorkspace, workspace, &config.Workspace{Name: workspace, Weight: 1})
+	return s.orClose(s.Apply(ctx, config.EntityWorkspace, workspace, &config.Workspace{Name: workspace, Weight: 1}))
+}
+
+// orClose returns the system, or closes it if its set-up has failed.
+func (s *system) orClose(err error) (*system, error) {
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
 }
 
 // newHTTPClient returns an HTTP client for callers, with persistent connections.
--- a/internal/harness/experiment/urgent.go
+++ b/internal/harness/experiment/urgent.go
@@ -41,11 +41,11 @@
 		return nil, err
 	}
 	if err := s.addPool(ctx, urgentPool); err != nil {
-		return s, err
+		return s.orClose(err)
 	}
-	return s, s.applyProfiles(ctx,
+	return s.orClose(s.applyProfiles(ctx,
 		generationProfile("permit-check", config.Urgent, 10*time.Second), generationProfile("summary", config.Bulk, 20*time.Second),
-		callProfile("lockout", config.Urgent, false, 5*time.Second), callProfile("report", config.Bulk, true, 5*time.Second))
+		callProfile("lockout", config.Urgent, false, 5*time.Second), callProfile("report", config.Bulk, true, 5*time.Second)))
 }
 
 func (s *system) urgentPhases(ctx context.Context, t *Trial, prefix string, callers []callclient.Client) error {
