--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -57,7 +57,12 @@
 	// gaps are the statistics of the gaps between events so far.
 	gaps stall.GapStats
 
-	mu sync.Mutex // guards the fields below, which the stall watch also uses
+	// headSent is set once the head of the response was sent to the caller.
+	headSent bool
+
+	// mu guards the fields below, which the stall watch also uses. Only the goroutine of the request
+	// writes lastEvent, so it reads it without mu.
+	mu sync.Mutex
 	// lastEvent is the id of the last event that the caller has received.
 	lastEvent string
 	// runs counts the replicas that may have run the request.
@@ -66,8 +71,6 @@
 	prepared *layers.Reservation
 	// closed is set when no further send will follow.
 	closed bool
-	// headSent is set once the head of the response was sent to the caller.
-	headSent bool
 }
 
 // serveGeneration serves a request along a path of replicas.
