layers: a plan from scratch leaves no layer out where memory is short

If the engine's entry did not show its layers before the store went away, the plan was made from scratch again and again. Change: the memory kept shrinks down to one request before a layer is left out, as where layouts are extended. TestPlacementFromScratchLeavesNoLayerOutWhereMemoryIsShort fails before for one and two cards.

--- a/internal/layers/coverage.go
+++ b/internal/layers/coverage.go
@@ -48,23 +48,35 @@
 
 // capacityFor returns for how many mean requests each card keeps memory free: the layout's
 // capacity, reduced in steps until the cards can hold the model with the layout's
-// redundancy, or once if that is impossible. It is at least minCapacity.
+// redundancy, or once if that is impossible. It is at least minCapacity, unless a layer would
+// then be left out that fits beside a single request.
 func (c *coverage) capacityFor(set []Replica, l layout) float64 {
-	const shrinkFactor = 1.1
-	for _, wanted := range []float64{l.redundancy, 1} {
-		for capacity := l.capacity; capacity >= minCapacity; capacity /= shrinkFactor {
-			held := 0
-			for _, r := range set {
-				held += c.layersFor(c.spec.kind(r.Kind), capacity)
-			}
-			if float64(held) >= wanted*float64(c.spec.Layers) {
-				return capacity
-			}
+	for _, step := range []struct{ redundancy, least float64 }{{l.redundancy, minCapacity}, {1, minCapacity}, {1, 1}} {
+		if capacity, ok := c.reducedCapacity(set, l.capacity, step.least, step.redundancy); ok {
+			return capacity
 		}
 	}
 	return minCapacity
 }
 
+// reducedCapacity returns the largest capacity, of those from one down to the least, with which the cards
+// can hold the model a number of times, and whether there is one.
+func (c *coverage) reducedCapacity(set []Replica, capacity, least, times float64) (float64, bool) {
+	const shrinkFactor = 1.1
+	for ; ; capacity = max(least, capacity/shrinkFactor) {
+		held := 0
+		for _, r := range set {
+			held += c.layersFor(c.spec.kind(r.Kind), capacity)
+		}
+		if float64(held) >= times*float64(c.spec.Layers) {
+			return capacity, true
+		}
+		if capacity <= least {
+			return 0, false
+		}
+	}
+}
+
 // shortage measures how badly the layers are covered: the sum over the layers of the
 // inverse of their capacity. A layer with little capacity weighs most, as every request
 // passes through it, and a gap outweighs everything else.
--- a/internal/layers/place.go
+++ b/internal/layers/place.go
@@ -9,7 +9,7 @@
 )
 
 // minCapacity is the least number of mean requests for which a card needs memory where memory
-// is short.
+// is short, as long as no layer is left out for it.
 const minCapacity = 4.0
 
 // Place returns the ranges that replicas should hold, by replica ID. The result includes
--- a/internal/layers/place_test.go
+++ b/internal/layers/place_test.go
@@ -72,6 +72,20 @@
 	})
 }
 
+// Guards against a layer that is left out for good where the cards can hold all, with memory for few
+// requests: a plan from scratch is made again and again while the store does not list what a card holds.
+func TestPlacementFromScratchLeavesNoLayerOutWhereMemoryIsShort(t *testing.T) {
+	for _, n := range []int{1, 2, 3} {
+		spec := testSpec()
+		spec.Layers = 20 * n
+		spec.Accelerators = map[string]Accelerator{"card": {MemoryMB: 36000, StepTimeFactor: 1, PrefillTimeFactor: 1}}
+		held := withRanges(cards("a", "card", n), Place(spec, cards("a", "card", n)))
+		if low := slices.Min(holders(spec, held, "")); low < 1 {
+			t.Errorf("%d cards: a layer has no holder: %v", n, held)
+		}
+	}
+}
+
 // drawInstallation draws the cards of one to four data centres.
 func drawInstallation(t *rapid.T) []Replica {
 	var all []Replica
