hop: one probe suffices in most cases

A peer that finds a replica refused probes one other replica, and two more only if that is not reached: a dead replica is asked for by each VM twice a second, and each probe is a new connection. The crash guard waits up to 1 s for the verdict: where links hang, the probes and the round after them take up to 600 ms.

--- a/internal/hop/prober.go
+++ b/internal/hop/prober.go
@@ -90,7 +90,9 @@
 		return false
 	}
 	began := time.Now()
-	if p.probeDirectly(ctx, p.Replicas(probedReplicas), 1) > 0 {
+	addresses := p.Replicas(probedReplicas)
+	first := min(1, len(addresses)) // nearly always enough
+	if p.probeDirectly(ctx, addresses[:first], 1) > 0 || p.probeDirectly(ctx, addresses[first:], 1) > 0 {
 		return true
 	}
 	p.lastDirectProbe = began
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -23,7 +23,7 @@
 	restartTimeout      = 3 * time.Second
 	restartPollInterval = 250 * time.Millisecond
 	// reachTimeout bounds finding out whether this VM was cut off when a run broke.
-	reachTimeout = 500 * time.Millisecond
+	reachTimeout = time.Second
 	// maxRestartWatches bounds the broken runs for which a restart of the replica is awaited at a
 	// time.
 	maxRestartWatches = 256
