--- a/internal/hop/fleetsim_test.go
+++ b/internal/hop/fleetsim_test.go
@@ -42,8 +42,8 @@
 	prober  *Prober
 	// cut is how the VM's link to all replicas fails, nil if it does not.
 	cut atomic.Pointer[error]
-	// dead VMs refuse connections, frozen ones hang.
-	dead, frozen atomic.Bool
+	// dead VMs refuse connections, frozen ones hang, stopping ones decline.
+	dead, frozen, stopping atomic.Bool
 	// passedOn is the number of connections that the VM passes on, most the highest so far.
 	passedOn, most atomic.Int32
 	lostAt, backAt atomic.Pointer[time.Time]
@@ -120,8 +120,8 @@
 		Dial: direct, IsReplica: func(string) bool { return true }, MaxConnections: 475, Observer: newCounts(), Logger: zap.NewNop(),
 		ReachesReplicas: func(ctx context.Context, since time.Time) bool { return vm.prober.ReachesReplicas(ctx, since) },
 		Declines: func() string {
-			if !vm.tracker.CanHelp() {
-				return "cut off"
+			if !vm.tracker.CanHelp() || vm.stopping.Load() {
+				return "cut off or stopping"
 			}
 			return ""
 		},
@@ -236,6 +236,17 @@
 	f.results = append(f.results, result)
 }
 
+// tail returns a tenth of the VMs, ten at most, that are not cut off.
+func (f *simFleet) tail() []*simVM {
+	var tail []*simVM
+	for i := len(f.vms) - 1; len(tail) < min(10, max(1, len(f.vms)/10)); i-- {
+		if f.vms[i].cut.Load() == nil {
+			tail = append(tail, f.vms[i])
+		}
+	}
+	return tail
+}
+
 // play cuts the VMs off and sends requests to all VMs, with the other faults meanwhile.
 func (f *simFleet) play(cut []*simVM, form error, beside func(f *simFleet)) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -249,7 +260,7 @@
 		load.Go(func() {
 			for time.Since(f.began) < simLength {
 				time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / simRate))
-				if !vm.dead.Load() && !vm.frozen.Load() {
+				if !vm.dead.Load() && !vm.frozen.Load() && !vm.stopping.Load() {
 					own := rand.New(rand.NewPCG(random.Uint64(), 1))
 					load.Go(func() { f.request(vm, own) })
 				}
@@ -336,6 +347,23 @@
 		time.Sleep(3 * time.Second)
 		f.vms[len(f.vms)-1].frozen.Store(false)
 	},
+	"a rollout": func(f *simFleet) {
+		for _, vm := range f.tail() {
+			vm.stopping.Store(true)
+			time.Sleep(300 * time.Millisecond)
+			vm.dead.Store(true)
+			time.Sleep(500 * time.Millisecond)
+			vm.dead.Store(false)
+			vm.stopping.Store(false)
+		}
+	},
+	// The list of VMs goes on to name those that are gone.
+	"VMs gone and the store away": func(f *simFleet) {
+		time.Sleep(time.Second)
+		for _, vm := range f.tail() {
+			vm.dead.Store(true)
+		}
+	},
 	"replicas crashed": func(f *simFleet) {
 		time.Sleep(time.Second)
 		f.crashed.Store(int32(f.replicas / 10))
