resilient: an open circuit does not fail operations after Close

Close ends the probes and says that operations still work; with the circuit open they failed for good, as only a probe closes it. After Close they go to the service without the circuit. The new test fails before: "not asked, it failed a moment ago".

--- a/internal/platform/resilient/circuit.go
+++ b/internal/platform/resilient/circuit.go
@@ -26,7 +26,7 @@
 	counters       *counters
 
 	mu      sync.Mutex // guards the fields below
-	closed  bool
+	closed  bool       // set by close
 	probers sync.WaitGroup
 	stop    context.CancelFunc
 	stopCtx context.Context
@@ -62,9 +62,7 @@
 	if !c.healthy() {
 		return c.failFast(operation, errCircuitOpen)
 	}
-	_, err := c.breaker.Execute(func() (struct{}, error) {
-		return struct{}{}, c.runAttempt(ctx, request)
-	})
+	err := c.execute(func() error { return c.runAttempt(ctx, request) })
 	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
 		return c.failFast(operation, err)
 	}
@@ -75,6 +73,15 @@
 	return err
 }
 
+// execute runs a request under the breaker, or without it after close: no probe would close the breaker.
+func (c *circuit) execute(request func() error) error {
+	if c.isClosed() {
+		return request()
+	}
+	_, err := c.breaker.Execute(func() (struct{}, error) { return struct{}{}, request() })
+	return err
+}
+
 // runAttempt runs the request within the attempt timeout. It marks the error of a caller
 // whose own deadline or cancellation left the service less than minAttemptTime.
 func (c *circuit) runAttempt(ctx context.Context, request func(context.Context) error) error {
@@ -93,7 +100,16 @@
 	return &platform.UnavailableError{Operation: operation, Cause: cause}
 }
 
-func (c *circuit) healthy() bool { return c.breaker.State() == gobreaker.StateClosed }
+// healthy reports whether operations are sent to the service.
+func (c *circuit) healthy() bool {
+	return c.breaker.State() == gobreaker.StateClosed || c.isClosed()
+}
+
+func (c *circuit) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
 
 // stateChanged is called with the breaker's lock held, so it only starts the prober.
 func (c *circuit) stateChanged(_ string, from, to gobreaker.State) {
--- a/internal/platform/resilient/circuit_test.go
+++ b/internal/platform/resilient/circuit_test.go
@@ -70,6 +70,23 @@
 	return c.Store.Commit(ctx, txn)
 }
 
+// Guards against operations that fail for good after Close, since no probe closes an open circuit any more.
+func TestOperationsWorkAfterCloseDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore()
+		client := resilient.New(store, store, store, resilient.Settings{})
+		store.Faults.Set(platformsim.Order{Outage: platformsim.OutageHang})
+		for range resilient.DefaultFailuresToOpen {
+			_, _ = client.Get(t.Context(), "a")
+		}
+		client.Close()
+		store.Faults.Set(platformsim.Order{})
+		if err := client.Commit(t.Context(), create("t", "a")); err != nil {
+			t.Errorf("after the outage: %v", err)
+		}
+	})
+}
+
 // Callers are queued for the rate budget when the store begins to hang. Those that get
 // their budget later fail without a request, also while the breaker admits a probe: only
 // the prober sends requests.
