follow: the fewer relays, the sooner their first turns at the store

What callers saw: none did.

Cause: the store turns away all VMs that follow the feed, so the others wait for the first relay that reads it. A relay's first turn was random within 2 s, whatever the number of relays. 320 VMs have 5 relays; in one of 32 fleets all of them draw more than 1 s. The times of each role in eight fleets over the bound show it: the first relay had the change at 3.1 to 3.7 s, the VMs that follow the feed at 4.2 s, the last VM one gossip interval later.

Change: a relay's first turn comes within 40 ms times the number of relays, at least 200 ms and at most the 2 s of before. That is the rate of calls, 25 a second for a table, that all VMs keep to.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -98,6 +98,8 @@
 	followsFeed, relays bool
 	// hasRelays says whether this VM's data centre has followers that do not follow the feed.
 	hasRelays bool
+	// relayCount is the number of VMs in the fleet that relay.
+	relayCount int
 	// rank is this VM's position in the order of size, and readers are the VMs before it that it asks
 	// for the list if it follows the feed.
 	rank    int
@@ -183,7 +185,9 @@
 	largest := sortedBySize(vms)
 	c.rank = slices.IndexFunc(largest, func(vm VM) bool { return vm.Name == c.own.Name })
 	c.setReaders(largest)
-	feedFollowers, followers := FeedFollowersOf(vms)[c.own.DataCentre], FollowersOf(vms)[c.own.DataCentre]
+	allFeedFollowers, allFollowers := FeedFollowersOf(vms), FollowersOf(vms)
+	c.relayCount = countVMs(allFollowers) - countVMs(allFeedFollowers)
+	feedFollowers, followers := allFeedFollowers[c.own.DataCentre], allFollowers[c.own.DataCentre]
 	c.followsFeed = c.includesSelf(feedFollowers)
 	c.relays = !c.followsFeed && c.includesSelf(followers)
 	c.hasRelays = len(followers) > len(feedFollowers)
--- a/internal/census/followers.go
+++ b/internal/census/followers.go
@@ -61,3 +61,19 @@
 	defer c.mu.Unlock()
 	return c.hasRelays
 }
+
+// RelayCount returns the number of VMs in the fleet that are some of FollowersOf but none of
+// FeedFollowersOf.
+func (c *Census) RelayCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relayCount
+}
+
+func countVMs(byDataCentre map[string][]VM) int {
+	n := 0
+	for _, vms := range byDataCentre {
+		n += len(vms)
+	}
+	return n
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -20,6 +20,7 @@
 		FollowsFeed: p.followsFeed,
 		Relays:      func() bool { return p.census.Relays() },
 		Relayed:     func() bool { return p.census.HasRelays() },
+		RelayCount:  func() int { return p.census.RelayCount() },
 		PeersKnown:  p.peersKnown,
 		VMs:         func() int { return len(p.census.VMs()) },
 		RetryGroup:  p.retryGroup, OnChange: onChange, Eras: p.Adapter.Eras, ContentVersion: contentVersion,
--- a/internal/follow/backoff.go
+++ b/internal/follow/backoff.go
@@ -54,7 +54,17 @@
 		return true
 	}
 	// All copies reach the maximum age at the same moment, so the first turn is random.
-	return f.waitForPeers(ctx, rand.N(f.storeRetryDelay()))
+	return f.waitForPeers(ctx, rand.N(f.firstTurnWithin()))
+}
+
+// firstTurnWithin returns the time within which this VM's first turn comes. The fewer relays there
+// are, the sooner are their turns: if the store turns away all VMs that follow the feed, all others
+// wait for what the first relay reads.
+func (f *Follower) firstTurnWithin() time.Duration {
+	if !f.Relays() {
+		return f.storeRetryDelay()
+	}
+	return min(peerRetryDelay, max(retryDelay, time.Duration(f.RelayCount())*retryDelayPerVM))
 }
 
 // waitForPeers waits for the given time and reports whether this VM has to call the store then. It
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -78,6 +78,8 @@
 	// Relayed reports whether the fleet is so large that changes reach most VMs by way of relays.
 	// Nil means that it is not.
 	Relayed func() bool
+	// RelayCount returns the number of VMs in the fleet that relay. Nil means none.
+	RelayCount func() int
 	// PeersKnown reports whether the list of VMs was read, so that FollowsFeed holds and peers can
 	// be asked. Nil means always.
 	PeersKnown func() bool
@@ -135,6 +137,9 @@
 	if o.Relayed == nil {
 		o.Relayed = never
 	}
+	if o.RelayCount == nil {
+		o.RelayCount = func() int { return 0 }
+	}
 	if o.PeersKnown == nil {
 		o.PeersKnown = func() bool { return true }
 	}
--- a/internal/mirror/spread_test.go
+++ b/internal/mirror/spread_test.go
@@ -237,6 +237,10 @@
 	}
 	feedFollowers, followers := census.FeedFollowersOf(all), census.FollowersOf(all)
 	f.followers = followers
+	relayCount := 0
+	for dataCentre, vms := range followers {
+		relayCount += len(vms) - len(feedFollowers[dataCentre])
+	}
 	for _, listed := range all {
 		vm := &spreadVM{VM: listed}
 		f.vms[vm.Address] = vm
@@ -264,6 +268,7 @@
 			FollowsFeed: func() bool { return follows },
 			Relays:      func() bool { return relays },
 			Relayed:     func() bool { return relayed },
+			RelayCount:  func() int { return relayCount },
 			VMs:         func() int { return vms },
 			RetryGroup:  follow.NewRetryGroup(),
 			OnChange:    func(view platform.TableView) { f.recordInForce(vm, view.Revision) },
