relay: a run without a response counts as an attempt

Cause: a run was counted when the head of its response arrived. A replica that hangs runs the stream and never responds; after 1.5 s the stream continues elsewhere, and that run was not counted. If the second run broke too, a third followed.

Reproduced: TestRunWithoutAnswerCountsAsAttempt, 2 of 2 runs failed before (3 replicas, 2 allowed).

Change: a send counts from its start until it is known that the replica did not run it: not sent, declared as not run, or this VM cut off from the replica. A replica that did not respond does not count once it has ended, which is asked only when it decides whether the stream may be sent again. TestRunThatEndsItsReplicaDoesNotCountAsAttempt holds before and after: without that question the stream would be lost.

Run with the race detector: package relay, and the tests of package platform for streams, crashes and VMs that are cut off; all passed.

--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -52,6 +52,8 @@
 	// first event did. Both are zero before.
 	responseAt   time.Time
 	firstEventAt time.Time
+	// runs counts the replicas that may have run the request.
+	runs runTally
 	// cleared is set once a run of this generation has succeeded.
 	cleared bool
 	// gaps are the statistics of the gaps between events so far.
@@ -65,8 +67,6 @@
 	mu sync.Mutex
 	// lastEvent is the id of the last event that the caller has received.
 	lastEvent string
-	// runs counts the replicas that may have run the request.
-	runs int
 	// prepared is a path for the next send, reserved before the current send was ended.
 	prepared *layers.Reservation
 	// closed is set when no further send will follow.
@@ -78,6 +78,7 @@
 	g := &generation{h: h, q: q, w: w, table: h.Pools.of(q.service), excluded: map[incarnation.Key]bool{}, lastEvent: q.LastEventID}
 	failure := g.run(ctx)
 	g.close()
+	q.runs = g.runs.count()
 	h.finish(q, failure)
 	switch {
 	case failure == nil:
@@ -126,7 +127,11 @@
 	if failure := g.h.crashes.refusal(g.q); failure != nil {
 		return nil, failure.WithCause(err)
 	}
-	if ctx.Err() != nil || !g.mayResend() || mayHaveArrived(err) && !g.waitForRetry(ctx) {
+	if ctx.Err() == nil && !g.mayResend() {
+		g.q.decisionLog.add("not sent again", zap.Int("runs", g.runs.count()), zap.Int("allowed", g.q.profile.MaxAttempts))
+		return nil, failureOf(ctx, g.q, err)
+	}
+	if ctx.Err() != nil || mayHaveArrived(err) && !g.waitForRetry(ctx) {
 		return nil, failureOf(ctx, g.q, err)
 	}
 	reservation, failure := g.admit(ctx)
@@ -136,17 +141,30 @@
 	return reservation, failure
 }
 
-// mayResend reports whether the generation may be sent again.
+// mayResend reports whether the generation may be sent again. It may query replicas that did not
+// respond whether they have ended.
 func (g *generation) mayResend() bool {
 	mayRepeat := g.q.profile.Repeatable() || !g.q.sendGuard.MayHaveRun()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	resumable := g.events.Load() == 0 || g.q.profile.Resumable && g.lastEvent != ""
 	limit := maxSends
 	if g.events.Load() > 0 {
 		limit = maxResends
 	}
-	return mayRepeat && resumable && int(g.sends.Load()) < limit && g.runs < max(1, g.q.profile.MaxAttempts)
+	if !mayRepeat || !g.resumable() || int(g.sends.Load()) >= limit {
+		return false
+	}
+	return !g.runs.reached(max(1, g.q.profile.MaxAttempts), g.hasEnded)
+}
+
+// resumable reports whether another send can continue the stream where the caller has it.
+func (g *generation) resumable() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.events.Load() == 0 || g.q.profile.Resumable && g.lastEvent != ""
+}
+
+// hasEnded reports whether a replica is known to have ended.
+func (g *generation) hasEnded(replica layers.Replica) bool {
+	return probeEnded(g.h.engineEnded(replica.Address, replica.Key())) == endedYes
 }
 
 // takeRetry takes one send out of the retry budget and reports whether there was one.
--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -34,19 +34,19 @@
 	defer cancel(nil)
 	watch := newStallWatch(ctx, g, reservation, cancel)
 	defer watch.stop()
+	g.runs.beginSend()
 	x, err := g.h.open(ctx, g.q, target{address: first.Address, incarnation: first.Key(), dataCentre: first.DataCentre, path: path}, g.lastEvent)
 	if err != nil {
+		g.recordNoResponse(ctx, first, err)
 		return g.handleSendError(ctx, first, err)
 	}
 	defer x.close()
 	if x.head.NotRun {
+		g.runs.discount()
 		return g.handleRejection(x, path)
 	}
 	g.responseAt = time.Now()
-	g.mu.Lock()
-	g.runs++
-	g.q.runs = g.runs
-	g.mu.Unlock()
+	g.runs.recordResponse()
 	if x.resp.StatusCode != http.StatusOK {
 		return g.forwardFailure(x)
 	}
@@ -56,6 +56,16 @@
 	return nil
 }
 
+// recordNoResponse records in the tally of runs that a send has ended without a response.
+func (g *generation) recordNoResponse(ctx context.Context, first layers.Replica, err error) {
+	var lost *wayLostError
+	if !mayHaveArrived(err) || errors.As(context.Cause(ctx), &lost) {
+		g.runs.discount()
+		return
+	}
+	g.runs.recordNoResponse(first)
+}
+
 // handleSendError excludes the replica at fault from the next path: the first one, unless the
 // stream stalled at another. It excludes none if the caller has left, the deadline has passed or
 // the replica is throttled. It returns the error that ended the send.
--- a/internal/relay/stall_check.go
+++ b/internal/relay/stall_check.go
@@ -45,7 +45,11 @@
 // resendThroughPeer ends the send if its connection is direct and this VM is cut off from all replicas.
 // It reports whether it did. The stream then continues through a peer, possibly at the same replica.
 func (w *stallWatch) resendThroughPeer(c stallCheck) bool {
-	if !w.g.q.direct.Load() || !w.g.h.Reach.CutOff() || !w.stillStalled(c) || !w.g.prepareResend(nil, 0) {
+	if !w.g.q.direct.Load() || !w.g.h.Reach.CutOff() || !w.stillStalled(c) {
+		return false
+	}
+	w.g.runs.discount()
+	if !w.g.prepareResend(nil, 0) {
 		return false
 	}
 	first := w.reservation.Path().First()
