settings: section [overload] for relaying VMs

docs/overload.md specifies limits by priority for services whose profiles differ in priority. Operators need keys to size the reserves and to switch the feature off.

Settings.Overload holds mode, reserve, late_reserve and min_served; RelayKeys gives their bounds, defaults and help texts. No code reads the settings yet.

Tests run: gofmt, go vet ./internal/settings, go test ./internal/settings ./internal/cli/... ./cmd/...; go test ./platform -run TestSettingsTemplate. The new tests fail if two fields are exchanged or the bound of late_reserve is moved to 0.6.

--- a/internal/settings/relay_keys.go
+++ b/internal/settings/relay_keys.go
@@ -43,6 +43,18 @@
 	{Section: "retries", Name: "window", Kind: KindDuration, Default: "10s", Min: "1s", Max: "10m",
 		Doc:   "Time over which sends beyond the first are counted.",
 		field: func(s *Settings) any { return &s.Relay.RetryWindow }},
+	{Section: "overload", Name: "mode", Kind: KindChoice, Choices: []string{"auto", "off"}, Default: "auto",
+		Doc:   "auto: priorities decide who is served where the profiles of a model's service differ in priority. off: never.",
+		field: func(s *Settings) any { return &s.Overload.Mode }},
+	{Section: "overload", Name: "reserve", Kind: KindFloat, Default: "0.08", Min: "0", Max: "0.5",
+		Doc:   "Part of a replica's slots and memory that is kept from each priority for the more urgent ones: the second most urgent leaves one such part, the third two, and so on, three at most.",
+		field: func(s *Settings) any { return &s.Overload.Reserve }},
+	{Section: "overload", Name: "late_reserve", Kind: KindFloat, Default: "0.2", Min: "0", Max: "0.5",
+		Doc:   "Part that is kept from requests which can no longer meet their objective, for those which can.",
+		field: func(s *Settings) any { return &s.Overload.LateReserve }},
+	{Section: "overload", Name: "min_served", Kind: KindFloat, Default: "0.35", Min: "0", Max: "1",
+		Doc:   "A profile whose served part falls below this fraction of the most served one's may use what the most urgent may use.",
+		field: func(s *Settings) any { return &s.Overload.MinServed }},
 }...)
 
 // sharedKeys returns the keys of Keys whose names are listed for their section, in the
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	Shutdown  Shutdown
 	Log       Log
 	Metrics   Metrics
-	// Relay is only set for relaying VMs.
-	Relay Relay
+	// Relay and Overload are only set for relaying VMs.
+	Relay    Relay
+	Overload Overload
 }
