layers: streams that pass through a replica do not use its slots

Cause: a replica reports the requests that run and wait there, with those that only pass through it; the code took them all for requests that begin there. A replica with the middle layers of most paths then seemed to have no slot left.

Change: a VM estimates the part that begins at a replica from its own streams there, over the last reports. Without any, it counts all, as before. Reports also carry how many requests wait.

--- a/internal/layers/load.go
+++ b/internal/layers/load.go
@@ -27,9 +27,11 @@
 	Total float64 `json:"t"`
 	// Pace is the replica's step time relative to its kind of card; above 1 it is slower.
 	Pace float64 `json:"p"`
-	// EntryRequests is how many requests run or wait at the replica as the first one of their
-	// paths.
-	EntryRequests int `json:"n,omitempty"`
+	// Streams is how many requests run or wait at the replica, whether their paths begin here or
+	// pass through.
+	Streams int `json:"n,omitempty"`
+	// Queued is how many of them wait.
+	Queued int `json:"q,omitempty"`
 	// Sequence is how many orders the incarnation has begun.
 	Sequence uint64 `json:"s,omitempty"`
 	// Held is the range of layers that the replica has loaded.
@@ -60,6 +62,7 @@
 		s.downUntil = time.Time{}
 		s.applyReportedRange(t.spec, load)
 		s.load, s.reservedAtReport, s.entryRequestsAtReport = load, s.reserved, s.entryRequests
+		s.entryFraction.observe(s.entryRequests, s.streams)
 		if load.Pace > 0 {
 			s.pace, s.paceAt = load.Pace, load.At
 		}
--- a/internal/layers/path_test.go
+++ b/internal/layers/path_test.go
@@ -271,7 +271,7 @@
 	table.Update(spec, append(first, other[0]))
 	reportAll(table, 0.1)
 	full := table.replicas[first[0].Key()]
-	full.load.EntryRequests = spec.Slots
+	full.load.Streams = spec.Slots
 	for range 5 {
 		reservation, err := table.Reserve(meanQuery)
 		if err != nil {
--- a/internal/layers/replica_state.go
+++ b/internal/layers/replica_state.go
@@ -31,8 +31,11 @@
 	reserved float64
 	// capacity is the memory for requests, in tokens times layers.
 	capacity float64
-	// entryRequests is how many of this VM's requests have their first stage here.
+	// entryRequests is how many of this VM's requests have their first stage here, streams how many
+	// have any stage here.
 	entryRequests int
+	streams       int
+	entryFraction entryFraction
 
 	// load is the last report. reservedAtReport and entryRequestsAtReport are this VM's
 	// reserved and entryRequests when it arrived.
@@ -130,11 +133,17 @@
 	if !s.hasFreshLoad(now) {
 		return withinShare
 	}
-	after := s.load.EntryRequests + s.entryRequests - s.entryRequestsAtReport + 1
+	after := s.reportedEntries() + float64(s.entryRequests-s.entryRequestsAtReport+1)
 	if withinShare {
-		return after <= slots
+		return after <= float64(slots)
 	}
-	return s.entryRequests < int(a.limit*float64(slots)) && float64(after) <= fullThreshold*float64(slots)
+	return s.entryRequests < int(a.limit*float64(slots)) && after <= fullThreshold*float64(slots)
+}
+
+// reportedEntries estimates how many of the reported requests have their first stage here. Only these
+// use the replica's slots.
+func (s *replicaState) reportedEntries() float64 {
+	return float64(s.load.Streams) * s.entryFraction.value()
 }
 
 // shareUsed returns the fraction of its share of the memory that this VM uses. The
--- a/internal/layers/reservation.go
+++ b/internal/layers/reservation.go
@@ -150,6 +150,7 @@
 			continue
 		}
 		s.reserved = max(0, s.reserved+sign*r.query.tokens()*float64(stage.Layers.Len()))
+		s.streams = max(0, s.streams+int(sign))
 		if i == 0 {
 			s.entryRequests = max(0, s.entryRequests+int(sign))
 		}
--- a/internal/loads/parts_test.go
+++ b/internal/loads/parts_test.go
@@ -109,7 +109,7 @@
 			part := map[incarnation.Key]layers.Load{}
 			for i := range 584 {
 				part[incarnation.Key{ID: fmt.Sprintf("i-%010x", random.Uint64N(1<<40)), Born: 1_790_469_878_000 + random.Int64N(3_000)}] = layers.Load{
-					Used: float64(random.IntN(300) * 934 * 7), Total: 5.1e6, Pace: 1, EntryRequests: random.IntN(3), Sequence: 1, Held: config.LayerRange{From: i % 70, To: i%70 + 7},
+					Used: float64(random.IntN(300) * 934 * 7), Total: 5.1e6, Pace: 1, Streams: random.IntN(3), Sequence: 1, Held: config.LayerRange{From: i % 70, To: i%70 + 7},
 				}
 			}
 			loads[fmt.Sprint("dc", d)] = part
