layers: placement by the bottleneck

Cause: the shortage of a placement is the sum over the layers of the inverse capacity. A few layers with half of the capacity hardly count among 80, so after the first layout cards narrowed and left layers with less: the least capacity in requests, in the three data centres of the first operator, went from 471, 632 and 588 to 294, 632 and 412. After the loss of three cards in a row little was replaced.

Change: with Spec.PlaceForBottleneck the third power of the inverse counts, no move lowers the least capacity, and a card that only widens moves for a gain of 0.05. Nothing sets it yet.

--- a/internal/layers/coverage.go
+++ b/internal/layers/coverage.go
@@ -83,13 +83,22 @@
 func (c *coverage) shortage() float64 {
 	sum := 0.0
 	for _, capacity := range c.capacity {
-		sum += layerShortage(capacity)
+		sum += c.spec.layerShortage(capacity)
 	}
 	return sum
 }
 
-// layerShortage returns the shortage of a layer with the given capacity.
-func layerShortage(capacity float64) float64 { return 1 / (max(0, capacity) + uncoveredCapacity) }
+// layerShortage returns the shortage of a layer with the given capacity: its inverse, or where the
+// bottleneck counts the third power of that. A sum of inverses hardly tells a layer with half of the
+// capacity from 80 others, and cards then narrow to where they add capacity that no request can use.
+// With a higher power, a layer without a holder would hide the differences between the others.
+func (s *Spec) layerShortage(capacity float64) float64 {
+	inverse := 1 / (max(0, capacity) + uncoveredCapacity)
+	if s.PlaceForBottleneck {
+		return inverse * inverse * inverse
+	}
+	return inverse
+}
 
 // bestRange returns the range for a card that leaves the least shortage, and that shortage.
 // The card's present range must not be counted in c.
@@ -154,7 +163,7 @@
 func (c *coverage) sums(more float64) []float64 {
 	sums := make([]float64, c.spec.Layers+1)
 	for l, capacity := range c.capacity {
-		sums[l+1] = sums[l] + layerShortage(capacity+more)
+		sums[l+1] = sums[l] + c.spec.layerShortage(capacity+more)
 	}
 	return sums
 }
--- a/internal/layers/rebalance.go
+++ b/internal/layers/rebalance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"geraniumcroft/internal/config"
 )
@@ -22,6 +23,8 @@
 	// there would serve no requests. 120 is the capacity that was best for the fast cards of a data
 	// centre of 13.
 	narrowBelowCapacity = 120
+	// minBottleneckGain is minMoveGain for a card that widens where the bottleneck counts.
+	minBottleneckGain = 0.05
 	// nearBestGain is the fraction of the best move's gain from which a cheaper card is
 	// moved instead.
 	nearBestGain = 0.8
@@ -34,6 +37,15 @@
 	maxMovesPerPass = 3
 )
 
+// minWidenGain returns the fraction of the shortage that a card must remove by widening. A card that widens
+// continues to serve its layers, so where the bottleneck counts a small gain is enough.
+func (s *Spec) minWidenGain() float64 {
+	if s.PlaceForBottleneck {
+		return minBottleneckGain
+	}
+	return minMoveGain
+}
+
 // move is a change of the layers of a card.
 type move struct {
 	card int
@@ -92,7 +104,7 @@
 		case !r.Loading:
 			for _, m := range movesOfCard(spec, r, held, c, reported) {
 				m.card, m.gain = i, now-m.remaining
-				if m.gain >= m.minGain*now {
+				if m.gain >= m.minGain*now && !(spec.PlaceForBottleneck && lowersLeast(c, spec.kind(r.Kind), held, m.to)) {
 					moves = append(moves, m)
 				}
 			}
@@ -101,6 +113,17 @@
 	return moves
 }
 
+// lowersLeast reports whether the layer with the least capacity has less after a card has moved.
+func lowersLeast(c *coverage, k Accelerator, held, to config.LayerRange) bool {
+	before := slices.Min(c.capacity)
+	c.add(k, held, -1)
+	c.add(k, to, 1)
+	after := slices.Min(c.capacity)
+	c.add(k, to, -1)
+	c.add(k, held, 1)
+	return after < before-uncoveredCapacity
+}
+
 // movesOfCard returns the possible moves of a card that holds layers.
 func movesOfCard(spec *Spec, r Replica, held config.LayerRange, c *coverage, reported holderCounts) []move {
 	k := spec.kind(r.Kind)
@@ -109,7 +132,7 @@
 	cost := k.MemoryMB / max(1, k.StepTimeFactor)
 	var moves []move
 	if to, remaining := c.bestWider(k, held); to != held {
-		moves = append(moves, move{to: to, remaining: remaining, minGain: minMoveGain, cost: cost})
+		moves = append(moves, move{to: to, remaining: remaining, minGain: spec.minWidenGain(), cost: cost})
 	}
 	if to, remaining := c.bestNarrower(k, held); to != held && c.requests(k, held.Len()) < narrowBelowCapacity && reported.canSpare(held, to) {
 		moves = append(moves, move{to: to, remaining: remaining, minGain: minNarrowGain, cost: cost})
--- a/internal/layers/spec.go
+++ b/internal/layers/spec.go
@@ -36,6 +36,9 @@
 	// MeanPrompt and MeanAnswer are the mean numbers of tokens of a request.
 	MeanPrompt int
 	MeanAnswer int
+	// PlaceForBottleneck makes the placement raise the capacity of the layers that have the least,
+	// which bounds how many requests are served at once.
+	PlaceForBottleneck bool
 	// Accelerators are the kinds of cards, by the name that Replica.Kind gives.
 	Accelerators map[string]Accelerator
 }
