layers: paths of competing requests by headroom and estimates of time

Cause: a VM's even share of the slots and memory decided who is served, whatever the priority, while other VMs' shares were idle; what a VM had started since a report was counted from its arrival, 1 to 3 s late.

Change: a Query with a class of several ranks uses a replica up to the limit of its class. What this VM uses is added to a report from the time that the report shows. A path on which the request would be late, by the engine's description and the reported work, leaves the reserve of late requests. Full replicas are dropped before the search. Table.Adopt reserves a path that was chosen elsewhere.

Queries without a class are decided as before (TestOnePriorityIsNotLimited).

--- a/internal/layers/bottleneck.go
+++ b/internal/layers/bottleneck.go
@@ -46,16 +46,30 @@
 	return "room"
 }
 
+// lackOfHeadroom describes why a replica has no memory left for a competing request: its class may use
+// no more, or this VM has taken its part of what is free until the next report.
+func (s *search) lackOfHeadroom(r *replicaState) string {
+	u := s.usable(r.DataCentre)
+	grown := r.reserved - r.useAtReport.reserved
+	usage := max(r.reserved, usageGrowth*r.load.Used+grown)
+	free := min(u.fraction, maxMemoryUse)*r.capacity - usageGrowth*r.load.Used
+	return fmt.Sprintf("is full for rank %d (late %t): %.2f of %.2f used, this VM added %.3f of a part of %.3f since the report", s.query.Class.Rank, s.query.Class.Late,
+		usage/max(1, r.capacity), u.fraction, grown/max(1, r.capacity), u.growth*free/max(1, r.capacity))
+}
+
 // obstacle returns why a replica cannot serve the request, empty if it can.
 func (s *search) obstacle(r *replicaState, entry bool) string {
-	a := s.table.vmCounts.allowance(r.DataCentre)
-	if entry && !r.admitsEntry(s.table.spec.Slots, a, s.now) {
-		return fmt.Sprintf("takes no more entries: %d of this VM", r.entryRequests)
+	if entry && !s.admitsEntry(r) {
+		return fmt.Sprintf("takes no more entries: %d of this VM, all %d", r.entryRequests, int(r.reportedEntries()))
 	}
-	if r.fits(s.query.tokens(), a, s.now) {
+	if s.fits(r, s.query.tokens()) {
 		return ""
 	}
+	if s.query.Class.Competing() && r.hasFreshLoad(s.now) {
+		return s.lackOfHeadroom(r)
+	}
 	usage, known := r.usage(s.now)
+	share := s.share(r)
 	return fmt.Sprintf("is full: this VM holds %.2f of a part of %.2f, all %.2f (reported %t)",
-		r.reserved/max(1, r.capacity), a.share, usage/max(1, r.capacity), known)
+		r.reserved/max(1, r.capacity), share, usage/max(1, r.capacity), known)
 }
--- a/internal/layers/cost.go
+++ b/internal/layers/cost.go
@@ -35,7 +35,7 @@
 // firstStageCost returns the cost of reaching a path's first replica, in seconds. It is
 // infinite if the replica takes no request now.
 func (s *search) firstStageCost(r *replicaState) float64 {
-	if s.fromCaller && !r.admitsEntry(s.table.spec.Slots, s.table.vmCounts.allowance(r.DataCentre), s.now) {
+	if s.fromCaller && !s.admitsEntry(r) {
 		return math.Inf(1)
 	}
 	if s.fromCaller && !s.open(r) {
@@ -74,7 +74,7 @@
 func (s *search) stageCost(r *replicaState, n int) float64 {
 	spec := s.table.spec
 	amount := s.query.tokens() * float64(n)
-	if !r.fits(amount, s.table.vmCounts.allowance(r.DataCentre), s.now) || s.query.MaxUsage > 0 && r.usageAbove(s.query.MaxUsage, s.now) {
+	if !s.fits(r, amount) || s.query.MaxUsage > 0 && r.usageAbove(s.query.MaxUsage, s.now) {
 		return math.Inf(1)
 	}
 	used := r.shareUsed(s.share(r))
--- a/internal/layers/load.go
+++ b/internal/layers/load.go
@@ -45,6 +45,11 @@
 	At time.Time `json:"-"`
 }
 
+// plausible reports whether the load can be true. One that is not would open a full replica.
+func (l Load) plausible(now time.Time) bool {
+	return l.Used >= 0 && l.Streams >= 0 && l.Queued >= 0 && !l.At.After(now)
+}
+
 // SetLoads applies the load reports of replicas. A report of an incarnation that is not
 // listed, no longer or not yet, says nothing of the one that is listed and is dropped.
 func (t *Table) SetLoads(loads map[incarnation.Key]Load) {
@@ -52,7 +57,7 @@
 	defer t.mu.Unlock()
 	for k, load := range loads {
 		s := t.replicas[k]
-		if s == nil {
+		if s == nil || !load.plausible(time.Now()) {
 			continue
 		}
 		if load.Down {
@@ -62,9 +67,11 @@
 		s.downUntil = time.Time{}
 		s.applyReportedRange(t.spec, load)
 		s.load, s.reservedAtReport, s.entryRequestsAtReport = load, s.reserved, s.entryRequests
+		s.useAtReport = s.history.at(load.At.Add(-meanReportLag))
 		s.entryFraction.observe(s.entryRequests, s.streams)
 		if load.Pace > 0 {
 			s.pace, s.paceAt = load.Pace, load.At
 		}
 	}
+	t.updateDemands(time.Now())
 }
--- a/internal/layers/query.go
+++ b/internal/layers/query.go
@@ -2,8 +2,10 @@
 
 import (
 	"maps"
+	"time"
 
 	"geraniumcroft/internal/incarnation"
+	"geraniumcroft/internal/overload"
 )
 
 // Query describes what a request requires of a path.
@@ -22,6 +24,12 @@
 	// SpareEntries is how many replicas at which a path can begin must remain if the one at
 	// which this path begins fails. 0 asks for none.
 	SpareEntries int
+	// Class is how the request competes for the replicas; the zero value if it does not.
+	Class overload.Class
+	// FirstEventWithin is the time in which a competing request needs its first event, Gap the longest
+	// pause that its caller accepts between two events; 0 for none.
+	FirstEventWithin time.Duration
+	Gap              time.Duration
 }
 
 // excluding returns a copy of the query that excludes more replicas. The copy has its own
--- a/internal/layers/replica_state.go
+++ b/internal/layers/replica_state.go
@@ -37,11 +37,13 @@
 	streams       int
 	entryFraction entryFraction
 
-	// load is the last report. reservedAtReport and entryRequestsAtReport are this VM's
-	// reserved and entryRequests when it arrived.
+	// load is the last report. reservedAtReport and entryRequestsAtReport are this VM's reserved and
+	// entryRequests when it arrived, useAtReport is the use that the report shows.
 	load                  Load
 	reservedAtReport      float64
 	entryRequestsAtReport int
+	useAtReport           use
+	history               useHistory
 	// listed is the range that discovery shows, listedAt is when this VM first saw it.
 	listed   config.LayerRange
 	listedAt time.Time
--- a/internal/layers/reservation.go
+++ b/internal/layers/reservation.go
@@ -11,12 +11,81 @@
 	table      *Table
 	query      Query
 	reservedAt time.Time
+	// onRelease is set before the reservation is shared; may be nil.
+	onRelease func(ok bool)
 
 	// table.mu guards the fields below.
 	path     Path
 	released bool
 }
 
+// Adopt reserves memory on a path that was chosen elsewhere. It returns ErrNoPath if a replica of the path
+// is not listed or the path does not cover the model.
+func (t *Table) Adopt(query Query, path Path) (*Reservation, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(Path, len(path))
+	for i, stage := range path {
+		s := t.replicas[stage.Replica.Key()]
+		if s == nil || s.Draining {
+			return nil, ErrNoPath
+		}
+		listed[i] = Stage{Replica: s.Replica, Layers: stage.Layers}
+	}
+	if !listed.Covers(t.spec.Layers) || len(listed) > maxStages {
+		return nil, ErrNoPath
+	}
+	r := &Reservation{table: t, query: query, reservedAt: time.Now(), path: listed}
+	r.adjustReserved(1)
+	return r, nil
+}
+
+// AdoptRunning is Adopt for a path of a request that runs already, so that the reports of the replicas show
+// it.
+func (t *Table) AdoptRunning(query Query, path Path) (*Reservation, error) {
+	r, err := t.Adopt(query, path)
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.adjustPast(1)
+	return r, nil
+}
+
+// Forget releases the reservation of a request that goes on and is not accounted for here any more. The
+// reports of the replicas still show it.
+func (r *Reservation) Forget() {
+	t := r.table
+	t.mu.Lock()
+	if !r.released {
+		r.adjustPast(-1)
+	}
+	t.mu.Unlock()
+	r.Release(false)
+}
+
+// adjustPast adds the reservation to what this VM used in the past or, with sign -1, subtracts it.
+// r.table.mu is held.
+func (r *Reservation) adjustPast(sign float64) {
+	for i, stage := range r.path {
+		s := r.table.replicas[stage.Replica.Key()]
+		if s == nil {
+			continue
+		}
+		more := use{reserved: sign * r.query.tokens() * float64(stage.Layers.Len()), streams: int(sign)}
+		if i == 0 {
+			more.entries = int(sign)
+		}
+		s.useAtReport = s.useAtReport.plus(more)
+		s.history.adjust(more)
+	}
+}
+
+// OnRelease sets a function that is called, without the table's lock, once the reservation is released, with
+// the argument of Release.
+func (r *Reservation) OnRelease(f func(ok bool)) { r.onRelease = f }
+
 // Path returns the present path. The caller must not modify it.
 func (r *Reservation) Path() Path {
 	r.table.mu.Lock()
@@ -102,6 +171,7 @@
 	}
 	query := r.query.excluding(exclude...)
 	query.Prompt += written
+	query.Class = query.Class.Started()
 	return query
 }
 
@@ -123,22 +193,30 @@
 // Release frees the reserved memory. Ok says whether every stage did its work, which ends
 // suspicions against them. Only the first call has an effect.
 func (r *Reservation) Release(ok bool) {
+	if r.release(ok) && r.onRelease != nil {
+		r.onRelease(ok)
+	}
+}
+
+// release is Release without onRelease. It reports whether it was the first call.
+func (r *Reservation) release(ok bool) bool {
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.released {
-		return
+		return false
 	}
 	r.released = true
 	r.adjustReserved(-1)
 	if !ok {
-		return
+		return true
 	}
 	for _, stage := range r.path {
 		if s := t.replicas[stage.Replica.Key()]; s != nil {
 			s.served(r.reservedAt)
 		}
 	}
+	return true
 }
 
 // adjustReserved adds the reserved memory on each stage or, with sign -1, subtracts it.
@@ -154,5 +232,6 @@
 		if i == 0 {
 			s.entryRequests = max(0, s.entryRequests+int(sign))
 		}
+		s.history.add(time.Now(), use{reserved: s.reserved, entries: s.entryRequests, streams: s.streams})
 	}
 }
--- a/internal/layers/search.go
+++ b/internal/layers/search.go
@@ -71,6 +71,9 @@
 	if s.fromCaller && s.query.SpareEntries > 0 && s.entries() <= s.query.SpareEntries {
 		return nil, ErrNoSpareEntry
 	}
+	if s.query.Class.Competing() && !s.dropFull() {
+		return nil, ErrNoCapacity
+	}
 	s.computeSteps()
 	path := s.backtrack()
 	if path == nil {
@@ -124,6 +127,13 @@
 	return len(s.holders) > 0 && next >= s.to
 }
 
+// dropFull drops the holders without capacity for a competing request, and reports whether the others hold
+// every layer. In an overload most searches end here, at a small part of the cost.
+func (s *search) dropFull() bool {
+	s.holders = slices.DeleteFunc(s.holders, func(r *replicaState) bool { return !s.fits(r, 0) })
+	return s.covered()
+}
+
 // entries returns how many of the holders a path can begin at.
 func (s *search) entries() int {
 	n := 0
--- a/internal/layers/spec.go
+++ b/internal/layers/spec.go
@@ -27,6 +27,10 @@
 	StepPerContext  time.Duration
 	// PrefillTokensPerSecond is the prefill rate of a card with a PrefillTimeFactor of 1.
 	PrefillTokensPerSecond float64
+	// PrefillChunk is the largest number of prompt tokens that a card reads in a decoding step, Stride
+	// the number of decoding steps of a pass, and so of tokens of an event.
+	PrefillChunk int
+	Stride       int
 	// LinkMbps is the bandwidth between two data centres; 0 means unlimited.
 	LinkMbps float64
 	// LinkDelay is the one-way delay between two data centres.
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -7,8 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/incarnation"
+	"geraniumcroft/internal/overload"
 )
 
 // Table is this VM's view of the replicas of one model, with the memory that its own
@@ -20,13 +23,16 @@
 	vmCounts    VMCounts
 	linkBudgets linkBudgets
 	gate        Gate
+	// limits are for requests that compete by class, demands by data centre.
+	limits  overload.Limits
+	demands map[string]demand
 	// onRemoteSearch is called when a path is searched for in all data centres.
 	onRemoteSearch func()
 }
 
 // NewTable returns a table without replicas.
 func NewTable() *Table {
-	return &Table{spec: &Spec{}, replicas: map[incarnation.Key]*replicaState{}, vmCounts: VMCounts{Fleet: 1, Local: 1}, linkBudgets: linkBudgets{}, gate: openGate{}, onRemoteSearch: func() {}}
+	return &Table{spec: &Spec{}, replicas: map[incarnation.Key]*replicaState{}, vmCounts: VMCounts{Fleet: 1, Local: 1}, linkBudgets: linkBudgets{}, demands: map[string]demand{}, gate: openGate{}, onRemoteSearch: func() {}}
 }
 
 // SetVMCounts sets how many VMs share the replicas.
@@ -110,9 +116,24 @@
 	return r, nil
 }
 
-// findPath searches for a path in the request's own data centre, and in all data centres if that has
-// none or little room left on it. A search takes as long as the replicas that it considers are many.
+// findPath finds a path. A competing request that would be late on it leaves the reserve of late
+// requests to those that can be in time.
 func (t *Table) findPath(query Query, now time.Time) (Path, *search, error) {
+	path, s, err := t.cheapestPath(query, now)
+	if err != nil || !query.Class.Competing() || query.Class.Late || s.inTime(path) {
+		return path, s, err
+	}
+	query.Class.Late = true
+	path, s, err = t.cheapestPath(query, now)
+	if errors.Is(err, ErrNoCapacity) {
+		err = ErrNotInTime
+	}
+	return path, s, err
+}
+
+// cheapestPath searches for a path in the request's own data centre, and in all data centres if that has
+// none or little room left on it. A search takes as long as the replicas that it considers are many.
+func (t *Table) cheapestPath(query Query, now time.Time) (Path, *search, error) {
 	s := &search{table: t, query: query, now: now, to: t.spec.Layers, fromDC: query.DataCentre, fromCaller: true, onlyDC: query.DataCentre}
 	if query.DataCentre != "" {
 		// Replicas of other data centres go before suspected ones of this data centre.
@@ -149,6 +170,29 @@
 	t.gate = gate
 }
 
+// TakeEntry consumes one of the requests that the first replica of a path accepts, and reports whether it
+// may be sent; see Gate.
+func (t *Table) TakeEntry(first Replica) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.gate.Take(first.Key(), time.Now())
+}
+
+// Avoided returns the replicas that this VM avoids now or that its gate holds back, and the excluded ones.
+func (t *Table) Avoided(excluded map[incarnation.Key]bool) []incarnation.Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	avoided := slices.Collect(maps.Keys(excluded))
+	for k, s := range t.replicas {
+		open, _ := t.gate.Open(k, now)
+		if (s.suspected(now) || !open) && !excluded[k] {
+			avoided = append(avoided, k)
+		}
+	}
+	return avoided
+}
+
 // Suspect makes new paths avoid a replica for a while: a request found it dead, silent or
 // without the layers that it had reported. A later incarnation of the replica is not
 // affected.
--- a/internal/layers/vm_counts.go
+++ b/internal/layers/vm_counts.go
@@ -31,6 +31,9 @@
 	// this VM.
 	Fleet int
 	Local int
+	// Whole is set for a table that allocates paths for all VMs of the data centre. Fleet is then the
+	// number of data centres and Local is 1.
+	Whole bool
 }
 
 // share returns the fraction of the memory and slots of a replica in a data centre that
@@ -62,7 +65,12 @@
 
 // freePart returns the fraction of the memory reported as free that this VM may take until
 // the next report. Few VMs go beyond their share at the same time.
-func (c VMCounts) freePart() float64 { return min(1, maxFreeShares/float64(max(1, c.Fleet))) }
+func (c VMCounts) freePart() float64 {
+	if c.Whole {
+		return 1 / float64(max(1, c.Fleet))
+	}
+	return min(1, maxFreeShares/float64(max(1, c.Fleet)))
+}
 
 // mayStartOn reports whether this VM may send one request to a replica of its data centre of which
 // no load is known, although its even share is less than a request. Room is the number of requests
