admission: work-conserving requests

Cause: a request at the head of a queue that finds no capacity keeps others waiting that could start. In order of arrival, each waiting request starts only just before it is refused, and is then often late.

Change: a request with WorkConserving starts on arrival if it can, does not keep others from starting, waits for MaxQueueWait at most, whatever the estimate says, and the newest of a workspace goes first. Others are queued as before.

Measured: go test ./internal/admission; what callers get is measured with the allocator, by the load test of internal/relay.

--- a/internal/admission/bypass.go
+++ b/internal/admission/bypass.go
@@ -20,26 +20,30 @@
 // example because their adapters are loaded on some targets only. Without bypassing, a
 // request whose targets are full would block all others of its level while their
 // targets are idle. Requests of the same profile are not tried, because they find no
-// more capacity than w. maxBypassed prevents the starvation of a request that needs
-// several slots at once by requests that need one.
+// more capacity than w, unless they are work-conserving: w may need more than others, or exclude
+// targets that others can use. maxBypassed prevents the starvation of a request that needs several slots
+// at once by requests that need one.
 func (p *pool) startBypassing(w *waiter, now time.Time) bool {
-	if w.bypassed >= maxBypassed {
+	if w.bypassed >= maxBypassed && !w.request.WorkConserving {
 		return false
 	}
 	l := p.levels[w.request.Urgency]
-	tried := [maxBypassTries + 1]string{w.request.Profile}
-	count := 1
+	tried := []string{}
+	if !w.request.WorkConserving {
+		tried = append(tried, w.request.Profile)
+	}
+	tries := 0
 	for _, f := range l.waiting[:min(len(l.waiting), maxBypassScan)] {
 		other := f.head()
-		if other.expired(now) || slices.Contains(tried[:count], other.request.Profile) {
+		if other.expired(now) || other == w || !w.request.WorkConserving && slices.Contains(tried, other.request.Profile) {
 			continue
 		}
 		if p.start(other, now) {
 			w.bypassed++
 			return true
 		}
-		tried[count] = other.request.Profile
-		if count++; count == len(tried) {
+		tried = append(tried, other.request.Profile)
+		if tries++; tries == maxBypassTries {
 			return false
 		}
 	}
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -54,8 +54,12 @@
 
 // head returns the next request, nil if there is none. Each class is first in, first
 // out; of the first requests of all classes, the one with the earliest start deadline
-// is next.
+// is next. Of work-conserving requests the newest is next: in an overload each of them
+// would otherwise start only just before its start deadline, and then often be late.
 func (f *flow) head() *waiter {
+	if newest := f.newest(); newest != nil && newest.request.WorkConserving {
+		return newest
+	}
 	var best *waiter
 	for class := range f.classes {
 		w := f.classes[class].first
--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -216,3 +217,31 @@
 		}
 	})
 }
+
+// Guards against a resumed stream of a service with one priority that loses its turn. Only where
+// requests compete may others of its profile start while it finds no capacity.
+func TestResumedIsBypassedOnlyWhereRequestsCompete(t *testing.T) {
+	for _, competing := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := New(Settings{}, invariant.Strict())
+			ctx, cancel := context.WithCancel(context.Background())
+			var open, started atomic.Bool
+			go func() {
+				_ = c.Admit(ctx, &Request{Pool: testPool, Profile: "p", Workspace: "a", Resume: true, WorkConserving: competing}, func() bool { return false })
+			}()
+			synctest.Wait()
+			go func() {
+				err := c.Admit(ctx, &Request{Pool: testPool, Profile: "p", Workspace: "b", WorkConserving: competing}, open.Load)
+				started.Store(err == nil)
+			}()
+			synctest.Wait()
+			open.Store(true)
+			c.Wake(testPool)
+			synctest.Wait()
+			if started.Load() != competing {
+				t.Errorf("competing %t: started %t", competing, started.Load())
+			}
+			cancel()
+		})
+	}
+}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -74,7 +74,7 @@
 	// The request counts as pending before try checks the capacity, so that Wake does
 	// not ignore capacity that becomes free after the check.
 	p.pending.Add(1)
-	if p.isNext(r) && try() {
+	if p.mayTry(r, now) && try() {
 		p.pending.Add(-1)
 		p.counts.Direct++
 		return nil, nil
@@ -87,6 +87,18 @@
 	return w, nil
 }
 
+// mayTry reports whether an arriving request may start now. For a work-conserving request the queued
+// requests go first, but do not keep it waiting if they cannot start.
+func (p *pool) mayTry(r *Request, now time.Time) bool {
+	if !r.WorkConserving {
+		return p.isNext(r)
+	}
+	if p.queued > 0 {
+		p.startBatch(now)
+	}
+	return true
+}
+
 // isNext reports whether no queued request goes before r.
 func (p *pool) isNext(r *Request) bool {
 	l := p.levels[r.Urgency]
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,7 +13,7 @@
 func (p *pool) enqueue(w *waiter, now time.Time) *outcome.Failure {
 	r := w.request
 	if !r.Resume {
-		if now.Add(p.estimateWait(w, now)).After(w.startDeadline) {
+		if !r.WorkConserving && now.Add(p.estimateWait(w, now)).After(w.startDeadline) {
 			p.counts.Deadline++
 			return refuseDeadline(p.drainTime(now))
 		}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -30,6 +30,10 @@
 	// Resume marks a preempted stream that is to continue. It goes before all other
 	// requests of its level and is queued even if the queue is full.
 	Resume bool
+	// WorkConserving lets the request start on arrival although requests before it wait, if these
+	// cannot start now. Its wait is bounded by MaxQueueWait alone, not by an estimate: where
+	// requests find different capacity, a waiting one says little about the next.
+	WorkConserving bool
 
 	// inBulkTurn is set while try is called for a bulk request that starts before
 	// normal ones, see Settings.NormalPerBulk. It is guarded by the lock of the pool.
--- a/internal/admission/review.go
+++ b/internal/admission/review.go
@@ -69,6 +69,9 @@
 	costAhead := 0.0
 	for w := waiting.first; w != nil; w = waiting.after(w) {
 		wait := above + p.wait(l, min(costAhead*l.weight/f.weight, l.cost), now)
+		if w.request.WorkConserving {
+			wait = 0
+		}
 		if now.Add(wait).After(w.startDeadline) {
 			found = append(found, w)
 			continue
--- a/internal/admission/start.go
+++ b/internal/admission/start.go
@@ -22,8 +22,8 @@
 }
 
 // startNext starts the next request, or another one of its level that may bypass it,
-// and reports whether it started one. Less urgent requests are not tried, because they
-// find no more capacity.
+// and reports whether it started one. Less urgent requests are tried only after a
+// work-conserving one; otherwise they find no more capacity.
 func (p *pool) startNext(now time.Time) bool {
 	if p.bulkDue() && p.startDueBulk(now) {
 		return true
@@ -33,8 +33,15 @@
 		if p.settings.faults.noPriority {
 			u = i
 		}
-		if w := p.nextLive(p.levels[u], now); w != nil {
-			return p.start(w, now) || p.startBypassing(w, now)
+		w := p.nextLive(p.levels[u], now)
+		if w == nil {
+			continue
+		}
+		if p.start(w, now) || p.startBypassing(w, now) {
+			return true
+		}
+		if !w.request.WorkConserving {
+			return false
 		}
 	}
 	return false
