relay, entry: overload control for services whose profiles differ in priority

Three priorities were two levels in each VM's nearly empty queue; requests waited up to 2.5 objectives and started late, in the place of others that could have been in time; the overload outlasted its cause.

Change: where the profiles of a model's service differ in priority, requests get ranks, by their workspace's priority and then their profile's, wait only as long as they can be in time, and get their paths from the allocator of the data centre (PathReserver: one queue, one table). A VM without an answer chooses by itself. [overload] mode = off switches it off. Log lines, metrics and the dump show it.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -51,6 +51,10 @@
 	Reach        reach.Dump     `json:"reach"`
 	ThroughPeers map[string]int `json:"connectionsThroughPeers"`
 	PassedOn     int            `json:"connectionsPassedOn"`
+	// Allocator is the VM that allocates paths to this one, Allocations what this VM allocates to others, nil
+	// without overload control.
+	Allocator   string           `json:"allocator,omitempty"`
+	Allocations *allocationsDump `json:"allocations,omitempty"`
 
 	Invariants invariant.Report `json:"invariants"`
 	LogDropped uint64           `json:"logLinesDropped"`
@@ -97,6 +101,8 @@
 		"replicas_detoured":       float64(p.routes.Detours(time.Now())),
 		"replicas_unreached":      gaugeOf(p.reach.CutOff()),
 		"replicas_leaving":        float64(replicas.Leaving),
+		"allocator_sessions":      float64(p.allocatorServer.Dump().Sessions),
+		"allocator_paths":         float64(p.allocatorServer.Dump().Held),
 	} {
 		p.metrics.Gauge(name).Update(value)
 	}
@@ -117,6 +123,7 @@
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
 		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()), Reach: p.reach.Dump(), ThroughPeers: p.hopPeers.Active(), PassedOn: p.hopServer.Active(),
 	}
+	dump.Allocator, dump.Allocations = p.allocator.Allocator(), p.dumpAllocations()
 	dump.Unusable, dump.UnusableTotal = p.view.unusableEntries()
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(dump); err != nil {
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -55,9 +55,11 @@
 	p.pools.SetGate(gate)
 	p.pools.OnRemoteSearch(func() { p.loadCache.WantAll() })
 	p.retryBudgets = relay.NewRetryBudgets(relay.RetryBudgetSettings{VM: s.VM.Name, Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow})
+	p.buildAllocation()
 	p.pools.SetVMCounts(layers.VMCounts{VM: s.VM.Name, DataCentre: s.VM.DataCentre, Fleet: assumedVMs, Local: assumedVMs / assumedDataCentres})
 	p.view = &view{
 		adapter: p.Adapter, pools: p.pools, balancer: p.balancer, invariants: p.invariants, logger: p.Logger,
+		allocationPools: p.allocationPools, onAllocation: p.reserver.CapacityChanged, overloadControl: p.overloadControl(),
 		replicaSet: newReplicaSet(p.Adapter.DecodeReplica, p.Logger, p.onRestart),
 		mismatched: newUnusableEntries(p.Logger),
 		isLeaving:  p.pushback.Leaving,
@@ -100,7 +102,7 @@
 		DataCentre: p.Settings.VM.DataCentre, ConfigSource: p.view, Codec: p.Adapter.Codec, Gate: p.gate,
 		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, RetryBudgets: p.retryBudgets,
 		Engines: p.Adapter.NewEngines(p.requestPool), Pool: p.requestPool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
-		Quarantine: p.quarantine, QuarantineNotifier: p.sharing, Pushback: p.pushback, Reach: p.reachProber, Incarnations: p.view.replicaSet.incarnations,
+		Quarantine: p.quarantine, QuarantineNotifier: p.sharing, Pushback: p.pushback, Reach: p.reachProber, Allocator: p.pathAllocator(), Overload: relay.NewOverloadControl(p.Settings.Overload.MinServed), Incarnations: p.view.replicaSet.incarnations,
 	})
 }
 
--- a/internal/entry/decoded_config.go
+++ b/internal/entry/decoded_config.go
@@ -21,6 +21,9 @@
 func (v *view) decodeConfig(rows map[string][]byte) (*relay.Config, error) {
 	if v.decoded.rows == nil || !sameRows(v.decoded.rows, rows) {
 		next, err := v.adapter.DecodeConfig(rows)
+		if next != nil && v.overloadControl {
+			next.EnableOverloadControl()
+		}
 		v.decoded = decodedConfig{rows: rows, config: next, err: err}
 	}
 	return v.decoded.config, v.decoded.err
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -90,6 +90,7 @@
 	p.pushback.SetFleet(p.fleet(vms), time.Now())
 	p.peers.SetPeers(p.selectPeers(vms))
 	p.hopPeers.SetPeers(hopPeersOf(vms))
+	p.setAllocationVMs(vms)
 }
 
 // selectPeers returns the VMs that this one fetches tables from: all followers, or those that follow
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/admission"
+	"geraniumcroft/internal/allocator"
 	"geraniumcroft/internal/balance"
 	"geraniumcroft/internal/census"
 	"geraniumcroft/internal/follow"
@@ -73,6 +74,13 @@
 	hopServer *hop.Server
 	// reachProber finds out whether this VM is cut off from the replicas.
 	reachProber *hop.Prober
+	// allocator asks for the paths of competing requests. allocatorServer allocates paths to other VMs from
+	// allocationPools, behind allocationQueue, by the reserver.
+	allocator       *allocator.Client
+	allocatorServer *allocator.Server
+	allocationPools *relay.Pools
+	allocationQueue *admission.Controller
+	reserver        *relay.PathReserver
 	// requestPool has the connections for requests, controlPool those for polls and orders.
 	requestPool, controlPool *transport.Pool
 	controlEngines           Engines
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -58,6 +58,8 @@
 			p.Logger.Debug("listener not closed", zap.Error(err))
 		}
 	}
+	p.allocator.Close()
+	p.allocatorServer.Stop() // the mirror waits for its sessions
 	p.mirror.Stop()
 	p.peers.Close()
 	p.hopClient.Close()
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -23,13 +23,18 @@
 // data of the request path and the placement from copies of the operator's tables. It is safe
 // for concurrent use.
 type view struct {
-	adapter       Adapter
-	pools         *relay.Pools
-	balancer      *balance.Balancer
-	invariants    *invariant.Registry
-	logger        *zap.Logger
-	operatorTable *follow.Follower
-	replicaTable  *follow.Follower
+	adapter    Adapter
+	pools      *relay.Pools
+	balancer   *balance.Balancer
+	invariants *invariant.Registry
+	logger     *zap.Logger
+	// overloadControl is set if priorities may decide who is served. The pools from which paths are
+	// allocated to other VMs are then kept as well, and onAllocation is called when their loads change.
+	overloadControl bool
+	allocationPools *relay.Pools
+	onAllocation    func()
+	operatorTable   *follow.Follower
+	replicaTable    *follow.Follower
 
 	config atomic.Pointer[relay.Config]
 	// addresses are those of all replicas in the list.
@@ -89,12 +94,26 @@
 	}
 	v.config.Store(next)
 	v.configRows = table.Rows
+	v.logInvalidTiming(next)
 	v.logger.Info("configuration in force", zap.Uint64("configVersion", next.Version), zap.Stringer("version", table.Version), zap.Int("profiles", next.NumProfiles()))
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.apply()
 }
 
+// logInvalidTiming logs the models whose description does not allow estimates of time, where requests
+// compete.
+func (v *view) logInvalidTiming(c *relay.Config) {
+	for name, service := range c.Services {
+		if service.Model == nil || !service.Model.PlaceForBottleneck {
+			continue
+		}
+		if err := service.Model.CheckTiming(); err != nil {
+			v.logger.Warn("no estimates of time for a model", zap.String("service", name), zap.Uint64("configVersion", c.Version), zap.Error(err))
+		}
+	}
+}
+
 // onReplicas applies the list of replicas.
 func (v *view) onReplicas(table platform.TableView) {
 	v.mu.Lock()
@@ -126,6 +145,10 @@
 		v.apply()
 	}
 	v.pools.SetLoads(current)
+	if v.overloadControl {
+		v.allocationPools.SetLoads(current)
+		v.onAllocation()
+	}
 }
 
 // observeReport applies the incarnation that a replica named in an answer.
@@ -189,6 +212,9 @@
 	for name, service := range c.Services {
 		if service.Model != nil {
 			v.pools.Update(name, service.Model, v.models[name])
+			if v.overloadControl {
+				v.allocationPools.Update(name, service.Model, v.models[name])
+			}
 		}
 	}
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -144,7 +144,7 @@
 	}
 	err := h.Admission.Admit(ctx, &admission.Request{
 		ID: q.RequestID, Workspace: q.workspace, Profile: q.profile.Name, Pool: q.service, Urgency: q.urgency(),
-		Cost: cost, Arrival: q.arrival, Deadline: q.deadline, MaxQueueWait: maxWait, Resume: resume,
+		Cost: cost, Arrival: q.arrival, Deadline: q.deadline, MaxQueueWait: maxWait, Resume: resume, WorkConserving: q.class.Competing(),
 	}, try)
 	waited := time.Since(queued)
 	h.Observer.Queued(q.urgency(), waited)
@@ -152,7 +152,7 @@
 	q.decisionLog.add("admission", zap.Duration("waited", waited), zap.Bool("admitted", err == nil))
 	var failure *outcome.Failure
 	if errors.As(err, &failure) {
-		return failure.WithRetryAfter(h.shortages.retryAfter(capacityShortage+q.service, max(defaultRetryAfter, failure.RetryAfter)))
+		return failure.WithRetryAfter(h.shortages.retryAfter(q.capacityShortage(), max(defaultRetryAfter, failure.RetryAfter)))
 	}
 	if err != nil {
 		return outcome.Refuse(outcome.ReasonInternal, "the request was not admitted").WithRetryAfter(defaultRetryAfter).WithCause(err)
@@ -166,6 +166,9 @@
 
 // queueWait returns how long a request may wait in the queue.
 func (h *Handler) queueWait(q *request) time.Duration {
+	if q.class.Competing() {
+		return h.competingQueueWait(q)
+	}
 	return time.Duration(queueWaitFactor * float64(q.profile.Objective))
 }
 
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/overload"
 )
 
 // Config is one version of the operator's configuration. It is immutable.
@@ -15,8 +16,9 @@
 	Services map[string]*Service
 	Limits   Limits
 
-	profiles   map[string][]*Profile // by host, the longest prefix first
-	workspaces map[string]*Workspace // by key
+	profiles   map[string][]*Profile     // by host, the longest prefix first
+	workspaces map[string]*Workspace     // by key
+	ranks      map[string]overload.Ranks // by the name of a model's service
 }
 
 // Service is a pool of replicas.
@@ -54,6 +56,58 @@
 	return c
 }
 
+// EnableOverloadControl makes priorities decide who is served at each model's service whose profiles
+// differ in priority. It must be called before the configuration is shared.
+func (c *Config) EnableOverloadControl() {
+	c.ranks = map[string]overload.Ranks{}
+	for name, priorities := range c.profilePriorities() {
+		if len(priorities) < 2 {
+			continue
+		}
+		c.ranks[name] = c.ranksOf(priorities)
+		c.Services[name].Model.PlaceForBottleneck = true
+	}
+}
+
+// profilePriorities returns the different priorities of the profiles of each model's service.
+func (c *Config) profilePriorities() map[string]map[int]bool {
+	priorities := map[string]map[int]bool{}
+	for _, profiles := range c.profiles {
+		for _, p := range profiles {
+			for _, b := range p.Backends {
+				if s := c.Services[b.Service]; b.Weight <= 0 || s == nil || s.Model == nil {
+					continue
+				}
+				if priorities[b.Service] == nil {
+					priorities[b.Service] = map[int]bool{}
+				}
+				priorities[b.Service][p.Priority] = true
+			}
+		}
+	}
+	return priorities
+}
+
+// ranksOf returns the ranks of the requests of all workspaces on profiles with the given priorities.
+func (c *Config) ranksOf(profiles map[int]bool) overload.Ranks {
+	var all []overload.Priority
+	for priority := range profiles {
+		all = append(all, overload.Priority{Workspace: priority, Profile: priority})
+		for _, w := range c.workspaces {
+			if w.HasPriority {
+				all = append(all, overload.Priority{Workspace: w.Priority, Profile: priority})
+			}
+		}
+	}
+	return overload.NewRanks(all)
+}
+
+// Class returns how a request of a priority competes at a service, the zero value without overload
+// control.
+func (c *Config) Class(service string, priority overload.Priority) overload.Class {
+	return c.ranks[service].Of(priority)
+}
+
 // Match returns the host's profile with the longest prefix of the path, nil if there is none.
 func (c *Config) Match(host, path string) *Profile {
 	for _, p := range c.profiles[host] {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -108,7 +108,7 @@
 	}
 	h.Codec.Encode(header, Outbound{
 		Left: q.remaining(), ReplicaID: to.incarnation.ID, Workspace: q.workspace,
-		Priority: q.priority, Path: to.path, LastEventID: lastEvent,
+		Priority: q.enginePriority(), Path: to.path, LastEventID: lastEvent,
 	})
 	target := *q.url
 	target.Scheme, target.Host = "http", to.address
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -47,6 +47,9 @@
 		fields = append(fields, zap.String("profile", q.profile.Name), zap.String("workspace", q.workspace),
 			zap.Duration("objective", q.profile.Objective), zap.Duration("gap", q.profile.Gap))
 	}
+	if q.class.Competing() {
+		fields = append(fields, zap.Int("rank", q.class.Rank))
+	}
 	if q.sendGuard != nil {
 		fields = append(fields, zap.Stringer("digest", q.digest))
 	}
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -14,6 +14,7 @@
 	"geraniumcroft/internal/incarnation"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/outcome"
+	"geraniumcroft/internal/overload"
 	"geraniumcroft/internal/sleep"
 	"geraniumcroft/internal/stall"
 )
@@ -48,9 +49,10 @@
 	// request was sent.
 	events atomic.Int64
 	sends  atomic.Int32
-	// responseAt is when the head of the current send's response arrived, firstEventAt when its
+	// sentAt is when the current send began, responseAt when the head of the current send's response arrived, firstEventAt when its
 	// first event did. Both are zero before.
 	responseAt   time.Time
+	sentAt       time.Time
 	firstEventAt time.Time
 	// runs counts the replicas that may have run the request.
 	runs runTally
@@ -199,6 +201,7 @@
 		query.Exclude[k] = true
 	}
 	query.SpareEntries = status.SpareReplicas
+	query.Class = g.q.class.Started()
 	reservation, err := g.table.Reserve(query)
 	if err != nil {
 		return false
@@ -236,6 +239,15 @@
 	}
 }
 
+// class returns how the generation competes for a path now.
+func (g *generation) class() overload.Class {
+	class := g.h.classNow(g.q, time.Now())
+	if g.headSent {
+		return class.Started()
+	}
+	return class
+}
+
 // query returns the query for a path, with default sizes where the caller states none.
 func (g *generation) query() layers.Query {
 	q := g.q
@@ -257,6 +269,9 @@
 
 // admit waits for a path with capacity.
 func (g *generation) admit(ctx context.Context) (*layers.Reservation, *outcome.Failure) {
+	if reservation, failure, handled := g.allocate(ctx); handled {
+		return reservation, failure
+	}
 	var reservation *layers.Reservation
 	var pathErr error
 	query := g.query()
@@ -266,6 +281,10 @@
 			return true
 		}
 		query.SpareEntries = g.h.crashes.lookup(g.q).SpareReplicas // a crash may have been recorded during the wait
+		query.Class = g.class()
+		if !g.headSent {
+			query.FirstEventWithin, query.Gap = g.q.timeToObjective(), g.q.profile.Gap
+		}
 		r, err := g.table.Reserve(query)
 		pathErr = nil
 		if errors.Is(err, layers.ErrNoPath) || errors.Is(err, layers.ErrNoSpareEntry) || !g.headSent && g.h.throttledTooLong(g.q, err) != nil {
@@ -296,5 +315,6 @@
 		return nil, outcome.Refuse(outcome.ReasonNoTarget, "no path covers the model").
 			WithRetryAfter(g.h.shortages.retryAfter(pathShortage+g.q.service, defaultRetryAfter)).WithCause(pathErr)
 	}
+	g.h.recordStart(g.q)
 	return reservation, nil
 }
--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"geraniumcroft/internal/allocator"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/pushback"
@@ -17,6 +18,7 @@
 // send sends the generation along the reserved path and forwards its events to the caller.
 func (g *generation) send(ctx context.Context, reservation *layers.Reservation) (err error) {
 	started := time.Now()
+	g.sentAt = started
 	g.responseAt, g.firstEventAt = time.Time{}, time.Time{}
 	defer func() {
 		reservation.Release(err == nil)
@@ -105,6 +107,9 @@
 	}
 	g.excluded[fault.Key()] = true
 	g.table.RecordRefusal(fault)
+	if g.h.Allocator != nil && g.q.class.Competing() {
+		g.h.Allocator.RecordRejection(allocator.Rejection{Service: g.q.service, Replica: fault.Key().String()})
+	}
 	g.q.progress.replicaLeft(fault.Address, "it turned the request away")
 	return &notRunError{Address: path.First().Address, Status: x.resp.StatusCode, Fault: fault.Address}
 }
@@ -154,6 +159,7 @@
 		g.checkRunAge(time.Now())
 		g.q.progress.recordEvent(g.q.arrival, time.Now())
 		if !g.headSent {
+			g.recordFirstEvent()
 			g.startResponse(x)
 			g.w.WriteHeader(http.StatusOK)
 			g.h.Observer.FirstToken(g.q.urgency(), time.Since(g.q.arrival))
@@ -164,6 +170,13 @@
 	}
 }
 
+// recordFirstEvent records the time from the send to the first event.
+func (g *generation) recordFirstEvent() {
+	if g.q.class.Competing() {
+		g.h.Overload.firstEvents.record(time.Since(g.sentAt))
+	}
+}
+
 // finishResponse completes the response after the replica has ended the stream. A stream without
 // events is complete too.
 func (g *generation) finishResponse(x *exchange) error {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -63,6 +63,9 @@
 	FirstToken(u config.Urgency, took time.Duration)
 	RequestEnded(o outcome.Outcome, reason outcome.Reason, u config.Urgency, workspace string, took time.Duration)
 	Retry(kind string)
+	// PathAllocated counts a path that an allocator was asked for, by the result: "allocated", "refused" or
+	// "chosen here".
+	PathAllocated(result string)
 }
 
 // Options are the dependencies of a Handler.
@@ -87,6 +90,10 @@
 	Pushback *pushback.Ledger
 	// Reach tells whether this VM reaches the replicas.
 	Reach Reach
+	// Allocator chooses the paths of competing requests; nil if this VM chooses by itself.
+	Allocator PathAllocator
+	// Overload is the state of services whose profiles differ in priority.
+	Overload *OverloadControl
 	// Incarnations is provided by discovery. If it is nil, restarts of plain replicas are not
 	// counted.
 	Incarnations Incarnations
@@ -178,6 +185,7 @@
 	q.deadline = q.arrival.Add(h.timeout(q) - responseMargin)
 	q.sendGuard = dispatch.NewSendGuard(q.RequestID, q.profile.Repeatable(), h.Invariants)
 	q.service = q.profile.service(q.hash())
+	h.classify(q)
 	h.RetryBudgets.of(q.service).Credit()
 	return h.crashes.refusal(q)
 }
--- a/internal/relay/pools.go
+++ b/internal/relay/pools.go
@@ -5,6 +5,7 @@
 
 	"geraniumcroft/internal/incarnation"
 	"geraniumcroft/internal/layers"
+	"geraniumcroft/internal/overload"
 )
 
 // Pools holds the table of replicas of each model's service. It is safe for concurrent use.
@@ -13,6 +14,7 @@
 	tables   map[string]*layers.Table
 	vmCounts layers.VMCounts
 	gate     layers.Gate
+	limits   overload.Limits
 	// onRemoteSearch is called when a path is searched for in all data centres; may be nil.
 	onRemoteSearch func()
 }
@@ -34,6 +36,7 @@
 	if table == nil {
 		table = layers.NewTable()
 		table.SetVMCounts(p.vmCounts)
+		table.SetOverloadLimits(p.limits)
 		if p.gate != nil {
 			table.SetGate(p.gate)
 		}
@@ -64,6 +67,14 @@
 	p.gate = gate
 }
 
+// SetOverloadLimits sets how much of a replica requests of different classes may use. It must be called
+// before the first Update.
+func (p *Pools) SetOverloadLimits(l overload.Limits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits = l
+}
+
 // OnRemoteSearch sets the function that is called when a path is searched for in all data centres.
 // It must be called before the first Update. The function must not block or call the pools.
 func (p *Pools) OnRemoteSearch(f func()) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -10,6 +10,7 @@
 
 	"geraniumcroft/internal/config"
 	"geraniumcroft/internal/dispatch"
+	"geraniumcroft/internal/overload"
 	"geraniumcroft/internal/quarantine"
 )
 
@@ -30,6 +31,10 @@
 	workspace string
 	priority  int
 	service   string
+	// class is how the request competes for the replicas of its service, the zero value if it does not.
+	class overload.Class
+	// startCounted is set once the start of the request has been counted.
+	startCounted bool
 	// digest identifies the content. It is set once the body has been read.
 	digest      quarantine.Digest
 	sendGuard   *dispatch.SendGuard
@@ -57,8 +62,18 @@
 // remaining returns the time until the deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
-// urgency maps the operator's priorities to the urgencies of admission.
+// urgency maps the operator's priorities to the urgencies of admission. Where priorities compete, only
+// their order counts: the first third of the ranks is urgent and the last third is bulk.
 func (q *request) urgency() config.Urgency {
+	if q.class.Competing() {
+		switch {
+		case 3*q.class.Rank < q.class.Ranks:
+			return config.Urgent
+		case 3*q.class.Rank >= 2*q.class.Ranks:
+			return config.Bulk
+		}
+		return config.Normal
+	}
 	switch {
 	case q.priority <= 0:
 		return config.Urgent
@@ -68,5 +83,16 @@
 	return config.Bulk
 }
 
+// enginePriority returns the priority that the replica is told: the rank where requests compete.
+func (q *request) enginePriority() int {
+	if q.class.Competing() {
+		return min(q.class.Rank, lastEnginePriority)
+	}
+	return q.priority
+}
+
+// lastEnginePriority is the least urgent of the priorities that replicas know.
+const lastEnginePriority = 9
+
 // lastNormalPriority is the last of the ten priorities that is not bulk.
 const lastNormalPriority = 4
--- a/internal/relay/shortages.go
+++ b/internal/relay/shortages.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,9 +25,18 @@
 	configShortage     = "configuration"
 	connectionShortage = "connections"
 	pathShortage       = "path of "
-	capacityShortage   = "room of "
+	capacityShortage   = "capacity of "
 )
 
+// capacityShortage returns the resource that is short if no replica of the request's service has
+// capacity. Capacity that is short for one rank may not be for another one.
+func (q *request) capacityShortage() string {
+	if q.class.Competing() {
+		return fmt.Sprintf("%s%s, rank %d", capacityShortage, q.service, q.class.Rank)
+	}
+	return capacityShortage + q.service
+}
+
 // shortages determines when refused callers should retry. A caller retries once, so the shortage
 // should be over by then. How long it will last is unknown; for one that has lasted for some time,
 // as long again is the best estimate.
--- a/internal/settings/overload_test.go
+++ b/internal/settings/overload_test.go
@@ -28,7 +28,7 @@
 	Convey("A relaying VM's file without [overload] gets the defaults", t, func() {
 		s, findings := ParseRelay("f.ini", []byte(minimalRelay))
 		So(findings, ShouldBeEmpty)
-		So(s.Overload, ShouldResemble, Overload{Mode: "auto", Reserve: 0.08, LateReserve: 0.2, MinServed: 0.35})
+		So(s.Overload, ShouldResemble, Overload{Mode: "auto", Reserve: 0.15, LateReserve: 0.1, MinServed: 0.35})
 	})
 }
 
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -22,6 +22,7 @@
 	maxRetryKinds        = 16
 	maxInvariants        = 32
 	maxHopResults        = 8
+	maxAllocationResults = 8
 )
 
 // Recorder records the metrics of requests. Its methods are safe for concurrent use and do
@@ -37,6 +38,8 @@
 	// peers made for it.
 	passedOn     *boundedMap[string, tally.Counter]
 	throughPeers *boundedMap[string, tally.Counter]
+	// allocations counts the paths that this VM asked an allocator for.
+	allocations *boundedMap[string, tally.Counter]
 
 	staleEvents tally.Counter
 	preempted   tally.Counter
@@ -59,6 +62,7 @@
 		retries:       newBoundedMap(maxRetryKinds, other, taggedCounter[string](scope, "retries_total", "kind")),
 		violations:    newBoundedMap(maxInvariants, invariant.Name(other), taggedCounter[invariant.Name](scope, "invariant_violations_total", "invariant")),
 		passedOn:      newBoundedMap(maxHopResults, other, taggedCounter[string](scope, "connections_passed_on_total", "result")),
+		allocations:   newBoundedMap(maxAllocationResults, other, taggedCounter[string](scope, "path_allocations_total", "result")),
 		throughPeers:  newBoundedMap(maxHopResults, other, taggedCounter[string](scope, "connections_through_peers_total", "result")),
 		staleEvents:   scope.Counter("stale_events_total"),
 		preempted:     scope.Counter("preemptions_total"),
@@ -114,6 +118,9 @@
 // SentThroughPeer implements hop.Observer.
 func (r *Recorder) SentThroughPeer(result string) { r.throughPeers.get(result).Inc(1) }
 
+// PathAllocated implements relay.Observer.
+func (r *Recorder) PathAllocated(result string) { r.allocations.get(result).Inc(1) }
+
 // StaleEvent counts an event that was dropped because its epoch is outdated.
 func (r *Recorder) StaleEvent() { r.staleEvents.Inc(1) }
 
