placer: a restarted replica gets layers at once where the bottleneck counts

Cause: after a crash a replica that is back waits 2.5 s for a gap in the coverage, as a replica that joins may replace one that is about to leave. A replica that turned a request away at less than 0.8 of its reported memory was taken for one that leaves and avoided for 4 s and more; where replicas are used up to their limits, it is often just full.

Change: a replica at the address of an earlier incarnation is a restart and does not wait; below 0.5 of its memory, not 0.8, a refusal means leaving. Both only where the bottleneck counts.

--- a/internal/layers/replica_state.go
+++ b/internal/layers/replica_state.go
@@ -15,6 +15,8 @@
 	// fullThreshold is the fraction of a replica's memory up to which a VM may go beyond its
 	// own share. The rest covers what other VMs send before the next report.
 	fullThreshold = 0.8
+	// bottleneckLeavingThreshold is fullThreshold for refusals where the bottleneck counts.
+	bottleneckLeavingThreshold = 0.5
 	// minEntryShare is how many of this VM's requests may begin at a replica at the same time,
 	// however many VMs share it. The even share of 192 slots in another data centre is one
 	// for each of 83 VMs, and at most a third of these send requests out of their data
@@ -155,14 +157,24 @@
 
 // recordRefusal makes new paths avoid the replica after a request was refused, by the
 // replica itself or by one that knew of it.
-func (s *replicaState) recordRefusal(now time.Time) {
-	if usage, known := s.usage(now); known && usage < fullThreshold*s.capacity {
+func (s *replicaState) recordRefusal(spec *Spec, now time.Time) {
+	if usage, known := s.usage(now); known && usage < spec.leavingThreshold()*s.capacity {
 		s.avoid(now, leavingSuspicion, maxLeavingSuspicion)
 		return
 	}
 	s.suspect(now)
 }
 
+// leavingThreshold returns the fraction of a replica's memory below which a refusal means that the replica is
+// about to leave. Where the bottleneck counts, replicas are used up to their limits, and one that reported
+// somewhat less a second or two ago may be full.
+func (s *Spec) leavingThreshold() float64 {
+	if s.PlaceForBottleneck {
+		return bottleneckLeavingThreshold
+	}
+	return fullThreshold
+}
+
 // slowdown returns the factor by which the replica is slower than its kind of card, at
 // least 1.
 func (s *replicaState) slowdown(now time.Time) float64 {
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -203,7 +203,7 @@
 // RecordRefusal makes new paths avoid a replica that refused a request, for longer if the
 // replica has memory free.
 func (t *Table) RecordRefusal(r Replica) {
-	t.updateReplica(r, func(s *replicaState) { s.recordRefusal(time.Now()) })
+	t.updateReplica(r, func(s *replicaState) { s.recordRefusal(t.spec, time.Now()) })
 }
 
 // SetPace records the speed that a replica reported; see Load.Pace.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -63,6 +63,10 @@
 	// newest did. Only Run uses them.
 	firstListed map[incarnation.Key]time.Time
 	lastAdded   time.Time
+	// addresses holds the incarnation that was listed last at each address, restarted those that followed
+	// another one at their address. Only Run uses them.
+	addresses map[string]incarnation.Key
+	restarted map[incarnation.Key]bool
 	// lastPlacement caches the last placement. Only Run uses it.
 	lastPlacement placement
 
@@ -79,7 +83,7 @@
 
 // New returns a placer. It sends no orders until Run is called.
 func New(o Options) *Placer {
-	return &Placer{Options: o, firstListed: map[incarnation.Key]time.Time{}, orders: map[incarnation.Key]order{}}
+	return &Placer{Options: o, firstListed: map[incarnation.Key]time.Time{}, addresses: map[string]incarnation.Key{}, restarted: map[incarnation.Key]bool{}, orders: map[incarnation.Key]order{}}
 }
 
 // Run orders replicas while this VM holds the lease, until ctx ends.
@@ -110,6 +114,7 @@
 		if !listed {
 			since = time.Now()
 			p.lastAdded = since
+			p.recordAddress(r)
 		}
 		firstListed[r.Key()] = since
 		holding = holding || r.Held.Len() > 0
@@ -118,6 +123,16 @@
 	return holding || len(replicas) > 0 && time.Since(p.lastAdded) >= minListStableTime
 }
 
+// recordAddress records a replica that has just been listed. One at the address of an earlier incarnation
+// is a restart and replaces no replica that is about to leave: that one would still use its address.
+func (p *Placer) recordAddress(r layers.Replica) {
+	if earlier, known := p.addresses[r.Address]; known && earlier != r.Key() {
+		delete(p.restarted, earlier)
+		p.restarted[r.Key()] = true
+	}
+	p.addresses[r.Address] = r.Key()
+}
+
 // dropOrders deletes all orders. A VM without the lease does not know what others order.
 func (p *Placer) dropOrders() {
 	p.mu.Lock()
@@ -128,7 +143,7 @@
 // step sends an order to each replica that is to hold another range than it reports.
 func (p *Placer) step(ctx context.Context, spec *layers.Spec, replicas []layers.Replica) {
 	p.dropSupersededOrders()
-	wanted := p.place(spec, p.expected(replicas))
+	wanted := p.place(spec, p.expected(spec, replicas))
 	var orders errgroup.Group
 	orders.SetLimit(maxConcurrentOrders)
 	for _, r := range replicas {
@@ -156,14 +171,15 @@
 
 // expected returns the replicas with the ranges that they were ordered to hold, so that loads in
 // progress are not planned again.
-func (p *Placer) expected(replicas []layers.Replica) []layers.Replica {
+func (p *Placer) expected(spec *layers.Spec, replicas []layers.Replica) []layers.Replica {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	expected := make([]layers.Replica, len(replicas))
 	for i, r := range replicas {
 		expected[i] = r
-		expected[i].Joining = now.Sub(p.firstListed[r.Key()]) < joinWait
+		// Where the bottleneck counts, a restarted replica is used at once.
+		expected[i].Joining = now.Sub(p.firstListed[r.Key()]) < joinWait && !(spec.PlaceForBottleneck && p.restarted[r.Key()])
 		if o, ok := p.orders[r.Key()]; ok && now.Before(o.reportBy) && o.held != r.Held {
 			expected[i].Held, expected[i].Loading = o.held, true
 		}
