layers, overload: headroom in one place, long lines

The check of a competing request and its explanation computed the same use of a replica twice. No change of behaviour.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -102,7 +102,8 @@
 		DataCentre: p.Settings.VM.DataCentre, ConfigSource: p.view, Codec: p.Adapter.Codec, Gate: p.gate,
 		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, RetryBudgets: p.retryBudgets,
 		Engines: p.Adapter.NewEngines(p.requestPool), Pool: p.requestPool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
-		Quarantine: p.quarantine, QuarantineNotifier: p.sharing, Pushback: p.pushback, Reach: p.reachProber, Allocator: p.pathAllocator(), Overload: relay.NewOverloadControl(p.Settings.Overload.MinServed), Incarnations: p.view.replicaSet.incarnations,
+		Quarantine: p.quarantine, QuarantineNotifier: p.sharing, Pushback: p.pushback,
+		Reach: p.reachProber, Allocator: p.pathAllocator(), Overload: relay.NewOverloadControl(p.Settings.Overload.MinServed), Incarnations: p.view.replicaSet.incarnations,
 	})
 }
 
--- a/internal/layers/bottleneck.go
+++ b/internal/layers/bottleneck.go
@@ -50,11 +50,9 @@
 // no more, or this VM has taken its part of what is free until the next report.
 func (s *search) lackOfHeadroom(r *replicaState) string {
 	u := s.usable(r.DataCentre)
-	grown := r.reserved - r.useAtReport.reserved
-	usage := max(r.reserved, usageGrowth*r.load.Used+grown)
-	free := min(u.fraction, maxMemoryUse)*r.capacity - usageGrowth*r.load.Used
-	return fmt.Sprintf("is full for rank %d (late %t): %.2f of %.2f used, this VM added %.3f of a part of %.3f since the report", s.query.Class.Rank, s.query.Class.Late,
-		usage/max(1, r.capacity), u.fraction, grown/max(1, r.capacity), u.growth*free/max(1, r.capacity))
+	h, whole := r.memoryHeadroom(u), max(1, r.capacity)
+	return fmt.Sprintf("is full for rank %d (late %t): %.2f of %.2f used, this VM added %.3f of a part of %.3f since the report",
+		s.query.Class.Rank, s.query.Class.Late, h.now/whole, h.limit/whole, h.grown/whole, u.growth*(h.limit-h.reported)/whole)
 }
 
 // obstacle returns why a replica cannot serve the request, empty if it can.
--- a/internal/layers/headroom.go
+++ b/internal/layers/headroom.go
@@ -59,7 +59,8 @@
 // and return to it, which is not allowed, and no path would be found where there is one without it.
 func (s *search) fits(r *replicaState, amount float64) bool {
 	if s.query.Class.Competing() && r.hasFreshLoad(s.now) {
-		return r.hasHeadroom(s.query.tokens()*float64(s.overlap(r)), s.usable(r.DataCentre))
+		u := s.usable(r.DataCentre)
+		return r.memoryHeadroom(u).admits(s.query.tokens()*float64(s.overlap(r)), u)
 	}
 	return r.fits(amount, s.table.vmCounts.allowance(r.DataCentre), s.now)
 }
@@ -67,28 +68,29 @@
 // admitsEntry reports whether the replica takes one more request as the first of its path.
 func (s *search) admitsEntry(r *replicaState) bool {
 	if s.query.Class.Competing() && r.hasFreshLoad(s.now) {
-		return r.hasEntryHeadroom(s.table.spec.Slots, s.usable(r.DataCentre))
+		u := s.usable(r.DataCentre)
+		return r.slotHeadroom(s.table.spec.Slots, u).admits(1, u)
 	}
 	return r.admitsEntry(s.table.spec.Slots, s.table.vmCounts.allowance(r.DataCentre), s.now)
 }
 
-// hasHeadroom reports whether this VM may reserve the amount of memory here.
-func (s *replicaState) hasHeadroom(amount float64, u usableBy) bool {
+// memoryHeadroom returns the use of the replica's memory.
+func (s *replicaState) memoryHeadroom(u usableBy) headroom {
 	reported, grown := usageGrowth*s.load.Used, s.reserved-s.useAtReport.reserved
 	return headroom{
 		limit:    min(u.fraction, maxMemoryUse) * s.capacity,
 		reported: reported, now: max(s.reserved, reported+grown), own: s.reserved, grown: grown,
-	}.admits(amount, u)
+	}
 }
 
-// hasEntryHeadroom is hasHeadroom for the slots of a path's first replica.
-func (s *replicaState) hasEntryHeadroom(slots int, u usableBy) bool {
+// slotHeadroom returns the use of the replica's slots, which bound what begins there.
+func (s *replicaState) slotHeadroom(slots int, u usableBy) headroom {
 	own := float64(s.entryRequests)
 	reported, grown := s.reportedEntries(), own-float64(s.useAtReport.entries)
 	return headroom{
 		limit:    u.fraction * float64(slots),
 		reported: reported, now: max(own, reported+grown), own: own, grown: grown,
-	}.admits(1, u)
+	}
 }
 
 // headroom is the use of a replica's slots or memory.
--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -32,7 +32,10 @@
 
 // NewTable returns a table without replicas.
 func NewTable() *Table {
-	return &Table{spec: &Spec{}, replicas: map[incarnation.Key]*replicaState{}, vmCounts: VMCounts{Fleet: 1, Local: 1}, linkBudgets: linkBudgets{}, demands: map[string]demand{}, gate: openGate{}, onRemoteSearch: func() {}}
+	return &Table{
+		spec: &Spec{}, replicas: map[incarnation.Key]*replicaState{}, vmCounts: VMCounts{Fleet: 1, Local: 1},
+		linkBudgets: linkBudgets{}, demands: map[string]demand{}, gate: openGate{}, onRemoteSearch: func() {},
+	}
 }
 
 // SetVMCounts sets how many VMs share the replicas.
--- a/internal/layers/timing.go
+++ b/internal/layers/timing.go
@@ -37,8 +37,12 @@
 	var sum pathTiming
 	for _, stage := range path {
 		r := s.table.replicas[stage.Replica.Key()]
-		card := capacity.Card{StepTimeFactor: r.kind.StepTimeFactor, PrefillTimeFactor: r.kind.PrefillTimeFactor, Slowdown: r.slowdown(s.now), Layers: stage.Layers.Len()}
-		work := capacity.Work{Streams: r.streamsNow(s.now), MeanContext: spec.meanTokens(), WaitingPromptTokens: r.queuedNow(s.now) * float64(spec.MeanPrompt)}
+		card := capacity.Card{
+			StepTimeFactor: r.kind.StepTimeFactor, PrefillTimeFactor: r.kind.PrefillTimeFactor, Slowdown: r.slowdown(s.now), Layers: stage.Layers.Len(),
+		}
+		work := capacity.Work{
+			Streams: r.streamsNow(s.now), MeanContext: spec.meanTokens(), WaitingPromptTokens: r.queuedNow(s.now) * float64(spec.MeanPrompt),
+		}
 		sum.firstEvent += engine.FirstEvent(card, work, float64(s.query.Prompt)) + hopCost
 		perToken := time.Duration((1+stageOverhead)*float64(engine.StepTime(card, work))) + hopCost
 		sum.eventGap += time.Duration(spec.Stride) * perToken
