relay: competing requests of profiles without an objective

Cause: the longest wait and the lateness of a competing request follow from its profile's objective. Without one it counted as late at once and was refused after 50 ms.

Change: without an objective a request may wait until its deadline, and is never late.

Measured: TestRequestWithoutObjectiveMayWait fails without the change.

--- a/internal/allocator/link.go
+++ b/internal/allocator/link.go
@@ -21,7 +21,7 @@
 var errNoHello = errors.New("it does not answer the stream")
 
 // receiptTimeout is how long an allocator may take to confirm a request. It usually takes a millisecond, and
-// callers expect a first event within some hundred.
+// callers expect a first event within some hundred milliseconds.
 const receiptTimeout = 80 * time.Millisecond
 
 // answerMargin is how much longer than the request's MaxWait its answer may take.
--- a/internal/allocator/request.go
+++ b/internal/allocator/request.go
@@ -26,7 +26,7 @@
 	// SpareEntries and Gap are those of layers.Query.
 	SpareEntries int           `json:"spareEntries,omitempty"`
 	Gap          time.Duration `json:"gap,omitempty"`
-	// Objective is the time from now in which the first event is due, StartWithin the time in which the
+	// Objective is the time from now in which the first event is due, 0 for none, StartWithin the time in which the
 	// request has to start for that. After it the request counts as late.
 	Objective   time.Duration `json:"objective"`
 	StartWithin time.Duration `json:"startWithin"`
--- a/internal/relay/overload_control.go
+++ b/internal/relay/overload_control.go
@@ -48,13 +48,19 @@
 }
 
 // latestStart returns how long after its arrival a request may start so that its first event still meets
-// the objective.
+// the objective. Without an objective it is the request's whole time.
 func (h *Handler) latestStart(q *request) time.Duration {
+	if q.profile.Objective <= 0 {
+		return q.deadline.Sub(q.arrival)
+	}
 	return q.profile.Objective - min(h.Overload.firstEvents.usual(), q.profile.Objective*4/5)
 }
 
-// timeToObjective returns the time until the first event is late, at least a moment.
+// timeToObjective returns the time until the first event is late, at least a moment; 0 without an objective.
 func (q *request) timeToObjective() time.Duration {
+	if q.profile.Objective <= 0 {
+		return 0
+	}
 	return max(time.Millisecond, q.profile.Objective-time.Since(q.arrival))
 }
 
--- a/internal/relay/overload_control_test.go
+++ b/internal/relay/overload_control_test.go
@@ -73,3 +73,19 @@
 		}
 	})
 }
+
+// Guards against a competing request of a profile without an objective that counts as late, or is refused
+// after the least wait.
+func TestRequestWithoutObjectiveMayWait(t *testing.T) {
+	h := &Handler{Options: Options{Overload: NewOverloadControl(0.35)}}
+	c, profiles := configOf(0, 1)
+	profiles[1].Objective = 0
+	q := classified(h, c, profiles[1])
+	q.deadline = q.arrival.Add(time.Minute)
+	if wait := h.queueWait(q); wait < time.Minute-time.Second {
+		t.Errorf("waits %s", wait)
+	}
+	if class := h.classNow(q, q.arrival.Add(time.Second)); class.Late || q.timeToObjective() != 0 {
+		t.Errorf("class %+v, due in %s", class, q.timeToObjective())
+	}
+}
--- a/internal/relay/path_reserver.go
+++ b/internal/relay/path_reserver.go
@@ -59,7 +59,9 @@
 	}, func() bool {
 		now := time.Now()
 		if !r.Resume {
-			query.FirstEventWithin = max(time.Millisecond, r.Objective-now.Sub(arrival))
+			if r.Objective > 0 {
+				query.FirstEventWithin = max(time.Millisecond, r.Objective-now.Sub(arrival))
+			}
 			query.Class.Late = query.Class.Late || now.Sub(arrival) > r.StartWithin
 			query.Class.Starved = floors.Starved(r.Profile, now)
 		}
