allocator, entry: nothing is kept where no requests compete

Cause: each VM connected to an allocator as soon as it had the list of VMs, and kept a second table of the replicas, also in deployments whose profiles have one priority.

Change: the first competing request connects; the second table is kept only for services whose profiles differ in priority.

Measured: go test -race -count=5 ./internal/allocator.

--- a/internal/allocator/client.go
+++ b/internal/allocator/client.go
@@ -45,12 +45,15 @@
 	return &Client{name: name, local: local, dialer: grpcDialer{dial: dial}, logger: logger, avoided: map[string]avoidance{}, held: map[uint64]*heldPath{}}
 }
 
-// SetVMs sets the VMs of this VM's data centre, with this one.
+// SetVMs sets the VMs of this VM's data centre, with this one. The first request connects to an allocator,
+// so that there are no connections where no requests compete.
 func (c *Client) SetVMs(vms []VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.candidates = Candidates(vms)
-	c.choose(time.Now())
+	if c.link != nil || c.next != nil {
+		c.choose(time.Now())
+	}
 }
 
 // Grant is a path that an allocator has chosen. Release must be called when it is not used any more.
--- a/internal/allocator/client_test.go
+++ b/internal/allocator/client_test.go
@@ -19,6 +19,7 @@
 		return v[address].listener.DialContext(ctx)
 	}, zap.NewNop())
 	c.SetVMs(vmsOf(names...))
+	c.begin(time.Now()) // connects
 	synctest.Wait()
 	return c
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -28,8 +28,8 @@
 	balancer   *balance.Balancer
 	invariants *invariant.Registry
 	logger     *zap.Logger
-	// overloadControl is set if priorities may decide who is served. The pools from which paths are
-	// allocated to other VMs are then kept as well, and onAllocation is called when their loads change.
+	// overloadControl is set if priorities may decide who is served. Where they do, the pools from which
+	// paths are allocated to other VMs are kept as well, and onAllocation is called when their loads change.
 	overloadControl bool
 	allocationPools *relay.Pools
 	onAllocation    func()
@@ -46,6 +46,7 @@
 
 	mu         sync.Mutex // guards the fields below
 	version    uint64     // of the balancer's last snapshot
+	competing  bool       // requests compete at some service, or did
 	replicaSet *replicaSet
 	// isLeaving reports whether a replica has announced in an answer that it leaves.
 	isLeaving func(incarnation.Key) bool
@@ -145,7 +146,7 @@
 		v.apply()
 	}
 	v.pools.SetLoads(current)
-	if v.overloadControl {
+	if v.competing {
 		v.allocationPools.SetLoads(current)
 		v.onAllocation()
 	}
@@ -212,7 +213,8 @@
 	for name, service := range c.Services {
 		if service.Model != nil {
 			v.pools.Update(name, service.Model, v.models[name])
-			if v.overloadControl {
+			if service.Model.PlaceForBottleneck {
+				v.competing = true
 				v.allocationPools.Update(name, service.Model, v.models[name])
 			}
 		}
