--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -16,7 +16,7 @@
 
 const (
 	// uploaders is the number of consumers with a long body, streamers that of consumers with short ones.
-	uploaders = 91
+	uploaders = 93
 	streamers = 18
 	// uploadTime is how long a consumer takes to send a long body, uploadPieces in how many parts.
 	uploadTime   = 8 * time.Second
--- a/review/standin/desk.go
+++ b/review/standin/desk.go
@@ -50,7 +50,7 @@
 }
 
 // siteZones are the zones of the machines of a small deployment.
-var siteZones = []string{"ate", "surco", "surco", "callao", "callao", "callao"}
+var siteZones = []string{"hall-c", "hall-b", "hall-b", "hall-a", "hall-a", "hall-a"}
 
 // deskConfig is the desired state: the project's own one, with the limits and time limits of a small
 // deployment.
--- a/review/standin/hangup.go
+++ b/review/standin/hangup.go
@@ -27,11 +27,11 @@
 	keptKey = "key-that-stays"
 )
 
-// grownZones are the zones of a small deployment with its spare machines: three, four and two.
-var grownZones = []string{"ate", "ate", "surco", "surco", "surco", "callao", "callao", "callao", "callao"}
+// grownZones are the zones of a small deployment with its spare machines: two, three and four.
+var grownZones = []string{"hall-c", "hall-c", "hall-b", "hall-b", "hall-b", "hall-a", "hall-a", "hall-a", "hall-a"}
 
 // hangupZone is the zone of the machines that get SIGHUP, four of nine.
-const hangupZone = "callao"
+const hangupZone = "hall-a"
 
 // keyCheck is one request with a key that was taken away.
 type keyCheck struct {
