--- a/internal/dispatch/window_budget.go
+++ b/internal/dispatch/window_budget.go
@@ -57,21 +57,35 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := b.advance()
-	// The oldest bucket is only partly within the window. To stay within the limit, its
-	// retries count and its requests do not.
+	if b.usage(at).Exhausted() {
+		return false
+	}
+	b.spent[at]++
+	return true
+}
+
+// Usage returns the requests, the retries and the limit of the current window.
+func (b *WindowBudget) Usage() BudgetUsage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(b.advance())
+}
+
+// usage returns the state of the window whose newest bucket has the index at. b.mu must be held.
+//
+// The oldest bucket is only partly within the window. To stay within the limit, its retries count and
+// its requests do not.
+func (b *WindowBudget) usage(at int) BudgetUsage {
 	oldest := (at + 1) % len(b.fresh)
-	fresh, spent := 0, 0
+	var u BudgetUsage
 	for i := range b.fresh {
-		spent += b.spent[i]
+		u.Retries += b.spent[i]
 		if i != oldest {
-			fresh += b.fresh[i]
+			u.Requests += b.fresh[i]
 		}
 	}
-	if float64(spent+1) > math.Floor(b.share*float64(fresh)+b.slack+roundingError) {
-		return false
-	}
-	b.spent[at]++
-	return true
+	u.Limit = int(math.Floor(b.share*float64(u.Requests) + b.slack + roundingError))
+	return u
 }
 
 // roundingError prevents a budget that is a whole number from being rounded down because
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/census"
+	"geraniumcroft/internal/dispatch"
 	"geraniumcroft/internal/invariant"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/platform/accounted"
@@ -46,6 +47,8 @@
 	Quarantine []quarantine.Entry `json:"quarantine"`
 	// Pushback lists the rate limits, back-off times and announced departures of replicas.
 	Pushback []pushback.Entry `json:"pushback"`
+	// RetryBudgets has the requests, the retries and the limit of each service in the current window.
+	RetryBudgets map[string]dispatch.BudgetUsage `json:"retryBudgets"`
 	// Reach is whether this VM reaches the replicas, ThroughPeers the number of its connections to them
 	// through each peer, and PassedOn the number of peers' connections that it passes on.
 	Reach        reach.Dump     `json:"reach"`
@@ -121,7 +124,7 @@
 		StoreEra: p.Adapter.Eras.Current(),
 		VMs:      p.census.VMs(), Counted: p.census.Counted(time.Now()), HoldsPlacement: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
-		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()), Reach: p.reach.Dump(), ThroughPeers: p.hopPeers.Active(), PassedOn: p.hopServer.Active(),
+		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()), RetryBudgets: p.retryBudgets.Usage(), Reach: p.reach.Dump(), ThroughPeers: p.hopPeers.Active(), PassedOn: p.hopServer.Active(),
 	}
 	dump.Allocator, dump.Allocations = p.allocator.Allocator(), p.dumpAllocations()
 	dump.Unusable, dump.UnusableTotal = p.view.unusableEntries()
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -191,12 +191,18 @@
 	}
 	if attempts.lastArrived && !h.RetryBudgets.of(q.service).Take() {
 		slot.Release(balance.ResultNeutral)
-		q.decisionLog.add("retry budget spent")
+		h.logBudgetSpent(q)
 		return nil
 	}
 	return slot
 }
 
+// logBudgetSpent records that the request was not sent again for want of retry budget.
+func (h *Handler) logBudgetSpent(q *request) {
+	usage := h.RetryBudgets.of(q.service).Usage()
+	q.decisionLog.add("retry budget spent", zap.Int("requests", usage.Requests), zap.Int("retries", usage.Retries), zap.Int("limit", usage.Limit))
+}
+
 // attempt sends the call to the slot's replica and reads the complete response.
 func (h *Handler) attempt(ctx context.Context, q *request, slot *balance.Slot) (*callResult, error) {
 	replica := slot.Target()
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -179,6 +179,7 @@
 func (g *generation) waitForRetry(ctx context.Context) bool {
 	for !g.takeRetry() {
 		if !g.headSent || !sleep.For(ctx, budgetPollInterval) {
+			g.h.logBudgetSpent(g.q)
 			return false
 		}
 	}
--- a/internal/relay/retry_budgets.go
+++ b/internal/relay/retry_budgets.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,3 +91,15 @@
 	budget.SetSlack(slack)
 	return budget
 }
+
+// Usage returns the state of each service's budget.
+func (b *RetryBudgets) Usage() map[string]dispatch.BudgetUsage {
+	b.mu.Lock()
+	services := slices.Collect(maps.Keys(b.budgets))
+	b.mu.Unlock()
+	usage := make(map[string]dispatch.BudgetUsage, len(services))
+	for _, service := range services {
+		usage[service] = b.of(service).Usage()
+	}
+	return usage
+}
