relay, census: a restart, a short list of VMs and new VMs no longer renew the slack of a retry budget

What callers see: a service that gets more repeats than retry_budget_ratio x requests + retry_slack in ten seconds, all VMs together (BUDGET), while VMs restart beside failing replicas.

Cause: each VM keeps its part of the slack for itself, by what it believes of the others. A process that starts had a full part though an earlier one of its VM had used it; the part was divided by the VMs of the newest list, which after an outage of 24 s has hardly a row that has not expired; new VMs had a part before the others had given it up. The class: a promise of the fleet that is kept by parts, each right for the parts that it believes to be there.

Change: a VM has its part a window after the others have begun to count it, divided by the largest number of VMs of the last minute. Until then it has a share of what the parts leave over, for three starts of each VM in a window; before the list is known none. The first start of the whole fleet needs no wait. Counted holds only while the list has this VM, and if the table had that list 8 s after the VM was listed: those that registered with it are then in it. Rate limits of replicas follow from the same call.

--- a/internal/census/census.go
+++ b/internal/census/census.go
@@ -108,8 +108,9 @@
 	loaded bool
 	// changedAt is when another complete list replaced the one before.
 	changedAt time.Time
-	// listedAt is when this VM was first found in a complete list, zero before. listedBefore says
-	// that the first such list had a row of an earlier process of this VM.
+	// listed says that the complete list has this VM, listedAt since when; it is zero if the list has not.
+	// listedBefore says that the row in the list is that of an earlier process of this VM.
+	listed       bool
 	listedAt     time.Time
 	listedBefore bool
 	// rowDoubtful says that the table has come back from an older copy, which may lack this VM's row.
@@ -151,12 +152,13 @@
 	return c.snapshot != nil
 }
 
-// Counted reports whether other VMs count this one: the row of an earlier process of this VM was
-// in the first complete list, or this VM has been listed for minInterval.
-func (c *Census) Counted(now time.Time) bool {
+// Counted reports whether this VM and the others count each other: the complete list has this VM, and either
+// the row of an earlier process of this VM was in the first such list, or the table had this list minInterval
+// after the VM was listed. An earlier list may lack VMs that registered at the same time as this one.
+func (c *Census) Counted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.listedBefore || !c.listedAt.IsZero() && now.Sub(c.listedAt) >= minInterval
+	return c.listed && (c.listedBefore || c.snapshot.confirmedAt.Sub(c.listedAt) >= minInterval)
 }
 
 // steadyInterval returns the time between two writes of the row of a VM that is registered. It
@@ -171,12 +173,19 @@
 func (c *Census) setVMs(listed []VM) {
 	vms := make([]VM, 1, len(listed)+1)
 	vms[0] = c.own
+	c.listed = false
 	for _, vm := range listed {
 		if vm.Name != c.own.Name {
 			vms = append(vms, vm)
-		} else if c.snapshot != nil && c.listedAt.IsZero() {
-			c.listedAt, c.listedBefore = time.Now(), !c.registration.written
+			continue
 		}
+		c.listed = c.snapshot != nil
+	}
+	switch {
+	case !c.listed:
+		c.listedAt, c.listedBefore = time.Time{}, false
+	case c.listedAt.IsZero():
+		c.listedAt, c.listedBefore = time.Now(), !c.registration.written
 	}
 	if len(vms) != len(c.vms) {
 		c.logger.Info("VMs counted", zap.Int("vms", len(vms)), zap.Int("before", len(c.vms)))
--- a/internal/census/census_test.go
+++ b/internal/census/census_test.go
@@ -216,7 +216,7 @@
 		first := start("vm-0")
 		time.Sleep(30 * time.Second)
 		added := start("vm-1")
-		for ; !added.Counted(time.Now()); time.Sleep(100 * time.Millisecond) {
+		for ; !added.Counted(); time.Sleep(100 * time.Millisecond) {
 		}
 		if len(first.VMs()) != 2 {
 			t.Error("reported as counted before the other VM counts it")
@@ -224,7 +224,7 @@
 		restarted := start("vm-1")
 		synctest.Wait()
 		time.Sleep(time.Second)
-		if !restarted.Counted(time.Now()) {
+		if !restarted.Counted() {
 			t.Error("not counted although an earlier process of the VM was")
 		}
 		time.Sleep(time.Minute)
--- a/internal/census/fakes_test.go
+++ b/internal/census/fakes_test.go
@@ -37,6 +37,13 @@
 	era uint64
 }
 
+// setUnavailable makes all calls fail, or no longer.
+func (f *fakeTable) setUnavailable(unavailable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unavailable = unavailable
+}
+
 // tableCopy is what a table held at one moment.
 type tableCopy struct {
 	rows     map[string]platform.Row
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -122,7 +122,7 @@
 	dump := Dump{
 		VM: p.Settings.VM.Name, Gate: p.gate.State(), InHand: p.handler.InHand(), ConfigVersion: p.view.configVersion(), ConfigAge: p.view.ConfigAge().String(),
 		StoreEra: p.Adapter.Eras.Current(),
-		VMs:      p.census.VMs(), Counted: p.census.Counted(time.Now()), HoldsPlacement: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
+		VMs:      p.census.VMs(), Counted: p.census.Counted(), HoldsPlacement: p.Holds(), Pools: p.pools.Dump(), Targets: p.balancer.Dump(),
 		Queues: p.admission.Dump(), Leases: p.leases.Dump(), Store: p.table.Dump(), StoreCalls: p.store.Counts(), Invariants: p.invariants.Report(),
 		LogDropped: p.LogDropped(), Quarantine: p.quarantine.Dump(time.Now()), Pushback: p.pushback.Dump(time.Now()), RetryBudgets: p.retryBudgets.Usage(), Reach: p.reach.Dump(), ThroughPeers: p.hopPeers.Active(), PassedOn: p.hopServer.Active(),
 	}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -54,7 +54,7 @@
 	p.pools = relay.NewPools()
 	p.pools.SetGate(gate)
 	p.pools.OnRemoteSearch(func() { p.loadCache.WantAll() })
-	p.retryBudgets = relay.NewRetryBudgets(relay.RetryBudgetSettings{VM: s.VM.Name, Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow})
+	p.retryBudgets = relay.NewRetryBudgets(relay.RetryBudgetSettings{VM: s.VM.Name, Share: s.Relay.RetryShare, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow, FirstStart: s.VM.FirstStart})
 	p.buildAllocation()
 	p.pools.SetVMCounts(layers.VMCounts{VM: s.VM.Name, DataCentre: s.VM.DataCentre, Fleet: assumedVMs, Local: assumedVMs / assumedDataCentres})
 	p.view = &view{
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -12,6 +12,7 @@
 	"geraniumcroft/internal/pushback"
 	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
+	"geraniumcroft/internal/relay"
 )
 
 func (p *Process) follower(table string, contentVersion func(map[string][]byte) (uint64, bool), onChange func(platform.TableView)) *follow.Follower {
@@ -86,7 +87,7 @@
 	}
 	p.table.SetVMs(counts.Fleet)
 	p.pools.SetVMCounts(counts)
-	p.retryBudgets.SetVMs(counts.Fleet)
+	p.retryBudgets.SetFleet(p.fleetCount(vms))
 	p.pushback.SetFleet(p.fleet(vms), time.Now())
 	p.peers.SetPeers(p.selectPeers(vms))
 	p.hopPeers.SetPeers(hopPeersOf(vms))
@@ -128,16 +129,28 @@
 	return addresses
 }
 
-// updateCounted claims this VM's share of the replicas' rate limits once the other VMs count it.
+// updateCounted claims this VM's share of the replicas' rate limits and of the retry budgets once the other
+// VMs count it.
 func (p *Process) updateCounted() {
-	if now := time.Now(); !p.counted && p.census.Counted(now) {
-		p.counted = true
-		p.pushback.SetFleet(p.fleet(p.census.VMs()), now)
+	p.retryBudgets.SetFleet(p.fleetCount(p.census.VMs()))
+	counted := p.census.Counted()
+	if counted && !p.counted {
+		p.pushback.SetFleet(p.fleet(p.census.VMs()), time.Now())
 	}
+	p.counted = counted
+}
+
+// fleetCount returns the VMs that share the retry budgets.
+func (p *Process) fleetCount(vms []census.VM) relay.FleetCount {
+	f := relay.FleetCount{Counted: p.census.Counted()}
+	if p.census.Complete() {
+		f.VMs = len(vms)
+	}
+	return f
 }
 
 func (p *Process) fleet(vms []census.VM) pushback.Fleet {
-	fleet := pushback.Fleet{Self: p.Settings.VM.Name, Known: p.census.Counted(time.Now())}
+	fleet := pushback.Fleet{Self: p.Settings.VM.Name, Known: p.census.Counted()}
 	for _, vm := range vms {
 		fleet.VMs = append(fleet.VMs, pushback.VM{Name: vm.Name, DataCentre: vm.DataCentre})
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -189,7 +189,7 @@
 		q.decisionLog.add("no other replica", zap.Error(err))
 		return nil
 	}
-	if attempts.lastArrived && !h.RetryBudgets.of(q.service).Take() {
+	if attempts.lastArrived && !h.RetryBudgets.Budget(q.service).Take() {
 		slot.Release(balance.ResultNeutral)
 		h.logBudgetSpent(q)
 		return nil
@@ -199,7 +199,7 @@
 
 // logBudgetSpent records that the request was not sent again for want of retry budget.
 func (h *Handler) logBudgetSpent(q *request) {
-	usage := h.RetryBudgets.of(q.service).Usage()
+	usage := h.RetryBudgets.Budget(q.service).Usage()
 	q.decisionLog.add("retry budget spent", zap.Int("requests", usage.Requests), zap.Int("retries", usage.Retries), zap.Int("limit", usage.Limit))
 }
 
--- a/internal/relay/config_test.go
+++ b/internal/relay/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"geraniumcroft/internal/outcome"
@@ -61,31 +62,41 @@
 }
 
 // Faults come in bursts. A VM may spend its whole share of a window's slack in one burst, and no
-// more. A VM that does not know yet how many VMs share the slack gets a small share, and what it
-// has spent still counts once it knows.
+// more. A VM that the others do not count, or that an earlier process may have left with a spent
+// share, gets none, and what it has spent still counts when the number of VMs changes.
 func TestRetrySlackMayComeInABurst(t *testing.T) {
-	budgets := NewRetryBudgets(RetryBudgetSettings{Slack: 100, Window: 10 * time.Second})
-	take := func() int {
-		taken := 0
-		for range 100 {
-			if budgets.of("s").Take() {
-				taken++
+	const window = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		budgets := NewRetryBudgets(RetryBudgetSettings{Slack: 100, Window: window})
+		take := func() int {
+			taken := 0
+			for range 100 {
+				if budgets.Budget("s").Take() {
+					taken++
+				}
 			}
+			return taken
 		}
-		return taken
-	}
-	if n := take(); n > 1 {
-		t.Errorf("%d retries of a VM that does not know the number of VMs", n)
-	}
-	budgets.SetVMs(4)
-	if n := take(); n < 15 || n > 25 {
-		t.Errorf("%d retries at once, the VM's share of the slack is 25 per window", n)
-	}
-	budgets.SetVMs(3)
-	budgets.SetVMs(4)
-	if n := take(); n != 0 {
-		t.Errorf("%d more retries after the VMs were counted again", n)
-	}
+		time.Sleep(window)
+		if n := take(); n > 0 {
+			t.Errorf("%d retries of a VM that does not know the number of VMs", n)
+		}
+		budgets.SetFleet(FleetCount{VMs: 4, Counted: true})
+		time.Sleep(window - 1)
+		budgets.SetFleet(FleetCount{VMs: 4, Counted: true})
+		if n := take(); n > 0 {
+			t.Errorf("%d retries of the share that an earlier process may have spent", n)
+		}
+		time.Sleep(1)
+		if n := take(); n < 15 || n > 25 {
+			t.Errorf("%d retries at once, the VM's share of the slack is 25 per window", n)
+		}
+		budgets.SetFleet(FleetCount{VMs: 3, Counted: true})
+		budgets.SetFleet(FleetCount{VMs: 4, Counted: true})
+		if n := take(); n != 0 {
+			t.Errorf("%d more retries after the VMs were counted again", n)
+		}
+	})
 }
 
 func TestHopByHopHeadersAreRemoved(t *testing.T) {
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -171,7 +171,7 @@
 
 // takeRetry takes one send out of the retry budget and reports whether there was one.
 func (g *generation) takeRetry() bool {
-	return g.h.RetryBudgets.of(g.q.service).Take()
+	return g.h.RetryBudgets.Budget(g.q.service).Take()
 }
 
 // waitForRetry is takeRetry, but waits for the budget if the caller has received a part of the
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -186,7 +186,7 @@
 	q.sendGuard = dispatch.NewSendGuard(q.RequestID, q.profile.Repeatable(), h.Invariants)
 	q.service = q.profile.service(q.hash())
 	h.classify(q)
-	h.RetryBudgets.of(q.service).Credit()
+	h.RetryBudgets.Budget(q.service).Credit()
 	return h.crashes.refusal(q)
 }
 
--- a/internal/relay/retry_budgets.go
+++ b/internal/relay/retry_budgets.go
@@ -14,16 +14,16 @@
 )
 
 const (
-	// budgetFraction is the fraction of the allowance that this VM uses. The rest covers VMs that
-	// this one does not know of, and requests that are counted at different times.
+	// budgetFraction is the fraction of the allowance that the VMs use which count each other. The rest is
+	// for processes that have just started, and covers requests that are counted at different times.
 	budgetFraction = 0.85
 	// wholeFraction is the fraction of the slack up to which each VM may have a whole retry of it.
-	// The rest covers VMs that this one does not know of.
 	wholeFraction = 0.97
-	// defaultVMs is the number of VMs assumed to share the slack before they were counted, a few
-	// more than the largest current fleet has. A whole fleet may start during a store outage, and
-	// each VM must not take the share that it would have in a small fleet.
-	defaultVMs = 100
+	// maxStarts is how often a VM may start in a window without all VMs together going beyond the slack.
+	maxStarts = 3
+	// minFleet is the number of VMs that a starting process assumes at least: its list may have been read
+	// while the rows of most VMs had expired.
+	minFleet = 8
 )
 
 // RetryBudgetSettings are the fleet's allowance of sends beyond the first, for one service.
@@ -35,6 +35,8 @@
 	// Slack is the number of sends allowed beyond that share in each Window, by all VMs together.
 	Slack  float64
 	Window time.Duration
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool
 }
 
 // RetryBudgets holds this VM's retry budget of each service. It is safe for concurrent use.
@@ -42,44 +44,63 @@
 	settings RetryBudgetSettings
 
 	mu      sync.Mutex // guards the fields below
-	vms     int
+	fleet   fleetHistory
 	budgets map[string]*dispatch.WindowBudget
 }
 
-// NewRetryBudgets returns the budgets of a VM that does not know yet how many VMs share the slack.
+// NewRetryBudgets returns the budgets of a VM that knows no other VM yet.
 func NewRetryBudgets(s RetryBudgetSettings) *RetryBudgets {
-	return &RetryBudgets{settings: s, vms: defaultVMs, budgets: map[string]*dispatch.WindowBudget{}}
+	return &RetryBudgets{settings: s, fleet: fleetHistory{window: s.Window, unused: s.FirstStart}, budgets: map[string]*dispatch.WindowBudget{}}
 }
 
-// SetVMs sets the number of VMs that share the slack.
-func (b *RetryBudgets) SetVMs(vms int) {
+// SetFleet sets the VMs that share the slack. It must be called at least every few seconds.
+func (b *RetryBudgets) SetFleet(f FleetCount) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.vms = max(1, vms)
+	b.fleet.record(f, time.Now())
 }
 
 // slack returns this VM's part of the slack at a time. b.mu must be held.
+func (b *RetryBudgets) slack(now time.Time) float64 {
+	vms, established := b.fleet.share(now)
+	if vms == 0 || b.settings.Slack <= 0 {
+		return 0
+	}
+	part, all := b.part(vms)
+	if !established {
+		part = (b.settings.Slack - all) / float64(maxStarts*max(vms, minFleet))
+	}
+	if part >= 1 {
+		return part
+	}
+	return b.draw(part, now)
+}
+
+// part returns the part of the slack of each VM that the others count, and the parts of all.
 //
 // Retries are whole. Where an even part is less than one, each VM has one as long as that is within
-// the slack. Beyond that the VMs that have one are drawn anew in each window. A window that slides
-// over two of these contains the retries of two draws, so each takes half of the VMs.
-func (b *RetryBudgets) slack(now time.Time) float64 {
-	even := budgetFraction * b.settings.Slack / float64(b.vms)
-	switch {
-	case even >= 1 || b.settings.Slack <= 0:
-		return even
-	case float64(b.vms) <= wholeFraction*b.settings.Slack:
-		return 1
+// the slack.
+func (b *RetryBudgets) part(vms int) (part, all float64) {
+	all = budgetFraction * b.settings.Slack
+	if all < float64(vms) && float64(vms) <= wholeFraction*b.settings.Slack {
+		return 1, float64(vms)
 	}
+	return all / float64(vms), all
+}
+
+// draw returns one whole retry or none, so that VMs with the given part of one have that many on average.
+// The VMs that have one are drawn anew in each window. A window that slides over two of these contains the
+// retries of two draws, so each takes half of the VMs.
+func (b *RetryBudgets) draw(part float64, now time.Time) float64 {
 	draw := fmt.Sprint(b.settings.VM, "\x00", now.UnixNano()/int64(b.settings.Window))
-	if float64(xxhash.Sum64String(draw))/math.MaxUint64 < even/2 {
+	if float64(xxhash.Sum64String(draw))/math.MaxUint64 < part/2 {
 		return 1
 	}
 	return 0
 }
 
-// of returns the retry budget of a service.
-func (b *RetryBudgets) of(service string) *dispatch.WindowBudget {
+// Budget returns the retry budget of a service.
+func (b *RetryBudgets) Budget(service string) *dispatch.WindowBudget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slack := b.slack(time.Now())
@@ -99,7 +120,7 @@
 	b.mu.Unlock()
 	usage := make(map[string]dispatch.BudgetUsage, len(services))
 	for _, service := range services {
-		usage[service] = b.of(service).Usage()
+		usage[service] = b.Budget(service).Usage()
 	}
 	return usage
 }
--- a/internal/relay/retry_budgets_test.go
+++ b/internal/relay/retry_budgets_test.go
@@ -17,15 +17,15 @@
 			synctest.Test(t, func(t *testing.T) {
 				var budgets []*RetryBudgets
 				for i := range vms {
-					b := NewRetryBudgets(RetryBudgetSettings{VM: fmt.Sprint("vm-", i), Slack: slack, Window: window})
-					b.SetVMs(vms)
+					b := NewRetryBudgets(RetryBudgetSettings{VM: fmt.Sprint("vm-", i), Slack: slack, Window: window, FirstStart: true})
 					budgets = append(budgets, b)
 				}
 				const step, seconds = time.Second, 120
 				var retries [seconds]int
 				for second := range seconds {
 					for _, b := range budgets {
-						for b.of("service").Take() {
+						b.SetFleet(FleetCount{VMs: vms, Counted: true})
+						for b.Budget("service").Take() {
 							retries[second]++
 						}
 					}
