relay: a stream's retry is charged when it has its path, not before it waits for one

Streams that were cut off were charged at once and then waited for capacity, up to their deadline. When the replicas came back, all were sent in one window, beside those that this window allows.

Cause: nextReservation took a retry from the budget and then waited for admission. The class: a limit that is counted at another time than what it limits.

Change: the stream waits until the budget has room, then for a path, and is charged with the path in hand. If others have used the budget meanwhile, it gives the path back and waits again.

Calls are charged with their slot in hand, and streams that are moved with their path; nothing waits in between there.

--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -133,9 +133,32 @@
 		g.q.decisionLog.add("not sent again", zap.Int("runs", g.runs.count()), zap.Int("allowed", g.q.profile.MaxAttempts))
 		return nil, failureOf(ctx, g.q, err)
 	}
-	if ctx.Err() != nil || mayHaveArrived(err) && !g.waitForRetry(ctx) {
+	if ctx.Err() != nil {
 		return nil, failureOf(ctx, g.q, err)
 	}
+	if !mayHaveArrived(err) {
+		return g.admitAgain(ctx, err)
+	}
+	return g.admitRetry(ctx, err)
+}
+
+// admitRetry waits for a path and for retry budget. The retry is charged once it has its path: if it were
+// charged before, all retries that had waited for the same replicas would arrive in one window,
+// beside those charged in that window.
+func (g *generation) admitRetry(ctx context.Context, err error) (*layers.Reservation, *outcome.Failure) {
+	for g.waitForRetry(ctx) {
+		reservation, failure := g.admitAgain(ctx, err)
+		if failure != nil || g.takeRetry() {
+			return reservation, failure
+		}
+		reservation.Release(false)
+		g.h.Admission.Wake(g.q.service)
+	}
+	return nil, failureOf(ctx, g.q, err)
+}
+
+// admitAgain waits for a path after a send has ended with err.
+func (g *generation) admitAgain(ctx context.Context, err error) (*layers.Reservation, *outcome.Failure) {
 	reservation, failure := g.admit(ctx)
 	if failure != nil && g.q.sendGuard.MayHaveRun() {
 		failure = outcome.Uncertain(outcome.ReasonTargetFailed, "the replica failed and no other one had room").WithCause(err)
@@ -174,10 +197,10 @@
 	return g.h.RetryBudgets.Budget(g.q.service).Take()
 }
 
-// waitForRetry is takeRetry, but waits for the budget if the caller has received a part of the
-// stream. Ending that stream would cut off a response that other replicas can still continue.
+// waitForRetry reports whether there is retry budget. It waits for some if the caller has received a part
+// of the stream. Ending that stream would cut off a response that other replicas can still continue.
 func (g *generation) waitForRetry(ctx context.Context) bool {
-	for !g.takeRetry() {
+	for g.h.RetryBudgets.Budget(g.q.service).Usage().Exhausted() {
 		if !g.headSent || !sleep.For(ctx, budgetPollInterval) {
 			g.h.logBudgetSpent(g.q)
 			return false
