entry: SIGHUP changes a VM's seeds and nothing that it has learnt of other VMs

Cause: Reload replaced all peers by the seeds. The peers of the list came back only when that list changed, and were then given the seeds of the start again. The class: a reload that replaces whole what was learnt.

Change: the list of VMs and the seeds are kept apart (peerSelection), and each changes its own part.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -43,6 +43,10 @@
 		VMs: assumedVMs, WritesPerSecond: s.Platform.WritesPerSecond, ReadsPerSecond: s.Platform.ReadsPerSecond,
 	})
 	p.peers = mirror.NewClient(p.PeersAddress(), s.Peers.Seeds, p.Logger)
+	p.peerSelection = &peerSelection{
+		dataCentre: s.VM.DataCentre, seeds: s.Peers.Seeds, apply: p.peers.SetPeers,
+		followsFeed: p.followsFeed, relays: func() bool { return p.census.Relays() },
+	}
 	p.forwarder = newForwarder(p.peers.Forward, p.Logger)
 	p.mirror = mirror.NewServer(p.changesSince, p.applyOffer, p.Logger)
 	p.buildWays()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -7,7 +7,6 @@
 	"geraniumcroft/internal/follow"
 	"geraniumcroft/internal/layers"
 	"geraniumcroft/internal/loads"
-	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/platform"
 	"geraniumcroft/internal/pushback"
 	pushbacksharing "geraniumcroft/internal/pushback/sharing"
@@ -89,38 +88,11 @@
 	p.pools.SetVMCounts(counts)
 	p.retryBudgets.SetFleet(p.fleetCount(vms))
 	p.pushback.SetFleet(p.fleet(vms), time.Now())
-	p.peers.SetPeers(p.selectPeers(vms))
+	p.peerSelection.setVMs(vms)
 	p.hopPeers.SetPeers(hopPeersOf(vms))
 	p.setAllocationVMs(vms)
 }
 
-// selectPeers returns the VMs that this one fetches tables from: all followers, or those that follow
-// the feed if others ask this VM. One that follows the feed itself asks all followers of the other
-// data centres: the store may turn away all that follow the feed and answer others.
-func (p *Process) selectPeers(vms []census.VM) mirror.Peers {
-	own, feedFollowers, followers := p.Settings.VM.DataCentre, census.FeedFollowersOf(vms), census.FollowersOf(vms)
-	near, far := followers, followers
-	switch {
-	case p.census.FollowsFeed():
-		near = feedFollowers
-	case p.census.Relays():
-		near, far = feedFollowers, feedFollowers
-	}
-	peers := mirror.Peers{
-		DataCentre: own, LocalFollowers: addressesOf(near[own]), LocalRelays: addressesOf(followers[own]),
-		Fallback: append(addressesOf(vms), p.Settings.Peers.Seeds...), FeedFollowers: map[string][]string{},
-	}
-	for dataCentre, vms := range far {
-		if dataCentre != own {
-			peers.RemoteFollowers = append(peers.RemoteFollowers, addressesOf(vms))
-		}
-	}
-	for dataCentre, vms := range feedFollowers {
-		peers.FeedFollowers[dataCentre] = addressesOf(vms)
-	}
-	return peers
-}
-
 func addressesOf(vms []census.VM) []string {
 	addresses := make([]string, len(vms))
 	for i, vm := range vms {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -98,6 +98,7 @@
 	loadCollector *loads.Collector
 	mirror        *mirror.Server
 	peers         *mirror.Client
+	peerSelection *peerSelection
 	forwarder     *forwarder
 	// quarantine records requests that crash replicas. sharing exchanges the records with
 	// other VMs.
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -3,12 +3,12 @@
 import (
 	"go.uber.org/zap"
 
-	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/settings"
 )
 
-// Reload applies the settings that may change while the process runs: the seed peers.
+// Reload applies the settings that may change while the process runs: the seed peers. What this VM has learnt
+// of other VMs stays.
 func (p *Process) Reload(s *settings.Settings) {
-	p.peers.SetPeers(mirror.Peers{Fallback: s.Peers.Seeds})
+	p.peerSelection.setSeeds(s.Peers.Seeds)
 	p.Logger.Info("settings reloaded", zap.Strings("seeds", s.Peers.Seeds))
 }
