relay: processes that have just started share two fifths of the retry slack

What callers see with the change before: a VM that is cut off from its replicas within 18 s of its start loses streams in progress, as it has next to no retries (TestStreamsInProgressSurviveTheCut failed, 12 of 16 streams cut short).

Change: established VMs share three fifths of the slack, and starting processes the rest, for three starts of each VM in a window. The draw by which small parts are given stays.

After: that test passes; TestFleetKeepsItsRetryBudget passed 4,000 draws, TestFleetKilledRepeatedlyKeepsItsRetryBudget 6, 88 and 985 VMs. TestRetrySlackMayComeInABurst asks for 15 to 25 retries of an established VM as before.

--- a/internal/relay/retry_budgets.go
+++ b/internal/relay/retry_budgets.go
@@ -14,16 +14,19 @@
 )
 
 const (
-	// budgetFraction is the fraction of the allowance that the VMs use which count each other. The rest is
-	// for processes that have just started, and covers requests that are counted at different times.
+	// budgetFraction is the fraction of the allowance of retries per request that this VM uses. The rest covers
+	// requests that are counted at different times.
 	budgetFraction = 0.85
+	// establishedFraction is the fraction of the slack for the VMs that count each other. The rest is for
+	// processes that have just started.
+	establishedFraction = 0.6
 	// wholeFraction is the fraction of the slack up to which each VM may have a whole retry of it.
 	wholeFraction = 0.97
 	// maxStarts is how often a VM may start in a window without all VMs together going beyond the slack.
 	maxStarts = 3
 	// minFleet is the number of VMs that a starting process assumes at least: its list may have been read
 	// while the rows of most VMs had expired.
-	minFleet = 8
+	minFleet = 4
 )
 
 // RetryBudgetSettings are the fleet's allowance of sends beyond the first, for one service.
@@ -81,7 +84,7 @@
 // Retries are whole. Where an even part is less than one, each VM has one as long as that is within
 // the slack.
 func (b *RetryBudgets) part(vms int) (part, all float64) {
-	all = budgetFraction * b.settings.Slack
+	all = establishedFraction * b.settings.Slack
 	if all < float64(vms) && float64(vms) <= wholeFraction*b.settings.Slack {
 		return 1, float64(vms)
 	}
