relay, platform: tenants that have lost all their keys no longer let every request in

Cause: whether keys are required followed from the number of keys that are left. The class: an empty set taken for an absent one.

Change: keys are required if the configuration has tenants, an empty list of them included; without the field they are not.

The class elsewhere, by reading: no backend of a positive weight gives the service "", which has no replicas; an empty list of routes refuses all; limits of 0 are documented as none and are absent fields. Tables that are empty after a store's return: census and follow keep what they had by era.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -17,7 +17,7 @@
 	Limits   Limits
 
 	profiles   map[string][]*Profile     // by host, the longest prefix first
-	workspaces map[string]*Workspace     // by key
+	workspaces map[string]*Workspace     // by key, nil if requests need none
 	ranks      map[string]overload.Ranks // by the name of a model's service
 }
 
@@ -43,8 +43,8 @@
 	BodyBytes   int64
 }
 
-// NewConfig returns a configuration in which profiles are looked up by host and path, and
-// workspaces by API key.
+// NewConfig returns a configuration in which profiles are looked up by host and path, and workspaces by API
+// key. If keys is nil, requests need no key; if it is empty, none has access but to public profiles.
 func NewConfig(version uint64, profiles []*Profile, keys map[string]*Workspace, services map[string]*Service, limits Limits) *Config {
 	c := &Config{Version: version, Services: services, Limits: limits, workspaces: keys, profiles: map[string][]*Profile{}}
 	for _, p := range profiles {
@@ -121,8 +121,8 @@
 // Workspace returns the owner of an API key, nil if the key is unknown.
 func (c *Config) Workspace(key string) *Workspace { return c.workspaces[key] }
 
-// RequiresKey reports whether any API keys are configured. If not, no request needs one.
-func (c *Config) RequiresKey() bool { return len(c.workspaces) > 0 }
+// RequiresKey reports whether requests need an API key.
+func (c *Config) RequiresKey() bool { return c.workspaces != nil }
 
 // NumProfiles returns the number of profiles.
 func (c *Config) NumProfiles() int {
