relay: memory for a request's body is reserved before it is read

Cause: readBody compared its bound with the bodies that had been read whole, and counted one only then. The class: a limit that is checked before and counted after.

Change: a body reserves its declared length, or doubling buffers as it arrives, out of 15 % of the VM's memory. What finds no room is refused at once with 503 and a time to come back.

Other buffers: a call's answer is still read up to 64 MiB without a reservation; that is open.

--- a/internal/entry/resource_limits.go
+++ b/internal/entry/resource_limits.go
@@ -19,6 +19,8 @@
 	connectionsMemoryShare = 0.5
 	// passedOnShare is the part of the handles, and of the memory, that connections of peers may take.
 	passedOnShare = 0.125
+	// bodyMemoryShare is the part of the memory that the bodies of callers' requests may take.
+	bodyMemoryShare = 0.15
 	// heapLimitShare is the part of the memory at which the garbage collector works harder.
 	heapLimitShare = 0.75
 	// minConnections is allowed however small the VM is. connectionsCap is the most that is allowed,
@@ -54,6 +56,11 @@
 	return max(minConnections, limit)
 }
 
+// maxBodyMemory returns how many bytes of requests' bodies a VM holds at a time, 0 if its memory is not known.
+func maxBodyMemory(vm settings.VM) int64 {
+	return int64(bodyMemoryShare * float64(vm.MemoryMB<<20))
+}
+
 // setHeapLimit sets a soft memory limit, so that the garbage collector works harder before the
 // process is killed for its memory use. It does nothing if the VM's memory is not known.
 func setHeapLimit(vm settings.VM) {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -35,9 +34,6 @@
 	// while the VM was cut off would get 401 and not retry. Copies are confirmed within 2 s in
 	// normal operation.
 	staleAfter = 3 * time.Second
-	// maxBufferedBodies bounds the bytes of all buffered bodies, not counting one more body for
-	// each connection that is being read. A VM has at least 184 MB of memory.
-	maxBufferedBodies = 48 << 20
 	// defaultRetryAfter is when to retry a request that this VM could not serve for a reason that
 	// is temporary or does not apply to other VMs.
 	defaultRetryAfter = 200 * time.Millisecond
@@ -97,7 +93,10 @@
 	// Incarnations is provided by discovery. If it is nil, restarts of plain replicas are not
 	// counted.
 	Incarnations Incarnations
-	Logger       *zap.Logger
+	// BodyMemory bounds the bytes of all bodies that are held at a time, 0 for a bound that suits the
+	// smallest VM.
+	BodyMemory int64
+	Logger     *zap.Logger
 }
 
 // Handler serves the requests of callers. It is safe for concurrent use.
@@ -110,14 +109,13 @@
 	shortages *shortages
 	crashes   *crashGuard
 	inHand    atomic.Int64
-	// bufferedBodies is the number of bytes of all buffered bodies.
-	bufferedBodies atomic.Int64
+	bodies    *bodyMemory
 }
 
 // New returns a handler with the given dependencies.
 func New(o Options) *Handler {
 	o.Balancer.OnFree(o.Admission.Wake)
-	h := &Handler{Options: o, reportCache: newReportCache(o.Engines), watches: newStallWatches(), shortages: newShortages(), crashes: newCrashGuard(o)}
+	h := &Handler{Options: o, reportCache: newReportCache(o.Engines), watches: newStallWatches(), shortages: newShortages(), crashes: newCrashGuard(o), bodies: newBodyMemory(o.BodyMemory)}
 	h.prober = newStageProber(h.probeConnect)
 	return h
 }
@@ -142,7 +140,7 @@
 		Inbound: h.Codec.Decode(r.Header), method: r.Method, host: r.Host, url: r.URL, header: r.Header, arrival: time.Now(),
 	}
 	q.decisionLog.id = q.RequestID
-	defer func() { h.bufferedBodies.Add(-int64(len(q.body))) }()
+	defer q.releaseBody()
 	if failure := h.accept(q, w, r); failure != nil {
 		h.finish(q, failure)
 		h.refuse(w, q, failure)
@@ -242,12 +240,14 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	if h.bufferedBodies.Load() > maxBufferedBodies {
-		return outcome.Refuse(outcome.ReasonOverloaded, "this VM holds too many bodies").WithRetryAfter(defaultRetryAfter)
-	}
 	if limit > 0 && r.ContentLength > limit {
 		return outcome.Refuse(outcome.ReasonTooLarge, "the body is larger than allowed")
 	}
+	buffer, err := newBodyBuffer(h.bodies, r.ContentLength)
+	if err != nil {
+		return h.refuseBody(err)
+	}
+	q.bodyBuffer = buffer
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout)) // without support for deadlines, the caller bounds the read
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
@@ -255,17 +255,24 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	whole, err := io.ReadAll(body)
+	if err := buffer.readFrom(body); err != nil {
+		return h.refuseBody(err)
+	}
+	q.body = buffer.data
+	return nil
+}
+
+// refuseBody refuses a request whose body was not read whole.
+func (h *Handler) refuseBody(err error) *outcome.Failure {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoBodyMemory):
+		return outcome.Refuse(outcome.ReasonOverloaded, "this VM holds too many bodies").
+			WithRetryAfter(h.shortages.retryAfter(bodyShortage, defaultRetryAfter)).WithCause(err)
 	case errors.As(err, &tooLarge):
 		return outcome.Refuse(outcome.ReasonTooLarge, "the body is larger than allowed")
-	case err != nil:
-		return outcome.Refuse(outcome.ReasonBadRequest, "the body did not arrive whole").WithCause(err)
 	}
-	q.body = whole
-	h.bufferedBodies.Add(int64(len(whole)))
-	return nil
+	return outcome.Refuse(outcome.ReasonBadRequest, "the body did not arrive whole").WithCause(err)
 }
 
 // headerBytes returns the approximate size of the request's head.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -23,6 +23,8 @@
 	header  http.Header
 	body    []byte
 	arrival time.Time
+	// bodyBuffer holds the body, nil if there is none.
+	bodyBuffer *bodyBuffer
 	// deadline is the end of the caller's or the profile's timeout, less responseMargin.
 	deadline time.Time
 
@@ -59,6 +61,13 @@
 	})
 }
 
+// releaseBody gives the memory of the body back.
+func (q *request) releaseBody() {
+	if q.bodyBuffer != nil {
+		q.bodyBuffer.release()
+	}
+}
+
 // remaining returns the time until the deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
