relay: a body may take as long as its request, if it makes progress; 408 otherwise

What callers see: a body that takes over 10 s gets 400, which nobody repeats, though it is within all limits and has time left.

Cause: one bound of 10 s for the whole body, and each failed read taken for a bad request.

Change: reading ends with the request's own time limit, or 10 s after the last KiB ("body-timeout", 408, not run).

--- a/internal/outcome/reason.go
+++ b/internal/outcome/reason.go
@@ -10,6 +10,7 @@
 	ReasonForbidden        Reason = "forbidden"
 	ReasonUnknownProfile   Reason = "unknown-profile"
 	ReasonTooLarge         Reason = "too-large"
+	ReasonBodyTimeout      Reason = "body-timeout"
 	ReasonHeadersTooLarge  Reason = "headers-too-large"
 	ReasonNotFound         Reason = "not-found"
 	ReasonMethodNotAllowed Reason = "method-not-allowed"
@@ -44,6 +45,7 @@
 	ReasonForbidden:        403,
 	ReasonUnknownProfile:   404,
 	ReasonTooLarge:         413,
+	ReasonBodyTimeout:      408,
 	ReasonHeadersTooLarge:  431,
 	ReasonNotFound:         404,
 	ReasonMethodNotAllowed: 405,
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -27,8 +28,6 @@
 	// responseMargin is subtracted from the deadline so that the last response still arrives in
 	// time. It covers the network path to the caller and back, and one scheduling delay.
 	responseMargin = 30 * time.Millisecond
-	// bodyReadTimeout bounds reading a request's body.
-	bodyReadTimeout = 10 * time.Second
 	// staleAfter is the age of the configuration above which an unknown key or path may be missing
 	// on this VM, rather than being the caller's mistake. Without it, a caller whose key was added
 	// while the VM was cut off would get 401 and not retry. Copies are confirmed within 2 s in
@@ -176,11 +175,11 @@
 	if failure := h.resolve(q, r); failure != nil {
 		return failure
 	}
+	q.deadline = q.arrival.Add(h.timeout(q) - responseMargin)
 	if failure := h.readBody(q, w, r); failure != nil {
 		return failure
 	}
 	q.digest = q.contentDigest()
-	q.deadline = q.arrival.Add(h.timeout(q) - responseMargin)
 	q.sendGuard = dispatch.NewSendGuard(q.RequestID, q.profile.Repeatable(), h.Invariants)
 	q.service = q.profile.service(q.hash())
 	h.classify(q)
@@ -249,13 +248,12 @@
 	}
 	q.bodyBuffer = buffer
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout)) // without support for deadlines, the caller bounds the read
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	if err := buffer.readFrom(body); err != nil {
+	if err := buffer.readFrom(newBodyProgress(body, control.SetReadDeadline, q.deadline)); err != nil {
 		return h.refuseBody(err)
 	}
 	q.body = buffer.data
@@ -271,6 +269,8 @@
 			WithRetryAfter(h.shortages.retryAfter(bodyShortage, defaultRetryAfter)).WithCause(err)
 	case errors.As(err, &tooLarge):
 		return outcome.Refuse(outcome.ReasonTooLarge, "the body is larger than allowed")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.Refuse(outcome.ReasonBodyTimeout, "the body did not arrive in time").WithCause(err)
 	}
 	return outcome.Refuse(outcome.ReasonBadRequest, "the body did not arrive whole").WithCause(err)
 }
