relay: paths are matched as they were sent, an escaped slash is no slash

What callers see: a request for /confirm/sub%2Fx, which only /confirm/ begins, is run by the service of /confirm/sub/, without a key if that is public (ROUTE). A path such as /confirm/{a}|b%2Fc reaches the replica as another one (UNASKED).

Cause: prefixes were compared with the decoded path, while the path as sent goes on.

Change: both are compared in the normal form of RFC 3986, section 6.2.2, in which a slash stays escaped. A path that a URL must not hold gets 400.

TestEscapedSlashIsNoSlash fails with the comparison of before.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -48,6 +48,7 @@
 func NewConfig(version uint64, profiles []*Profile, keys map[string]*Workspace, services map[string]*Service, limits Limits) *Config {
 	c := &Config{Version: version, Services: services, Limits: limits, workspaces: keys, profiles: map[string][]*Profile{}}
 	for _, p := range profiles {
+		p.normalPrefix = normalizePath(p.Prefix)
 		c.profiles[p.Host] = append(c.profiles[p.Host], p)
 	}
 	for _, list := range c.profiles {
@@ -108,10 +109,11 @@
 	return c.ranks[service].Of(priority)
 }
 
-// Match returns the host's profile with the longest prefix of the path, nil if there is none.
-func (c *Config) Match(host, path string) *Profile {
+// Match returns the host's profile with the longest prefix of the escaped path, nil if there is none.
+func (c *Config) Match(host, escapedPath string) *Profile {
+	path := normalizePath(escapedPath)
 	for _, p := range c.profiles[host] {
-		if strings.HasPrefix(path, p.Prefix) {
+		if strings.HasPrefix(path, p.normalPrefix) {
 			return p
 		}
 	}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -189,7 +189,11 @@
 
 // resolve finds the request's profile and workspace.
 func (h *Handler) resolve(q *request, r *http.Request) *outcome.Failure {
-	q.profile = q.config.Match(r.Host, r.URL.Path)
+	path, ok := sentPath(r)
+	if !ok {
+		return outcome.Refuse(outcome.ReasonBadRequest, "the path has characters that a URL must not hold")
+	}
+	q.profile = q.config.Match(r.Host, path)
 	if q.profile == nil {
 		return h.refuseUnknown(outcome.ReasonUnknownProfile, "no profile has this host and path")
 	}
