relay: excluded replicas are tried again after a pause, and what was not sent is no send

What callers see: a stream whose replica has ended gets 502 within 14 ms with 7.9 s left, while other replicas are about to be confirmed. Beside crashes a replica that sheds got the same stream five times in 40 ms, each charged to the retry budget.

Cause: admit dropped all exclusions at once where no path existed without them, and each refused connection counted against maxSends. The class: a fallback without a pause.

Change: the stream waits for a path that becomes known, or for a pause with jitter of 0.1 s that doubles up to 1 s, and only then tries the excluded replicas again. One that has not begun waits no longer than in the queue. Sends that reached no replica have a bound of their own. The set has a lock: the stall watch read it while the end of a send wrote it.

--- a/internal/layers/table.go
+++ b/internal/layers/table.go
@@ -119,6 +119,14 @@
 	return r, nil
 }
 
+// HasPath reports whether a path exists, with capacity or without.
+func (t *Table) HasPath(query Query) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, _, err := t.cheapestPath(query, time.Now())
+	return !errors.Is(err, ErrNoPath)
+}
+
 // findPath finds a path. A competing request that would be late on it leaves the reserve of late
 // requests to those that can be in time.
 func (t *Table) findPath(query Query, now time.Time) (Path, *search, error) {
--- a/internal/relay/generation.go
+++ b/internal/relay/generation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -25,6 +24,8 @@
 	// maxResends bounds them for a stream of which the caller has received a part: full replicas
 	// may reject it, which costs little compared with the response so far.
 	maxResends = 12
+	// maxUnsentSends bounds the sends that reached no replica. Pauses come between those to one replica.
+	maxUnsentSends = 40
 	// budgetPollInterval is the time between two checks of an exhausted retry budget.
 	budgetPollInterval = 100 * time.Millisecond
 	// defaultPromptTokens and defaultAnswerTokens are the sizes assumed for a generation that
@@ -43,12 +44,13 @@
 	w     http.ResponseWriter
 	table *layers.Table
 	// excluded holds the replicas that the next path must not contain.
-	excluded map[incarnation.Key]bool
+	excluded exclusions
 
-	// events is the number of events that the caller has received, sends the number of times the
-	// request was sent.
+	// events is the number of events that the caller has received, sends the number of sends that may have
+	// reached a replica, with the current one. unsent is the number of those that did not.
 	events atomic.Int64
 	sends  atomic.Int32
+	unsent atomic.Int32
 	// sentAt is when the current send began, responseAt when the head of the current send's response arrived, firstEventAt when its
 	// first event did. Both are zero before.
 	responseAt   time.Time
@@ -77,7 +79,7 @@
 
 // serveGeneration serves a request along a path of replicas.
 func (h *Handler) serveGeneration(ctx context.Context, w http.ResponseWriter, q *request) {
-	g := &generation{h: h, q: q, w: w, table: h.Pools.of(q.service), excluded: map[incarnation.Key]bool{}, lastEvent: q.LastEventID}
+	g := &generation{h: h, q: q, w: w, table: h.Pools.of(q.service), lastEvent: q.LastEventID}
 	failure := g.run(ctx)
 	g.close()
 	q.runs = g.runs.count()
@@ -99,12 +101,16 @@
 	if failure != nil {
 		return failure
 	}
-	for sends := 1; ; sends++ {
-		g.sends.Store(int32(sends))
+	for {
+		g.sends.Add(1)
 		err := g.send(ctx, reservation)
 		if err == nil {
 			return nil
 		}
+		if !mayHaveArrived(err) {
+			g.sends.Add(-1)
+			g.unsent.Add(1)
+		}
 		g.q.decisionLog.add("send failed", zap.Error(err), zap.Int64("events", g.events.Load()), zap.Duration("ran", g.runTime()))
 		if reservation = g.takePrepared(); reservation == nil {
 			if reservation, failure = g.nextReservation(ctx, err); failure != nil {
@@ -174,7 +180,7 @@
 	if g.events.Load() > 0 {
 		limit = maxResends
 	}
-	if !mayRepeat || !g.resumable() || int(g.sends.Load()) >= limit {
+	if !mayRepeat || !g.resumable() || int(g.sends.Load()) >= limit || g.unsent.Load() >= maxUnsentSends {
 		return false
 	}
 	return !g.runs.reached(max(1, g.q.profile.MaxAttempts), g.hasEnded)
@@ -287,8 +293,8 @@
 		answer = min(answer, q.MaxAnswerTokens)
 	}
 	// The reservation keeps the query, and the stall watch reads it while this send may already be
-	// excluding another replica. On a shared map that ends the process.
-	return layers.Query{Prompt: prompt, Answer: answer, DataCentre: g.h.DataCentre, Exclude: maps.Clone(g.excluded)}
+	// excluding another replica.
+	return layers.Query{Prompt: prompt, Answer: answer, DataCentre: g.h.DataCentre, Exclude: g.excluded.snapshot()}
 }
 
 // admit waits for a path with capacity.
@@ -331,8 +337,7 @@
 	if throttled := g.h.throttledTooLong(g.q, pathErr); throttled != nil {
 		return nil, refuseThrottled(throttled)
 	}
-	if pathErr != nil && len(g.excluded) > 0 {
-		g.excluded = map[incarnation.Key]bool{}
+	if pathErr != nil && g.mayWaitForPath() && g.excluded.waitForPath(ctx, func() bool { return g.table.HasPath(g.query()) }) {
 		return g.admit(ctx)
 	}
 	if pathErr != nil {
@@ -342,3 +347,9 @@
 	g.h.recordStart(g.q)
 	return reservation, nil
 }
+
+// mayWaitForPath reports whether the generation may wait for a path that does not exist now. A stream that has
+// not begun waits no longer than it would in the queue.
+func (g *generation) mayWaitForPath() bool {
+	return g.headSent || time.Since(g.q.arrival) < g.h.queueWait(g.q)
+}
--- a/internal/relay/generation_retry_test.go
+++ b/internal/relay/generation_retry_test.go
@@ -22,7 +22,7 @@
 		Inbound: Inbound{RequestID: id, PromptTokens: 800, LikelyAnswerTokens: 100}, arrival: time.Now(), deadline: time.Now().Add(callerTimeout),
 		profile: profile, service: service, sendGuard: dispatch.NewSendGuard(id, true, invariant.Strict()),
 	}
-	g := &generation{h: h, q: q, table: h.Pools.of(service), excluded: map[incarnation.Key]bool{}, headSent: true, lastEvent: "1"}
+	g := &generation{h: h, q: q, table: h.Pools.of(service), headSent: true, lastEvent: "1"}
 	g.events.Store(1)
 	return g
 }
--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -80,7 +80,7 @@
 	case errors.As(err, &throttled):
 		return err // another path, or this one later; the replica is healthy
 	case errors.As(cause, &stalled):
-		g.excluded[stalled.Replica.Key()] = true
+		g.excluded.add(stalled.Replica.Key())
 		g.q.progress.replicaLeft(stalled.Replica.Address, stalled.Why)
 		return cause
 	case errors.As(cause, &lost):
@@ -89,7 +89,7 @@
 	case ctx.Err() != nil:
 		return err
 	}
-	g.excluded[first.Key()] = true
+	g.excluded.add(first.Key())
 	g.table.Suspect(first)
 	g.q.progress.replicaLeft(first.Address, "its connection broke")
 	if mayHaveArrived(err) && g.inCrashWindow() {
@@ -105,7 +105,7 @@
 	if x.head.FaultAddress != "" {
 		fault = g.replicaAt(path, x.head.FaultAddress)
 	}
-	g.excluded[fault.Key()] = true
+	g.excluded.add(fault.Key())
 	g.table.RecordRefusal(fault)
 	if g.h.Allocator != nil && g.q.class.Competing() {
 		g.h.Allocator.RecordRejection(allocator.Rejection{Service: g.q.service, Replica: fault.Key().String()})
--- a/internal/relay/overload_load_test.go
+++ b/internal/relay/overload_load_test.go
@@ -153,7 +153,7 @@
 		config: l.config, profile: &p.Profile, priority: p.Priority, service: competingService, sendGuard: dispatch.NewSendGuard("", true, h.Invariants),
 	}
 	h.classify(q)
-	g := &generation{h: h, q: q, table: h.Pools.of(competingService), excluded: map[incarnation.Key]bool{}}
+	g := &generation{h: h, q: q, table: h.Pools.of(competingService)}
 	reservation, failure := g.admit(ctx)
 	for failure == nil {
 		g.sends.Add(1)
@@ -165,7 +165,7 @@
 		if full == nil {
 			return begun, nil
 		}
-		g.excluded[full.Key()] = true
+		g.excluded.add(full.Key())
 		g.table.RecordRefusal(full.Replica)
 		reservation, failure = g.nextReservation(ctx, &notRunError{Address: full.Address})
 	}
