--- a/internal/mirror/two_faults_test.go
+++ b/internal/mirror/two_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,10 +17,19 @@
 // requests that it should serve. The bounds are those promised for fleets of the given size; five
 // data centres are those of the largest fleet in operation.
 func TestTwoFaultsDoNotHideAChange(t *testing.T) {
-	for _, c := range []struct {
+	type fleet struct {
 		vms, dataCentres int
 		bound            time.Duration
-	}{{88, 3, 3 * time.Second}, {195, 5, 4 * time.Second}} {
+	}
+	fleets := []fleet{{88, 3, 3 * time.Second}, {195, 5, 4 * time.Second}}
+	switch os.Getenv(largeFleets) {
+	case "":
+	case "twice":
+		fleets = append(fleets, fleet{985, 5, 5 * time.Second}, fleet{1_970, 5, 5 * time.Second})
+	default:
+		fleets = append(fleets, fleet{985, 5, 5 * time.Second})
+	}
+	for _, c := range fleets {
 		for name, faults := range map[string]func(*spreadFleet){
 			"all followers of the feed are dead":                                 killFollowers,
 			"a third is rejected, the followers of one data centre are dead":     rejectAndKillLocal,
