relay: a replica's 503 without a not-run declaration is not passed on for a call that may not be repeated

What callers see: a call that may have run is answered 503, 429 or 408, which promise that it has not, and is sent again (REFUSED).

Cause: a replica's failure kept its status, whatever that promises to callers.

Change: such a call gets 502 without the replica's signature. Calls and streams that may be repeated keep the replica's answer.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -244,6 +244,9 @@
 	if err != nil {
 		return nil, &sendError{Address: to.address, Sent: true, Cause: err}
 	}
+	if err := x.undeclaredRefusal(q.profile); err != nil {
+		return nil, err
+	}
 	return &callResult{status: x.resp.StatusCode, header: x.resp.Header, body: body}, nil
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -140,6 +140,18 @@
 	return nil
 }
 
+// undeclaredRefusal returns an error if the replica's status promises callers that the request has not run,
+// while the replica has not declared so and the request may not be repeated. Callers would send it again.
+func (x *exchange) undeclaredRefusal(profile *Profile) error {
+	switch x.resp.StatusCode {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if !profile.Repeatable() {
+			return &sendError{Address: x.resp.Request.URL.Host, Sent: true, Cause: errors.Newf("status %d, not declared as not run", x.resp.StatusCode)}
+		}
+	}
+	return nil
+}
+
 // body reads the whole body.
 func (x *exchange) body() ([]byte, error) { return io.ReadAll(x.resp.Body) }
 
--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -133,6 +133,9 @@
 		return err
 	}
 	g.runSucceeded()
+	if err := x.undeclaredRefusal(g.q.profile); err != nil {
+		return err
+	}
 	if g.headSent {
 		return &sendError{Address: x.resp.Request.URL.Host, Sent: true, Cause: errors.Newf("status %d", x.resp.StatusCode)}
 	}
