--- a/internal/relay/retry_budgets.go
+++ b/internal/relay/retry_budgets.go
@@ -91,9 +91,8 @@
 	return all / float64(vms), all
 }
 
-// draw returns one whole retry or none, so that VMs with the given part of one have that many on average.
-// The VMs that have one are drawn anew in each window. A window that slides over two of these contains the
-// retries of two draws, so each takes half of the VMs.
+// draw returns one whole retry for half of the given part of the VMs, and none for the others. They are drawn anew
+// in each window; one that slides over two of these contains the retries of two draws.
 func (b *RetryBudgets) draw(part float64, now time.Time) float64 {
 	draw := fmt.Sprint(b.settings.VM, "\x00", now.UnixNano()/int64(b.settings.Window))
 	if float64(xxhash.Sum64String(draw))/math.MaxUint64 < part/2 {
