--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -16,11 +16,17 @@
 	Services map[string]*Service
 	Limits   Limits
 
-	profiles   map[string][]*Profile     // by host, the longest prefix first
+	profiles   map[string][]prefixEntry  // by host, the longest prefix first
 	workspaces map[string]*Workspace     // by key, nil if requests need none
 	ranks      map[string]overload.Ranks // by the name of a model's service
 }
 
+// prefixEntry is a profile with its prefix in the form in which paths are compared, see normalizePath.
+type prefixEntry struct {
+	prefix string
+	*Profile
+}
+
 // Service is a pool of replicas.
 type Service struct {
 	Name string
@@ -46,13 +52,12 @@
 // NewConfig returns a configuration in which profiles are looked up by host and path, and workspaces by API
 // key. If keys is nil, requests need no key; if it is empty, none has access but to public profiles.
 func NewConfig(version uint64, profiles []*Profile, keys map[string]*Workspace, services map[string]*Service, limits Limits) *Config {
-	c := &Config{Version: version, Services: services, Limits: limits, workspaces: keys, profiles: map[string][]*Profile{}}
+	c := &Config{Version: version, Services: services, Limits: limits, workspaces: keys, profiles: map[string][]prefixEntry{}}
 	for _, p := range profiles {
-		p.normalPrefix = normalizePath(p.Prefix)
-		c.profiles[p.Host] = append(c.profiles[p.Host], p)
+		c.profiles[p.Host] = append(c.profiles[p.Host], prefixEntry{prefix: normalizePath(p.Prefix), Profile: p})
 	}
 	for _, list := range c.profiles {
-		slices.SortStableFunc(list, func(a, b *Profile) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortStableFunc(list, func(a, b prefixEntry) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
 	}
 	return c
 }
@@ -113,8 +118,8 @@
 func (c *Config) Match(host, escapedPath string) *Profile {
 	path := normalizePath(escapedPath)
 	for _, p := range c.profiles[host] {
-		if strings.HasPrefix(path, p.normalPrefix) {
-			return p
+		if strings.HasPrefix(path, p.prefix) {
+			return p.Profile
 		}
 	}
 	return nil
--- a/internal/relay/profile.go
+++ b/internal/relay/profile.go
@@ -8,8 +8,6 @@
 	Host string
 	// Prefix is the start of the paths of the profile's requests. It ends with a slash.
 	Prefix string
-	// normalPrefix is the prefix as paths are compared, see normalizePath. NewConfig sets it.
-	normalPrefix string
 	// Idempotent is set if requests may run more than once.
 	Idempotent bool
 	// Resumable is set if generations may continue on another replica after the last event.
