--- a/internal/census/retry_budget_test.go
+++ b/internal/census/retry_budget_test.go
@@ -31,6 +31,8 @@
 	budgets *relay.RetryBudgets
 	stop    context.CancelFunc
 	starts  []time.Time
+	// restartAt is when the VM's next process starts if none runs.
+	restartAt time.Time
 }
 
 // retryingFleet is a fleet that makes each retry that its budgets allow.
@@ -93,12 +95,19 @@
 			continue
 		}
 		vm.stop()
-		vm.stop = nil
-		time.AfterFunc(down, func() {
-			starts := append(vm.starts, time.Now())
-			*vm = *f.start(vm.own)
-			vm.starts = starts
-		})
+		vm.stop, vm.restartAt = nil, time.Now().Add(down)
+	}
+}
+
+// restart starts the VMs again whose time has come.
+func (f *retryingFleet) restart() {
+	for i, vm := range f.vms {
+		if vm.stop != nil || time.Now().Before(vm.restartAt) {
+			continue
+		}
+		next := f.start(vm.own)
+		next.starts = append(vm.starts, time.Now())
+		f.vms[i] = next
 	}
 }
 
@@ -243,6 +252,7 @@
 					f.apply(e)
 				}
 			}
+			f.restart()
 			f.step(requests)
 		}
 		cancel()
