relay: log lines say which parts a prompt has

Callers saw drafts cut off by one replica's end after the other, and no line could tell whether the drafts that broke had a part of their prompts in common. Each request's line and each line of an end under a young run now has promptParts, the ids of the parts but the last, which belongs to the request alone.

--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -38,6 +38,9 @@
 	MaxAnswerTokens int
 	// LikelyAnswerTokens is the caller's estimate of the answer's size, 0 if not given.
 	LikelyAnswerTokens int
+	// PromptParts are the ids of the parts of a generation's prompt, in order. All but the last may be
+	// shared with other requests.
+	PromptParts []string
 }
 
 // Outbound holds what this VM adds to a request that it forwards.
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -109,7 +109,7 @@
 // recordBrokenRun records that the connection broke within the crash window of a run, if the
 // replica has ended. The request waits for the first query of the replica only.
 func (c *crashGuard) recordBrokenRun(q *request, replica incarnation.Key, ended func(context.Context) endedResult) {
-	run := brokenRun{requestID: q.RequestID, digest: q.digest, replica: replica, brokeAt: time.Now()}
+	run := newBrokenRun(q, replica)
 	switch probeEnded(ended) {
 	case endedYes:
 		c.ended(run)
@@ -127,10 +127,15 @@
 type brokenRun struct {
 	requestID string
 	digest    quarantine.Digest
+	parts     []string
 	replica   incarnation.Key
 	brokeAt   time.Time
 }
 
+func newBrokenRun(q *request, replica incarnation.Key) brokenRun {
+	return brokenRun{requestID: q.RequestID, digest: q.digest, parts: q.sharedParts(), replica: replica, brokeAt: time.Now()}
+}
+
 // recordBrokenCall is recordBrokenRun for a plain replica, which does not report its incarnation. A
 // replica that was restarted at once does not refuse connections, so discovery is watched for the
 // restart.
@@ -139,7 +144,7 @@
 	if c.incarnations == nil {
 		return
 	}
-	run := brokenRun{requestID: q.RequestID, digest: q.digest, replica: replica, brokeAt: time.Now()}
+	run := newBrokenRun(q, replica)
 	if c.watches.Add(1) > maxRestartWatches {
 		c.watches.Add(-1)
 		c.logger.Warn("restart of a replica not watched for: too many broken runs", zap.String("requestId", run.requestID), zap.Stringer("replica", replica))
@@ -188,7 +193,7 @@
 	}
 	status := c.ledger.Lookup(d, now)
 	c.logger.Warn("replica ended under a young run", zap.String("requestId", run.requestID), zap.Stringer("digest", d),
-		zap.Stringer("replica", run.replica), zap.Int("ends", status.Crashes), zap.Bool("quarantined", status.Quarantined))
+		zap.Strings("promptParts", run.parts), zap.Stringer("replica", run.replica), zap.Int("ends", status.Crashes), zap.Bool("quarantined", status.Quarantined))
 	c.notifier.Publish(d)
 }
 
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -53,6 +53,9 @@
 	if q.sendGuard != nil {
 		fields = append(fields, zap.Stringer("digest", q.digest))
 	}
+	if parts := q.sharedParts(); len(parts) > 0 {
+		fields = append(fields, zap.Strings("promptParts", parts))
+	}
 	if len(q.peers) > 0 {
 		fields = append(fields, zap.Strings("throughPeers", q.peers))
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -63,6 +63,11 @@
 	})
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may have too.
+func (q *request) sharedParts() []string {
+	return q.PromptParts[:max(0, len(q.PromptParts)-1)]
+}
+
 // releaseBody gives the memory of the body back.
 func (q *request) releaseBody() {
 	if q.bodyBuffer != nil {
