quarantine: crashes count against the parts of a prompt too, and have one cause

Callers saw drafts refused and cut off while replicas ended one after the other: 21 and 18 under requests of which no two were alike and that shared one part of their prompts.

The ledger now keeps one kind of record for every identity of a request: its whole content, and each part of its prompt but the last. The evidence differs where it has to: a request is on one replica at a time, a part on many, so a part takes three crashes that were not all at once. A crash has one cause: once an identity is quarantined its crashes count against no other one, which a part that half of the traffic shares needs. A success clears crashes or excuses one later crash; before, it excused all of a minute, in which a part that crashes nine runs in ten was never found. The status is a function of the records alone, so VMs agree in any order of reports; the property-based test has an independent model of it, for requests that crash the same replicas, beside the checks that it had.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -44,7 +44,8 @@
 	Store         any               `json:"store"`
 	// StoreCalls counts the calls that reached the store since the start, by purpose.
 	StoreCalls accounted.Counts `json:"storeCalls"`
-	// Quarantine lists the requests that were running on replicas when these crashed.
+	// Quarantine lists the requests, and the parts of their prompts, that were running on replicas when these
+	// crashed.
 	Quarantine []quarantine.Entry `json:"quarantine"`
 	// Pushback lists the rate limits, back-off times and announced departures of replicas.
 	Pushback []pushback.Entry `json:"pushback"`
@@ -83,7 +84,7 @@
 // read, as no event updates them.
 func (p *Process) setGauges() {
 	unusable, unusableTotal := p.view.unusableCounts()
-	requests := p.quarantine.Counts(time.Now())
+	requests, parts := p.quarantine.Counts(time.Now())
 	replicas := p.pushback.Counts(time.Now())
 	for name, value := range map[string]float64{
 		"ready":              gaugeOf(p.gate.Ready()),
@@ -102,6 +103,8 @@
 		"log_lines_dropped":       float64(p.LogDropped()),
 		"requests_suspected":      float64(requests.Suspected),
 		"requests_quarantined":    float64(requests.Quarantined),
+		"parts_suspected":         float64(parts.Suspected),
+		"parts_quarantined":       float64(parts.Quarantined),
 		"replicas_limited":        float64(replicas.Limited),
 		"replicas_backing_off":    float64(replicas.BackingOff),
 		"connections_passed_on":   float64(p.hopServer.Active()),
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -15,6 +15,6 @@
 		now := time.Now()
 		l.Lookup(d, now)
 		l.Lookup(d, now)
-		l.RecordSuccess(d, now)
+		l.RecordSuccess(RequestIdentity(d), now)
 	}
 }
--- a/internal/quarantine/counts.go
+++ b/internal/quarantine/counts.go
@@ -2,20 +2,24 @@
 
 import "time"
 
-// Counts holds the number of requests that a Ledger suspects and quarantines, for metrics.
+// Counts holds the number of requests, or of parts of prompts, that a Ledger suspects and quarantines, for
+// metrics.
 type Counts struct {
-	// Suspected is the number of requests with at least one crash that are not quarantined.
+	// Suspected is the number of those with at least one crash that are not quarantined.
 	Suspected int
-	// Quarantined is the number of requests that are refused.
+	// Quarantined is the number of those that are refused.
 	Quarantined int
 }
 
-// Counts returns how many requests are suspected and quarantined.
-func (l *Ledger) Counts(now time.Time) Counts {
+// Counts returns how many requests and how many parts of prompts are suspected and quarantined.
+func (l *Ledger) Counts(now time.Time) (requests, parts Counts) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var c Counts
 	for _, r := range l.records {
+		c := &requests
+		if r.identity.Part != "" {
+			c = &parts
+		}
 		switch st := l.status(r, now); {
 		case st.Quarantined:
 			c.Quarantined++
@@ -23,5 +27,5 @@
 			c.Suspected++
 		}
 	}
-	return c
+	return requests, parts
 }
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -13,9 +13,9 @@
 const DigestSize = 16
 
 // Digest identifies the content of a request, independent of its request ID: method, host, path and
-// query, workspace and body. It is a truncated SHA-256 sum, so that a caller cannot construct a
-// request with the digest of another one. The workspace is included, so that one workspace cannot
-// have the requests of another one quarantined.
+// query, workspace and body; or a part of prompts. It is a truncated SHA-256 sum, so that a caller cannot
+// construct a request with the digest of another one. The workspace is included in that of a request, so
+// that one workspace cannot have the requests of another one quarantined.
 type Digest [DigestSize]byte
 
 // Content is the part of a request that its Digest covers.
@@ -26,17 +26,22 @@
 	Body      []byte
 }
 
-// DigestOf returns the digest of c. Each string is hashed with its length, so that moving a byte from
-// one field to the next changes the digest.
+// DigestOf returns the digest of c.
 func DigestOf(c Content) Digest {
+	return digest([]string{c.Method, c.Host, c.URI, c.Workspace}, c.Body)
+}
+
+// digest hashes each string with its length, so that moving a byte from one field to the next changes the
+// digest.
+func digest(fields []string, body []byte) Digest {
 	hash := sha256.New()
-	for _, part := range []string{c.Method, c.Host, c.URI, c.Workspace} {
+	for _, field := range fields {
 		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 		_, _ = hash.Write(length[:]) // hash.Hash.Write never returns an error
-		_, _ = io.WriteString(hash, part)
+		_, _ = io.WriteString(hash, field)
 	}
-	_, _ = hash.Write(c.Body)
+	_, _ = hash.Write(body)
 	var d Digest
 	copy(d[:], hash.Sum(nil))
 	return d
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -7,9 +7,11 @@
 	"time"
 )
 
-// Entry is the state of one suspected or quarantined request in a dump.
+// Entry is the state of one suspected or quarantined request, or part of prompts, in a dump.
 type Entry struct {
-	Digest          Digest   `json:"digest"`
+	Digest Digest `json:"digest"`
+	// Part is the id of the part of prompts, empty for a request.
+	Part            string   `json:"promptPart,omitempty"`
 	Quarantined     bool     `json:"quarantined"`
 	Crashes         int      `json:"ends"`
 	CrashedReplicas []string `json:"replicas"`
@@ -31,7 +33,7 @@
 		if st.Crashes == 0 {
 			continue
 		}
-		e := Entry{Digest: d, Quarantined: st.Quarantined, Crashes: st.Crashes, CrashedReplicas: r.replicas(), Seen: now.Sub(r.lastSeen).String()}
+		e := Entry{Digest: d, Part: r.identity.Part, Quarantined: st.Quarantined, Crashes: st.Crashes, CrashedReplicas: r.replicas(), Seen: now.Sub(r.lastSeen).String()}
 		if st.Quarantined {
 			e.Left = st.Left.String()
 		}
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -24,13 +26,13 @@
 	l := NewLedger(DefaultSettings, start)
 	d := digestOf(1)
 	for range 5 {
-		l.RecordCrash(d, replica(1), start)
-		l.RecordCrash(d, incarnation.Key{ID: "replica-1"}, start) // this VM does not know the start time
+		l.RecordCrash(RequestIdentity(d), replica(1), start)
+		l.RecordCrash(RequestIdentity(d), incarnation.Key{ID: "replica-1"}, start) // this VM does not know the start time
 	}
 	if st := l.Lookup(d, start); st.Crashes != 1 {
 		t.Errorf("%+v", st)
 	}
-	l.RecordCrash(d, incarnation.Key{ID: "replica-1", Born: 2}, start)
+	l.RecordCrash(RequestIdentity(d), incarnation.Key{ID: "replica-1", Born: 2}, start)
 	if st := l.Lookup(d, start); st.Crashes != 2 {
 		t.Errorf("a later incarnation: %+v", st)
 	}
@@ -40,7 +42,7 @@
 func quarantined(d Digest) *Ledger {
 	l := NewLedger(DefaultSettings, start)
 	for i := range DefaultSettings.CrashThreshold {
-		l.RecordCrash(d, replica(i), start)
+		l.RecordCrash(RequestIdentity(d), replica(i), start)
 	}
 	return l
 }
@@ -61,7 +63,7 @@
 	if st := l.Lookup(d, now); st.Quarantined || st.Crashes != DefaultSettings.CrashThreshold-1 {
 		t.Errorf("after QuarantineTTL without a request: %+v", st)
 	}
-	l.RecordCrash(d, replica(99), now)
+	l.RecordCrash(RequestIdentity(d), replica(99), now)
 	if !l.Lookup(d, now).Quarantined {
 		t.Error("not quarantined after one more crash")
 	}
@@ -71,15 +73,15 @@
 func TestSuccessfulRunClearsRequest(t *testing.T) {
 	d := digestOf(1)
 	l := quarantined(d)
-	if !l.RecordSuccess(d, start) || l.Lookup(d, start).Crashes != 0 {
+	if !l.RecordSuccess(RequestIdentity(d), start) || l.Lookup(d, start).Crashes != 0 {
 		t.Errorf("%+v", l.Lookup(d, start))
 	}
-	l.RecordCrash(d, replica(50), start.Add(time.Second))
+	l.RecordCrash(RequestIdentity(d), replica(50), start.Add(time.Second))
 	if st := l.Lookup(d, start.Add(time.Second)); st.Crashes != 0 {
 		t.Errorf("after a crash within SuccessTTL: %+v", st)
 	}
 	later := start.Add(2 * DefaultSettings.SuccessTTL)
-	l.RecordCrash(d, replica(51), later)
+	l.RecordCrash(RequestIdentity(d), replica(51), later)
 	if st := l.Lookup(d, later); st.Crashes != 1 {
 		t.Errorf("after a crash past SuccessTTL: %+v", st)
 	}
@@ -93,11 +95,11 @@
 	l := NewLedger(settings, start)
 	culprit := digestOf(-1)
 	for i := range settings.CrashThreshold {
-		l.RecordCrash(culprit, replica(i), start)
+		l.RecordCrash(RequestIdentity(culprit), replica(i), start)
 	}
 	for i := range 1000 {
-		l.RecordCrash(digestOf(i), replica(i), start.Add(time.Duration(i)))
-		l.RecordSuccess(digestOf(10_000+i), start)
+		l.RecordCrash(RequestIdentity(digestOf(i)), replica(i), start.Add(time.Duration(i)))
+		l.RecordSuccess(RequestIdentity(digestOf(10_000+i)), start)
 	}
 	if reports, _ := l.Since(0, start); len(reports) > settings.MaxRecords {
 		t.Errorf("%d requests are kept", len(reports))
@@ -106,7 +108,7 @@
 		t.Error("many other requests evicted a quarantined one")
 	}
 	for i := range 100 {
-		l.RecordCrash(culprit, replica(100+i), start)
+		l.RecordCrash(RequestIdentity(culprit), replica(100+i), start)
 	}
 	if crashes := l.Lookup(culprit, start).Crashes; crashes > maxCrashes {
 		t.Errorf("%d crashes are kept", crashes)
@@ -129,16 +131,22 @@
 		now := start
 		crashes := map[Digest]map[incarnation.Key]time.Time{}
 		cleared := map[Digest]bool{}
+		// Where requests share replicas, a crash that one of them explains does not count against the others.
+		sharedReplicas := rapid.Bool().Draw(t, "shared replicas")
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
 			vm, d := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "vm")], digestOf(rapid.IntRange(0, 2).Draw(t, "request"))
+			firstReplica := 0
+			if !sharedReplicas {
+				firstReplica = int(d[0]) << 8
+			}
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
-				vm.RecordSuccess(d, now)
+				vm.RecordSuccess(RequestIdentity(d), now)
 				cleared[d] = true
 			case 1, 2, 3, 4:
-				k := replica(rapid.IntRange(0, 4).Draw(t, "replica"))
-				vm.RecordCrash(d, k, now)
+				k := replica(firstReplica + rapid.IntRange(0, 4).Draw(t, "replica"))
+				vm.RecordCrash(RequestIdentity(d), k, now)
 				if crashes[d] == nil {
 					crashes[d] = map[incarnation.Key]time.Time{}
 				}
@@ -163,6 +171,12 @@
 					t.Fatalf("request %d: %+v and %+v", i, want, got)
 				}
 			}
+			if sharedReplicas {
+				if expected := culpritsOf(crashes); len(cleared) == 0 && want.Quarantined != expected[d] {
+					t.Fatalf("request %d: %+v after crashes at %v", i, want, crashes)
+				}
+				continue
+			}
 			if !cleared[d] && want.Crashes != len(crashes[d]) {
 				t.Fatalf("request %d: %d crashes are counted of %d", i, want.Crashes, len(crashes[d]))
 			}
@@ -170,7 +184,7 @@
 			if almost := want.Crashes == DefaultSettings.CrashThreshold-1; almost && cleared[d] {
 				thresholdReached = want.Quarantined // which crashes were cleared depends on the order
 			} else if almost {
-				thresholdReached = spanOf(crashes[d]) >= DefaultSettings.MinCrashSpacing
+				thresholdReached = spanOfTimes(crashes[d]) >= DefaultSettings.MinCrashSpacing
 			}
 			if want.Crashes > len(crashes[d]) || want.Quarantined != thresholdReached {
 				t.Fatalf("request %d: %+v after crashes at %v", i, want, crashes[d])
@@ -179,8 +193,30 @@
 	})
 }
 
-// spanOf returns the time between the first and the last crash.
-func spanOf(crashes map[incarnation.Key]time.Time) time.Duration {
+// culpritsOf returns the requests that are to be quarantined, by their crashes.
+func culpritsOf(crashes map[Digest]map[incarnation.Key]time.Time) map[Digest]bool {
+	enough := func(of map[incarnation.Key]time.Time) bool {
+		return len(of) >= DefaultSettings.CrashThreshold || len(of) == DefaultSettings.CrashThreshold-1 && spanOfTimes(of) >= DefaultSettings.MinCrashSpacing
+	}
+	order := slices.SortedFunc(maps.Keys(crashes), func(a, b Digest) int {
+		return cmp.Or(len(crashes[b])-len(crashes[a]), bytes.Compare(a[:], b[:]))
+	})
+	culprits, explained := map[Digest]bool{}, map[incarnation.Key]bool{}
+	for _, d := range order {
+		left := maps.Clone(crashes[d])
+		maps.DeleteFunc(left, func(k incarnation.Key, _ time.Time) bool { return explained[k] })
+		if enough(left) {
+			culprits[d] = true
+			for k := range crashes[d] {
+				explained[k] = true
+			}
+		}
+	}
+	return culprits
+}
+
+// spanOfTimes returns the time between the first and the last crash.
+func spanOfTimes(crashes map[incarnation.Key]time.Time) time.Duration {
 	times := slices.SortedFunc(maps.Values(crashes), time.Time.Compare)
 	return times[len(times)-1].Sub(times[0])
 }
@@ -199,7 +235,7 @@
 	} {
 		l, d := NewLedger(DefaultSettings, start), digestOf(1)
 		for i := range DefaultSettings.CrashThreshold - 1 {
-			l.RecordCrash(d, replica(i), start.Add(time.Duration(i)*c.apart))
+			l.RecordCrash(RequestIdentity(d), replica(i), start.Add(time.Duration(i)*c.apart))
 		}
 		if st := l.Lookup(d, start.Add(c.apart)); st.Quarantined != c.quarantined {
 			t.Errorf("%s: %+v", name, st)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -38,9 +38,12 @@
 // round times.
 const timeTolerance = 10 * time.Millisecond
 
-// record holds the crashes of one request.
+// record holds the crashes of one identity.
 type record struct {
-	crashes []crash
+	identity Identity
+	crashes  []crash
+	// culprit is set if the crashes that no likelier record explains are enough for a quarantine.
+	culprit bool
 	// lastSeen is the time at which a caller last sent the request while it was quarantined, or the
 	// time of its last crash.
 	lastSeen time.Time
@@ -84,6 +87,11 @@
 	}
 }
 
+// knows reports whether the crash of an incarnation is recorded.
+func (r *record) knows(replica incarnation.Key) bool {
+	return slices.ContainsFunc(r.crashes, func(c crash) bool { return c.matches(replica) })
+}
+
 // crashCount returns the number of crashes that count against the request.
 func (r *record) crashCount() int {
 	n := 0
@@ -95,21 +103,18 @@
 	return n
 }
 
-// span returns the time between the first and the last crash that count against the request.
-func (r *record) span() time.Duration {
-	var first, last time.Time
-	for _, c := range r.crashes {
-		if c.cleared {
-			continue
-		}
-		if first.IsZero() || c.at.Before(first) {
-			first = c.at
-		}
-		if c.at.After(last) {
-			last = c.at
-		}
+// counted returns the crashes that count against the request.
+func (r *record) counted() []crash {
+	return slices.DeleteFunc(slices.Clone(r.crashes), func(c crash) bool { return c.cleared })
+}
+
+// spanOf returns the time between the first and the last of the crashes.
+func spanOf(crashes []crash) time.Duration {
+	if len(crashes) == 0 {
+		return 0
 	}
-	return last.Sub(first)
+	byTime := func(a, b crash) int { return a.at.Compare(b.at) }
+	return slices.MaxFunc(crashes, byTime).at.Sub(slices.MinFunc(crashes, byTime).at)
 }
 
 // replicas returns the sorted names of the replicas whose crashes count against the request.
@@ -135,8 +140,10 @@
 }
 
 // report returns the record as a Report with times relative to epoch.
-func (r *record) report(d Digest, epoch time.Time) Report {
-	report := Report{Digest: d, SeenMS: r.lastSeen.Sub(epoch).Milliseconds()}
+func (r *record) report(epoch time.Time) Report {
+	report := Report{
+		Digest: r.identity.Digest, Part: r.identity.Part, Position: r.identity.Position, SeenMS: r.lastSeen.Sub(epoch).Milliseconds(),
+	}
 	for _, c := range r.crashes {
 		report.Crashes = append(report.Crashes, Crash{Replica: c.replica, AtMS: c.at.Sub(epoch).Milliseconds(), Cleared: c.cleared})
 	}
@@ -152,7 +159,7 @@
 		}
 		return now
 	}
-	r := &record{}
+	r := &record{identity: report.identity()}
 	for _, c := range report.Crashes {
 		r.add(crash{replica: c.Replica, at: at(c.AtMS), cleared: c.Cleared})
 	}
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -13,8 +13,11 @@
 	// CrashWindow is how long a run must have produced events to clear its request. A crash of the
 	// replica after that is not attributed to the run.
 	CrashWindow time.Duration
-	// SuccessTTL is how long after a successful run no crash counts against the request.
+	// SuccessTTL is how long a successful run excuses a later crash, MaxExcuses the number of crashes that
+	// a VM excuses at most. A request that crashes most of the replicas that run it, but not all, is
+	// quarantined nevertheless.
 	SuccessTTL time.Duration
+	MaxExcuses int
 	// SuspectSpareReplicas is the number of other available replicas that a suspected request needs
 	// before it is sent. It applies for SuspectSpareFor after the last crash: a crashed replica needs
 	// seconds to start and load its layers. Where there are never that many replicas, the request is
@@ -38,10 +41,11 @@
 	MinCrashSpacing:      2 * time.Second,
 	CrashWindow:          300 * time.Millisecond,
 	SuccessTTL:           time.Minute,
+	MaxExcuses:           4,
 	SuspectSpareReplicas: 2,
 	SuspectSpareFor:      10 * time.Second,
 	SuspectTTL:           10 * time.Minute,
 	QuarantineTTL:        time.Hour,
-	MaxRecords:           1000,
-	MaxSuccesses:         4096,
+	MaxRecords:           2000,
+	MaxSuccesses:         16384,
 }
--- a/internal/quarantine/sharing/fleet_test.go
+++ b/internal/quarantine/sharing/fleet_test.go
@@ -222,7 +222,7 @@
 
 // recordCrash records the crash of a replica on this VM.
 func (vm *fleetVM) recordCrash(d quarantine.Digest, replica string) {
-	if vm.Ledger.RecordCrash(d, incarnation.Key{ID: replica, Born: 1}, time.Now()) {
+	if vm.Ledger.RecordCrash(quarantine.RequestIdentity(d), incarnation.Key{ID: replica, Born: 1}, time.Now()) {
 		vm.Publish(d)
 	}
 }
--- a/internal/quarantine/sharing/rows.go
+++ b/internal/quarantine/sharing/rows.go
@@ -69,13 +69,15 @@
 	r.shared[d] = quarantined
 }
 
-// updateStatus records the status of a request after a merge of other VMs' reports. If this VM has
-// shared the request and the status differs, the row must be written.
-func (r *rows) updateStatus(d quarantine.Digest, quarantined bool) {
+// updateStatuses schedules the rows of requests that this VM has shared and whose status has changed since. The
+// status of a request also changes with the records of others.
+func (r *rows) updateStatuses(ledger *quarantine.Ledger, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if before, shared := r.shared[d]; shared && before != quarantined {
-		r.shared[d], r.dirty[d] = quarantined, true
+	for d, before := range r.shared {
+		if quarantined := ledger.Lookup(d, now).Quarantined; quarantined != before {
+			r.shared[d], r.dirty[d] = quarantined, true
+		}
 	}
 }
 
--- a/internal/quarantine/sharing/sharing.go
+++ b/internal/quarantine/sharing/sharing.go
@@ -117,17 +117,28 @@
 		}
 		reports = append(reports, report)
 	}
-	now := time.Now()
-	s.onMerged(s.Ledger.Merge(reports, now.Add(-age), now), "peer")
+	s.merge(reports, time.Now().Add(-age), "peer")
 }
 
-// onMerged logs the requests whose records a merge has changed, and updates their rows.
-func (s *Syncer) onMerged(changed []quarantine.Digest, from string) {
+// merge merges reports whose times are relative to epoch.
+func (s *Syncer) merge(reports []quarantine.Report, epoch time.Time, from string) {
+	changed, acquitted := s.Ledger.Merge(reports, epoch, time.Now())
+	for _, d := range acquitted {
+		s.Logger.Info("quarantine of other VMs contradicted by successful runs", zap.Stringer("digest", d))
+		s.Publish(d)
+	}
+	suspected := 0
 	for _, d := range changed {
 		status := s.Ledger.Lookup(d, time.Now())
+		if !status.Quarantined {
+			suspected++
+			continue
+		}
 		s.Logger.Info("report of a request that may crash replicas", zap.Stringer("digest", d), zap.String("from", from),
 			zap.Int("ends", status.Crashes), zap.Bool("quarantined", status.Quarantined), zap.Strings("replicas", s.Ledger.CrashedReplicas(d)))
-		s.rows.updateStatus(d, status.Quarantined)
+	}
+	if suspected > 0 {
+		s.Logger.Info("reports of requests that are not quarantined", zap.String("from", from), zap.Int("reports", suspected))
 	}
 }
 
@@ -246,10 +257,10 @@
 				continue
 			}
 			read = true
-			now := time.Now()
-			s.onMerged(s.Ledger.Merge(reports, now, now), "store")
+			s.merge(reports, time.Now(), "store")
 			s.removeStaleRows(reports)
 		}
+		s.rows.updateStatuses(s.Ledger, time.Now())
 		if err := s.rows.write(ctx, s.Ledger); err != nil {
 			s.Logger.Info("quarantined requests not written", zap.Error(err))
 		}
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,6 +27,11 @@
 	maxReportDelay time.Duration
 	// repeated makes all innocent drafts have the same content.
 	repeated bool
+	// firstParts is the number of parts with which the prompts of innocent drafts begin, 0 for prompts
+	// without parts. Some are had by many more drafts than others.
+	firstParts int
+	// spared makes one in so many runs of culprits go well, 0 none.
+	spared int
 
 	submitted, refusedInnocent int
 	// noReplicaUp counts the sends for which no replica was up, withheld those of suspected drafts that
@@ -33,7 +39,8 @@
 	noReplicaUp, withheld int
 	// lateSends counts the sends of a culprit later than propagationTime after thresholdAt.
 	lateSends map[Digest]int
-	// thresholdAt is when a culprit had crashed CrashThreshold replicas.
+	// threshold is the number of crashes after which a culprit has to be known, thresholdAt when it had them.
+	threshold   int
 	thresholdAt map[Digest]time.Time
 	crashesOf   map[Digest]int
 }
@@ -57,13 +64,15 @@
 
 // simDraft is one request of a caller, which may be sent several times.
 type simDraft struct {
-	number   int
-	digest   Digest
-	culprit  bool
-	vm       *simVM
-	at       *simReplica
-	runs     int
-	attempts int
+	number int
+	// identities are those of the draft, cause is the one that crashes replicas, if it is a culprit.
+	identities []Identity
+	cause      Digest
+	culprit    bool
+	vm         *simVM
+	at         *simReplica
+	runs       int
+	attempts   int
 	// begun is when the current run produced its first event, zero before.
 	begun time.Time
 	// send is the number of the current send, so that events of earlier sends are ignored.
@@ -88,7 +97,7 @@
 func newSimulation(seed uint64, vms, replicas int, maxReportDelay time.Duration) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1e9, 0), maxReportDelay: maxReportDelay,
-		lateSends: map[Digest]int{}, thresholdAt: map[Digest]time.Time{}, crashesOf: map[Digest]int{},
+		threshold: DefaultSettings.CrashThreshold, lateSends: map[Digest]int{}, thresholdAt: map[Digest]time.Time{}, crashesOf: map[Digest]int{},
 	}
 	for range vms {
 		s.vms = append(s.vms, &simVM{ledger: NewLedger(DefaultSettings, s.now)})
@@ -134,18 +143,47 @@
 			content = "the same draft"
 		}
 		s.submitted++
-		s.arrive(&simDraft{digest: DigestOf(Content{Body: []byte(content)}), attempts: 1})
+		s.arrive(&simDraft{identities: s.identitiesOf(content, s.firstPart()), attempts: 1})
 		s.schedule(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	s.schedule(0, next)
 }
 
+// firstPart returns the parts with which an innocent draft begins.
+func (s *simulation) firstPart() []string {
+	if s.firstParts == 0 {
+		return nil
+	}
+	return []string{fmt.Sprint("first ", int(float64(s.firstParts)*math.Pow(s.random.Float64(), 2)))}
+}
+
+func (s *simulation) identitiesOf(content string, parts []string) []Identity {
+	return append([]Identity{RequestIdentity(DigestOf(Content{Body: []byte(content)}))}, PartIdentities("drafts", parts)...)
+}
+
+// culpritPart submits drafts with a part that crashes the replica that runs them, no two of them alike. It
+// stands behind the first part of innocent drafts, or is the first one itself.
+func (s *simulation) culpritPart(name string, first bool, pause time.Duration) {
+	n, cause := 0, PartIdentities("drafts", []string{name})[0].Digest
+	var next func()
+	next = func() {
+		n++
+		parts := append(s.firstPart(), name)
+		if first {
+			parts = []string{name}
+		}
+		s.arrive(&simDraft{identities: s.identitiesOf(fmt.Sprint(name, n), parts), culprit: true, cause: cause, attempts: 1})
+		s.schedule(s.randomBetween(pause/2, 3*pause/2), next)
+	}
+	s.schedule(pause, next)
+}
+
 // culprit submits a draft that crashes the replica that runs it, again and again.
 func (s *simulation) culprit(name string, pause time.Duration) {
 	d := DigestOf(Content{Body: []byte(name)})
 	var next func()
 	next = func() {
-		s.arrive(&simDraft{digest: d, culprit: true, attempts: 1})
+		s.arrive(&simDraft{identities: []Identity{RequestIdentity(d)}, culprit: true, cause: d, attempts: 1})
 		s.schedule(s.randomBetween(pause/2, 3*pause/2), next)
 	}
 	s.schedule(pause, next)
@@ -158,10 +196,21 @@
 	s.next(d)
 }
 
+// status returns what the draft's VM knows of it.
+func (s *simulation) status(d *simDraft) Status {
+	var worst Status
+	for _, id := range d.identities {
+		if st := d.vm.ledger.Lookup(id.Digest, s.now); st.Worse(worst) {
+			worst = st
+		}
+	}
+	return worst
+}
+
 // next sends a draft again, or ends it if it is refused or was sent too often.
 func (s *simulation) next(d *simDraft) {
 	switch {
-	case d.vm.ledger.Lookup(d.digest, s.now).Quarantined:
+	case s.status(d).Quarantined:
 		if !d.culprit {
 			s.refusedInnocent++
 		}
@@ -183,13 +232,13 @@
 		s.noReplicaUp++
 		return
 	}
-	if len(up) <= d.vm.ledger.Lookup(d.digest, s.now).SpareReplicas {
+	if len(up) <= s.status(d).SpareReplicas {
 		s.withheld++
 		return
 	}
 	r := up[s.random.IntN(len(up))]
-	if at, reached := s.thresholdAt[d.digest]; reached && d.culprit && s.now.Sub(at) > propagationTime {
-		s.lateSends[d.digest]++
+	if at, reached := s.thresholdAt[d.cause]; reached && d.culprit && s.now.Sub(at) > propagationTime {
+		s.lateSends[d.cause]++
 	}
 	d.send++
 	d.at, d.runs, d.begun = r, d.runs+1, time.Time{}
@@ -199,18 +248,18 @@
 		if d.send != send || d.at == nil {
 			return
 		}
-		if d.culprit {
-			s.crashesOf[d.digest]++
-			if s.crashesOf[d.digest] == DefaultSettings.CrashThreshold {
-				s.thresholdAt[d.digest] = s.now
+		if d.culprit && (s.spared == 0 || s.random.IntN(s.spared) > 0) {
+			s.crashesOf[d.cause]++
+			if s.crashesOf[d.cause] == s.threshold {
+				s.thresholdAt[d.cause] = s.now
 			}
 			s.crash(r)
 			return
 		}
 		d.begun = s.now
 		s.schedule(DefaultSettings.CrashWindow, func() {
-			if d.send == send && d.at != nil && d.vm.ledger.RecordSuccess(d.digest, s.now) {
-				s.shareReport(d.vm, d.digest)
+			if d.send == send && d.at != nil {
+				s.shareReports(d, func(id Identity) bool { return d.vm.ledger.RecordSuccess(id, s.now) })
 			}
 		})
 		s.schedule(simDraftDuration, func() {
@@ -245,8 +294,8 @@
 	for _, d := range sortedByNumber(broken) {
 		inCrashWindow := d.begun.IsZero() || s.now.Sub(d.begun) < DefaultSettings.CrashWindow
 		d.at = nil
-		if inCrashWindow && d.vm.ledger.RecordCrash(d.digest, key, s.now) {
-			s.shareReport(d.vm, d.digest)
+		if inCrashWindow {
+			s.shareReports(d, func(id Identity) bool { return d.vm.ledger.RecordCrash(id, key, s.now) })
 		}
 		s.schedule(time.Millisecond, func() { s.next(d) })
 	}
@@ -259,13 +308,27 @@
 	return order
 }
 
-// shareReport sends the report of a request from one VM to all others.
+// shareReports sends the reports of the draft's identities that update changes from its VM to all others.
+func (s *simulation) shareReports(d *simDraft, update func(Identity) bool) {
+	for _, id := range d.identities {
+		if update(id) {
+			s.shareReport(d.vm, id.Digest)
+		}
+	}
+}
+
+// shareReport sends the report of an identity from one VM to all others.
 func (s *simulation) shareReport(from *simVM, d Digest) {
 	epoch := s.now
 	reports := from.ledger.Reports(epoch, d)
 	for _, vm := range s.vms {
 		if vm != from {
-			s.schedule(s.randomBetween(time.Millisecond, s.maxReportDelay), func() { vm.ledger.Merge(reports, epoch, s.now) })
+			s.schedule(s.randomBetween(time.Millisecond, s.maxReportDelay), func() {
+				_, acquitted := vm.ledger.Merge(reports, epoch, s.now)
+				for _, d := range acquitted {
+					s.shareReport(vm, d)
+				}
+			})
 		}
 	}
 }
--- a/internal/quarantine/status.go
+++ b/internal/quarantine/status.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Status is the state of a request in a Ledger.
+// Status is the state of an identity in a Ledger.
 type Status struct {
 	// Crashes is the number of replica incarnations whose crash counts against the request.
 	Crashes int
@@ -15,3 +15,14 @@
 	// remaining time for which SpareReplicas applies.
 	Left time.Duration
 }
+
+// Worse reports whether s restricts a request more than other.
+func (s Status) Worse(other Status) bool {
+	if s.Quarantined != other.Quarantined {
+		return s.Quarantined
+	}
+	if s.SpareReplicas != other.SpareReplicas {
+		return s.SpareReplicas > other.SpareReplicas
+	}
+	return s.Crashes > other.Crashes
+}
--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -61,34 +61,51 @@
 	}
 }
 
-// lookup returns what is known about a request.
+// lookup returns what is known about a request: the status of that of its identities that restricts it
+// most.
 func (c *crashGuard) lookup(q *request) quarantine.Status {
-	return c.ledger.Lookup(q.digest, time.Now())
+	_, status := c.worstOf(q.identities)
+	return status
+}
+
+// worstOf returns the identity that restricts a request most, with its status.
+func (c *crashGuard) worstOf(identities []quarantine.Identity) (worst quarantine.Identity, status quarantine.Status) {
+	now := time.Now()
+	for i, id := range identities {
+		if st := c.ledger.Lookup(id.Digest, now); i == 0 || st.Worse(status) {
+			worst, status = id, st
+		}
+	}
+	return worst, status
 }
 
 // refusal returns why a quarantined request is not sent, nil if it may be sent. A request that was
 // sent before is not reported as not run.
 func (c *crashGuard) refusal(q *request) *outcome.Failure {
-	status := c.lookup(q)
+	id, status := c.worstOf(q.identities)
 	if !status.Quarantined {
 		return nil
 	}
-	if c.ledger.RecordRefusal(q.digest, time.Now()) {
-		c.notifier.Publish(q.digest)
+	if c.ledger.RecordRefusal(id.Digest, time.Now()) {
+		c.notifier.Publish(id.Digest)
 	}
-	q.decisionLog.add("request is quarantined", zap.Stringer("digest", q.digest), zap.Int("ends", status.Crashes),
-		zap.Strings("replicas", c.ledger.CrashedReplicas(q.digest)), zap.Duration("left", status.Left))
+	q.decisionLog.add("request is quarantined", zap.Stringer("digest", id.Digest), zap.String("promptPart", id.Part), zap.Int("ends", status.Crashes),
+		zap.Strings("replicas", c.ledger.CrashedReplicas(id.Digest)), zap.Duration("left", status.Left))
 	if q.sendGuard.MayHaveRun() {
 		return outcome.Uncertain(outcome.ReasonTargetFailed, "the replicas that ran the request crashed")
 	}
-	return outcome.Refuse(outcome.ReasonQuarantined, "replicas crashed each time that they ran this request").WithRetryAfter(status.Left)
+	detail := "replicas crashed each time that they ran this request"
+	if id.Part != "" {
+		detail = "replicas crashed when they ran requests with a part of this prompt"
+	}
+	return outcome.Refuse(outcome.ReasonQuarantined, detail).WithRetryAfter(status.Left)
 }
 
 // lastEntryRefusal returns why a request that may crash replicas is not sent to one of the last
 // replicas at which paths can begin. A request that was sent before is not reported as not run.
 func (c *crashGuard) lastEntryRefusal(q *request) *outcome.Failure {
-	status := c.lookup(q)
-	q.decisionLog.add("request kept from the last replicas", zap.Stringer("digest", q.digest), zap.Int("ends", status.Crashes), zap.Duration("left", status.Left))
+	id, status := c.worstOf(q.identities)
+	q.decisionLog.add("request kept from the last replicas", zap.Stringer("digest", id.Digest), zap.String("promptPart", id.Part), zap.Int("ends", status.Crashes), zap.Duration("left", status.Left))
 	if q.sendGuard.MayHaveRun() {
 		return outcome.Uncertain(outcome.ReasonTargetFailed, "the replica that ran the request crashed")
 	}
@@ -100,9 +117,12 @@
 
 // runSucceeded records that a replica has run a request without crashing.
 func (c *crashGuard) runSucceeded(q *request) {
-	if c.ledger.RecordSuccess(q.digest, time.Now()) {
-		c.logger.Info("request no longer suspected of crashing replicas", zap.Stringer("digest", q.digest), zap.String("requestId", q.RequestID))
-		c.notifier.Publish(q.digest)
+	for _, id := range q.identities {
+		if c.ledger.RecordSuccess(id, time.Now()) {
+			c.logger.Info("successful run counts against earlier crashes", zap.Stringer("digest", id.Digest), zap.String("promptPart", id.Part),
+				zap.String("requestId", q.RequestID), zap.Int("ends", c.ledger.Lookup(id.Digest, time.Now()).Crashes))
+			c.notifier.Publish(id.Digest)
+		}
 	}
 }
 
@@ -125,15 +145,14 @@
 
 // brokenRun is a run whose connection broke.
 type brokenRun struct {
-	requestID string
-	digest    quarantine.Digest
-	parts     []string
-	replica   incarnation.Key
-	brokeAt   time.Time
+	requestID  string
+	identities []quarantine.Identity
+	replica    incarnation.Key
+	brokeAt    time.Time
 }
 
 func newBrokenRun(q *request, replica incarnation.Key) brokenRun {
-	return brokenRun{requestID: q.RequestID, digest: q.digest, parts: q.sharedParts(), replica: replica, brokeAt: time.Now()}
+	return brokenRun{requestID: q.RequestID, identities: q.identities, replica: replica, brokeAt: time.Now()}
 }
 
 // recordBrokenCall is recordBrokenRun for a plain replica, which does not report its incarnation. A
@@ -182,19 +201,24 @@
 // ended records that a replica ended within the crash window of a run. Where this VM was cut off from the
 // replicas meanwhile, that has broken the run, and the replica has ended for a reason of its own.
 func (c *crashGuard) ended(run brokenRun) {
-	now, d := time.Now(), run.digest
 	if c.wasCutOff(run) {
 		c.logger.Info("end of a replica not counted against a request: this VM was cut off", zap.String("requestId", run.requestID),
-			zap.Stringer("digest", d), zap.Stringer("replica", run.replica))
+			zap.Stringer("replica", run.replica))
 		return
 	}
-	if !c.ledger.RecordCrash(d, run.replica, now) {
+	now, changed := time.Now(), false
+	for _, id := range run.identities {
+		if c.ledger.RecordCrash(id, run.replica, now) {
+			c.notifier.Publish(id.Digest)
+			changed = true
+		}
+	}
+	if !changed {
 		return
 	}
-	status := c.ledger.Lookup(d, now)
-	c.logger.Warn("replica ended under a young run", zap.String("requestId", run.requestID), zap.Stringer("digest", d),
-		zap.Strings("promptParts", run.parts), zap.Stringer("replica", run.replica), zap.Int("ends", status.Crashes), zap.Bool("quarantined", status.Quarantined))
-	c.notifier.Publish(d)
+	id, status := c.worstOf(run.identities)
+	c.logger.Warn("replica ended under a young run", zap.String("requestId", run.requestID), zap.Stringer("replica", run.replica),
+		zap.Stringer("digest", id.Digest), zap.String("promptPart", id.Part), zap.Int("ends", status.Crashes), zap.Bool("quarantined", status.Quarantined))
 }
 
 // wasCutOff reports whether this VM was cut off from the replicas when a run broke.
--- a/internal/relay/crash_guard_test.go
+++ b/internal/relay/crash_guard_test.go
@@ -41,7 +41,7 @@
 func (r *fakeReach) CutOffSince(context.Context, time.Time) bool { return r.cutOff }
 
 func newTestRequest() *request {
-	return &request{digest: quarantine.Digest{1}, sendGuard: dispatch.NewSendGuard("r", true, invariant.NewRegistry(func(invariant.Violation) {}))}
+	return &request{identities: []quarantine.Identity{quarantine.RequestIdentity(quarantine.Digest{1})}, sendGuard: dispatch.NewSendGuard("r", true, invariant.NewRegistry(func(invariant.Violation) {}))}
 }
 
 func refusedDial() error {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -50,8 +50,8 @@
 	if q.class.Competing() {
 		fields = append(fields, zap.Int("rank", q.class.Rank))
 	}
-	if q.sendGuard != nil {
-		fields = append(fields, zap.Stringer("digest", q.digest))
+	if len(q.identities) > 0 {
+		fields = append(fields, zap.Stringer("digest", q.identities[0].Digest))
 	}
 	if parts := q.sharedParts(); len(parts) > 0 {
 		fields = append(fields, zap.Strings("promptParts", parts))
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -187,9 +187,9 @@
 	if failure := h.readBody(q, w, r); failure != nil {
 		return failure
 	}
-	q.digest = q.contentDigest()
 	q.sendGuard = dispatch.NewSendGuard(q.RequestID, q.profile.Repeatable(), h.Invariants)
 	q.service = q.profile.service(q.hash())
+	q.identify()
 	h.classify(q)
 	h.RetryBudgets.Budget(q.service).Credit()
 	return h.crashes.refusal(q)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -39,8 +39,9 @@
 	class overload.Class
 	// startCounted is set once the start of the request has been counted.
 	startCounted bool
-	// digest identifies the content. It is set once the body has been read.
-	digest      quarantine.Digest
+	// identities are what a crash of a replica that runs the request may be due to, the whole content first.
+	// They are set once the body has been read.
+	identities  []quarantine.Identity
 	sendGuard   *dispatch.SendGuard
 	decisionLog decisionLog
 	// progress is that of a generation, for the log.
@@ -56,11 +57,12 @@
 // hash returns a hash of the request's id, by which its backend is chosen.
 func (q *request) hash() uint64 { return xxhash.Sum64String(q.RequestID) }
 
-// contentDigest returns the digest of what the request asks for. The body must have been read.
-func (q *request) contentDigest() quarantine.Digest {
-	return quarantine.DigestOf(quarantine.Content{
+// identify sets what the request is known again by. The body must have been read and the service chosen.
+func (q *request) identify() {
+	content := quarantine.DigestOf(quarantine.Content{
 		Method: q.method, Host: q.host, URI: q.url.RequestURI(), Workspace: q.workspace, Body: q.body,
 	})
+	q.identities = append([]quarantine.Identity{quarantine.RequestIdentity(content)}, quarantine.PartIdentities(q.service, q.sharedParts())...)
 }
 
 // sharedParts returns the ids of the parts of the prompt that other requests may have too.
