listener, relay: a VM without processor time takes no more work

The balancer may hand most new connections of a data centre to one VM. Callers then saw nearly everything there fail: a VM read whatever arrived, and with less processor time than that needs it forwarded events late, gave up requests and timed out.

The VM now measures by how much its timers are late (internal/procload).

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -102,6 +102,8 @@
 		"store_healthy":           gaugeOf(p.table.Healthy()),
 		"log_lines_dropped":       float64(p.LogDropped()),
 		"requests_suspected":      float64(requests.Suspected),
+		"processor_pressure":      p.processorLoad.Pressure(),
+		"connections_declined":    float64(p.accepting.Declined()),
 		"requests_quarantined":    float64(requests.Quarantined),
 		"parts_suspected":         float64(parts.Suspected),
 		"parts_quarantined":       float64(parts.Quarantined),
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -19,6 +19,7 @@
 	"geraniumcroft/internal/placer"
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/procload"
 	"geraniumcroft/internal/pushback"
 	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
@@ -85,6 +86,7 @@
 		Era: p.Adapter.Eras.Current, FirstStart: s.VM.FirstStart,
 		VMs: func() int { return min(maxCandidates, len(p.census.VMs())) }, Invariants: p.invariants, Logger: p.Logger,
 	})
+	p.processorLoad = procload.NewMonitor(p.Settings.VM.MaxPressure)
 	p.quarantine = quarantine.NewLedger(quarantine.DefaultSettings, time.Now())
 	p.sharing = sharing.New(sharing.Options{
 		Ledger: p.quarantine, Peers: p.peers, Table: p.table, Eras: p.Adapter.Eras, Logger: p.Logger,
@@ -108,6 +110,7 @@
 		Engines: p.Adapter.NewEngines(p.requestPool), Pool: p.requestPool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
 		Quarantine: p.quarantine, QuarantineNotifier: p.sharing, Pushback: p.pushback,
 		Reach: p.reachProber, Allocator: p.pathAllocator(), Overload: relay.NewOverloadControl(p.Settings.Overload.MinServed), Incarnations: p.view.replicaSet.incarnations,
+		Saturated: p.processorLoad.Saturated,
 	})
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -23,6 +23,7 @@
 	"geraniumcroft/internal/mirror"
 	"geraniumcroft/internal/platform/accounted"
 	"geraniumcroft/internal/platform/resilient"
+	"geraniumcroft/internal/procload"
 	"geraniumcroft/internal/pushback"
 	pushbacksharing "geraniumcroft/internal/pushback/sharing"
 	"geraniumcroft/internal/quarantine"
@@ -103,7 +104,10 @@
 	// quarantine records requests that crash replicas. sharing exchanges the records with
 	// other VMs.
 	quarantine *quarantine.Ledger
-	sharing    *sharing.Syncer
+	// accepting is the listener of callers, processorLoad tells when it closes new connections.
+	accepting     *listener.Listener
+	processorLoad *procload.Monitor
+	sharing       *sharing.Syncer
 	// pushback records the rate limits, back-off times and announced departures of replicas.
 	pushback        *pushback.Ledger
 	pushbackSharing *pushbacksharing.Syncer
@@ -200,8 +204,10 @@
 	p.Logger.Error("invariant violated", zap.String("invariant", string(v.Name)), zap.String("detail", v.Detail))
 }
 
+// serveReadiness answers the balancer. While this VM is short of processor time, new connections are better sent to
+// others.
 func (p *Process) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !p.gate.Ready() {
+	if !p.gate.Ready() || p.processorLoad.Saturated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -210,8 +216,10 @@
 // configuration and the replicas have been read.
 func (p *Process) Start() {
 	setHeapLimit(p.Settings.VM)
-	accepting := listener.New(p.listeners.callers.(*net.TCPListener), maxConnections(p.Settings.VM))
-	p.spawn(func() { _ = p.callers.Serve(accepting) }) // the errors only say that the servers were closed
+	p.accepting = listener.New(p.listeners.callers.(*net.TCPListener), maxConnections(p.Settings.VM))
+	p.accepting.Saturated = p.processorLoad.Saturated
+	p.spawn(func() { p.processorLoad.Run(p.ctx) })
+	p.spawn(func() { _ = p.callers.Serve(p.accepting) }) // the errors only say that the servers were closed
 	p.spawn(func() { _ = p.probes.Serve(p.listeners.ready) })
 	p.spawn(func() { _ = p.admin.Serve(p.listeners.metrics) })
 	p.spawn(func() { _ = p.mirror.Serve(p.listeners.peers) })
--- a/internal/entry/state_log.go
+++ b/internal/entry/state_log.go
@@ -26,7 +26,7 @@
 	p.Logger.With(p.allocationFields()...).Info("state", zap.Bool("ready", p.gate.Ready()), zap.Int("inHand", p.handler.InHand()),
 		zap.Uint64("configVersion", p.view.configVersion()), zap.Duration("configAge", p.view.ConfigAge()), zap.Duration("replicasAge", p.view.replicaTable.Age()),
 		zap.Duration("loadsAge", p.loadCache.Age(p.started)), zap.Bool("cutOff", p.reach.CutOff()), zap.Int("passedOn", p.hopServer.Active()), zap.Int("vms", len(p.census.VMs())), zap.Bool("followsFeed", p.followsFeed()),
-		zap.Bool("holdsPlacement", p.Holds()), zap.Int("quarantined", requests.Quarantined), zap.Int("partsQuarantined", parts.Quarantined), zap.Any("pushback", p.pushback.Dump(time.Now())),
+		zap.Bool("holdsPlacement", p.Holds()), zap.Int("quarantined", requests.Quarantined), zap.Int("partsQuarantined", parts.Quarantined), zap.Float64("processorPressure", p.processorLoad.Pressure()), zap.Uint64("connectionsDeclined", p.accepting.Declined()), zap.Any("pushback", p.pushback.Dump(time.Now())),
 		zap.Any("retryBudgets", p.retryBudgets.Usage()), zap.Any("storeCalls", p.store.Counts()), zap.Uint64("heapBytes", heapBytes()), zap.Any("bodyMemory", p.handler.BodyMemory()),
 		zap.Uint64("logLinesDropped", p.LogDropped()))
 }
--- a/internal/listener/limit_listener.go
+++ b/internal/listener/limit_listener.go
@@ -28,8 +28,13 @@
 // callers and the balancer's probes would wait behind idle connections.
 type Listener struct {
 	*net.TCPListener
-	limit int64
-	open  atomic.Int64
+	// Saturated reports whether this VM can serve no more connections now, nil if that is not known. It
+	// must be set before the first Accept.
+	Saturated func() bool
+
+	limit    int64
+	open     atomic.Int64
+	declined atomic.Uint64
 }
 
 // Listen listens at IP:port for callers, with a limit on open connections. Keepalive and
@@ -67,8 +72,9 @@
 	return sockErr
 }
 
-// Accept implements net.Listener. It closes connections beyond closeFactor times the limit
-// and waits for the next one.
+// Accept implements net.Listener. It closes connections beyond closeFactor times the limit, and all new ones
+// while the VM is saturated, and waits for the next one. A caller whose request was not read may send it to
+// another VM, whatever it is.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.AcceptTCP()
@@ -76,14 +82,18 @@
 			return nil, err
 		}
 		open := l.open.Add(1)
-		if open <= closeFactor*l.limit {
+		if open <= closeFactor*l.limit && (l.Saturated == nil || !l.Saturated()) {
 			return &countedConn{TCPConn: conn, listener: l, aboveLimit: open > l.limit}, nil
 		}
 		l.open.Add(-1)
+		l.declined.Add(1)
 		_ = conn.Close()
 	}
 }
 
+// Declined returns the number of connections that were closed unread.
+func (l *Listener) Declined() uint64 { return l.declined.Load() }
+
 type aboveLimitKey struct{}
 
 // ConnContext marks the requests of connections above the limit, for AboveLimit. Use it as
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -83,6 +83,8 @@
 	QuarantineNotifier QuarantineNotifier
 	// Pushback records what replicas ask of those that send to them.
 	Pushback *pushback.Ledger
+	// Saturated reports whether this VM is short of processor time, nil if that is not known.
+	Saturated func() bool
 	// Reach tells whether this VM reaches the replicas.
 	Reach Reach
 	// Allocator chooses the paths of competing requests; nil if this VM chooses by itself.
@@ -168,6 +170,11 @@
 		return outcome.Refuse(outcome.ReasonOverloaded, "this VM has as many connections as it can serve").
 			WithRetryAfter(h.shortages.retryAfter(connectionShortage, defaultRetryAfter))
 	}
+	if h.Saturated != nil && h.Saturated() {
+		w.Header().Set("Connection", "close") // the next request on a new connection may reach another VM
+		return outcome.Refuse(outcome.ReasonOverloaded, "this VM is short of processor time").
+			WithRetryAfter(h.shortages.retryAfter(processorShortage, defaultRetryAfter))
+	}
 	if failure := h.Gate.Check(); failure != nil {
 		if q.config == nil {
 			return failure.WithRetryAfter(h.shortages.retryAfter(configShortage, defaultRetryAfter))
--- a/internal/relay/shortages.go
+++ b/internal/relay/shortages.go
@@ -24,6 +24,7 @@
 const (
 	configShortage     = "configuration"
 	connectionShortage = "connections"
+	processorShortage  = "processor"
 	bodyShortage       = "memory for bodies"
 	pathShortage       = "path of "
 	capacityShortage   = "capacity of "
--- a/internal/settings/vm.go
+++ b/internal/settings/vm.go
@@ -11,6 +11,9 @@
 	// number of handles that it may have open. 0 means unknown.
 	MemoryMB   int
 	MaxHandles int
+	// MaxPressure is the part of the time with overdue timers above which the VM is short of processor time, 0
+	// for no limit.
+	MaxPressure float64
 	// FirstStart says that the whole system starts for the first time, so that all its VMs
 	// start together.
 	FirstStart bool
