--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -204,8 +204,9 @@
 		r = &record{identity: id}
 		l.records[id.Digest] = r
 	}
-	if r.identity.Part == "" {
-		r.identity = id // a VM of an earlier version passed the record on without them
+	if r.identity.Part == "" && id.Part != "" { // a VM of an earlier version passed the record on without it
+		r.identity = id
+		l.updateCandidate(r)
 	}
 	return r
 }
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -243,6 +243,106 @@
 	}
 }
 
+// partIdentity returns the identity of the nth part of a prompt.
+func partIdentity(n int) Identity {
+	parts := make([]string, n)
+	for i := range parts {
+		parts[i] = fmt.Sprint("part ", i+1)
+	}
+	return PartIdentities("drafts", parts)[n-1]
+}
+
+// recordApart records a crash of each of the replicas, MinCrashSpacing apart, and returns the time of the last.
+func recordApart(l *Ledger, replicas []int, ids ...Identity) time.Time {
+	now := start
+	for i, r := range replicas {
+		now = start.Add(time.Duration(i) * DefaultSettings.MinCrashSpacing)
+		for _, id := range ids {
+			l.RecordCrash(id, replica(r), now)
+		}
+	}
+	return now
+}
+
+// Guards against innocent parts that are refused with the culprit: those that crashed replicas share with
+// it, and those of its requests that other requests have too. One more crash tells apart what always came
+// together.
+func TestCrashesOfACulpritCountAgainstNoOther(t *testing.T) {
+	l := NewLedger(DefaultSettings, start)
+	shared, culprit, bystander := partIdentity(1), partIdentity(2), RequestIdentity(digestOf(1))
+	recordApart(l, []int{1, 2}, bystander)
+	now := recordApart(l, []int{1, 2, 3}, shared, culprit)
+	for name, c := range map[string]struct {
+		id          Identity
+		quarantined bool
+	}{"culprit": {culprit, true}, "part before it in all of its prompts": {shared, false}, "request on two of the replicas": {bystander, false}} {
+		if st := l.Lookup(c.id.Digest, now); st.Quarantined != c.quarantined {
+			t.Errorf("%s: %+v", name, st)
+		}
+	}
+	l.RecordCrash(shared, replica(4), now.Add(time.Second))
+	if !l.Lookup(shared.Digest, now.Add(time.Second)).Quarantined {
+		t.Error("a part is not quarantined though a replica crashed under it without the other one")
+	}
+}
+
+// Guards against a popular part that is quarantined because many replicas that run it crash at once, and against
+// one that is not although they crash one after the other, or all but one of ten runs do.
+func TestPartTakesCrashesAtDifferentTimes(t *testing.T) {
+	id := partIdentity(1)
+	together, apart, mostly := NewLedger(DefaultSettings, start), NewLedger(DefaultSettings, start), NewLedger(DefaultSettings, start)
+	for i := range 10 {
+		together.RecordCrash(id, replica(i), start.Add(time.Duration(i)*time.Millisecond))
+	}
+	now := recordApart(apart, []int{1, 2, 3}, id)
+	mostly.RecordSuccess(id, start)
+	last := recordApart(mostly, []int{1, 2, 3, 4}, id)
+	for name, c := range map[string]struct {
+		ledger      *Ledger
+		at          time.Time
+		quarantined bool
+	}{"together": {together, start, false}, "apart": {apart, now, true}, "after a run that went well": {mostly, last, true}} {
+		if st := c.ledger.Lookup(id.Digest, c.at); st.Quarantined != c.quarantined {
+			t.Errorf("%s: %+v", name, st)
+		}
+	}
+}
+
+// Guards against a part that is taken for a request after a VM of an earlier version, which knows no parts, has
+// passed its record on.
+func TestPartIsKnownAgainAfterAnEarlierVersionPassedItOn(t *testing.T) {
+	id, l, other := partIdentity(2), NewLedger(DefaultSettings, start), NewLedger(DefaultSettings, start)
+	now := recordApart(l, []int{1, 2}, id)
+	reports := l.Reports(start, id.Digest)
+	stripped := slices.Clone(reports)
+	stripped[0].Part, stripped[0].Position = "", 0
+	other.Merge(stripped, start, now)
+	other.Merge(reports, start, now)
+	if st := other.Lookup(id.Digest, now); st.Quarantined || st.Crashes != 2 {
+		t.Errorf("%+v", st)
+	}
+	if got := other.Reports(start, id.Digest); len(got) != 1 || got[0].Part != id.Part || got[0].Position != id.Position {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Guards against a popular part that stays quarantined on all VMs because the crashes were seen by VMs on which it
+// had not yet run well.
+func TestSuccessfulRunsElsewhereAcquitAPart(t *testing.T) {
+	id, accuser, other := partIdentity(1), NewLedger(DefaultSettings, start), NewLedger(DefaultSettings, start)
+	for range DefaultSettings.MaxExcuses {
+		other.RecordSuccess(id, start)
+	}
+	now := recordApart(accuser, []int{1, 2, 3}, id)
+	if _, acquitted := other.Merge(accuser.Reports(start, id.Digest), start, now); !slices.Equal(acquitted, []Digest{id.Digest}) {
+		t.Fatalf("acquitted: %v", acquitted)
+	}
+	accuser.Merge(other.Reports(start, id.Digest), start, now)
+	if st := accuser.Lookup(id.Digest, now); st.Crashes != 0 {
+		t.Errorf("%+v", st)
+	}
+}
+
 // exchange merges the reports of all VMs into each other until none has changes for another one.
 func exchange(vms []*Ledger, now time.Time) {
 	for range 2 * len(vms) {
--- a/internal/quarantine/sharing/fleet_test.go
+++ b/internal/quarantine/sharing/fleet_test.go
@@ -222,8 +222,13 @@
 
 // recordCrash records the crash of a replica on this VM.
 func (vm *fleetVM) recordCrash(d quarantine.Digest, replica string) {
-	if vm.Ledger.RecordCrash(quarantine.RequestIdentity(d), incarnation.Key{ID: replica, Born: 1}, time.Now()) {
-		vm.Publish(d)
+	vm.recordCrashOf(quarantine.RequestIdentity(d), replica)
+}
+
+// recordCrashOf is recordCrash for any identity.
+func (vm *fleetVM) recordCrashOf(id quarantine.Identity, replica string) {
+	if vm.Ledger.RecordCrash(id, incarnation.Key{ID: replica, Born: 1}, time.Now()) {
+		vm.Publish(id.Digest)
 	}
 }
 
@@ -259,6 +264,18 @@
 // Guards against VMs that still send a request because they have not seen its crashes themselves: three
 // VMs saw one crash each, and all VMs must quarantine the request within the bound.
 func TestQuarantineReachesAllVMsInTime(t *testing.T) {
+	testQuarantineReachesAllVMs(t, quarantine.RequestIdentity(crashing), 700*time.Millisecond)
+}
+
+// Guards against VMs that still send requests with a part that crashes replicas because they have not seen the
+// crashes themselves.
+func TestQuarantineOfAPartReachesAllVMsInTime(t *testing.T) {
+	part := quarantine.PartIdentities("drafts", []string{"crashing part"})[0]
+	testQuarantineReachesAllVMs(t, part, quarantine.DefaultSettings.MinCrashSpacing)
+}
+
+// testQuarantineReachesAllVMs lets three VMs see one crash each, with the given pause between the first two.
+func testQuarantineReachesAllVMs(t *testing.T, id quarantine.Identity, pause time.Duration) {
 	for _, size := range []struct {
 		vms   int
 		bound time.Duration
@@ -275,15 +292,15 @@
 					ctx, stop := context.WithCancel(t.Context())
 					f := newFleet(ctx, size.vms)
 					time.Sleep(5 * time.Second)
-					f.vms[fmt.Sprint("vm-", size.vms-1)].recordCrash(crashing, "a")
-					time.Sleep(700 * time.Millisecond)
-					f.vms[fmt.Sprint("vm-", size.vms-2)].recordCrash(crashing, "b")
+					f.vms[fmt.Sprint("vm-", size.vms-1)].recordCrashOf(id, "a")
+					time.Sleep(pause)
+					f.vms[fmt.Sprint("vm-", size.vms-2)].recordCrashOf(id, "b")
 					time.Sleep(300 * time.Millisecond)
 					fault(f)
-					f.vms[last].recordCrash(crashing, "c")
+					f.vms[last].recordCrashOf(id, "c")
 					f.start(ctx, "vm-new")
 					time.Sleep(size.bound)
-					if n := f.notQuarantined(crashing); n > 0 {
+					if n := f.notQuarantined(id.Digest); n > 0 {
 						t.Errorf("%d VMs have not quarantined the request %s after its third crash", n, size.bound)
 					}
 					stop()
