--- a/internal/relay/crash_guard.go
+++ b/internal/relay/crash_guard.go
@@ -119,8 +119,8 @@
 func (c *crashGuard) runSucceeded(q *request) {
 	for _, id := range q.identities {
 		if c.ledger.RecordSuccess(id, time.Now()) {
-			c.logger.Info("successful run counts against earlier crashes", zap.Stringer("digest", id.Digest), zap.String("promptPart", id.Part),
-				zap.String("requestId", q.RequestID), zap.Int("ends", c.ledger.Lookup(id.Digest, time.Now()).Crashes))
+			c.logger.Info("request no longer suspected of crashing replicas", zap.Stringer("digest", id.Digest), zap.String("promptPart", id.Part),
+				zap.String("requestId", q.RequestID))
 			c.notifier.Publish(id.Digest)
 		}
 	}
