quarantine: excuses lapse where a part that was sound crashes replica after replica

A part that ran well on all VMs in the last minute and crashes what runs it from then on, as with a new version of the model, was excused up to four times at each VM, each time on behalf of all: TestPartThatWasSoundIsQuarantined finds it free after nine crashes on six VMs. An excuse is now told from a later success, and excuses lapse with the seventh crash since the last successful run, unless all are within 3 s.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -58,7 +58,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.recordFor(id, now)
-	c := crash{replica: replica, at: now, cleared: !r.knows(replica) && l.excuse(id.Digest, now)}
+	c := crash{replica: replica, at: now, excused: !r.knows(replica) && l.excuse(id.Digest, now)}
 	return l.changed(r, r.add(c))
 }
 
@@ -277,7 +277,7 @@
 	local := l.recordFor(id, now)
 	updated := remote.lastSeen.Sub(local.lastSeen) >= l.settings.QuarantineTTL/refreshDivisor
 	for _, c := range remote.crashes {
-		c.cleared = c.cleared || !local.knows(c.replica) && l.excuse(id.Digest, now)
+		c.excused = c.excused || !c.cleared && !local.knows(c.replica) && l.excuse(id.Digest, now)
 		updated = local.add(c) || updated
 	}
 	local.touch(remote.lastSeen)
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -343,6 +343,33 @@
 	}
 }
 
+// Guards against a part that ran well on all VMs until now and crashes replica after replica from now on, as
+// with a new version of the model: each VM would excuse some of the crashes that the others have excused.
+func TestPartThatWasSoundIsQuarantined(t *testing.T) {
+	const vms, allowed = 6, 8
+	id, fleet := partIdentity(1), make([]*Ledger, vms)
+	for i := range fleet {
+		fleet[i] = NewLedger(DefaultSettings, start)
+		for range DefaultSettings.MaxExcuses {
+			fleet[i].RecordSuccess(id, start)
+		}
+	}
+	now, crashes := start, 0
+	for ; !fleet[0].Lookup(id.Digest, now).Quarantined && crashes <= allowed; crashes++ {
+		now = now.Add(600 * time.Millisecond)
+		fleet[crashes%vms].RecordCrash(id, replica(crashes), now)
+		exchange(fleet, now)
+	}
+	if crashes > allowed {
+		t.Errorf("not quarantined after %d crashes", crashes)
+	}
+	fleet[1].RecordSuccess(id, now)
+	exchange(fleet, now)
+	if st := fleet[0].Lookup(id.Digest, now); st.Crashes != 0 {
+		t.Errorf("after another successful run: %+v", st)
+	}
+}
+
 // exchange merges the reports of all VMs into each other until none has changes for another one.
 func exchange(vms []*Ledger, now time.Time) {
 	for range 2 * len(vms) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -7,14 +7,22 @@
 	"geraniumcroft/internal/incarnation"
 )
 
-// maxCrashes limits the crashes that are kept per request.
-const maxCrashes = 16
+const (
+	// maxCrashes limits the crashes that are kept per request.
+	maxCrashes = 16
+	// maxExcused is the number of crashes that earlier successful runs excuse, unless all are within excuseSpan,
+	// as when a rack fails.
+	maxExcused = 6
+	excuseSpan = 3 * time.Second
+)
 
 // crash is the crash of one replica incarnation while it ran the request.
 type crash struct {
 	replica incarnation.Key
 	at      time.Time
-	cleared bool
+	// excused is set if an earlier run was successful, cleared if a later one was or an operator lifted the
+	// quarantine.
+	excused, cleared bool
 }
 
 // matches reports whether c is a crash of the given incarnation. If only one of two VMs knows the
@@ -26,8 +34,8 @@
 // merge merges another VM's record of the same crash into c. The earlier time wins. It reports
 // whether c changed.
 func (c *crash) merge(other crash) bool {
-	updated := other.cleared && !c.cleared
-	c.cleared = c.cleared || other.cleared
+	updated := other.cleared && !c.cleared || other.excused && !c.excused
+	c.cleared, c.excused = c.cleared || other.cleared, c.excused || other.excused
 	if c.at.Sub(other.at) > timeTolerance {
 		c.at, updated = other.at, true
 	}
@@ -93,19 +101,16 @@
 }
 
 // crashCount returns the number of crashes that count against the request.
-func (r *record) crashCount() int {
-	n := 0
-	for _, c := range r.crashes {
-		if !c.cleared {
-			n++
-		}
-	}
-	return n
-}
+func (r *record) crashCount() int { return len(r.counted()) }
 
-// counted returns the crashes that count against the request.
+// counted returns the crashes that count against the request. Excuses lapse with maxExcused crashes, at
+// different times, since the last successful run: what was sound before may crash replicas now.
 func (r *record) counted() []crash {
-	return slices.DeleteFunc(slices.Clone(r.crashes), func(c crash) bool { return c.cleared })
+	uncleared := slices.DeleteFunc(slices.Clone(r.crashes), func(c crash) bool { return c.cleared })
+	if len(uncleared) > maxExcused && spanOf(uncleared) >= excuseSpan {
+		return uncleared
+	}
+	return slices.DeleteFunc(uncleared, func(c crash) bool { return c.excused })
 }
 
 // spanOf returns the time between the first and the last of the crashes.
@@ -120,10 +125,8 @@
 // replicas returns the sorted names of the replicas whose crashes count against the request.
 func (r *record) replicas() []string {
 	var names []string
-	for _, c := range r.crashes {
-		if !c.cleared {
-			names = append(names, c.replica.String())
-		}
+	for _, c := range r.counted() {
+		names = append(names, c.replica.String())
 	}
 	slices.Sort(names)
 	return names
@@ -145,7 +148,7 @@
 		Digest: r.identity.Digest, Part: r.identity.Part, Position: r.identity.Position, SeenMS: r.lastSeen.Sub(epoch).Milliseconds(),
 	}
 	for _, c := range r.crashes {
-		report.Crashes = append(report.Crashes, Crash{Replica: c.replica, AtMS: c.at.Sub(epoch).Milliseconds(), Cleared: c.cleared})
+		report.Crashes = append(report.Crashes, Crash{Replica: c.replica, AtMS: c.at.Sub(epoch).Milliseconds(), Cleared: c.cleared || c.excused, Excused: c.excused && !c.cleared})
 	}
 	return report
 }
@@ -161,7 +164,7 @@
 	}
 	r := &record{identity: report.identity()}
 	for _, c := range report.Crashes {
-		r.add(crash{replica: c.Replica, at: at(c.AtMS), cleared: c.Cleared})
+		r.add(crash{replica: c.Replica, at: at(c.AtMS), cleared: c.Cleared && !c.Excused, excused: c.Excused})
 	}
 	r.touch(at(report.SeenMS))
 	return r
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -27,6 +27,8 @@
 	AtMS int64 `json:"atMs"`
 	// Cleared reports whether the crash no longer counts against the request.
 	Cleared bool `json:"forgiven,omitempty"`
+	// Excused is set with Cleared if that is due to an earlier successful run alone.
+	Excused bool `json:"excused,omitempty"`
 }
 
 // TableName is the name under which peers exchange Reports.
