quarantine: VMs agree on the position of a part

Which of two identities that only ever come together is the culprit goes by their positions in prompts. A VM kept the position that it saw first, so VMs that had seen a part at different ones could quarantine different parts. TestVMsAgreeOnThePositionOfAPart failed before.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -204,7 +204,9 @@
 		r = &record{identity: id}
 		l.records[id.Digest] = r
 	}
-	if r.identity.Part == "" && id.Part != "" { // a VM of an earlier version passed the record on without it
+	// Prompts may have a part at different positions, and a VM of an earlier version passes the record on
+	// without one. All VMs have to use the same.
+	if id.Position > r.identity.Position {
 		r.identity = id
 		l.updateCandidate(r)
 	}
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -326,6 +326,25 @@
 	}
 }
 
+// Guards against VMs that disagree about the culprit because they have seen one part at different positions of
+// prompts.
+func TestVMsAgreeOnThePositionOfAPart(t *testing.T) {
+	id := partIdentity(1)
+	for _, positions := range [][]int{{1, 3, 2}, {3, 1, 2}, {2, 1, 3}} {
+		fleet := make([]*Ledger, len(positions))
+		for i, position := range positions {
+			fleet[i] = NewLedger(DefaultSettings, start)
+			fleet[i].RecordCrash(Identity{Digest: id.Digest, Part: id.Part, Position: position}, replica(i), start)
+		}
+		exchange(fleet, start)
+		for i, l := range fleet {
+			if got := l.Reports(start, id.Digest)[0].Position; got != 3 {
+				t.Errorf("positions %v: VM %d uses %d", positions, i, got)
+			}
+		}
+	}
+}
+
 // Guards against a popular part that stays quarantined on all VMs because the crashes were seen by VMs on which it
 // had not yet run well.
 func TestSuccessfulRunsElsewhereAcquitAPart(t *testing.T) {
