Show that a success without its proof is passed on

Cause: the head of an answer is checked for its request and its encoding, but not for the proof that a success has to bear. No product code is changed.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -38,6 +38,8 @@
 	"late-heartbeat": runLateHeartbeat,
 	"foreign-entry":  runForeignEntry,
 	"other-part":     runOtherPart,
+	"extra-answer":   runExtraAnswer,
+	"spoilt-head":    runSpoiltHead,
 }
 
 func main() { os.Exit(run()) }
