Show that a stream cut off by a crash ends as complete

Cause: the end of a channel is taken for the end of a stream without a length, wherever it comes between two events; nothing asks whether the replica still runs. No product code is changed.

--- a/review/standin-2/desk.go
+++ b/review/standin-2/desk.go
@@ -109,7 +109,20 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// leave removes the entry.
+// postRows writes rows as one transaction.
+func postRows(store string, rows ...storeRow) error {
+	body, err := json.Marshal(map[string]any{"puts": rows, "precondition": []storeRow{}, "remove": []storeRow{}})
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+store+"/api/rows-tx", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// removeEntry removes the entry.
 func (d *desk) removeEntry() {
 	body, _ := json.Marshal(map[string]any{"puts": []storeRow{}, "precondition": []storeRow{}, "remove": []storeRow{{Table: "servers", Key: d.id}}})
 	resp, err := http.Post("http://"+d.storeAddress+"/api/rows-tx", "application/json", bytes.NewReader(body))
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,6 +16,7 @@
 	record  *record
 	store   *store
 	vms     []*vm
+	engines []*engine
 }
 
 // startVMs starts the processes of the product.
@@ -40,12 +41,16 @@
 	"other-part":     runOtherPart,
 	"extra-answer":   runExtraAnswer,
 	"spoilt-head":    runSpoiltHead,
+	"unframed-crash": runUnframedCrash,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	const held, broken, notRun = 0, 1, 2
+	if len(os.Args) == 6 && os.Args[1] == "engine" { // a process of a case
+		return runEngine(os.Args[2], os.Args[3], os.Args[4], os.Args[5])
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE PROGRAM RECORD")
 		return notRun
@@ -81,6 +86,9 @@
 		for _, v := range e.vms {
 			v.kill()
 		}
+		for _, en := range e.engines {
+			en.kill()
+		}
 	}()
 	isBroken, err := cases[os.Args[1]](e)
 	switch {
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"os"
 	"sync"
 	"time"
@@ -32,4 +34,11 @@
 	fmt.Printf(format+"\n", args...)
 }
 
+// copyLines writes the lines of another process to the record until it ends.
+func (r *record) copyLines(from io.Reader) {
+	for lines := bufio.NewScanner(from); lines.Scan(); {
+		r.line("%s", lines.Text())
+	}
+}
+
 func (r *record) close() { _ = r.out.Close() }
