Log by which list of replicas a request was sent, and what stays in use without an entry

"sent" and "path chosen" now carry the list's version and the time since it was confirmed; "list of replicas changed" names the replicas that stay in use without an entry. No decision changes.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -105,7 +105,7 @@
 
 func (p *Process) buildRequestPath() {
 	p.handler = relay.New(relay.Options{
-		DataCentre: p.Settings.VM.DataCentre, ConfigSource: p.view, Codec: p.Adapter.Codec, Gate: p.gate,
+		DataCentre: p.Settings.VM.DataCentre, ConfigSource: p.view, ReplicaList: p.view, Codec: p.Adapter.Codec, Gate: p.gate,
 		Admission: p.admission, Balancer: p.balancer, Pools: p.pools, BodyMemory: maxBodyMemory(p.Settings.VM), RetryBudgets: p.retryBudgets,
 		Engines: p.Adapter.NewEngines(p.requestPool), Pool: p.requestPool, Observer: p.recorder, Invariants: p.invariants, Logger: p.Logger,
 		Quarantine: p.quarantine, QuarantineNotifier: p.sharing, Pushback: p.pushback,
--- a/internal/entry/replica_changes.go
+++ b/internal/entry/replica_changes.go
@@ -20,6 +20,8 @@
 // faults (66,277 of 72,000 lines, 216 replicas).
 type replicaChanges struct {
 	added, removed, draining, layersChanged, changed []string
+	// kept are replicas that stay in use without an entry.
+	kept []string
 }
 
 // record adds the change of a replica that is listed now. Previous is valid if known is true.
@@ -38,7 +40,7 @@
 }
 
 func (c *replicaChanges) empty() bool {
-	return len(c.added)+len(c.removed)+len(c.draining)+len(c.layersChanged)+len(c.changed) == 0
+	return len(c.added)+len(c.removed)+len(c.draining)+len(c.layersChanged)+len(c.changed)+len(c.kept) == 0
 }
 
 // log writes the line, unless nothing has changed. For each kind of change it lists the first
@@ -52,7 +54,7 @@
 	for _, kind := range []struct {
 		name     string
 		replicas []string
-	}{{"came", c.added}, {"gone", c.removed}, {"draining", c.draining}, {"layersChanged", c.layersChanged}, {"changed", c.changed}} {
+	}{{"came", c.added}, {"gone", c.removed}, {"draining", c.draining}, {"layersChanged", c.layersChanged}, {"changed", c.changed}, {"keptWithoutEntry", c.kept}} {
 		if len(kind.replicas) == 0 {
 			continue
 		}
--- a/internal/entry/replica_set.go
+++ b/internal/entry/replica_set.go
@@ -62,8 +62,8 @@
 		}
 	}
 	s.unusable.replace(unusable, zap.Stringer("version", version))
-	s.reportChanges(before, version)
-	s.keepVanished(before, rows, settling)
+	kept := s.keepVanished(before, rows, settling)
+	s.reportChanges(before, kept, version)
 	s.incarnations.Forget(func(id string) bool { _, ok := s.listed[id]; return ok }, now)
 }
 
@@ -154,23 +154,25 @@
 	return changed
 }
 
-// keepVanished keeps replicas without a row while the store is settling, except draining ones. A
-// row, usable or not, takes precedence over the vanished replica of its id.
-func (s *replicaSet) keepVanished(before map[string]relay.Replica, rows map[string][]byte, settling bool) {
+// keepVanished keeps replicas without a row while the store is settling, except draining ones, and
+// returns their names. A row, usable or not, takes precedence over the vanished replica of its id.
+func (s *replicaSet) keepVanished(before map[string]relay.Replica, rows map[string][]byte, settling bool) (kept []string) {
 	for id, r := range before {
 		if _, present := rows[id]; !present && settling && !r.Draining {
 			s.vanished[id] = r
+			kept = append(kept, r.Key().String())
 		}
 	}
 	for id := range rows {
 		delete(s.vanished, id)
 	}
+	return kept
 }
 
 // reportChanges logs what the new entries changed and calls onRestart for replicas that have
-// restarted.
-func (s *replicaSet) reportChanges(before map[string]relay.Replica, version platform.Version) {
-	changes := &replicaChanges{}
+// restarted. Kept are the replicas that stay in use without a row.
+func (s *replicaSet) reportChanges(before map[string]relay.Replica, kept []string, version platform.Version) {
+	changes := &replicaChanges{kept: kept}
 	for id, current := range s.listed {
 		previous, known := before[id]
 		if known && previous == current {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -60,7 +60,10 @@
 	mismatched unusableEntries
 }
 
-var _ relay.ConfigSource = (*view)(nil)
+var (
+	_ relay.ConfigSource = (*view)(nil)
+	_ relay.ReplicaList  = (*view)(nil)
+)
 
 // Config implements relay.ConfigSource.
 func (v *view) Config() *relay.Config { return v.config.Load() }
@@ -76,6 +79,14 @@
 // ConfigAge implements relay.ConfigSource.
 func (v *view) ConfigAge() time.Duration { return v.operatorTable.Age() }
 
+// ListState implements relay.ReplicaList.
+func (v *view) ListState() (version platform.Version, age time.Duration) {
+	if copied := v.replicaTable.View(); copied != nil {
+		version = copied.Version
+	}
+	return version, v.replicaTable.Age()
+}
+
 // onConfig puts the configuration of a table in force if it is newer than the current one, or another
 // one of the same version, which the operator has written later. An older one, which the follower does
 // not pass on, is reported as an invariant violation.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -217,7 +217,7 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	q.decisionLog.add("sent", zap.String("replica", replica.Name), zap.String("address", replica.Address), zap.Duration("left", q.remaining()))
+	q.decisionLog.add("sent", h.logList(zap.String("replica", replica.Name), zap.String("address", replica.Address), zap.Duration("left", q.remaining()))...)
 	result, err := h.roundTrip(ctx, q, target{address: replica.Address, incarnation: incarnation.Parse(replica.Name), dataCentre: replica.DataCentre})
 	slot.Release(attemptResult(ctx, result, err))
 	switch {
--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -39,7 +39,7 @@
 	g.q.progress.path = path.String()
 	g.q.progress.sends++
 	g.h.prober.budget.Sent()
-	g.q.decisionLog.add("path chosen", zap.String("path", g.q.progress.path), zap.Duration("left", g.q.remaining()), zap.String("lastEvent", g.lastEvent))
+	g.q.decisionLog.add("path chosen", g.h.logList(zap.String("path", g.q.progress.path), zap.Duration("left", g.q.remaining()), zap.String("lastEvent", g.lastEvent))...)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := newStallWatch(ctx, g, reservation, cancel)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -67,6 +67,8 @@
 type Options struct {
 	DataCentre   string
 	ConfigSource ConfigSource
+	// ReplicaList is the list of replicas by which targets and paths are chosen; nil if there is none.
+	ReplicaList  ReplicaList
 	Codec        Codec
 	Gate         Gate
 	Admission    *admission.Controller
