Test the settling after outages in which entries can expire

An entry expires after three heartbeats without one, so an outage of 1 s takes none away, and peers that say that they settle while their copies stay confirmed have seen no outage at all.

--- a/internal/follow/fake_peers_test.go
+++ b/internal/follow/fake_peers_test.go
@@ -32,6 +32,18 @@
 	p.settling = settling
 }
 
+// goOut makes the peers' copies age for a time, as in an outage of the store, and be confirmed again then.
+func (p *fakePeers) goOut(outage time.Duration) {
+	for since := time.Now(); time.Since(since) < outage; time.Sleep(100 * time.Millisecond) {
+		p.mu.Lock()
+		p.age = time.Since(since)
+		p.mu.Unlock()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.age = 0
+}
+
 func (p *fakePeers) Fetch(ctx context.Context, _ string, after platform.Cursor) (platform.TableChange, time.Duration, bool) {
 	p.mu.Lock()
 	silent := p.silent
--- a/internal/follow/settling_test.go
+++ b/internal/follow/settling_test.go
@@ -8,6 +8,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// longOutage is an outage in which entries expire.
+const longOutage = 5 * time.Second
+
 // Rows expire during an outage of the store. Until their writers have had the time to write them
 // again, a missing row must not be taken for deleted.
 func TestSettlingAfterAnOutage(t *testing.T) {
@@ -16,7 +19,7 @@
 			t.Error("settling without an outage")
 		}
 		feed.set(func() { feed.err = errors.New("down") })
-		time.Sleep(time.Second)
+		time.Sleep(longOutage)
 		if !f.Settling() {
 			t.Error("not settling during an outage")
 		}
@@ -46,6 +49,7 @@
 		if f.Settling() {
 			t.Error("still settling, though it copies from its peers")
 		}
+		peers.goOut(longOutage)
 		peers.setSettling(true)
 		time.Sleep(time.Second)
 		if !f.Settling() {
