Expect entries back only after outages in which they can expire

Cause: any failed call of a VM, and any peer that said so, stood for an outage in which entries may have expired, for 2.2 s, 0.4 s more from a peer, and anew with each failed call. One call says nothing of what replicas could write.

An entry expires after three heartbeats of silence, so only a time of 2.2 s in which nobody had a confirmed copy counts now, measured between confirmations. Peers say for how long theirs was confirmed without such a gap: a run that covers this VM's own gap shows that only this VM was cut off, and the times of VMs no longer add up.

--- a/internal/follow/confirm_test.go
+++ b/internal/follow/confirm_test.go
@@ -97,7 +97,7 @@
 	f := New(optionsOf(newFakeFeed(), peers))
 	publish := func(revision uint64) func() {
 		return func() {
-			f.publish(platform.TableView{Version: platform.Version{Revision: revision}, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
+			f.publish(platform.TableView{Version: platform.Version{Revision: revision}, Rows: map[string][]byte{"a": []byte("x")}}, "store", confirmedAt(time.Now()))
 		}
 	}
 	publish(1)()
@@ -118,7 +118,7 @@
 func TestSameCopyOfALaterRevisionConfirmsThisOne(t *testing.T) {
 	peers := &concurrentPeers{change: platform.TableChange{Version: platform.Version{Revision: 5}, UnchangedUpTo: 9}, meanwhile: func() {}}
 	f := New(optionsOf(newFakeFeed(), peers))
-	f.publish(platform.TableView{Version: platform.Version{Revision: 3}, Rows: map[string][]byte{"a": []byte("x")}}, "store", time.Now())
+	f.publish(platform.TableView{Version: platform.Version{Revision: 3}, Rows: map[string][]byte{"a": []byte("x")}}, "store", confirmedAt(time.Now()))
 	f.fetchFromPeers(t.Context(), time.Second)
 	if change, _, _ := f.Since(at(3)); change.UnchangedUpTo != 9 {
 		t.Errorf("the copy is reported as current up to %d", change.UnchangedUpTo)
--- a/internal/follow/era.go
+++ b/internal/follow/era.go
@@ -28,10 +28,11 @@
 func (f *Follower) beginSettling(from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch left := time.Until(f.peersSettledAt); {
-	case from == fromStore:
-		f.storeBackAt = time.Now()
-	case left > 0:
-		f.storeBackAt = time.Now().Add(min(0, left-settlingTime))
+	settlesAt := f.peersSettledAt
+	if from == fromStore {
+		settlesAt = time.Now().Add(settlingTime)
+	}
+	if settlesAt.After(f.settlesAt) {
+		f.settlesAt = settlesAt
 	}
 }
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	f.publish(view, fromStore, askedAt)
+	f.publish(view, fromStore, confirmedAt(askedAt))
 	return nil
 }
 
@@ -69,10 +69,10 @@
 	}
 	if change.Empty() {
 		f.raiseUnchangedUpTo(change.Version)
-		f.markConfirmed(time.Now())
+		f.markConfirmed(confirmedAt(time.Now()))
 		return false, nil
 	}
-	return f.applyChange(at.Version, change, fromStore, time.Now()), nil
+	return f.applyChange(at.Version, change, fromStore, confirmedAt(time.Now())), nil
 }
 
 // feedPosition returns the revision after which the feed is asked for changes, for a copy of the
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -39,11 +39,6 @@
 	readTimeout = time.Second
 	// feedTimeout bounds one feed call, which itself waits for changes up to FeedWait.
 	feedTimeout = FeedWait + time.Second
-	// peerSettlingMargin is how much longer than a peer this VM assumes that rows may reappear,
-	// since it learns of them later. Together with settlingTime, and with retryDelay, within which
-	// the peer detects that the store has recovered, a replica that leaves as soon as it has recovered
-	// gets no more requests after 2.8 s; 3 s are allowed for about 85 VMs.
-	peerSettlingMargin = 400 * time.Millisecond
 	// settlingTime is how long after an outage of the store a row that is missing may still
 	// reappear, as its writer has to reach the store first.
 	settlingTime = 2200 * time.Millisecond
@@ -112,9 +107,12 @@
 	// content is the highest version of a content that was taken over, 0 if there was none.
 	content atomic.Uint64
 
-	mu          sync.Mutex // guards the fields below
-	storeDown   bool
-	storeBackAt time.Time
+	mu        sync.Mutex // guards the fields below
+	storeDown bool
+	// steadySince is the start of the present run of confirmations, see confirmation.
+	steadySince time.Time
+	// settlesAt is when rows that expired in the last outage have had the time to be written again.
+	settlesAt time.Time
 	// peersSettledAt is when peers stop settling, according to the latest answer that said so.
 	peersSettledAt time.Time
 	// lastFeedPeerAnswer is when a peer that follows the feed last answered.
@@ -254,12 +252,12 @@
 
 // applyChange publishes a change to the copy of the given version. It reports false, and does
 // nothing, if the copy has a different version by now, or the change is of another era.
-func (f *Follower) applyChange(version platform.Version, change platform.TableChange, from string, at time.Time) bool {
+func (f *Follower) applyChange(version platform.Version, change platform.TableChange, from string, confirmed confirmation) bool {
 	now := f.View()
 	if now == nil || now.Version != version || change.Era != version.Era {
 		return false
 	}
-	f.publish(now.Apply(change), from, at)
+	f.publish(now.Apply(change), from, confirmed)
 	return true
 }
 
@@ -278,19 +276,10 @@
 		change.Whole, change.Written, change.Deleted = true, view.Rows, nil
 	}
 	change.UnchangedUpTo = f.feedPosition(view.Version)
-	change.SettlingLeft = f.reportedSettling()
+	change.SettlingLeft = f.settlingLeft()
 	change.Settling = change.SettlingLeft > 0
+	change.SteadyFor = f.steadyFor()
 	change.ByFeed = f.FollowsFeed()
 	change.ByRelay = f.Relays() && f.hasFeedPeer()
 	return change, f.Age(), true
 }
-
-// markConfirmed records that this VM's copy was current at the given time.
-func (f *Follower) markConfirmed(at time.Time) {
-	for {
-		old := f.confirmedAt.Load()
-		if f.View() == nil || old != nil && at.Before(*old) || f.confirmedAt.CompareAndSwap(old, &at) {
-			return
-		}
-	}
-}
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -57,13 +57,14 @@
 	if change.Settling {
 		f.recordPeerSettling(askedAt, change.SettlingLeft)
 	}
+	confirmed := confirmation{at: askedAt.Add(-age), steadySince: askedAt.Add(-max(age, change.SteadyFor))}
 	switch {
 	case change.Whole:
-		f.publish(platform.TableView{Version: change.Version, Rows: change.Written}, fromPeer, askedAt.Add(-age))
+		f.publish(platform.TableView{Version: change.Version, Rows: change.Written}, fromPeer, confirmed)
 	case !change.Empty():
-		f.applyChange(have.Version, change, fromPeer, askedAt.Add(-age))
+		f.applyChange(have.Version, change, fromPeer, confirmed)
 	case change.Era == have.Era && change.UnchangedUpTo >= have.Revision:
-		f.markConfirmed(askedAt.Add(-age))
+		f.markConfirmed(confirmed)
 	}
 	f.mergePeerUnchanged(have.Version, change)
 }
--- a/internal/follow/publish.go
+++ b/internal/follow/publish.go
@@ -1,8 +1,6 @@
 package follow
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"geraniumcroft/internal/platform"
@@ -14,10 +12,10 @@
 	fromPeer  = "peer"
 )
 
-// publish replaces the copy by a view that was current at the given time. It refuses a view of an
+// publish replaces the copy by a view with the confirmation that it was current. It refuses a view of an
 // earlier version, unless its content is later; a peer's view of the same version only confirms the
 // copy.
-func (f *Follower) publish(view platform.TableView, from string, at time.Time) {
+func (f *Follower) publish(view platform.TableView, from string, confirmed confirmation) {
 	f.publishMu.Lock()
 	defer f.publishMu.Unlock()
 	old := f.view.Load()
@@ -29,7 +27,7 @@
 			return
 		}
 		if view.Version == old.Version && from == fromPeer {
-			f.markConfirmed(at)
+			f.markConfirmed(confirmed)
 			return
 		}
 	}
@@ -40,7 +38,7 @@
 	f.content.Store(max(content, f.content.Load()))
 	f.view.Store(&view)
 	if confirms {
-		f.markConfirmed(at)
+		f.markConfirmed(confirmed)
 	}
 	if from == fromPeer {
 		f.Logger.Info("table learned from a peer", zap.String("table", f.Table), zap.Stringer("version", view.Version))
--- a/internal/follow/restored_store_test.go
+++ b/internal/follow/restored_store_test.go
@@ -162,7 +162,7 @@
 		meanwhile: func() {},
 	}))
 	confirmed := time.Now().Add(-time.Minute)
-	f.publish(platform.TableView{Version: platform.Version{Era: 2, Revision: 3}, Rows: map[string][]byte{"a": []byte("new")}}, fromStore, confirmed)
+	f.publish(platform.TableView{Version: platform.Version{Era: 2, Revision: 3}, Rows: map[string][]byte{"a": []byte("new")}}, fromStore, confirmedAt(confirmed))
 	f.fetchFromPeers(t.Context(), time.Second)
 	if string(f.View().Rows["a"]) != "new" || f.Age() < time.Minute || f.feedPosition(f.version()) != 3 {
 		t.Errorf("row %s, confirmed %s ago, position %d", f.View().Rows["a"], f.Age(), f.feedPosition(f.version()))
@@ -173,10 +173,10 @@
 func TestChangeOfAnotherEraIsNotApplied(t *testing.T) {
 	f := New(optionsOf(newFakeFeed(), &fakePeers{}))
 	version := platform.Version{Era: 2, Revision: 3}
-	f.publish(platform.TableView{Version: version, Rows: map[string][]byte{"a": []byte("new")}}, fromStore, time.Now())
+	f.publish(platform.TableView{Version: version, Rows: map[string][]byte{"a": []byte("new")}}, fromStore, confirmedAt(time.Now()))
 	for _, era := range []uint64{1, 3} {
 		change := platform.TableChange{Version: platform.Version{Era: era, Revision: 9}, Written: map[string][]byte{"a": []byte("other")}}
-		if f.applyChange(version, change, fromStore, time.Now()) {
+		if f.applyChange(version, change, fromStore, confirmedAt(time.Now())) {
 			t.Errorf("a change of era %d was applied to a copy of era %d", era, version.Era)
 		}
 	}
@@ -189,7 +189,7 @@
 	o.ContentVersion = contentOf
 	f := New(o)
 	publish := func(version platform.Version, config string, from string, at time.Time) {
-		f.publish(platform.TableView{Version: version, Rows: map[string][]byte{"config": []byte(config)}}, from, at)
+		f.publish(platform.TableView{Version: version, Rows: map[string][]byte{"config": []byte(config)}}, from, confirmedAt(at))
 	}
 	publish(platform.Version{Era: 2, Revision: 3}, "23", fromStore, time.Now().Add(-time.Minute))
 	publish(platform.Version{Era: 1, Revision: 90}, "30", fromPeer, time.Now())
--- a/internal/mirror/client.go
+++ b/internal/mirror/client.go
@@ -135,6 +135,7 @@
 	}
 	change.Version, change.Content, change.UnchangedUpTo = a.Version, a.Content, a.unchangedUpTo()
 	change.Settling, change.SettlingLeft = a.Settling, time.Duration(a.SettlingLeftMS)*time.Millisecond
+	change.SteadyFor = time.Duration(a.SteadyMS) * time.Millisecond
 	change.ByFeed, change.ByRelay = a.ByFeed, a.ByRelay
 	return change, time.Duration(a.AgeMS) * time.Millisecond, true
 }
--- a/internal/mirror/server.go
+++ b/internal/mirror/server.go
@@ -83,7 +83,7 @@
 	}
 	a := &fetchResponse{Cursor: platform.Cursor{Version: change.Version, Content: change.Content}, copyStatus: copyStatus{
 		UnchangedUpTo: change.UnchangedUpTo, AgeMS: age.Milliseconds(),
-		Settling: change.Settling, SettlingLeftMS: millisecondsUp(change.SettlingLeft), ByFeed: change.ByFeed, ByRelay: change.ByRelay,
+		Settling: change.Settling, SettlingLeftMS: millisecondsUp(change.SettlingLeft), SteadyMS: change.SteadyFor.Milliseconds(), ByFeed: change.ByFeed, ByRelay: change.ByRelay,
 	}}
 	if s.News != nil {
 		a.News = s.News()
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -99,6 +99,9 @@
 	// SettlingLeftMS is for how long rows may still reappear, in milliseconds. It is 0 with
 	// Settling set if the VM, of an earlier version, does not report it.
 	SettlingLeftMS int64 `json:"settlingLeftMs,omitempty"`
+	// SteadyMS is for how long the copy has been confirmed without a gap in which entries could expire, in
+	// milliseconds. It is 0 if the VM, of an earlier version, does not report it.
+	SteadyMS int64 `json:"steadyMs,omitempty"`
 	// ByFeed says that the peer follows the store's feed.
 	ByFeed bool `json:"byFeed,omitempty"`
 	// ByRelay says that the peer copies from VMs that follow the feed, for others to copy from it.
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -44,11 +44,14 @@
 	// UnchangedUpTo is the store's revision, in the era of the version, up to which the table has
 	// no further changes. Set only in changes that peers exchange.
 	UnchangedUpTo uint64 `json:"unchangedUpTo,omitempty"`
-	// Settling reports that the store was unavailable shortly before, so missing rows may
-	// still be restored. Set only in changes that peers exchange.
+	// Settling reports that the store was unavailable shortly before for long enough that entries
+	// expired, so missing rows may still be restored. Set only in changes that peers exchange.
 	Settling bool `json:"settling,omitempty"`
 	// SettlingLeft is the remaining time of Settling; 0 if the peer did not report it.
 	SettlingLeft time.Duration `json:"settlingLeft,omitempty"`
+	// SteadyFor is how long the sender's copy has been confirmed without a gap in which entries could
+	// expire; 0 if the sender did not report it. Set only in changes that peers exchange.
+	SteadyFor time.Duration `json:"steadyFor,omitempty"`
 	// ByFeed reports that the sending peer follows the store's feed itself. Set only in
 	// changes that peers exchange.
 	ByFeed bool `json:"byFeed,omitempty"`
