Keep to a replica's newest entry when an earlier one is performed late

Cause: the newest row counted for the replica's newest word. A heartbeat that gets no answer may be performed seconds later, after what the replica has written since.

Entries are now ordered by what the replica says of itself: within an incarnation one with an earlier count of heartbeats changes nothing unless it stands for 5 s, and a replica that drains does so until it ends. An entry of an incarnation that left less than 10 s ago, or of an earlier one, is held back for 5 s, in which the platform deletes it unless its replica lives; a later incarnation counts at once, and so does a replica that comes back late after an outage. The price: a replica that comes back within 10 s of its lapse, as from a short partition from the store, waits up to 5 s.

--- /dev/null
+++ b/internal/entry/entry_order_test.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// writeHeartbeat writes the entry of "r" with the count of its heartbeats, and returns its row.
+func (p *replicaSetTest) writeHeartbeat(held int, state string, heartbeat int) string {
+	row := fmt.Sprintf("engines,%d,%d,%s,%d", bornAt(0), held, state, heartbeat)
+	p.writeRow("r", row, false)
+	return row
+}
+
+// remove deletes the entry of "r".
+func (p *replicaSetTest) remove(settling bool) {
+	delete(p.rows, "r")
+	p.writeRow("other", "engines,0,9,ready", settling)
+}
+
+func (p *replicaSetTest) expectUnused(t *testing.T) {
+	t.Helper()
+	if r, ok := p.replica(); ok {
+		t.Errorf("the replica is used: %+v", r)
+	}
+}
+
+// Guards against a draining replica that is ready again by a heartbeat that the store performed late.
+func TestLateHeartbeatDoesNotEndDraining(t *testing.T) {
+	for _, heartbeat := range []int{4, 5, 6} { // the count may be missing from what a writer keeps
+		p := newReplicaSetTest()
+		p.writeHeartbeat(10, "ready", 3)
+		p.writeHeartbeat(10, "draining", 5)
+		p.writeHeartbeat(10, "ready", heartbeat)
+		p.expect(t, bornAt(0), 10, true)
+		p.advance(time.Minute)
+		p.dropExpired(false, p.now)
+		p.expect(t, bornAt(0), 10, true)
+		p.write(bornAt(9), 0, "ready")
+		p.expect(t, bornAt(9), 0, false)
+	}
+}
+
+// Guards against layers that a replica has given up and that a late heartbeat names, and against a count that
+// is never taken for true again.
+func TestEarlierHeartbeatCountsOnlyIfItStands(t *testing.T) {
+	p := newReplicaSetTest()
+	p.writeHeartbeat(10, "ready", 3)
+	p.writeHeartbeat(4, "ready", 6)
+	p.writeHeartbeat(10, "ready", 5)
+	p.expect(t, bornAt(0), 4, false)
+	p.writeHeartbeat(4, "ready", 7)
+	p.writeHeartbeat(10, "ready", 2)
+	p.expect(t, bornAt(0), 4, false)
+	p.advance(restoredEntryTTL)
+	if !p.dropExpired(false, p.now) {
+		t.Error("nothing has changed")
+	}
+	p.expect(t, bornAt(0), 10, false)
+}
+
+// Guards against a replica that has left and is used again because of a late write of it or of an earlier
+// incarnation, and against one that is not used though it is back.
+func TestEntryAfterDeparture(t *testing.T) {
+	p := newReplicaSetTest()
+	p.writeHeartbeat(10, "ready", 3)
+	p.remove(false)
+	p.advance(time.Second)
+	p.writeHeartbeat(10, "ready", 4)
+	p.expectUnused(t)
+	p.write(bornAt(-3), 7, "ready")
+	p.expectUnused(t)
+	p.advance(restoredEntryTTL - time.Second)
+	p.writeHeartbeat(10, "ready", 5)
+	p.dropExpired(false, p.now)
+	p.expectUnused(t)
+	p.advance(time.Second)
+	p.dropExpired(false, p.now)
+	p.expect(t, bornAt(0), 10, false)
+}
+
+// Guards against a later incarnation, or a replica that is back after a long partition, that has to wait
+// because late writes are held back.
+func TestReplicaThatIsBackIsUsedAtOnce(t *testing.T) {
+	later := newReplicaSetTest()
+	later.writeHeartbeat(10, "ready", 3)
+	later.remove(false)
+	later.writeHeartbeat(10, "ready", 4)
+	later.write(bornAt(1), 0, "ready")
+	later.expect(t, bornAt(1), 0, false)
+
+	partitioned := newReplicaSetTest()
+	partitioned.writeHeartbeat(10, "ready", 3)
+	partitioned.remove(false)
+	partitioned.advance(maxWriteDelay)
+	partitioned.writeHeartbeat(10, "ready", 9)
+	partitioned.expect(t, bornAt(0), 10, false)
+
+	expired := newReplicaSetTest()
+	expired.writeHeartbeat(10, "ready", 3)
+	expired.remove(true)
+	expired.dropExpired(false, expired.now)
+	expired.expectUnused(t)
+	expired.writeHeartbeat(10, "ready", 9)
+	expired.expect(t, bornAt(0), 10, false)
+}
--- a/internal/entry/replica_set.go
+++ b/internal/entry/replica_set.go
@@ -32,6 +32,7 @@
 	vanished map[string]relay.Replica
 	unusable unusableEntries
 	restored restoredEntries
+	order    entryOrder
 	// decoded holds the rows of the last update.
 	decoded decodedEntries
 }
@@ -40,7 +41,7 @@
 	return &replicaSet{
 		decode: decode, logger: logger, onRestart: onRestart, incarnations: incarnation.NewTracker(),
 		listed: map[string]relay.Replica{}, superseded: map[string]relay.Replica{}, vanished: map[string]relay.Replica{},
-		unusable: newUnusableEntries(logger), restored: newRestoredEntries(logger),
+		unusable: newUnusableEntries(logger), restored: newRestoredEntries(logger), order: newEntryOrder(logger),
 	}
 }
 
@@ -64,21 +65,32 @@
 	s.unusable.replace(unusable, zap.Stringer("version", version))
 	kept := s.keepVanished(before, rows, settling)
 	s.reportChanges(before, kept, version)
+	s.order.forget(s.decoded, now)
 	s.incarnations.Forget(func(id string) bool { _, ok := s.listed[id]; return ok }, now)
 }
 
 // applyEntry lists the replica of one entry. An entry that an earlier incarnation wrote late does
-// not describe its successor, which is listed as before, or as its reports describe it.
+// not describe its successor, which is listed as before, or as its reports describe it. One that the
+// present incarnation wrote late changes nothing.
 func (s *replicaSet) applyEntry(r relay.Replica, before map[string]relay.Replica, now time.Time) {
 	observed := s.observe(r.Key(), "entry", now)
+	known, isKnown := before[r.ID]
 	if !observed.Superseded {
 		r.Born = observed.Key.Born
-		s.listed[r.ID] = r
+		late := s.order.isLate(r, now)
+		r.Heartbeat = 0 // it alone is no change of the replica
+		switch {
+		case !late:
+			s.listed[r.ID] = r
+		case isKnown:
+			s.listed[r.ID] = known
+		}
 		return
 	}
+	r.Heartbeat = 0
 	s.superseded[r.ID] = r
-	successor, known := before[r.ID]
-	if !known {
+	successor := known
+	if !isKnown {
 		successor = r
 		successor.Replica = r.Replica.NextIncarnation(observed.Key)
 	}
@@ -122,7 +134,7 @@
 }
 
 // dropExpired does nothing while the store is settling. Afterwards it drops the vanished replicas and
-// lists those whose restored entries have stood for long enough. It replaces successors by the earlier
+// lists those whose restored or late entries have stood for long enough. It replaces successors by the earlier
 // incarnation whose entry still stands if the tracker no longer counts that one as superseded, because
 // nothing has come from the successor for too long. It reports whether the set has changed.
 func (s *replicaSet) dropExpired(settling bool, now time.Time) bool {
@@ -133,12 +145,12 @@
 	if changed {
 		s.logger.Info("vanished replicas dropped", zap.Int("replicas", len(s.vanished)))
 		for _, r := range s.vanished {
-			s.restored.recordDeparture(r, now)
+			s.restored.recordExpiry(r, now)
 		}
 		clear(s.vanished)
 	}
-	for _, id := range s.restored.expire(now) {
-		if entry := s.decoded[id]; entry.err == nil {
+	for _, id := range slices.Concat(s.restored.expire(now), s.order.standing(now)) {
+		if entry, present := s.decoded[id]; present && entry.err == nil {
 			s.applyEntry(entry.replica, s.listed, now)
 			changed = true
 		}
--- a/internal/entry/replica_set_test.go
+++ b/internal/entry/replica_set_test.go
@@ -22,10 +22,13 @@
 // atRevision returns the version of a revision in the store's only era.
 func atRevision(revision uint64) platform.Version { return platform.Version{Revision: revision} }
 
-// decodeRow decodes the rows of these tests: "service,born,held,state".
+// decodeRow decodes the rows of these tests: "service,born,held,state" or "service,born,held,state,heartbeat".
 func decodeRow(id string, row []byte) (relay.Replica, error) {
 	fields := strings.Split(string(row), ",")
-	if len(fields) != 4 {
+	if len(fields) == 4 {
+		fields = append(fields, "1")
+	}
+	if len(fields) != 5 {
 		return relay.Replica{}, &relay.EntryError{Field: "the entry", Found: string(row), Want: "four fields"}
 	}
 	born, err := strconv.ParseInt(fields[1], 10, 64)
@@ -36,7 +39,11 @@
 	if err != nil {
 		return relay.Replica{}, &relay.EntryError{Field: "held", Found: fields[2], Want: "a number"}
 	}
-	return relay.Replica{Service: fields[0], Replica: layers.Replica{
+	heartbeat, err := strconv.ParseUint(fields[4], 10, 64)
+	if err != nil {
+		return relay.Replica{}, &relay.EntryError{Field: "heartbeat", Found: fields[4], Want: "a number"}
+	}
+	return relay.Replica{Service: fields[0], Heartbeat: heartbeat, Replica: layers.Replica{
 		ID: id, Born: born, Address: id, Held: config.LayerRange{To: held}, Draining: fields[3] == "draining",
 	}}, nil
 }
--- a/internal/entry/restored_entries.go
+++ b/internal/entry/restored_entries.go
@@ -18,25 +18,43 @@
 	// deletes an entry whose replica was silent for three heartbeats of 1.2 s; one that stands for
 	// longer is that of a live replica.
 	restoredEntryTTL = 5 * time.Second
+	// maxWriteDelay is how long after a replica's departure an entry of it may be a write of before, which
+	// the store performed late.
+	maxWriteDelay = 10 * time.Second
 )
 
 // departure is the end of a replica's entry.
 type departure struct {
 	key incarnation.Key
 	at  time.Time
+	// expired says that the entry may have expired in an outage.
+	expired bool
 }
 
-// restoredEntry is an entry that the store's copy has of a replica that had left or drained.
+// restoredEntry is an entry of a replica that had left or drained.
 type restoredEntry struct {
 	row []byte
 	// draining says that the replica was draining, else its entry was gone.
 	draining bool
-	until    time.Time
+	// left is the start of the incarnation that had left, if the entry may be a late write; 0 if it is from
+	// the store's older copy.
+	left  int64
+	until time.Time
 }
 
-// restoredEntries holds back what the store says of replicas that had left or drained before it came
-// back from an older copy: requests sent to them would be lost. An entry counts again once it is
-// rewritten, or has stood for restoredEntryTTL. It is not safe for concurrent use.
+// endedBy reports whether the present entry of the replica ends the holding back: it is rewritten, or that of
+// a later incarnation than the one that had left.
+func (e restoredEntry) endedBy(entry decodedEntry) bool {
+	if e.left > 0 {
+		return entry.err == nil && entry.replica.Born > e.left
+	}
+	return !bytes.Equal(entry.row, e.row)
+}
+
+// restoredEntries holds back entries of replicas that had left or drained: those that the store has when
+// it comes back from an older copy, and those that appear again right after a departure. Requests sent to
+// these replicas would be lost. An entry of an older copy counts again once it is rewritten, and any once
+// it has stood for restoredEntryTTL. It is not safe for concurrent use.
 type restoredEntries struct {
 	logger     *zap.Logger
 	era        uint64
@@ -52,7 +70,7 @@
 // store is settling, a replica without an entry has not left for certain.
 func (s *restoredEntries) update(era uint64, decoded decodedEntries, before map[string]relay.Replica, settling bool, now time.Time) {
 	for id, known := range s.entries {
-		if entry, present := decoded[id]; !present || !bytes.Equal(entry.row, known.row) {
+		if entry, present := decoded[id]; !present || known.endedBy(entry) {
 			delete(s.entries, id)
 		}
 	}
@@ -60,6 +78,7 @@
 		s.beginEra(decoded, before, now)
 	}
 	s.era = max(s.era, era)
+	s.holdReturned(decoded, before, now)
 	for id, previous := range before {
 		if _, present := decoded[id]; !present && (!settling || previous.Draining) {
 			s.recordDeparture(previous, now)
@@ -85,9 +104,28 @@
 	}
 }
 
+// holdReturned finds the entries of incarnations that have just left, or of earlier ones. Their replicas may be
+// back, as after a partition from the store, or the store may have performed a write of before.
+func (s *restoredEntries) holdReturned(decoded decodedEntries, before map[string]relay.Replica, now time.Time) {
+	for id, left := range s.departures {
+		entry, present := decoded[id]
+		_, listed := before[id]
+		_, held := s.entries[id]
+		recent := now.Sub(left.at) < maxWriteDelay
+		if !present || entry.err != nil || listed || held || left.expired || !recent || left.key.Born <= 0 || entry.replica.Born <= 0 || entry.replica.Born > left.key.Born {
+			continue
+		}
+		until := now.Add(restoredEntryTTL)
+		if sure := left.at.Add(maxWriteDelay); sure.Before(until) {
+			until = sure
+		}
+		s.hold(id, restoredEntry{row: entry.row, left: left.key.Born, until: until})
+	}
+}
+
 func (s *restoredEntries) hold(id string, entry restoredEntry) {
 	s.entries[id] = entry
-	s.logger.Info("entry of the store's older copy held back", zap.String("replica", shortID(id)), zap.Bool("draining", entry.draining))
+	s.logger.Info("entry of a replica that had left held back", zap.String("replica", shortID(id)), zap.Bool("draining", entry.draining), zap.Bool("late", entry.left > 0))
 }
 
 // recordDeparture records that a replica has left.
@@ -95,6 +133,11 @@
 	s.departures[r.ID] = departure{key: r.Key(), at: now}
 }
 
+// recordExpiry records that a replica has not been back in time after an outage.
+func (s *restoredEntries) recordExpiry(r relay.Replica, now time.Time) {
+	s.departures[r.ID] = departure{key: r.Key(), at: now, expired: true}
+}
+
 // forgetDepartures forgets the replicas that are back, and those that left long ago.
 func (s *restoredEntries) forgetDepartures(decoded decodedEntries, now time.Time) {
 	for id, left := range s.departures {
@@ -126,7 +169,7 @@
 		delete(s.entries, id)
 		delete(s.departures, id)
 		expired = append(expired, id)
-		s.logger.Info("entry of the store's older copy counts, as it still stands", zap.String("replica", shortID(id)))
+		s.logger.Info("entry held back counts, as it still stands", zap.String("replica", shortID(id)))
 	}
 	return expired
 }
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -8,4 +8,6 @@
 	Service string
 	// Slots is how many requests the replica processes at once.
 	Slots int
+	// Heartbeat is the count of the entry among those that the present incarnation has written.
+	Heartbeat uint64
 }
