Ask the list of replicas directly before a request is sent

Cause: a replica is chosen at one moment and sent to at another, and in between only what replicas had said in answers was asked again, not the list. The time between is a connection of up to 250 ms, and for a path that was reserved while another send still held the request, as long as the caller does not read: up to the request's deadline.

relay.open now asks the list for the replica and for each stage of the path, after the connection is made and before the first byte. A request that this ends was not sent, counts as no failure of the replica and takes another path or target.

--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -39,6 +39,8 @@
 	config atomic.Pointer[relay.Config]
 	// addresses are those of all replicas in the list.
 	addresses atomic.Pointer[replicaAddresses]
+	// usable has the replicas that requests may be sent to.
+	usable atomic.Pointer[map[incarnation.Key]bool]
 	// decoded and configRows, the rows of the configuration in force, are used by onConfig alone and
 	// contentVersion, one call at a time.
 	decoded    decodedConfig
@@ -87,6 +89,12 @@
 	return version, v.replicaTable.Age()
 }
 
+// MayBeSent implements relay.ReplicaList.
+func (v *view) MayBeSent(replica incarnation.Key) bool {
+	usable := v.usable.Load()
+	return usable != nil && (*usable)[replica]
+}
+
 // onConfig puts the configuration of a table in force if it is newer than the current one, or another
 // one of the same version, which the operator has written later. An older one, which the follower does
 // not pass on, is reported as an invariant violation.
@@ -202,6 +210,7 @@
 	dataCentres := map[string]bool{}
 	mismatched := map[string]error{}
 	addresses := newReplicaAddresses()
+	usable := map[incarnation.Key]bool{}
 	for _, r := range v.replicaSet.current() {
 		addresses.add(r.Address)
 		r.Draining = r.Draining || v.isLeaving(r.Key())
@@ -209,6 +218,9 @@
 			mismatched[r.ID] = err
 			continue
 		}
+		if !r.Draining {
+			usable[r.Key()] = true
+		}
 		if c.Services[r.Service].Model != nil {
 			v.models[r.Service] = append(v.models[r.Service], r.Replica)
 			dataCentres[r.DataCentre] = true
@@ -222,6 +234,7 @@
 	v.mismatched.replace(mismatched, zap.Uint64("configVersion", c.Version))
 	v.balancer.Update(snapshot)
 	servesModel := func(name string) bool { return c.Services[name] != nil && c.Services[name].Model != nil }
+	defer v.usable.Store(&usable) // once the tables from which replicas are chosen agree with it
 	v.pools.Retain(servesModel)
 	v.allocationPools.Retain(servesModel)
 	for name, service := range c.Services {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -269,8 +269,9 @@
 func attemptResult(ctx context.Context, result *callResult, err error) balance.Result {
 	var busy *notRunError
 	var throttled *pushback.ThrottledError
+	var departed *departedError
 	switch {
-	case errors.As(err, &throttled):
+	case errors.As(err, &throttled), errors.As(err, &departed):
 		return balance.ResultNeutral
 	case errors.As(err, &busy):
 		return balance.ResultBusy
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -52,9 +52,9 @@
 	} else {
 		q.direct.Store(true)
 	}
-	if throttled := h.Pushback.CheckSend(to.incarnation, time.Now()); throttled != nil {
+	if err := h.checkSend(to); err != nil {
 		conn.Close()
-		return nil, &sendError{Address: to.address, Cause: throttled}
+		return nil, &sendError{Address: to.address, Cause: err}
 	}
 	if ctx.Err() != nil || !q.sendGuard.BeginSend() {
 		conn.Close()
@@ -84,6 +84,18 @@
 	return x, nil
 }
 
+// checkSend returns an error if a request must not be sent any more where it was to go when that was chosen:
+// the replica has left, or has asked for a pause. A request that it ends was not sent.
+func (h *Handler) checkSend(to target) error {
+	if err := h.checkListed(to); err != nil {
+		return err
+	}
+	if throttled := h.Pushback.CheckSend(to.incarnation, time.Now()); throttled != nil {
+		return throttled
+	}
+	return nil
+}
+
 // applyPushback records what the replica asks of its callers. A response with status 421 comes from
 // another replica than the intended one and is ignored.
 func (h *Handler) applyPushback(to target, x *exchange, sent time.Time) {
--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -84,8 +84,9 @@
 	var stalled *stallError
 	var lost *wayLostError
 	var throttled *pushback.ThrottledError
+	var departed *departedError
 	switch {
-	case errors.As(err, &throttled):
+	case errors.As(err, &throttled), errors.As(err, &departed):
 		return err // another path, or this one later; the replica is healthy
 	case errors.As(cause, &stalled):
 		g.excluded.add(stalled.Replica.Key())
