Keep what is believed of a replica through outages in series and a late start

A replica whose entry expired in an outage was dropped if the store went away again before its time to write was over: missing replicas are now dropped by copies of at most 1.5 s. And a replica's announcement that it leaves was kept under its key without a start, so that it was lost when a report or an entry named the start; the key's state now moves along, and this counts as no restart. Its tests fail with the parts taken out (by construction: the second counted a restart).

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -70,6 +70,7 @@
 		isLeaving:  p.pushback.Leaving,
 	}
 	p.pushback.OnLeaving(p.view.onLeaving)
+	p.view.replicaSet.onStartKnown = p.pushback.Rename
 	p.retryGroup = follow.NewRetryGroup()
 	p.view.operatorTable = p.follower(p.Adapter.OperatorTable, p.view.contentVersion, p.view.onConfig)
 	p.view.replicaTable = p.follower(p.Adapter.ReplicaTable, nil, p.view.onReplicas)
--- a/internal/entry/entry_order_test.go
+++ b/internal/entry/entry_order_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"geraniumcroft/internal/incarnation"
 )
 
 // writeHeartbeat writes the entry of "r" with the count of its heartbeats, and returns its row.
@@ -105,3 +107,20 @@
 	expired.writeHeartbeat(10, "ready", 9)
 	expired.expect(t, bornAt(0), 10, false)
 }
+
+// Guards against what a replica has said being lost because its start becomes known, by a report or an entry.
+func TestStartThatBecomesKnownIsNoRestart(t *testing.T) {
+	for name, learn := range map[string]func(p *replicaSetTest){
+		"report": func(p *replicaSetTest) { p.observeReport(incarnation.Key{ID: "r", Born: bornAt(0)}, p.now) },
+		"entry":  func(p *replicaSetTest) { p.write(bornAt(0), 10, "ready") },
+	} {
+		p := newReplicaSetTest()
+		var known []incarnation.Key
+		p.onStartKnown = func(_, now incarnation.Key) { known = append(known, now) }
+		p.write(incarnation.BornMissing, 10, "ready")
+		learn(p)
+		if len(known) != 1 || known[0].Born != bornAt(0) || len(p.restarted) > 0 {
+			t.Errorf("%s: started known %v, restarted %v", name, known, p.restarted)
+		}
+	}
+}
--- a/internal/entry/replica_set.go
+++ b/internal/entry/replica_set.go
@@ -21,6 +21,8 @@
 	logger *zap.Logger
 	// onRestart is called with the new incarnation of a replica that has restarted.
 	onRestart func(relay.Replica)
+	// onStartKnown is called when the start of an incarnation becomes known that was listed without one.
+	onStartKnown func(before, now incarnation.Key)
 
 	incarnations *incarnation.Tracker
 	// listed holds the replicas of usable entries, by id.
@@ -39,7 +41,7 @@
 
 func newReplicaSet(decode func(id string, row []byte) (relay.Replica, error), logger *zap.Logger, onRestart func(relay.Replica)) *replicaSet {
 	return &replicaSet{
-		decode: decode, logger: logger, onRestart: onRestart, incarnations: incarnation.NewTracker(),
+		decode: decode, logger: logger, onRestart: onRestart, onStartKnown: func(_, _ incarnation.Key) {}, incarnations: incarnation.NewTracker(),
 		listed: map[string]relay.Replica{}, superseded: map[string]relay.Replica{}, vanished: map[string]relay.Replica{},
 		unusable: newUnusableEntries(logger), restored: newRestoredEntries(logger), order: newEntryOrder(logger),
 	}
@@ -125,6 +127,7 @@
 			r.Replica = r.Replica.NextIncarnation(observed.Key)
 			s.onRestart(r)
 		} else {
+			s.onStartKnown(r.Key(), observed.Key)
 			r.Born = observed.Key.Born // the entry gave no start
 		}
 		replicas[k.ID] = r
@@ -190,7 +193,11 @@
 		if known && previous == current {
 			continue
 		}
-		if known && previous.Key() != current.Key() {
+		switch {
+		case !known || previous.Key() == current.Key():
+		case previous.Born <= 0:
+			s.onStartKnown(previous.Key(), current.Key())
+		default:
 			s.onRestart(current)
 		}
 		changes.record(previous, known, current)
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -188,11 +188,16 @@
 	v.apply()
 }
 
+// maxUnconfirmed is the age of the list up to which a replica that is missing in it counts as not written
+// again. Copies are older than that when the store is away once more.
+const maxUnconfirmed = 1500 * time.Millisecond
+
 // dropExpired drops vanished replicas and silent successors, see replicaSet.dropExpired.
 func (v *view) dropExpired() {
+	settling := v.replicaTable.Settling() || v.replicaTable.Age() > maxUnconfirmed
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.replicaSet.dropExpired(v.replicaTable.Settling(), time.Now()) {
+	if v.replicaSet.dropExpired(settling, time.Now()) {
 		v.apply()
 	}
 }
--- a/internal/pushback/leaving_test.go
+++ b/internal/pushback/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -34,3 +35,19 @@
 		t.Error("replica is not marked as leaving")
 	}
 }
+
+// Guards against a replica that is used again because its announcement is kept under a key without its start.
+func TestLeavingStaysWhenTheStartBecomesKnown(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		l := NewLedger(zap.NewNop())
+		before, now := incarnation.Key{ID: "r"}, incarnation.Key{ID: "r", Born: 7}
+		l.Observe(Origin{Replica: before}, Signal{Leaving: true}, time.Now())
+		if known {
+			l.Observe(Origin{Replica: now}, Signal{BackOff: time.Minute}, time.Now())
+		}
+		l.Rename(before, now)
+		if !l.Leaving(now) || l.Leaving(before) {
+			t.Errorf("known %t: leaving %t, under the key without a start %t", known, l.Leaving(now), l.Leaving(before))
+		}
+	}
+}
--- a/internal/pushback/ledger.go
+++ b/internal/pushback/ledger.go
@@ -91,6 +91,24 @@
 	return startsLeaving
 }
 
+// Rename moves the state of an incarnation whose start has become known. What is known of it under the new
+// key already stays in force.
+func (l *Ledger) Rename(before, now incarnation.Key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.replicas[before]
+	if s == nil {
+		return
+	}
+	delete(l.replicas, before)
+	if known := l.replicas[now]; known == nil {
+		l.replicas[now] = s
+	} else {
+		known.leaving = known.leaving || s.leaving
+	}
+	l.updateActive()
+}
+
 // add adds the state of a replica and removes expired states. The caller must hold l.mu.
 func (l *Ledger) add(replica incarnation.Key, dataCentre string, now time.Time) *state {
 	for key, s := range l.replicas {
