Take the end of a connection for the end of an answer only while its replica lives

Cause: a process that ends closes its connections in order, so the end of one does not say that the answer is whole.

Not told apart: a live replica that closes such a stream between two events, and a plain replica that started again at once and whose row has not come yet.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -250,6 +250,10 @@
 	if err != nil {
 		return nil, &sendError{Address: to.address, Sent: true, Cause: err}
 	}
+	if err := h.checkUnframedCall(x, to); err != nil {
+		body.release()
+		return nil, &sendError{Address: to.address, Sent: true, Cause: err}
+	}
 	h.answerSizes.record(q.profile.Name, int64(len(body.data)))
 	if err := x.undeclaredRefusal(q.profile); err != nil {
 		body.release()
--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -60,7 +60,7 @@
 	if x.resp.StatusCode != http.StatusOK {
 		return g.forwardFailure(ctx, x, first)
 	}
-	if err := g.forwardEvents(x, watch); err != nil {
+	if err := g.forwardEvents(x, first, watch); err != nil {
 		return g.handleSendError(ctx, first, err)
 	}
 	return nil
@@ -142,6 +142,9 @@
 		return g.handleSendError(ctx, first, &sendError{Address: first.Address, Sent: true, Cause: err})
 	}
 	defer body.release()
+	if err := g.checkUnframedBody(x, first); err != nil {
+		return g.handleSendError(ctx, first, &sendError{Address: first.Address, Sent: true, Cause: err})
+	}
 	g.runSucceeded()
 	if err := x.undeclaredRefusal(g.q.profile); err != nil {
 		return err
@@ -155,7 +158,7 @@
 }
 
 // forwardEvents forwards events until the stream ends.
-func (g *generation) forwardEvents(x *exchange, watch *stallWatch) error {
+func (g *generation) forwardEvents(x *exchange, first layers.Replica, watch *stallWatch) error {
 	events := newEventReader(x.resp.Body, g.h.bodies)
 	defer events.close()
 	control := http.NewResponseController(g.w)
@@ -165,6 +168,9 @@
 	for {
 		e, err := events.next()
 		if isStreamEnd(err) {
+			if err := g.checkUnframedStream(x, first); err != nil {
+				return err
+			}
 			return g.finishResponse(x)
 		}
 		if err != nil {
