Take an answer only for the request that it names

Cause: an answer with another request's id was dropped, unless it said that it had not run. Now it says nothing of this request, whatever its status: a short one with a length is passed over, up to two, and the answer behind it is read; else the outcome is unknown. A rejection without any id is still taken, as replicas send it. Reports and answers to orders, which carry no id, are not taken with one.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -135,22 +135,48 @@
 	return out
 }
 
-// readHead reads the head of the response. It rejects one with an encoded body, and one that
-// belongs to another request unless the replica declares that it did not run the request.
+const (
+	// maxForeignAnswers and maxForeignBytes bound the answers to other requests that are passed over before the
+	// one that is waited for.
+	maxForeignAnswers = 2
+	maxForeignBytes   = 64 << 10
+)
+
+// readHead reads the head of the response to the request with the given id. An answer to another request may
+// arrive late, where this one is expected; it says nothing of this request, not even that it did not run.
 func (x *exchange) readHead(codec Codec, out *http.Request, requestID string) error {
-	resp, err := x.conn.ReadHead(out, maxResponseBytes)
-	if err != nil {
-		return err
-	}
-	x.resp = resp
-	x.head = codec.DecodeResponse(resp.StatusCode, resp.Header)
-	if x.head.RequestID != requestID && !x.head.NotRun {
-		return errors.Newf("response is for request %q", x.head.RequestID)
+	for foreign := 0; ; foreign++ {
+		resp, err := x.conn.ReadHead(out, maxResponseBytes)
+		if err != nil {
+			return err
+		}
+		x.resp = resp
+		x.head = codec.DecodeResponse(resp.StatusCode, resp.Header)
+		if !x.head.isFor(requestID) {
+			if foreign == maxForeignAnswers || !x.skipBody() {
+				return errors.Newf("response is for request %q", x.head.RequestID)
+			}
+			continue
+		}
+		if x.head.Encoded {
+			return errors.New("response body is encoded")
+		}
+		return nil
 	}
-	if x.head.Encoded {
-		return errors.New("response body is encoded")
+}
+
+// isFor reports whether a response belongs to a request. A replica may reject a request without naming it.
+func (r Response) isFor(requestID string) bool {
+	return r.RequestID == requestID || r.RequestID == "" && r.NotRun
+}
+
+// skipBody reads a short body to its end and reports whether the next answer follows it.
+func (x *exchange) skipBody() bool {
+	if x.unframed() {
+		return false
 	}
-	return nil
+	n, err := io.Copy(io.Discard, io.LimitReader(x.resp.Body, maxForeignBytes+1))
+	return err == nil && n <= maxForeignBytes
 }
 
 // undeclaredRefusal returns an error if the replica's status promises callers that the request has not run,
