Use no entry whose start has another type or has been named before and is missing

Cause: a start that could not be read counted for the incarnation known, with an entry of which all other fields had to be right. Now it makes the entry unusable, as any field of another type does, and so does a start that is missing where the replica has named one.

Open: an entry without a start under a key that nobody had.

--- a/internal/entry/entry_order_test.go
+++ b/internal/entry/entry_order_test.go
@@ -124,3 +124,15 @@
 		}
 	}
 }
+
+// Guards against an entry of another writer, under the key of a replica that has left, that names it again.
+func TestEntryWithoutTheStartThatWasNamedIsNotUsed(t *testing.T) {
+	p := newReplicaSetTest()
+	p.write(bornAt(0), 10, "ready")
+	p.remove(false)
+	p.advance(maxWriteDelay)
+	p.write(incarnation.BornMissing, 10, "ready")
+	p.expectUnused(t)
+	p.write(bornAt(0), 10, "ready")
+	p.expect(t, bornAt(0), 10, false)
+}
--- a/internal/entry/replica_set.go
+++ b/internal/entry/replica_set.go
@@ -60,6 +60,10 @@
 			unusable[id] = entry.err
 			continue
 		}
+		if s.lacksStart(entry.replica) {
+			unusable[id] = &relay.EntryError{Field: "born", Want: "the start, which the replica has named before"}
+			continue
+		}
 		if r, counts := s.restored.apply(entry.replica); counts {
 			s.applyEntry(r, before, now)
 		}
@@ -71,6 +75,12 @@
 	s.incarnations.Forget(func(id string) bool { _, ok := s.listed[id]; return ok }, now)
 }
 
+// lacksStart reports whether an entry lacks the start that its replica has named in an entry before. Such an
+// entry is of another writer.
+func (s *replicaSet) lacksStart(r relay.Replica) bool {
+	return r.Born == incarnation.BornMissing && s.order.newest[r.ID].key.Born > 0
+}
+
 // applyEntry lists the replica of one entry. An entry that an earlier incarnation wrote late does
 // not describe its successor, which is listed as before, or as its reports describe it. One that the
 // present incarnation wrote late changes nothing.
