Pass a success on only with the replica's signature

Cause: an answer's id and encoding were checked, and the signature passed on unread. A success without exactly one that is not empty now counts as no answer: an idempotent call and a stream that may be repeated go elsewhere, another call ends as unknown. What the signature says can't be checked here; a well-formed wrong one is passed on.

--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -67,6 +67,8 @@
 	NotRun bool
 	// Encoded is set if the body has a content encoding, and so is not what the replica signed.
 	Encoded bool
+	// Signed is set if the response carries the replica's signature, which callers need with a success.
+	Signed bool
 	// FaultAddress is the address of the replica on the path that could not take part, "" if not
 	// stated.
 	FaultAddress string
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -161,6 +161,9 @@
 		if x.head.Encoded {
 			return errors.New("response body is encoded")
 		}
+		if success := resp.StatusCode/100 == 2; success && !x.head.NotRun && !x.head.Signed {
+			return errors.New("success without the replica's signature")
+		}
 		return nil
 	}
 }
