Order the entries of replicas that name no start by their ids

Where replicas name no start, each start has an id of its own, so entries of one id are of one incarnation. They were left out of the order; a late heartbeat made such a replica ready again (the unit test failed for them before). An entry that is held back and then rewritten is not held back once more as a late write.

--- a/internal/entry/entry_order.go
+++ b/internal/entry/entry_order.go
@@ -32,14 +32,14 @@
 	return entryOrder{logger: logger, newest: map[string]newestEntry{}}
 }
 
-// isLate records an entry and reports whether the replica wrote it before one that is known. Of an
-// incarnation without a known start nothing is late. A replica that drains does so until it ends. An entry
+// isLate records an entry and reports whether the replica wrote it before one that is known. Where replicas
+// name no start, each has an id of its own. A replica that drains does so until it ends. An entry
 // with an earlier heartbeat counts once it has stood for restoredEntryTTL, as the next heartbeat of a live
 // replica replaces it.
 func (o *entryOrder) isLate(r relay.Replica, now time.Time) bool {
 	known, ok := o.newest[r.ID]
 	entry := newestEntry{key: r.Key(), heartbeat: r.Heartbeat, draining: r.Draining, seenAt: now}
-	if !ok || known.key != r.Key() || r.Born <= 0 {
+	if !ok || known.key != r.Key() {
 		o.newest[r.ID] = entry
 		return false
 	}
--- a/internal/entry/entry_order_test.go
+++ b/internal/entry/entry_order_test.go
@@ -30,17 +30,22 @@
 
 // Guards against a draining replica that is ready again by a heartbeat that the store performed late.
 func TestLateHeartbeatDoesNotEndDraining(t *testing.T) {
-	for _, heartbeat := range []int{4, 5, 6} { // the count may be missing from what a writer keeps
-		p := newReplicaSetTest()
-		p.writeHeartbeat(10, "ready", 3)
-		p.writeHeartbeat(10, "draining", 5)
-		p.writeHeartbeat(10, "ready", heartbeat)
-		p.expect(t, bornAt(0), 10, true)
-		p.advance(time.Minute)
-		p.dropExpired(false, p.now)
-		p.expect(t, bornAt(0), 10, true)
-		p.write(bornAt(9), 0, "ready")
-		p.expect(t, bornAt(9), 0, false)
+	for _, born := range []int64{incarnation.BornMissing, bornAt(0)} {
+		for _, heartbeat := range []int{4, 5, 6} { // the count may be missing from what a writer keeps
+			p := newReplicaSetTest()
+			write := func(state string, heartbeat int) {
+				p.writeRow("r", fmt.Sprintf("engines,%d,10,%s,%d", born, state, heartbeat), false)
+			}
+			write("ready", 3)
+			write("draining", 5)
+			write("ready", heartbeat)
+			p.expect(t, born, 10, true)
+			p.advance(time.Minute)
+			p.dropExpired(false, p.now)
+			p.expect(t, born, 10, true)
+			p.write(bornAt(9), 0, "ready")
+			p.expect(t, bornAt(9), 0, false)
+		}
 	}
 }
 
@@ -80,6 +85,12 @@
 	p.advance(time.Second)
 	p.dropExpired(false, p.now)
 	p.expect(t, bornAt(0), 10, false)
+
+	unnamed := newReplicaSetTest()
+	unnamed.write(incarnation.BornMissing, 10, "ready")
+	unnamed.remove(false)
+	unnamed.write(incarnation.BornMissing, 10, "ready")
+	unnamed.expectUnused(t)
 }
 
 // Guards against a later incarnation, or a replica that is back after a long partition, that has to wait
--- a/internal/entry/restored_entries.go
+++ b/internal/entry/restored_entries.go
@@ -36,8 +36,9 @@
 	row []byte
 	// draining says that the replica was draining, else its entry was gone.
 	draining bool
-	// left is the start of the incarnation that had left, if the entry may be a late write; 0 if it is from
-	// the store's older copy.
+	// late says that the entry may be a late write, else it is from the store's older copy. left is the start
+	// of the incarnation that had left.
+	late  bool
 	left  int64
 	until time.Time
 }
@@ -45,7 +46,7 @@
 // endedBy reports whether the present entry of the replica ends the holding back: it is rewritten, or that of
 // a later incarnation than the one that had left.
 func (e restoredEntry) endedBy(entry decodedEntry) bool {
-	if e.left > 0 {
+	if e.late {
 		return entry.err == nil && entry.replica.Born > e.left
 	}
 	return !bytes.Equal(entry.row, e.row)
@@ -70,8 +71,12 @@
 // store is settling, a replica without an entry has not left for certain.
 func (s *restoredEntries) update(era uint64, decoded decodedEntries, before map[string]relay.Replica, settling bool, now time.Time) {
 	for id, known := range s.entries {
-		if entry, present := decoded[id]; !present || known.endedBy(entry) {
+		switch entry, present := decoded[id]; {
+		case !present:
 			delete(s.entries, id)
+		case known.endedBy(entry):
+			delete(s.entries, id)
+			delete(s.departures, id)
 		}
 	}
 	if era > s.era && len(before) > 0 {
@@ -112,20 +117,20 @@
 		_, listed := before[id]
 		_, held := s.entries[id]
 		recent := now.Sub(left.at) < maxWriteDelay
-		if !present || entry.err != nil || listed || held || left.expired || !recent || left.key.Born <= 0 || entry.replica.Born <= 0 || entry.replica.Born > left.key.Born {
+		if !present || entry.err != nil || listed || held || left.expired || !recent || entry.replica.Born > left.key.Born {
 			continue
 		}
 		until := now.Add(restoredEntryTTL)
 		if sure := left.at.Add(maxWriteDelay); sure.Before(until) {
 			until = sure
 		}
-		s.hold(id, restoredEntry{row: entry.row, left: left.key.Born, until: until})
+		s.hold(id, restoredEntry{row: entry.row, late: true, left: left.key.Born, until: until})
 	}
 }
 
 func (s *restoredEntries) hold(id string, entry restoredEntry) {
 	s.entries[id] = entry
-	s.logger.Info("entry of a replica that had left held back", zap.String("replica", shortID(id)), zap.Bool("draining", entry.draining), zap.Bool("late", entry.left > 0))
+	s.logger.Info("entry of a replica that had left held back", zap.String("replica", shortID(id)), zap.Bool("draining", entry.draining), zap.Bool("late", entry.late))
 }
 
 // recordDeparture records that a replica has left.
