--- a/internal/relay/generation_send.go
+++ b/internal/relay/generation_send.go
@@ -179,19 +179,29 @@
 		if err := g.checkEvent(e); err != nil {
 			return err
 		}
-		if e.Content {
-			g.recordEvent(watch)
-		}
-		if !g.headSent {
-			g.startResponse(x)
-			g.w.WriteHeader(http.StatusOK)
+		if !e.Content { // what followed the last event
+			if err := g.checkUnframedStream(x, first); err != nil {
+				return err
+			}
+			return g.finishWith(x, control, e)
 		}
+		g.recordEvent(watch)
+		g.startStream(x)
 		if err := g.writeEvent(control, e); err != nil {
 			return err
 		}
 	}
 }
 
+// finishWith completes the response with what followed the last event.
+func (g *generation) finishWith(x *exchange, control *http.ResponseController, rest event) error {
+	g.startStream(x)
+	if err := g.writeEvent(control, rest); err != nil {
+		return err
+	}
+	return g.finishResponse(x)
+}
+
 // recordEvent records the progress of the stream by an event.
 func (g *generation) recordEvent(watch *stallWatch) {
 	watch.eventArrived()
@@ -226,11 +236,16 @@
 // events is complete too.
 func (g *generation) finishResponse(x *exchange) error {
 	g.runSucceeded()
+	g.startStream(x)
+	return nil
+}
+
+// startStream sends the head of the response unless it was sent before.
+func (g *generation) startStream(x *exchange) {
 	if !g.headSent {
 		g.startResponse(x)
 		g.w.WriteHeader(http.StatusOK)
 	}
-	return nil
 }
 
 // startResponse copies the headers of the replica's response to the caller's.
