Assign the timer of a stall watch before it can fire

A process that was not run for the time to the first event between the start of the timer and its assignment used a timer that was not there yet. The write is now made under the lock that the timer's function takes first. No test brings it about by itself; the other timers that their own functions use are set under their locks or after an hour, by reading.

--- a/internal/relay/stall_watch.go
+++ b/internal/relay/stall_watch.go
@@ -62,7 +62,9 @@
 func newStallWatch(ctx context.Context, g *generation, r *layers.Reservation, cancel context.CancelCauseFunc) *stallWatch {
 	now := time.Now()
 	w := &stallWatch{g: g, ctx: ctx, cancel: cancel, reservation: r, lastEvent: now, due: now.Add(firstEventTimeout), gaps: g.gaps, movesAtLastEvent: g.q.progress.moves.Load()}
+	w.mu.Lock() // the timer may fire before it is assigned
 	w.timer = time.AfterFunc(firstEventTimeout, w.check)
+	w.mu.Unlock()
 	g.h.watches.add(w)
 	return w
 }
